--- /dev/null
+++ b/packages/command/src/check-command.ts
@@ -0,0 +1,72 @@
+/**
+ * `harrierhitch check`.
+ *
+ * @packageDocumentation
+ */
+
+import { checkConfiguration, checkInstanceList, checkSettings, type Finding, formatFinding } from "@harrierhitch/configuration";
+import { defineCommand } from "citty";
+import { readFile } from "node:fs/promises";
+import { jsonArg } from "./common-args.js";
+import { exitCodes, InvalidInputError, reportingFailure } from "./failure.js";
+import { writeJson, writeLine } from "./output.js";
+
+const checks = {
+    settings: checkSettings,
+    configuration: checkConfiguration,
+    instances: checkInstanceList,
+} as const;
+
+type DocumentKind = keyof typeof checks;
+
+/** Checks a document offline. */
+export const checkCommand = defineCommand({
+    meta: {
+        name: "check",
+        description:
+            "Check a settings file, a configuration or an instance list. References: docs/SETTINGS.md, docs/CONFIGURATION.md",
+    },
+    args: {
+        file: { type: "positional", required: true, description: "The file" },
+        kind: {
+            type: "string",
+            valueHint: "settings|configuration|instances",
+            description: "What the file is; guessed without it",
+        },
+        ...jsonArg,
+    },
+    run: ({ args }) =>
+        reportingFailure(async () => {
+            const text = await readFile(args.file, "utf8");
+            const kind = toKind(args.kind) ?? guessKind(text);
+            const { findings } = checks[kind](args.file, text);
+            report(args.file, kind, findings, args.json);
+            return findings.length === 0 ? exitCodes.done : exitCodes.invalid;
+        }),
+});
+
+const toKind = (name: string | undefined): DocumentKind | undefined => {
+    if (name !== undefined && !Object.hasOwn(checks, name)) {
+        throw new InvalidInputError(`unknown kind ${name}, expected settings, configuration or instances`);
+    }
+    return name as DocumentKind | undefined;
+};
+
+const guessKind = (text: string): DocumentKind => {
+    if (/^\s*\[instance\]/m.test(text)) {
+        return "settings";
+    }
+    return /^\s*revision\s*=/m.test(text) ? "instances" : "configuration";
+};
+
+const report = (file: string, kind: DocumentKind, findings: readonly Finding[], json: boolean): void => {
+    if (json) {
+        writeJson({ file, kind, findings });
+    }
+    else if (findings.length === 0) {
+        writeLine(`${file}: valid ${kind}`);
+    }
+    else {
+        findings.forEach(finding => writeLine(formatFinding(finding)));
+    }
+};
--- /dev/null
+++ b/packages/command/src/explanation-text.ts
@@ -0,0 +1,129 @@
+/**
+ * An explanation as a person reads it.
+ *
+ * @packageDocumentation
+ */
+
+import type { Attempt, Candidate, Explanation, Step } from "@harrierhitch/protocol";
+import { formatCount, formatMs, paint, table } from "./output.js";
+
+/** Writes an explanation as text. */
+export const explanationText = (explanation: Explanation, instance: string): string =>
+    [
+        ...headLines(explanation, instance),
+        "",
+        ...policyLines(explanation),
+        ...explanation.steps.flatMap((step, index) => ["", ...stepLines(step, index + 1)]),
+        ...attemptLines(explanation.attempts),
+        "",
+        endLine(explanation),
+    ].join("\n");
+
+const headLines = (explanation: Explanation, instance: string): readonly string[] => {
+    const request = explanation.steps[0]?.request;
+    const arrived = new Date(explanation.arrivedAtUnixMs).toISOString();
+    return [
+        `${paint.bold("Request")} ${explanation.requestId}, decided by instance ${instance}`,
+        ...(request === undefined
+            ? []
+            : [`${request.method} ${request.path}, kind ${request.kind}, hall ${
+                request.hall === "" ? "unknown" : request.hall
+            }`]),
+        `Arrived ${arrived}, route ${explanation.route} to service ${explanation.service}, trace ${explanation.traceId}`,
+        `Configuration generation ${explanation.generation}, hash ${explanation.configurationHash.slice(0, 12)}`,
+    ];
+};
+
+const policyLines = ({ policy }: Explanation): readonly string[] =>
+    policy === undefined ? [] : [
+        `${paint.bold("Policy")} ${policy.name}, chooser ${policy.chooser}`,
+        ...policy.clauses.map(clause => `  line ${clause.line}: ${clause.name} = ${clause.expression}`),
+    ];
+
+const stepLines = (step: Step, number: number): readonly string[] => [
+    `${paint.bold(`Decision ${number}`)} at ${formatMs(step.atMs)}: ${actionText(step)}`,
+    ...(step.failedClause === "" ? [] : [`  clause ${step.failedClause} failed: ${step.failureDetail}; safe default used`]),
+    `  ${step.request === undefined ? "" : `${formatMs(step.request.remainingMs)} left, `}${serviceText(step)}`,
+    `  draws ${step.draws.map(draw => draw.toFixed(4)).join(" ")}, turn ${step.turn}`
+    + (step.tried.length === 0 ? "" : `, already tried ${step.tried.join(", ")}`),
+    indent(table(candidateTitles, step.candidates.map(candidate => candidateCells(candidate, step.upstream)))),
+];
+
+const actionText = (step: Step): string => {
+    switch (step.action) {
+        case "choose":
+            return `send to ${paint.green(step.upstream)} (${step.chooser})`;
+        case "hold":
+            return paint.yellow(`hold back (${step.cause})`);
+        default:
+            return paint.red(`refuse (${step.cause}: ${step.reason}), come back after ${formatMs(step.retryAfterMs)}`);
+    }
+};
+
+const serviceText = ({ service }: Step): string =>
+    service === undefined
+        ? ""
+        : `${service.inFlight} in flight, ${service.queued} held back, ${service.candidates} of ${service.upstreams} upstreams free`;
+
+const candidateTitles = [
+    "",
+    "upstream",
+    "zone",
+    "state",
+    "in flight",
+    "limit",
+    "oldest",
+    "latency",
+    "(age)",
+    "reported",
+    "(age)",
+    "failures",
+    "score",
+    "left out",
+];
+
+const candidateCells = (candidate: Candidate, chosen: string): readonly string[] => [
+    candidate.id === chosen ? paint.green("*") : "",
+    candidate.id,
+    candidate.availabilityZone,
+    candidate.state,
+    String(candidate.inFlight),
+    String(candidate.limit),
+    formatMs(candidate.oldestInFlightMs),
+    formatMs(candidate.latencyMs),
+    formatMs(candidate.latencyAgeMs),
+    formatCount(candidate.reportedInFlight),
+    formatMs(candidate.reportAgeMs),
+    `${(candidate.failureRate * 100).toFixed(0)} %`,
+    candidate.score === undefined ? "" : candidate.score.toFixed(2),
+    candidate.excluded,
+];
+
+const attemptLines = (attempts: readonly Attempt[]): readonly string[] =>
+    attempts.length === 0 ? [] : [
+        "",
+        paint.bold("Attempts"),
+        indent(table(
+            ["upstream", "from", "to", "end", "outcome", "status", "detail"],
+            attempts.map(attempt => [
+                attempt.upstream + (attempt.hedge ? " (hedge)" : ""),
+                formatMs(attempt.startedMs),
+                formatMs(attempt.endedMs),
+                attempt.end,
+                attempt.outcome,
+                attempt.status === 0 ? "" : String(attempt.status),
+                attempt.detail,
+            ]),
+        )),
+    ];
+
+const endLine = (explanation: Explanation): string => {
+    if (explanation.outcome === "") {
+        return `${paint.bold("Outcome")} still in flight`;
+    }
+    const answer = explanation.status === 0 ? "no answer was sent" : `status ${explanation.status}`;
+    const problem = explanation.problem === "" ? "" : `, problem ${explanation.problem}`;
+    return `${paint.bold("Outcome")} ${explanation.outcome}, ${answer}${problem}, after ${formatMs(explanation.durationMs)}`;
+};
+
+const indent = (text: string): string => text.split("\n").map(line => `  ${line.trimEnd()}`).join("\n");
--- /dev/null
+++ b/packages/command/src/program.ts
@@ -0,0 +1,35 @@
+/**
+ * The program `harrierhitch`.
+ *
+ * @packageDocumentation
+ */
+
+import { defineCommand, runMain } from "citty";
+import { checkCommand } from "./check-command.js";
+import { explainCommand, replayCommand } from "./explain-command.js";
+import { drainCommand, metricsCommand, statusCommand, watchCommand } from "./status-command.js";
+import { version } from "./version.js";
+
+const main = defineCommand({
+    meta: {
+        name: "harrierhitch",
+        version,
+        description: "Operators' command line. Exit codes: 0 done, 1 failed, 2 rejected input, 3 a replay differs.",
+    },
+    subCommands: {
+        check: checkCommand,
+        drain: drainCommand,
+        explain: explainCommand,
+        metrics: metricsCommand,
+        replay: replayCommand,
+        status: statusCommand,
+        watch: watchCommand,
+    },
+});
+
+/**
+ * Runs the command line's program.
+ *
+ * @param args - Arguments without the program's name.
+ */
+export const runCommandProgram = (args: readonly string[]): Promise<void> => runMain(main, { rawArgs: [...args] });
--- /dev/null
+++ b/packages/configuration/src/check.ts
@@ -0,0 +1,93 @@
+/**
+ * Checking a document against its schema, with every finding placed.
+ *
+ * @packageDocumentation
+ */
+
+import { distance } from "fastest-levenshtein";
+import type { z } from "zod";
+import type { Finding } from "./finding.js";
+import type { LocatedIni } from "./located-ini.js";
+
+/** The result of a check: the value, or what is wrong. */
+export type Checked<Value> = { readonly value: Value; readonly findings: readonly []; } | {
+    readonly value: undefined;
+    readonly findings: readonly Finding[];
+};
+
+const closestDistance = 3;
+
+/**
+ * Checks a document against a schema of sections.
+ *
+ * @param document - The document.
+ * @param schema - The schema, an object of sections.
+ * @returns The value, or all findings.
+ */
+export const checkDocument = <Schema extends z.ZodObject>(
+    document: LocatedIni,
+    schema: Schema,
+): Checked<z.output<Schema>> => {
+    const result = schema.safeParse(document.values);
+    const findings = [
+        ...document.mistakes,
+        ...(result.error?.issues ?? []).flatMap(issue => toFindings(document, schema, issue)),
+    ];
+    return result.success && findings.length === 0
+        ? { value: result.data, findings: [] }
+        : { value: undefined, findings };
+};
+
+const toFindings = (document: LocatedIni, schema: z.ZodObject, issue: z.core.$ZodIssue): readonly Finding[] => {
+    const path = issue.path.map(String);
+    if (issue.code === "unrecognized_keys") {
+        const known = knownKeys(schema, path);
+        return issue.keys.map(name => unknownFinding(document, path, name, known));
+    }
+    const isKey = path.length > 1 || !path.some(name => isSection(document.values[name]));
+    const section = isKey ? path.slice(0, -1).join(".") : path.join(".");
+    const key = isKey ? path.at(-1) ?? "" : "";
+    const message = issue.code === "invalid_type" ? "the section is missing or is not a section" : issue.message;
+    return [{ file: document.file, section, key, line: document.lineOf(section, key), message }];
+};
+
+const unknownFinding = (
+    document: LocatedIni,
+    path: readonly string[],
+    name: string,
+    known: readonly string[],
+): Finding => {
+    const closest = known
+        .map(candidate => ({ candidate, edits: distance(candidate.toLowerCase(), name.toLowerCase()) }))
+        .filter(entry => entry.edits <= closestDistance)
+        .sort((a, b) => a.edits - b.edits)[0];
+    const suggestion = closest === undefined ? "" : `; did you mean ${closest.candidate}?`;
+    const unknownSection = path.length === 0 && isSection(document.values[name]);
+    return {
+        file: document.file,
+        section: unknownSection ? name : path.join("."),
+        key: unknownSection ? "" : name,
+        line: unknownSection ? document.lineOf(name, "") : document.lineOf(path.join("."), name),
+        message: `unknown ${unknownSection ? "section" : "key"}${suggestion}`,
+    };
+};
+
+const isSection = (value: unknown): boolean => typeof value === "object" && value !== null;
+
+const knownKeys = (schema: z.ZodObject, path: readonly string[]): readonly string[] => {
+    const inner = path.reduce<unknown>((outer, name) => childSchema(outer, name), schema);
+    return inner !== undefined && "shape" in (inner as object) ? Object.keys((inner as z.ZodObject).shape) : [];
+};
+
+const childSchema = (schema: unknown, name: string): unknown => {
+    const unwrapped = unwrap(schema);
+    if (unwrapped !== undefined && "shape" in unwrapped) {
+        return unwrap((unwrapped as z.ZodObject).shape[name]);
+    }
+    return unwrapped !== undefined && "valueType" in unwrapped ? unwrap(unwrapped.valueType) : undefined;
+};
+
+const unwrap = (schema: unknown): object | undefined => {
+    const definition = (schema as { def?: { innerType?: unknown; }; } | undefined)?.def;
+    return definition?.innerType === undefined ? schema as object | undefined : unwrap(definition.innerType);
+};
--- /dev/null
+++ b/packages/configuration/src/settings.ts
@@ -0,0 +1,216 @@
+/**
+ * The settings of one daemon: its addresses, availability zone and limits.
+ *
+ * @packageDocumentation
+ */
+
+import { z } from "zod";
+import { checkDocument, type Checked } from "./check.js";
+import type { Finding } from "./finding.js";
+import { addressKey, choiceKey, integerKey, nameKey, numberKey, optionalSection, optionalTextKey, textKey } from "./key.js";
+import { LocatedIni } from "./located-ini.js";
+
+const portKey = (description: string) => integerKey({ description, minimum: 0, maximum: 65535 });
+
+const tlsKeys = {
+    certificateFile: optionalTextKey({
+        description: "PEM file with the certificate; TLS is on when it is set.",
+        expected: "a path",
+    }),
+    keyFile: optionalTextKey({ description: "PEM file with the certificate's private key.", expected: "a path" }),
+    authorityFile: optionalTextKey({
+        description: "PEM file with the authorities whose client certificates are admitted.",
+        expected: "a path",
+    }),
+};
+
+/** Schema of the settings file. */
+export const settingsSchema = z.strictObject({
+    instance: z.strictObject({
+        id: nameKey({ description: "Name of this instance, the one that the instance list uses." }),
+        availabilityZone: nameKey({ description: "Availability zone in which this instance runs." }),
+    }),
+    callers: z.strictObject({
+        address: addressKey({ description: "IP number on which callers are served." }),
+        port: portKey("Port on which callers are served; 0 takes a free one."),
+        maximumConnections: integerKey({
+            description: "Most connections of callers at the same time; further ones are closed.",
+            minimum: 1,
+            maximum: 100_000,
+            defaultValue: 10_000,
+        }),
+        maximumHeaderBytes: integerKey({
+            description: "Largest request head.",
+            unit: "bytes",
+            minimum: 1024,
+            maximum: 262_144,
+            defaultValue: 16_384,
+        }),
+        maximumBodyBytes: integerKey({
+            description: "Largest request body; a larger one is refused with 413.",
+            unit: "bytes",
+            minimum: 0,
+            maximum: 10_737_418_240,
+            defaultValue: 104_857_600,
+        }),
+        headersTimeoutMs: integerKey({
+            description: "Longest time for a caller to send its request head.",
+            unit: "ms",
+            minimum: 100,
+            maximum: 600_000,
+            defaultValue: 10_000,
+        }),
+        bodyTimeoutMs: integerKey({
+            description: "Longest time for a caller to send its whole request.",
+            unit: "ms",
+            minimum: 100,
+            maximum: 3_600_000,
+            defaultValue: 300_000,
+        }),
+        keepAliveTimeoutMs: integerKey({
+            description: "Idle time after which a caller's connection is closed.",
+            unit: "ms",
+            minimum: 100,
+            maximum: 3_600_000,
+            defaultValue: 60_000,
+        }),
+        ...tlsKeys,
+    }),
+    operators: z.strictObject({
+        address: addressKey({ description: "IP number on which operators are served." }),
+        port: portKey("Port on which operators are served; 0 takes a free one."),
+        ...tlsKeys,
+    }),
+    platform: z.strictObject({
+        addresses: textKey({
+            description: "Addresses of the configuration service, tried in turn.",
+            expected: "IP:port pairs separated by commas",
+            pattern: /^[^,\s]+:\d+(\s*,\s*[^,\s]+:\d+)*$/,
+        }),
+        configurationKey: textKey({
+            description: "Key under which the configuration is published.",
+            defaultValue: "configuration",
+        }),
+        instancesKey: textKey({ description: "Key under which the instance list is published.", defaultValue: "instances" }),
+        readTimeoutMs: integerKey({
+            description: "Longest time for one read.",
+            unit: "ms",
+            minimum: 10,
+            maximum: 60_000,
+            defaultValue: 1000,
+        }),
+        watchMs: integerKey({
+            description: "Time for which one watch waits for a change.",
+            unit: "ms",
+            minimum: 100,
+            maximum: 300_000,
+            defaultValue: 20_000,
+        }),
+        retryMs: integerKey({
+            description: "Time between two tries while the service is down; each try is up to 50 % earlier or later.",
+            unit: "ms",
+            minimum: 10,
+            maximum: 60_000,
+            defaultValue: 500,
+        }),
+    }),
+    limits: optionalSection({
+        recordEntries: integerKey({
+            description: "Most decisions kept for explanations.",
+            minimum: 10,
+            maximum: 1_000_000,
+            defaultValue: 20_000,
+        }),
+        recordBytes: integerKey({
+            description: "Most memory for decisions kept for explanations.",
+            unit: "bytes",
+            minimum: 65_536,
+            maximum: 1_073_741_824,
+            defaultValue: 16_777_216,
+        }),
+        replayBodyBytes: integerKey({
+            description:
+                "Largest request body that is kept so that it can be sent again; larger ones are streamed and sent once.",
+            unit: "bytes",
+            minimum: 0,
+            maximum: 1_048_576,
+            defaultValue: 65_536,
+        }),
+        stopDelayMs: integerKey({
+            description: "Time between turning readiness off and closing the callers' port in a planned stop.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 600_000,
+            defaultValue: 5000,
+        }),
+        stopTimeoutMs: integerKey({
+            description: "Longest time for requests in flight to finish in a planned stop.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 3_600_000,
+            defaultValue: 60_000,
+        }),
+    }),
+    log: optionalSection({
+        level: choiceKey(["debug", "info", "warn", "error"], {
+            description: "Lowest level of events that are logged.",
+            defaultValue: "info",
+        }),
+    }),
+    traces: optionalSection({
+        otlpUrl: optionalTextKey({
+            description: "URL of an OTLP over HTTP receiver of traces; no spans are recorded without it.",
+            expected: "a URL with an IP number",
+        }),
+        queueSpans: integerKey({
+            description: "Most finished spans that wait for export; further ones are dropped and counted.",
+            minimum: 16,
+            maximum: 100_000,
+            defaultValue: 2048,
+        }),
+        sampleShare: numberKey({
+            description: "Share of requests without an incoming trace that are traced.",
+            minimum: 0,
+            maximum: 1,
+            defaultValue: 0.01,
+        }),
+    }),
+});
+
+/** The checked settings of one daemon. */
+export type Settings = z.output<typeof settingsSchema>;
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param file - Name of the file, for findings.
+ * @param text - The file's text.
+ * @returns The settings, or all findings.
+ */
+export const checkSettings = (file: string, text: string): Checked<Settings> => {
+    const document = LocatedIni.read(file, text);
+    const checked = checkDocument(document, settingsSchema);
+    if (checked.value === undefined) {
+        return checked;
+    }
+    const findings = (["callers", "operators"] as const).flatMap(section => tlsFindings(document, checked.value, section));
+    return findings.length === 0 ? checked : { value: undefined, findings };
+};
+
+const tlsFindings = (document: LocatedIni, settings: Settings, section: "callers" | "operators"): readonly Finding[] => {
+    const { address, certificateFile, keyFile, authorityFile } = settings[section];
+    const place = { file: document.file, section };
+    const findings: Finding[] = [];
+    if ((certificateFile === undefined) !== (keyFile === undefined)) {
+        const key = certificateFile === undefined ? "certificateFile" : "keyFile";
+        findings.push({ ...place, key, line: document.lineOf(section, key), message: "certificateFile and keyFile go together" });
+    }
+    if (section === "operators" && !isLoopback(address) && (certificateFile === undefined || authorityFile === undefined)) {
+        const message = "outside loopback, operators are served with certificateFile, keyFile and authorityFile only";
+        findings.push({ ...place, key: "address", line: document.lineOf(section, "address"), message });
+    }
+    return findings;
+};
+
+/** Whether an IP number is a loopback address. */
+export const isLoopback = (address: string): boolean => address === "::1" || address.startsWith("127.");
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,27 @@
+/**
+ * Ids, errors, clock, random source and outcomes that every package uses.
+ *
+ * @packageDocumentation
+ */
+
+export { type Branded } from "./brand.js";
+export { type Clock, sleep, type Timer } from "./clock.js";
+export { asError, HarrierhitchError } from "./error.js";
+export { FakeClock } from "./fake-clock.js";
+export {
+    type Generation,
+    generation,
+    type InstanceId,
+    instanceId,
+    type RequestId,
+    requestId,
+    type ServiceName,
+    serviceName,
+    type UpstreamId,
+    upstreamId,
+} from "./ids.js";
+export { type Outcome } from "./outcome.js";
+export { type RandomSource } from "./random.js";
+export { SeededRandom } from "./seeded-random.js";
+export { SystemClock } from "./system-clock.js";
+export { SystemRandom } from "./system-random.js";
--- /dev/null
+++ b/packages/daemon/src/caller-answer.ts
@@ -0,0 +1,99 @@
+/**
+ * The one answer that a caller gets.
+ *
+ * @packageDocumentation
+ */
+
+import type { RequestId } from "@harrierhitch/core";
+import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { answerHeaders } from "./headers.js";
+import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
+import { hasBody } from "./request-body.js";
+
+/**
+ * Writes either one upstream's whole answer or one problem. An answer that
+ * breaks off is cut off towards the caller too, never ended as if it were whole.
+ */
+export class CallerAnswer {
+    private readonly left = new AbortController();
+    private finished = false;
+
+    /**
+     * @param request - The caller's request.
+     * @param response - The response to write.
+     */
+    constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
+        response.once("close", () => {
+            if (!this.finished || !response.writableFinished) {
+                this.left.abort();
+            }
+        });
+    }
+
+    /** Aborted when the caller leaves before its answer was whole. */
+    get callerLeft(): AbortSignal {
+        return this.left.signal;
+    }
+
+    /** Whether the head of an answer was sent. */
+    get begun(): boolean {
+        return this.response.headersSent;
+    }
+
+    /** Passes on the head of an upstream's answer, with headers of our own. */
+    begin(status: number, headers: IncomingHttpHeaders, own: OutgoingHttpHeaders): void {
+        if (this.left.signal.aborted) {
+            return;
+        }
+        this.response.writeHead(status, { ...answerHeaders(headers), ...own, ...this.closing() });
+    }
+
+    /**
+     * Passes on a part of the body.
+     *
+     * @param chunk - The part.
+     * @param onRoom - Called when there is room again, if there was none.
+     * @returns Whether more can be written at once.
+     */
+    write(chunk: Buffer, onRoom: () => void): boolean {
+        if (this.left.signal.aborted || this.response.write(chunk)) {
+            return true;
+        }
+        this.response.once("drain", onRoom);
+        return false;
+    }
+
+    /** Ends the answer, because it is whole. */
+    end(): void {
+        this.finished = true;
+        this.response.end();
+    }
+
+    /** Cuts the answer off, because it cannot become whole. */
+    cutOff(): void {
+        this.response.destroy();
+    }
+
+    /**
+     * Answers with a problem, unless an answer has begun or the caller has left.
+     *
+     * @returns The status that was sent, if any.
+     */
+    problem(problem: Problem, id: RequestId | undefined, own: OutgoingHttpHeaders = {}): number | undefined {
+        if (this.begun || this.left.signal.aborted) {
+            return undefined;
+        }
+        const { status } = problemKinds[problem.kind];
+        const body = Buffer.from(JSON.stringify(problemBody(problem, id)));
+        const headers = { ...problemHeaders(problem, body.length), ...own, ...this.closing() };
+        this.finished = true;
+        this.response.writeHead(status, headers);
+        this.response.end(body);
+        return status;
+    }
+
+    /** A connection whose request was not read to its end cannot carry another one. */
+    private closing(): OutgoingHttpHeaders {
+        return !hasBody(this.request) || this.request.complete ? {} : { connection: "close" };
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/callers-server.ts
@@ -0,0 +1,167 @@
+/**
+ * The callers' side: accepting connections and requests.
+ *
+ * @packageDocumentation
+ */
+
+import type { Settings } from "@harrierhitch/configuration";
+import { readFileSync } from "node:fs";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { CallerAnswer } from "./caller-answer.js";
+import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
+import { hasBody } from "./request-body.js";
+
+/** Serves one request; it never rejects. */
+export type RequestHandler = (request: IncomingMessage, answer: CallerAnswer) => Promise<void>;
+
+/** Options of {@link CallersServer}. */
+export interface CallersServerOptions {
+    readonly settings: Settings["callers"];
+    readonly handler: RequestHandler;
+}
+
+const connectionCheckMs = 1000;
+
+/** The HTTP/1.1 server for callers. */
+export class CallersServer {
+    private readonly server: Server;
+    private readonly tasks = new Set<Promise<void>>();
+    private stopping = false;
+
+    /** @param options - Addresses, limits and the handler. */
+    constructor(private readonly options: CallersServerOptions) {
+        this.server = createPlainOrTls(options.settings);
+        this.server.maxConnections = options.settings.maximumConnections;
+        this.server.on("request", (request, response) => this.accept(request, response));
+        this.server.on("checkContinue", (request, response) => this.acceptAfterContinue(request, response));
+        this.server.on("checkExpectation", (request, response) => {
+            const detail = `cannot meet ${request.headers.expect}`;
+            new CallerAnswer(request, response).problem({ kind: "expectation-failed", detail, outcome: "not-run" }, undefined);
+        });
+        this.server.on("connect", (_, socket: Duplex) => writeRawProblem(socket, upgradeProblem));
+        this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
+            writeRawProblem(socket, toProblem(error));
+        });
+    }
+
+    /** Number of requests that are being served. */
+    get inFlight(): number {
+        return this.tasks.size;
+    }
+
+    /** Begins to listen; gives the port. */
+    async listen(): Promise<number> {
+        const { address, port } = this.options.settings;
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, address, resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Announces to callers that their connections will be closed. */
+    announceStop(): void {
+        this.stopping = true;
+    }
+
+    /**
+     * Takes no more connections and waits for the requests in flight.
+     *
+     * @param expired - Ends the wait.
+     * @returns The number of requests that were cut off.
+     */
+    async close(expired: Promise<void>): Promise<number> {
+        this.stopping = true;
+        const closed = new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+        });
+        this.server.closeIdleConnections();
+        await Promise.race([Promise.all([closed, ...this.tasks]), expired]);
+        const cutOff = this.tasks.size;
+        this.server.closeAllConnections();
+        return cutOff;
+    }
+
+    private acceptAfterContinue(request: IncomingMessage, response: ServerResponse): void {
+        const length = Number(request.headers["content-length"] ?? 0);
+        if (length <= this.options.settings.maximumBodyBytes) {
+            response.writeContinue();
+        }
+        this.accept(request, response);
+    }
+
+    private accept(request: IncomingMessage, response: ServerResponse): void {
+        if (this.stopping) {
+            response.setHeader("connection", "close");
+        }
+        const answer = new CallerAnswer(request, response);
+        const problem = findProblem(request);
+        if (problem !== undefined) {
+            answer.problem(problem, undefined);
+            return;
+        }
+        if (!hasBody(request)) {
+            request.resume();
+        }
+        const task = this.options.handler(request, answer).finally(() => this.tasks.delete(task));
+        this.tasks.add(task);
+    }
+}
+
+const createPlainOrTls = (settings: Settings["callers"]): Server => {
+    const options = {
+        maxHeaderSize: settings.maximumHeaderBytes,
+        headersTimeout: settings.headersTimeoutMs,
+        requestTimeout: settings.bodyTimeoutMs,
+        keepAliveTimeout: settings.keepAliveTimeoutMs,
+        connectionsCheckingInterval: connectionCheckMs,
+        requireHostHeader: false,
+        insecureHTTPParser: false,
+        noDelay: true,
+    };
+    return settings.certificateFile === undefined || settings.keyFile === undefined
+        ? createServer(options)
+        : createTlsServer({ ...options, cert: readFileSync(settings.certificateFile), key: readFileSync(settings.keyFile) });
+};
+
+const upgradeProblem: Problem = {
+    kind: "upgrade-not-supported",
+    detail: "the load balancer passes on plain HTTP requests only",
+    outcome: "not-run",
+};
+
+const findProblem = (request: IncomingMessage): Problem | undefined => {
+    if (request.headers.upgrade !== undefined) {
+        return upgradeProblem;
+    }
+    return request.httpVersion === "1.1" && request.headers.host === undefined
+        ? { kind: "bad-request", detail: "the header Host is missing", outcome: "not-run" }
+        : undefined;
+};
+
+const toProblem = (error: NodeJS.ErrnoException): Problem => {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return { kind: "headers-too-large", detail: "the request head is too large", outcome: "not-run" };
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return { kind: "request-timeout", detail: "the request took too long to arrive", outcome: "not-run" };
+        default:
+            return { kind: "bad-request", detail: error.message, outcome: "not-run" };
+    }
+};
+
+/** Answers on a connection whose request could not be parsed, and closes it. */
+const writeRawProblem = (socket: Duplex, problem: Problem): void => {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const body = JSON.stringify(problemBody(problem, undefined));
+    const { status, title } = problemKinds[problem.kind];
+    const headers = { ...problemHeaders(problem, Buffer.byteLength(body)), connection: "close" };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    socket.end(`HTTP/1.1 ${status} ${title}\r\n${lines.join("")}\r\n${body}`);
+};
--- /dev/null
+++ b/packages/daemon/src/decision-record.ts
@@ -0,0 +1,50 @@
+/**
+ * The record of one request: what was decided, tried and answered.
+ *
+ * @packageDocumentation
+ */
+
+import type { Configuration, Route } from "@harrierhitch/configuration";
+import type { Outcome, RequestId, UpstreamId } from "@harrierhitch/core";
+import type { AttemptResult, Decision, DecisionInput } from "@harrierhitch/decision";
+import type { ProblemKind } from "./problem.js";
+
+/** One decision with its input. */
+export interface DecisionStep {
+    /** Milliseconds since arrival. */
+    readonly atMs: number;
+    readonly input: DecisionInput;
+    readonly decision: Decision;
+}
+
+/** One attempt; its result is set when it has ended. */
+export interface AttemptRecord {
+    readonly upstream: UpstreamId;
+    /** Span of the attempt in the trace. */
+    readonly spanId: string;
+    /** Milliseconds since arrival. */
+    readonly startedMs: number;
+    readonly hedge: boolean;
+    endedMs: number | undefined;
+    result: AttemptResult | undefined;
+    outcome: Outcome | undefined;
+}
+
+/** What is kept of one request, filled in while it is served. */
+export interface DecisionRecord {
+    readonly id: RequestId;
+    readonly arrivedAtUnixMs: number;
+    readonly configuration: Configuration;
+    readonly route: Route;
+    readonly traceId: string;
+    /** Span of this hop in the trace. */
+    readonly spanId: string;
+    /** Span of the caller in the trace; empty without one. */
+    readonly parentSpanId: string;
+    readonly steps: DecisionStep[];
+    readonly attempts: AttemptRecord[];
+    outcome: Outcome | undefined;
+    status: number | undefined;
+    problem: ProblemKind | undefined;
+    durationMs: number | undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/event.ts
@@ -0,0 +1,40 @@
+/**
+ * The catalogue of log events. docs/EVENTS.md describes each of them; a test
+ * compares the two.
+ *
+ * @packageDocumentation
+ */
+
+/** A kind of log event with a stable number. */
+export interface EventKind {
+    /** Stable number, unique in the catalogue. */
+    readonly number: number;
+    readonly level: "debug" | "info" | "warn" | "error";
+    /** What happened, in a few words. */
+    readonly message: string;
+}
+
+/** Every event that a daemon logs. */
+export const events = {
+    started: { number: 100, level: "info", message: "daemon started" },
+    plainOperators: { number: 101, level: "warn", message: "operators are served without TLS, on loopback only" },
+    serving: { number: 102, level: "info", message: "callers are served" },
+    stopRequested: { number: 110, level: "info", message: "planned stop began" },
+    callersClosed: { number: 111, level: "info", message: "callers' port closed, finishing requests in flight" },
+    stopCutOff: { number: 112, level: "warn", message: "planned stop cut off requests that outlasted its limit" },
+    stopped: { number: 113, level: "info", message: "daemon stopped" },
+    wokeLate: { number: 120, level: "warn", message: "process slept; beliefs were refreshed" },
+    configurationAccepted: { number: 200, level: "info", message: "configuration accepted" },
+    configurationInvalid: { number: 201, level: "error", message: "published configuration was rejected" },
+    configurationOlder: { number: 202, level: "warn", message: "older configuration was offered and left aside" },
+    configurationConflict: { number: 203, level: "error", message: "two configurations share one generation" },
+    platformFailed: { number: 210, level: "warn", message: "platform did not answer" },
+    platformRecovered: { number: 211, level: "info", message: "platform answers again" },
+    instanceListInvalid: { number: 220, level: "error", message: "published instance list was rejected" },
+    upstreamStateChanged: { number: 300, level: "info", message: "upstream changed state" },
+    policyFailed: { number: 310, level: "error", message: "policy clause failed; the safe default was used" },
+    requestProblem: { number: 400, level: "debug", message: "request was answered with a problem" },
+    answerCutOff: { number: 401, level: "warn", message: "answer broke off and was cut off towards the caller" },
+    requestFailed: { number: 402, level: "error", message: "request failed inside the daemon" },
+    spansDropped: { number: 500, level: "warn", message: "spans were dropped" },
+} as const satisfies Readonly<Record<string, EventKind>>;
--- /dev/null
+++ b/packages/daemon/src/explanation-message.ts
@@ -0,0 +1,106 @@
+/**
+ * Turning a decision record into the message that explains it.
+ *
+ * @packageDocumentation
+ */
+
+import { create } from "@bufbuild/protobuf";
+import type { CandidateVerdict, Decision } from "@harrierhitch/decision";
+import { clauseNames, type UpstreamFacts } from "@harrierhitch/policy";
+import {
+    type Attempt,
+    AttemptSchema,
+    type Candidate,
+    CandidateSchema,
+    ClauseSchema,
+    type Explanation,
+    ExplanationSchema,
+    type Policy,
+    PolicySchema,
+    RequestSchema,
+    ServiceSchema,
+    type Step,
+    StepSchema,
+} from "@harrierhitch/protocol";
+import type { AttemptRecord, DecisionRecord, DecisionStep } from "./decision-record.js";
+
+/** Explains a record. */
+export const toExplanation = (record: DecisionRecord): Explanation =>
+    create(ExplanationSchema, {
+        requestId: record.id,
+        arrivedAtUnixMs: record.arrivedAtUnixMs,
+        generation: BigInt(record.configuration.generation),
+        configurationHash: record.configuration.hash,
+        service: record.route.service.name,
+        route: record.route.name,
+        traceId: record.traceId,
+        policy: toPolicy(record),
+        steps: record.steps.map(toStep),
+        attempts: record.attempts.map(toAttempt),
+        outcome: record.outcome ?? "",
+        status: record.status ?? 0,
+        durationMs: record.durationMs ?? 0,
+        problem: record.problem ?? "",
+    });
+
+/** Tells the facts of one upstream, with what a decision made of it. */
+export const toCandidate = (facts: UpstreamFacts, verdict?: CandidateVerdict): Candidate =>
+    create(CandidateSchema, {
+        ...facts,
+        excluded: verdict?.excluded ?? "",
+        ...(verdict?.score === undefined ? {} : { score: verdict.score }),
+    });
+
+const toPolicy = ({ route }: DecisionRecord): Policy => {
+    const { policy, chooser, refuseRetryAfterMs } = route.service.policy;
+    const { name, clauses, lines } = policy.source;
+    return create(PolicySchema, {
+        name,
+        chooser,
+        refuseRetryAfterMs,
+        clauses: clauseNames.flatMap(clause => {
+            const expression = clauses[clause];
+            return expression === undefined
+                ? []
+                : [create(ClauseSchema, { name: clause, expression, line: lines[clause] ?? 0 })];
+        }),
+    });
+};
+
+const toStep = ({ atMs, input, decision }: DecisionStep): Step =>
+    create(StepSchema, {
+        atMs,
+        request: create(RequestSchema, input.request),
+        service: create(ServiceSchema, input.service),
+        candidates: input.upstreams.map((facts, index) => toCandidate(facts, decision.verdicts[index])),
+        tried: [...input.tried],
+        draws: [...input.draws],
+        turn: input.turn,
+        action: decision.action,
+        ...actionFields(decision),
+        failedClause: decision.policyFailure?.clause ?? "",
+        failureDetail: decision.policyFailure?.detail ?? "",
+    });
+
+const actionFields = (decision: Decision) => {
+    switch (decision.action) {
+        case "choose":
+            return { upstream: decision.upstream, chooser: decision.chooser };
+        case "hold":
+            return { cause: decision.cause };
+        case "refuse":
+            return { cause: decision.cause, reason: decision.reason, retryAfterMs: decision.retryAfterMs };
+    }
+};
+
+const toAttempt = (attempt: AttemptRecord): Attempt =>
+    create(AttemptSchema, {
+        upstream: attempt.upstream,
+        startedMs: attempt.startedMs,
+        endedMs: attempt.endedMs ?? 0,
+        end: attempt.result?.end ?? "",
+        outcome: attempt.outcome ?? "",
+        status: attempt.result?.status ?? 0,
+        detail: attempt.result?.detail ?? "",
+        hedge: attempt.hedge,
+    });
--- /dev/null
+++ b/packages/daemon/src/explanation-store.ts
@@ -0,0 +1,77 @@
+/**
+ * The bounded store of decision records.
+ *
+ * @packageDocumentation
+ */
+
+import type { RequestId } from "@harrierhitch/core";
+import type { DecisionRecord } from "./decision-record.js";
+
+/** Options of {@link ExplanationStore}. */
+export interface ExplanationStoreOptions {
+    readonly maximumEntries: number;
+    readonly maximumBytes: number;
+}
+
+/** Measured sizes of the parts of a record on the heap (`npm run bench` prints them). */
+const recordBytes = 700;
+const stepBytes = 450;
+const candidateBytes = 250;
+const attemptBytes = 250;
+
+/** Estimates the memory that a record takes. */
+export const estimateBytes = (record: DecisionRecord): number => {
+    const candidates = record.steps.reduce((sum, step) => sum + step.input.upstreams.length, 0);
+    return recordBytes + stepBytes * record.steps.length + candidateBytes * candidates
+        + attemptBytes * record.attempts.length;
+};
+
+/** Keeps the newest records, within a number of entries and of bytes. */
+export class ExplanationStore {
+    /** Finished records with their size, oldest first. */
+    private readonly finished = new Map<RequestId, { readonly record: DecisionRecord; readonly bytes: number; }>();
+    private readonly inFlight = new Map<RequestId, DecisionRecord>();
+    private totalBytes = 0;
+
+    /** @param options - Bounds. */
+    constructor(private readonly options: ExplanationStoreOptions) {}
+
+    /** Takes the record of a request that has just arrived. */
+    begin(record: DecisionRecord): void {
+        this.inFlight.set(record.id, record);
+    }
+
+    /** Notes that a request was answered; older records make room. */
+    finish(record: DecisionRecord): void {
+        this.inFlight.delete(record.id);
+        const bytes = estimateBytes(record);
+        this.finished.set(record.id, { record, bytes });
+        this.totalBytes += bytes;
+        while (this.finished.size > this.options.maximumEntries || this.totalBytes > this.options.maximumBytes) {
+            this.dropOldest();
+        }
+    }
+
+    /** Finds a record. */
+    find(id: RequestId): DecisionRecord | undefined {
+        return this.inFlight.get(id) ?? this.finished.get(id)?.record;
+    }
+
+    /** Number of finished records. */
+    get entries(): number {
+        return this.finished.size;
+    }
+
+    /** Estimated memory of the finished records. */
+    get bytes(): number {
+        return this.totalBytes;
+    }
+
+    private dropOldest(): void {
+        const [oldest] = this.finished;
+        if (oldest !== undefined) {
+            this.finished.delete(oldest[0]);
+            this.totalBytes -= oldest[1].bytes;
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,77 @@
+/**
+ * The daemon's metrics. docs/METRICS.md describes each of them; a test compares
+ * the two.
+ *
+ * @packageDocumentation
+ */
+
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const latencyBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+/** Every metric of a daemon, in a registry of its own. */
+export class Metrics {
+    /** The registry that operators scrape. */
+    readonly registry = new Registry();
+
+    /** Requests answered, by service, kind and outcome. */
+    readonly requests = this.counter("harrierhitch_requests_total", "Requests answered", ["service", "kind", "outcome"]);
+
+    /** Time from arrival to the end of the answer. */
+    readonly requestDuration = new Histogram({
+        name: "harrierhitch_request_duration_seconds",
+        help: "Time from arrival to the end of the answer",
+        labelNames: ["service", "kind"],
+        buckets: latencyBuckets,
+        registers: [this.registry],
+    });
+
+    /** Answers that were problems of our own, by kind. */
+    readonly problems = this.counter("harrierhitch_problems_total", "Problem answers", ["problem"]);
+
+    /** Attempts at upstreams, by service and end. */
+    readonly attempts = this.counter("harrierhitch_attempts_total", "Attempts at upstreams", ["service", "end"]);
+
+    /** Decisions, by service and action. */
+    readonly decisions = this.counter("harrierhitch_decisions_total", "Decisions taken", ["service", "action"]);
+
+    /** Calls to the platform, by kind. */
+    readonly platformCalls = this.counter("harrierhitch_platform_calls_total", "Calls to the configuration service", ["kind"]);
+
+    /** Changes of upstreams' states. */
+    readonly stateChanges = this.counter(
+        "harrierhitch_upstream_state_changes_total",
+        "Changes of an upstream's believed state",
+        ["service", "state"],
+    );
+
+    /** Spans that were dropped because the queue was full or the receiver failed. */
+    readonly spansDropped = this.counter("harrierhitch_spans_dropped_total", "Spans dropped instead of exported", []);
+
+    /** Generation in force. */
+    readonly generation = this.gauge("harrierhitch_configuration_generation", "Generation of the configuration in force");
+
+    /** Requests in flight. */
+    readonly inFlight = this.gauge("harrierhitch_requests_in_flight", "Requests being served");
+
+    /** Records kept for explanations. */
+    readonly records = this.gauge("harrierhitch_records", "Decision records kept");
+
+    /** Estimated memory of the records. */
+    readonly recordBytes = this.gauge("harrierhitch_record_bytes", "Estimated memory of the decision records");
+
+    /** @param processMetrics - Whether to add the process's own metrics. */
+    constructor(processMetrics = true) {
+        if (processMetrics) {
+            collectDefaultMetrics({ register: this.registry });
+        }
+    }
+
+    private counter(name: string, help: string, labelNames: readonly string[]): Counter {
+        return new Counter({ name, help, labelNames, registers: [this.registry] });
+    }
+
+    private gauge(name: string, help: string): Gauge {
+        return new Gauge({ name, help, registers: [this.registry] });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/request-progress.ts
@@ -0,0 +1,148 @@
+/**
+ * How far one request has come: its deadline, its record and what is known of it.
+ *
+ * @packageDocumentation
+ */
+
+import type { Configuration, Route } from "@harrierhitch/configuration";
+import type { Outcome } from "@harrierhitch/core";
+import type { RequestFacts } from "@harrierhitch/policy";
+import type { IncomingMessage } from "node:http";
+import { type Arrival, readArrival } from "./arrival.js";
+import type { CallerAnswer } from "./caller-answer.js";
+import type { DecisionRecord } from "./decision-record.js";
+import { events } from "./event.js";
+import { outcomeHeader, type Problem } from "./problem.js";
+import type { RequestServices } from "./request-services.js";
+import { continueTrace, type TraceContext } from "./trace-context.js";
+
+/** Header that names a request to its caller. */
+export const requestIdHeader = "x-harrierhitch-request-id";
+
+/** Header with the decision in short. */
+export const decisionHeader = "x-harrierhitch-decision";
+
+/** When a caller should come back after its request was given up under load. */
+export const overloadRetryAfterMs = 1000;
+
+/** An attempt is begun only when this much time is left. */
+const minimumAttemptMs = 1;
+
+/** The progress of one request. */
+export class RequestProgress {
+    readonly arrivedAtMs: number;
+    readonly deadlineAtMs: number;
+    readonly arrival: Arrival;
+    readonly trace: TraceContext;
+    readonly record: DecisionRecord;
+    /** Time for which the request has been held back. */
+    heldMs = 0;
+
+    /**
+     * @param services - What the daemon provides to requests.
+     * @param configuration - The configuration that this request is served under, to its end.
+     * @param route - The route that matched.
+     * @param request - The caller's request.
+     * @param answer - The caller's answer.
+     */
+    constructor(
+        private readonly services: RequestServices,
+        configuration: Configuration,
+        readonly route: Route,
+        readonly request: IncomingMessage,
+        readonly answer: CallerAnswer,
+    ) {
+        this.arrivedAtMs = services.clock.nowMs();
+        this.arrival = readArrival(request, configuration.fleet, route.kind);
+        this.deadlineAtMs = this.arrivedAtMs + this.arrival.timeoutMs;
+        this.trace = continueTrace(request.headers["traceparent"], () => services.sampleTrace());
+        this.record = {
+            id: services.requestIds.next(),
+            arrivedAtUnixMs: services.clock.wallMs(),
+            configuration,
+            route,
+            traceId: this.trace.traceId,
+            spanId: this.trace.spanId,
+            parentSpanId: this.trace.parentSpanId,
+            steps: [],
+            attempts: [],
+            outcome: undefined,
+            status: undefined,
+            problem: undefined,
+            durationMs: undefined,
+        };
+    }
+
+    /** Milliseconds since arrival. */
+    get ageMs(): number {
+        return this.services.clock.nowMs() - this.arrivedAtMs;
+    }
+
+    /** Milliseconds until the deadline. */
+    get remainingMs(): number {
+        return this.deadlineAtMs - this.services.clock.nowMs();
+    }
+
+    /** Whether too little time is left for another attempt. */
+    get isLate(): boolean {
+        return this.remainingMs <= minimumAttemptMs;
+    }
+
+    /** The request as policies see it. */
+    facts(): RequestFacts {
+        const { kind } = this.route;
+        return {
+            kind: kind.name,
+            hall: this.arrival.hall,
+            method: this.request.method ?? "GET",
+            path: this.arrival.path,
+            weight: kind.weight,
+            repeatable: kind.repeatable,
+            attempt: this.record.attempts.length + 1,
+            depth: this.arrival.depth,
+            remainingMs: this.remainingMs,
+            heldMs: this.heldMs,
+        };
+    }
+
+    /** What is known after all attempts so far: unknown as soon as one of them is. */
+    outcomeSoFar(): Outcome {
+        const outcomes = this.record.attempts.map(attempt => attempt.outcome);
+        return outcomes.find(outcome => outcome === "ran") ?? outcomes.find(outcome => outcome === "unknown") ?? "not-run";
+    }
+
+    /** Headers of our own for the caller's answer. */
+    ownHeaders(outcome: Outcome): Record<string, string> {
+        const { attempts, configuration } = this.record;
+        const last = attempts.at(-1)?.upstream ?? "none";
+        const policy = this.route.service.policy.policy.source.name;
+        const parts = [
+            `generation=${configuration.generation}`,
+            `policy=${policy}`,
+            `upstream=${last}`,
+            `attempts=${attempts.length}`,
+        ];
+        return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
+    }
+
+    /** Gives the request its final answer at once. */
+    giveUp(problem: Problem): void {
+        this.record.outcome = problem.outcome;
+        this.record.problem = problem.kind;
+        this.record.status = this.answer.problem(problem, this.record.id, this.ownHeaders(problem.outcome));
+        const { id } = this.record;
+        this.services.log.write(events.requestProblem, { request: id, problem: problem.kind, outcome: problem.outcome });
+    }
+
+    /** Gives up because the request cannot be served in time. */
+    giveUpUnderLoad(detail: string): void {
+        const outcome = this.outcomeSoFar();
+        this.giveUp({ kind: "overloaded", detail, outcome, retryAfterMs: overloadRetryAfterMs });
+    }
+
+    /** Gives up because the deadline has passed. */
+    giveUpAtDeadline(): void {
+        const detail = `no answer within ${this.arrival.timeoutMs} ms`;
+        this.giveUp({ kind: "deadline", detail, outcome: this.outcomeSoFar() });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/service-runtime.ts
@@ -0,0 +1,42 @@
+/**
+ * The state of one service on this instance.
+ *
+ * @packageDocumentation
+ */
+
+import type { ServiceName } from "@harrierhitch/core";
+import type { ServiceBeliefs } from "@harrierhitch/decision";
+import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
+import type { HoldQueue } from "./hold-queue.js";
+
+/** Beliefs, queue and turn of one service; it outlives configurations. */
+export class ServiceRuntime {
+    private turn = 0;
+
+    /**
+     * @param name - The service.
+     * @param beliefs - What is believed of its upstreams.
+     * @param queue - Its requests that are held back.
+     */
+    constructor(readonly name: ServiceName, readonly beliefs: ServiceBeliefs, readonly queue: HoldQueue) {}
+
+    /** Running number of decisions. */
+    nextTurn(): number {
+        this.turn += 1;
+        return this.turn;
+    }
+
+    /** The service as policies see it. */
+    facts(upstreams: readonly UpstreamFacts[]): ServiceFacts {
+        return {
+            name: this.name,
+            inFlight: upstreams.reduce((sum, upstream) => sum + upstream.inFlight, 0),
+            queued: this.queue.length,
+            candidates: upstreams.filter(isCandidate).length,
+            upstreams: upstreams.length,
+        };
+    }
+}
+
+const isCandidate = (upstream: UpstreamFacts): boolean =>
+    upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- /dev/null
+++ b/packages/decision/src/baseline-choosers.ts
@@ -0,0 +1,65 @@
+/**
+ * The well-known choosers, which the adaptive one is measured against.
+ *
+ * @packageDocumentation
+ */
+
+import type { ChooserName } from "@harrierhitch/configuration";
+import type { Choice, Chooser, ChooserInput } from "./chooser.js";
+import { all, lowest, pick, sample } from "./compare.js";
+
+const noScores: ReadonlyMap<number, number> = new Map();
+
+/** Takes the candidates in turn. */
+export class RoundRobinChooser implements Chooser {
+    readonly name: ChooserName = "round-robin";
+
+    choose(input: ChooserInput): Choice {
+        return { index: input.turn % input.candidates.length, scores: noScores };
+    }
+}
+
+/** Takes any candidate. */
+export class RandomChooser implements Chooser {
+    readonly name: ChooserName = "random";
+
+    choose(input: ChooserInput): Choice {
+        return { index: pick(input.draws[0], input.candidates.length), scores: noScores };
+    }
+}
+
+/** Takes the candidate with the fewest requests in flight from this instance. */
+export class LeastOutstandingChooser implements Chooser {
+    readonly name: ChooserName = "least-outstanding";
+
+    choose(input: ChooserInput): Choice {
+        return lowest(input, all(input), candidate => candidate.inFlight);
+    }
+}
+
+/** Takes the less busy of two random candidates; by the policy's rank where it has one. */
+export class TwoChoicesChooser implements Chooser {
+    readonly name: ChooserName = "two-choices";
+
+    choose(input: ChooserInput): Choice {
+        return lowest(input, sample(input, 2), (candidate, index) => input.ranks?.[index] ?? candidate.inFlight);
+    }
+}
+
+/** Takes the candidate with the lowest decayed latency, counting requests in flight. */
+export class LatencyAverageChooser implements Chooser {
+    readonly name: ChooserName = "latency-average";
+
+    choose(input: ChooserInput): Choice {
+        return lowest(input, all(input), candidate => candidate.latencyMs * (candidate.inFlight + 1));
+    }
+}
+
+/** Takes the candidate with the lowest rank of the policy; without a rank, the fewest in flight. */
+export class LowestRankChooser implements Chooser {
+    readonly name: ChooserName = "lowest-rank";
+
+    choose(input: ChooserInput): Choice {
+        return lowest(input, all(input), (candidate, index) => input.ranks?.[index] ?? candidate.inFlight);
+    }
+}
--- /dev/null
+++ b/packages/decision/src/belief.ts
@@ -0,0 +1,173 @@
+/**
+ * What one instance believes of one upstream.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamState } from "@harrierhitch/policy";
+import type { Observation } from "./observation.js";
+
+/** Numbers that say how beliefs change; see docs/DECISIONS.md for how they were found. */
+export interface BeliefOptions {
+    /** Share of a new latency in the decayed average. */
+    readonly latencyShare: number;
+    /** Share of a new result in the decayed failure rate. */
+    readonly failureShare: number;
+    /** Failures in a row after which an upstream is ejected. */
+    readonly ejectAfterFailures: number;
+    /** Decayed failure rate above which an upstream is ejected. */
+    readonly ejectFailureRate: number;
+    /** Time of the first ejection; each further one in a row doubles it. */
+    readonly ejectionMs: number;
+    /** Longest ejection. */
+    readonly maximumEjectionMs: number;
+    /** Time for which an upstream that came back counts as cold. */
+    readonly coldMs: number;
+    /** Most requests in flight to one upstream. */
+    readonly maximumLimit: number;
+}
+
+/** Options that suit upstreams with a few slots. */
+export const defaultBeliefOptions: BeliefOptions = {
+    latencyShare: 0.2,
+    failureShare: 0.1,
+    ejectAfterFailures: 3,
+    ejectFailureRate: 0.5,
+    ejectionMs: 1000,
+    maximumEjectionMs: 30_000,
+    coldMs: 3000,
+    maximumLimit: 16,
+};
+
+/** An immutable belief; {@link update} makes the next one. */
+export interface Belief {
+    readonly state: UpstreamState;
+    /** Time of the last change of state. */
+    readonly stateAtMs: number;
+    /** End of the ejection; meaningful in the state `ejected`. */
+    readonly ejectedUntilMs: number;
+    /** Ejections in a row. */
+    readonly ejections: number;
+    readonly failuresInRow: number;
+    readonly failureRate: number;
+    readonly latencyMs: number;
+    /** Time of the last answer; `undefined` before the first. */
+    readonly answeredAtMs: number | undefined;
+    readonly reportedInFlight: number;
+    /** Time of the last report; `undefined` without one. */
+    readonly reportedAtMs: number | undefined;
+    readonly sentSinceReport: number;
+    /** Most requests in flight, with a fraction that grows towards the next. */
+    readonly limit: number;
+}
+
+/** The belief about an upstream of which nothing is known. */
+export const initialBelief = (options: BeliefOptions, atMs: number): Belief => ({
+    state: "ready",
+    stateAtMs: atMs,
+    ejectedUntilMs: 0,
+    ejections: 0,
+    failuresInRow: 0,
+    failureRate: 0,
+    latencyMs: 0,
+    answeredAtMs: undefined,
+    reportedInFlight: 0,
+    reportedAtMs: undefined,
+    sentSinceReport: 0,
+    limit: options.maximumLimit,
+});
+
+/**
+ * Makes the belief that follows from an observation.
+ *
+ * @param belief - The belief so far.
+ * @param observation - What was learned.
+ * @param options - How beliefs change.
+ * @param mayEject - Whether the cap on ejected upstreams leaves room for one more.
+ */
+export const update = (belief: Belief, observation: Observation, options: BeliefOptions, mayEject: boolean): Belief => {
+    switch (observation.type) {
+        case "started":
+            return { ...belief, sentSinceReport: belief.sentSinceReport + 1 };
+        case "answered":
+            return observation.failed
+                ? afterFailure(afterReport(belief, observation), observation.atMs, options, mayEject)
+                : afterSuccess(afterReport(belief, observation), observation, options);
+        case "failed":
+            return afterFailure(belief, observation.atMs, options, mayEject);
+        case "shed":
+            return { ...belief, limit: Math.max(1, belief.limit * shedFactor) };
+        case "draining":
+            return belief.state === "draining" ? belief : withState(belief, "draining", observation.atMs);
+        case "returned":
+            return { ...withState(initialBelief(options, observation.atMs), "cold", observation.atMs), limit: coldLimit };
+        case "reported":
+            return afterReport(belief, { atMs: observation.atMs, reportedInFlight: observation.inFlight });
+    }
+};
+
+/**
+ * Makes the belief that follows from the passing of time alone.
+ *
+ * @param belief - The belief so far.
+ * @param nowMs - The time now.
+ * @param options - How beliefs change.
+ */
+export const atTime = (belief: Belief, nowMs: number, options: BeliefOptions): Belief => {
+    if (belief.state === "ejected" && nowMs >= belief.ejectedUntilMs) {
+        return { ...withState(belief, "suspect", nowMs), limit: 1, failuresInRow: 0 };
+    }
+    return belief.state === "cold" && nowMs >= belief.stateAtMs + options.coldMs
+        ? withState(belief, "ready", nowMs)
+        : belief;
+};
+
+const shedFactor = 0.7;
+const coldLimit = 1;
+
+/** Decayed failure rate with which an upstream leaves the state `suspect`. */
+const recoveredFailureRate = 0.25;
+
+const withState = (belief: Belief, state: UpstreamState, atMs: number): Belief => ({ ...belief, state, stateAtMs: atMs });
+
+const afterReport = (
+    belief: Belief,
+    report: { readonly atMs: number; readonly reportedInFlight: number | undefined; },
+): Belief =>
+    report.reportedInFlight === undefined
+        ? belief
+        : { ...belief, reportedInFlight: report.reportedInFlight, reportedAtMs: report.atMs, sentSinceReport: 0 };
+
+const afterSuccess = (
+    belief: Belief,
+    answer: { readonly atMs: number; readonly latencyMs: number; },
+    options: BeliefOptions,
+): Belief => {
+    const first = belief.answeredAtMs === undefined;
+    const latencyMs = first
+        ? answer.latencyMs
+        : belief.latencyMs + options.latencyShare * (answer.latencyMs - belief.latencyMs);
+    const failureRate = belief.failureRate * (1 - options.failureShare);
+    const limit = Math.min(options.maximumLimit, belief.limit + 1 / belief.limit);
+    const next = { ...belief, latencyMs, answeredAtMs: answer.atMs, failureRate, failuresInRow: 0, limit };
+    return belief.state === "suspect" && failureRate < recoveredFailureRate
+        ? { ...withState(next, "ready", answer.atMs), ejections: 0 }
+        : next;
+};
+
+const afterFailure = (belief: Belief, atMs: number, options: BeliefOptions, mayEject: boolean): Belief => {
+    const failureRate = belief.failureRate + options.failureShare * (1 - belief.failureRate);
+    const failuresInRow = belief.failuresInRow + 1;
+    const next = { ...belief, failureRate, failuresInRow };
+    const tooMany = failuresInRow >= options.ejectAfterFailures || failureRate > options.ejectFailureRate;
+    const isTrial = belief.state === "suspect";
+    if (!(tooMany || isTrial) || belief.state === "ejected" || belief.state === "draining") {
+        return next;
+    }
+    if (!mayEject) {
+        return withState(next, "suspect", atMs);
+    }
+    const ejections = belief.ejections + 1;
+    const ejectionMs = Math.min(options.maximumEjectionMs, options.ejectionMs * 2 ** (ejections - 1));
+    return { ...withState(next, "ejected", atMs), ejections, ejectedUntilMs: atMs + ejectionMs };
+};
--- /dev/null
+++ b/packages/decision/src/chooser.ts
@@ -0,0 +1,35 @@
+/**
+ * Choosers: the ways to pick one of several candidates.
+ *
+ * @packageDocumentation
+ */
+
+import type { ChooserName } from "@harrierhitch/configuration";
+import type { UpstreamFacts } from "@harrierhitch/policy";
+
+/** What a chooser may look at. */
+export interface ChooserInput {
+    /** The candidates, at least one. */
+    readonly candidates: readonly UpstreamFacts[];
+    /** Ranks by the policy in the candidates' order; `undefined` when the policy has no rank. */
+    readonly ranks: readonly number[] | undefined;
+    /** Random numbers, each at least 0 and below 1. */
+    readonly draws: readonly number[];
+    /** Running number of the service's decisions. */
+    readonly turn: number;
+}
+
+/** What a chooser picked. */
+export interface Choice {
+    /** Index of the chosen candidate. */
+    readonly index: number;
+    /** Scores of the candidates that were compared, by index. */
+    readonly scores: ReadonlyMap<number, number>;
+}
+
+/** A way to pick one candidate. It has no state: the same input gives the same choice. */
+export interface Chooser {
+    readonly name: ChooserName;
+    /** Picks one of the candidates. */
+    choose(input: ChooserInput): Choice;
+}
--- /dev/null
+++ b/packages/decision/src/choosers.ts
@@ -0,0 +1,31 @@
+/**
+ * The choosers by name.
+ *
+ * @packageDocumentation
+ */
+
+import type { ChooserName } from "@harrierhitch/configuration";
+import { AdaptiveChooser } from "./adaptive-chooser.js";
+import {
+    LatencyAverageChooser,
+    LeastOutstandingChooser,
+    LowestRankChooser,
+    RandomChooser,
+    RoundRobinChooser,
+    TwoChoicesChooser,
+} from "./baseline-choosers.js";
+import type { Chooser } from "./chooser.js";
+
+/** Every chooser that a policy can pick. */
+export const choosers: Readonly<Record<ChooserName, Chooser>> = {
+    "adaptive": new AdaptiveChooser(),
+    "lowest-rank": new LowestRankChooser(),
+    "two-choices": new TwoChoicesChooser(),
+    "least-outstanding": new LeastOutstandingChooser(),
+    "latency-average": new LatencyAverageChooser(),
+    "round-robin": new RoundRobinChooser(),
+    "random": new RandomChooser(),
+};
+
+/** Random numbers that a decision needs for any chooser. */
+export const drawsPerDecision = 4;
--- /dev/null
+++ b/packages/decision/src/compare.ts
@@ -0,0 +1,53 @@
+/**
+ * Helpers that choosers share: comparing scores and drawing candidates.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import type { Choice, ChooserInput } from "./chooser.js";
+
+/** Gives one candidate a score; lower is better. */
+export type Score = (candidate: UpstreamFacts, index: number) => number;
+
+/**
+ * Picks the lowest score among some candidates; ties go round, by the first draw.
+ *
+ * @param input - The chooser's input.
+ * @param indexes - The candidates to compare.
+ * @param score - Their score.
+ */
+export const lowest = (input: ChooserInput, indexes: readonly number[], score: Score): Choice => {
+    const scores = new Map(indexes.map(index => [index, score(candidateAt(input, index), index)]));
+    const best = Math.min(...scores.values());
+    const ties = indexes.filter(index => scores.get(index) === best);
+    return { index: ties[pick(input.draws[0], ties.length)] ?? indexes[0] ?? 0, scores };
+};
+
+/** Indexes of all candidates. */
+export const all = (input: ChooserInput): readonly number[] => input.candidates.map((_, index) => index);
+
+/**
+ * Draws different candidates at random.
+ *
+ * @param input - The chooser's input; draw `k + 1` picks the `k`-th candidate.
+ * @param count - How many, at most as many as there are draws left.
+ */
+export const sample = (input: ChooserInput, count: number): readonly number[] => {
+    const left = [...all(input)];
+    return Array.from({ length: Math.min(count, left.length) }, (_, turn) => {
+        const position = pick(input.draws[turn + 1], left.length);
+        return left.splice(position, 1)[0] ?? 0;
+    });
+};
+
+/** Maps a draw to a whole number below `count`. */
+export const pick = (draw: number | undefined, count: number): number => Math.floor((draw ?? 0) * count);
+
+const candidateAt = (input: ChooserInput, index: number): UpstreamFacts => {
+    const candidate = input.candidates[index];
+    if (candidate === undefined) {
+        throw new RangeError(`there is no candidate ${index}`);
+    }
+    return candidate;
+};
--- /dev/null
+++ b/packages/decision/src/decide.ts
@@ -0,0 +1,142 @@
+/**
+ * The decision: which upstream a request goes to, or that it waits or is refused.
+ *
+ * @packageDocumentation
+ */
+
+import type { ServicePolicy } from "@harrierhitch/configuration";
+import { upstreamId } from "@harrierhitch/core";
+import { PolicyRunError, type UpstreamFacts } from "@harrierhitch/policy";
+import { choosers } from "./choosers.js";
+import type { DecisionInput } from "./decision-input.js";
+import type { CandidateVerdict, Decision, Exclusion, PolicyFailure } from "./decision.js";
+
+/** When a caller should come back after a refusal for lack of upstreams. */
+const noUpstreamRetryAfterMs = 1000;
+
+/**
+ * Decides on one attempt of a request.
+ *
+ * The result depends on the arguments alone, so that a recorded decision can be
+ * replayed. When a clause of the policy fails, the decision goes on without the
+ * policy: nothing is refused or held by it, and the least busy of two random
+ * candidates is taken.
+ *
+ * @param policy - The policy of the request's service.
+ * @param input - What is believed.
+ */
+export const decide = (policy: ServicePolicy, input: DecisionInput): Decision => {
+    try {
+        return decideBy(policy, input);
+    }
+    catch (thrown) {
+        if (thrown instanceof PolicyRunError) {
+            return decideWithoutPolicy(input, { clause: thrown.clause, detail: thrown.detail });
+        }
+        throw thrown;
+    }
+};
+
+const decideBy = (servicePolicy: ServicePolicy, input: DecisionInput): Decision => {
+    const { policy, chooser } = servicePolicy;
+    const { request, service } = input;
+    const reason = policy.refuse(request, service);
+    if (reason !== undefined) {
+        const retryAfterMs = servicePolicy.refuseRetryAfterMs;
+        return { action: "refuse", cause: "policy", reason, retryAfterMs, verdicts: [], policyFailure: undefined };
+    }
+    if (policy.hold(request, service)) {
+        return { action: "hold", cause: "policy", verdicts: [], policyFailure: undefined };
+    }
+    const exclusions = withoutTried(
+        input,
+        input.upstreams.map(upstream =>
+            exclusionOf(upstream) ?? (policy.filter(request, service, upstream) ? undefined : "filtered")
+        ),
+    );
+    const candidates = input.upstreams.filter((_, index) => exclusions[index] === undefined);
+    if (candidates.length === 0) {
+        return withoutCandidates(input, exclusions, undefined);
+    }
+    const ranks = rankAll(servicePolicy, input, candidates);
+    return chooseAmong(chooser, input, exclusions, candidates, ranks, undefined);
+};
+
+const rankAll = ({ policy }: ServicePolicy, input: DecisionInput, candidates: readonly UpstreamFacts[]) => {
+    if (policy.source.clauses.rank === undefined) {
+        return undefined;
+    }
+    return candidates.map(upstream => policy.rank(input.request, input.service, upstream) ?? 0);
+};
+
+const decideWithoutPolicy = (input: DecisionInput, failure: PolicyFailure): Decision => {
+    const exclusions = withoutTried(input, input.upstreams.map(exclusionOf));
+    const candidates = input.upstreams.filter((_, index) => exclusions[index] === undefined);
+    return candidates.length === 0
+        ? withoutCandidates(input, exclusions, failure)
+        : chooseAmong("two-choices", input, exclusions, candidates, undefined, failure);
+};
+
+const exclusionOf = (upstream: UpstreamFacts): Exclusion | undefined => {
+    if (upstream.state === "draining" || upstream.state === "ejected") {
+        return upstream.state;
+    }
+    return upstream.inFlight >= upstream.limit ? "at-limit" : undefined;
+};
+
+/** Leaves out the upstreams that the request has tried, unless only they are left. */
+const withoutTried = (
+    input: DecisionInput,
+    exclusions: readonly (Exclusion | undefined)[],
+): readonly (Exclusion | undefined)[] => {
+    const isTried = (index: number): boolean => input.tried.includes(input.upstreams[index]?.id ?? "");
+    const untriedLeft = exclusions.some((exclusion, index) => exclusion === undefined && !isTried(index));
+    return untriedLeft
+        ? exclusions.map((exclusion, index) => exclusion ?? (isTried(index) ? "tried" : undefined))
+        : exclusions;
+};
+
+const withoutCandidates = (
+    input: DecisionInput,
+    exclusions: readonly (Exclusion | undefined)[],
+    policyFailure: PolicyFailure | undefined,
+): Decision => {
+    const verdicts = toVerdicts(input, exclusions, new Map());
+    if (exclusions.includes("at-limit")) {
+        return { action: "hold", cause: "at-limit", verdicts, policyFailure };
+    }
+    const reason = "no upstream of the service takes work now";
+    const retryAfterMs = noUpstreamRetryAfterMs;
+    return { action: "refuse", cause: "no-upstream", reason, retryAfterMs, verdicts, policyFailure };
+};
+
+const chooseAmong = (
+    chooserName: keyof typeof choosers,
+    input: DecisionInput,
+    exclusions: readonly (Exclusion | undefined)[],
+    candidates: readonly UpstreamFacts[],
+    ranks: readonly number[] | undefined,
+    policyFailure: PolicyFailure | undefined,
+): Decision => {
+    const { draws, turn } = input;
+    const choice = choosers[chooserName].choose({ candidates, ranks, draws, turn });
+    const scores = new Map([...choice.scores].map(([index, score]) => [candidates[index]?.id ?? "", score]));
+    return {
+        action: "choose",
+        upstream: upstreamId(candidates[choice.index]?.id ?? ""),
+        chooser: chooserName,
+        verdicts: toVerdicts(input, exclusions, scores),
+        policyFailure,
+    };
+};
+
+const toVerdicts = (
+    input: DecisionInput,
+    exclusions: readonly (Exclusion | undefined)[],
+    scores: ReadonlyMap<string, number>,
+): readonly CandidateVerdict[] =>
+    input.upstreams.map((upstream, index) => ({
+        id: upstream.id,
+        excluded: exclusions[index],
+        score: scores.get(upstream.id),
+    }));
--- /dev/null
+++ b/packages/decision/src/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Choosing an upstream, limits, health, budgets and retries.
+ *
+ * @packageDocumentation
+ */
+
+export { type AttemptEnd, type AttemptResult, outcomeOf } from "./attempt-result.js";
+export { type Belief, type BeliefOptions, defaultBeliefOptions } from "./belief.js";
+export { type Choice, type Chooser, type ChooserInput } from "./chooser.js";
+export { choosers, drawsPerDecision } from "./choosers.js";
+export { decide } from "./decide.js";
+export { type DecisionInput } from "./decision-input.js";
+export {
+    type CandidateVerdict,
+    type ChooseDecision,
+    type Decision,
+    type Exclusion,
+    type HoldDecision,
+    type PolicyFailure,
+    type RefuseDecision,
+} from "./decision.js";
+export { type Observation } from "./observation.js";
+export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
+export { type Flight, ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
--- /dev/null
+++ b/packages/decision/src/retry-budget.ts
@@ -0,0 +1,55 @@
+/**
+ * The budget of retries of one instance.
+ *
+ * @packageDocumentation
+ */
+
+/** Options of {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+    /** Retries allowed per request, for example 0.1. */
+    readonly share: number;
+    /** Most retries that can be saved up. */
+    readonly maximumSaved?: number;
+}
+
+const defaultMaximumSaved = 10;
+
+/**
+ * Allows retries as a share of requests. The budget is earned by requests, not
+ * by time, so that an instance that slept has saved up nothing.
+ */
+export class RetryBudget {
+    private saved: number;
+    private readonly maximumSaved: number;
+    private share: number;
+
+    /** @param options - Share and bound. */
+    constructor(options: RetryBudgetOptions) {
+        this.maximumSaved = options.maximumSaved ?? defaultMaximumSaved;
+        this.share = options.share;
+        this.saved = this.maximumSaved;
+    }
+
+    /** Changes the share, as a new configuration says. */
+    configure(share: number): void {
+        this.share = share;
+    }
+
+    /** Notes one request, which earns its share. */
+    earn(): void {
+        this.saved = Math.min(this.maximumSaved, this.saved + this.share);
+    }
+
+    /**
+     * Takes one retry out of the budget.
+     *
+     * @returns Whether there was one.
+     */
+    take(): boolean {
+        if (this.saved < 1) {
+            return false;
+        }
+        this.saved -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/decision/src/service-beliefs.ts
@@ -0,0 +1,152 @@
+/**
+ * What one instance believes of all upstreams of a service.
+ *
+ * @packageDocumentation
+ */
+
+import type { Service, Upstream } from "@harrierhitch/configuration";
+import type { Clock, UpstreamId } from "@harrierhitch/core";
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
+import type { Observation } from "./observation.js";
+
+/** One request in flight to an upstream. */
+export interface Flight {
+    readonly upstream: UpstreamId;
+    readonly startedAtMs: number;
+}
+
+interface Tracked {
+    readonly upstream: Upstream;
+    belief: Belief;
+    /** Requests in flight, oldest first. */
+    readonly flights: Set<Flight>;
+}
+
+/** Options of {@link ServiceBeliefs}. */
+export interface ServiceBeliefsOptions {
+    readonly clock: Clock;
+    readonly availabilityZone: string;
+    /** How beliefs change; the defaults suit upstreams with a few slots. */
+    readonly belief?: Partial<BeliefOptions>;
+    /** Most upstreams that may be ejected at the same time, as a share. */
+    readonly maximumEjectedShare?: number;
+    /** Told of every change of an upstream's state. */
+    readonly onStateChange?: (upstream: UpstreamId, before: Belief, after: Belief) => void;
+}
+
+const defaultEjectedShare = 0.34;
+
+/** Keeps the beliefs about a service's upstreams and their requests in flight. */
+export class ServiceBeliefs {
+    private readonly options: Required<Omit<ServiceBeliefsOptions, "belief">>;
+    private belief: BeliefOptions;
+    private tracked = new Map<UpstreamId, Tracked>();
+
+    /** @param options - Clock, place and limits. */
+    constructor(options: ServiceBeliefsOptions) {
+        this.options = {
+            maximumEjectedShare: defaultEjectedShare,
+            onStateChange: () => undefined,
+            ...options,
+        };
+        this.belief = { ...defaultBeliefOptions, ...options.belief };
+    }
+
+    /**
+     * Takes over the upstreams of a newly accepted configuration. Beliefs about
+     * upstreams that stay are kept; one whose address changed is a new start.
+     *
+     * @param service - The service as configured.
+     * @param maximumInstances - Most entry instances, which share the connections to an upstream.
+     */
+    configure(service: Service, maximumInstances: number): void {
+        const maximumLimit = Math.max(1, Math.floor(service.maximumConnections / maximumInstances));
+        this.belief = { ...this.belief, maximumLimit };
+        const isFirst = this.tracked.size === 0;
+        const nowMs = this.options.clock.nowMs();
+        this.tracked = new Map(service.upstreams.map(upstream => {
+            const old = this.tracked.get(upstream.id);
+            const sameAddress = old?.upstream.address === upstream.address && old.upstream.port === upstream.port;
+            const fresh = initialBelief(this.belief, nowMs);
+            const belief = isFirst ? fresh : update(fresh, { type: "returned", atMs: nowMs }, this.belief, false);
+            const tracked = old !== undefined && sameAddress
+                ? { upstream, belief: old.belief, flights: old.flights }
+                : { upstream, belief, flights: new Set<Flight>() };
+            return [upstream.id, tracked];
+        }));
+    }
+
+    /** Notes that a request is sent to an upstream. */
+    start(upstream: UpstreamId): Flight {
+        const flight: Flight = { upstream, startedAtMs: this.options.clock.nowMs() };
+        this.tracked.get(upstream)?.flights.add(flight);
+        this.observe(upstream, { type: "started", atMs: flight.startedAtMs });
+        return flight;
+    }
+
+    /** Notes that a request is no longer in flight. */
+    finish(flight: Flight): void {
+        this.tracked.get(flight.upstream)?.flights.delete(flight);
+    }
+
+    /** Takes in an observation; one about an upstream that is not configured is dropped. */
+    observe(upstream: UpstreamId, observation: Observation): void {
+        const tracked = this.tracked.get(upstream);
+        if (tracked !== undefined) {
+            this.replace(tracked, update(tracked.belief, observation, this.belief, this.mayEject()));
+        }
+    }
+
+    /** The facts of all upstreams, in the order of the configuration. */
+    facts(): readonly UpstreamFacts[] {
+        const nowMs = this.options.clock.nowMs();
+        return [...this.tracked.values()].map(tracked => {
+            this.replace(tracked, atTime(tracked.belief, nowMs, this.belief));
+            return toFacts(tracked, nowMs, this.options.availabilityZone);
+        });
+    }
+
+    /** All requests in flight. */
+    get inFlight(): number {
+        return [...this.tracked.values()].reduce((sum, tracked) => sum + tracked.flights.size, 0);
+    }
+
+    /** Number of upstreams. */
+    get size(): number {
+        return this.tracked.size;
+    }
+
+    private mayEject(): boolean {
+        const ejected = [...this.tracked.values()].filter(tracked => tracked.belief.state === "ejected").length;
+        return ejected + 1 <= this.tracked.size * this.options.maximumEjectedShare;
+    }
+
+    private replace(tracked: Tracked, belief: Belief): void {
+        const before = tracked.belief;
+        tracked.belief = belief;
+        if (before.state !== belief.state) {
+            this.options.onStateChange(tracked.upstream.id, before, belief);
+        }
+    }
+}
+
+const toFacts = ({ upstream, belief, flights }: Tracked, nowMs: number, zone: string): UpstreamFacts => {
+    const [oldest] = flights;
+    return {
+        id: upstream.id,
+        availabilityZone: upstream.availabilityZone,
+        sameZone: upstream.availabilityZone === zone,
+        state: belief.state,
+        inFlight: flights.size,
+        limit: Math.floor(belief.limit),
+        oldestInFlightMs: oldest === undefined ? 0 : nowMs - oldest.startedAtMs,
+        latencyMs: belief.latencyMs,
+        latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
+        reportedInFlight: belief.reportedAtMs === undefined ? -1 : belief.reportedInFlight,
+        reportAgeMs: belief.reportedAtMs === undefined ? -1 : nowMs - belief.reportedAtMs,
+        sentSinceReport: belief.reportedAtMs === undefined ? -1 : belief.sentSinceReport,
+        failureRate: belief.failureRate,
+        slots: upstream.slots,
+    };
+};
--- /dev/null
+++ b/packages/fleet/src/accepted-configuration.ts
@@ -0,0 +1,57 @@
+/**
+ * The configuration in force on one instance.
+ *
+ * @packageDocumentation
+ */
+
+import { checkConfiguration, type Configuration } from "@harrierhitch/configuration";
+import type { OfferResult } from "./offer-result.js";
+
+/** A configuration in force, with the document it was made from. */
+export interface ConfigurationInForce {
+    readonly configuration: Configuration;
+    readonly text: string;
+}
+
+/**
+ * Holds the highest accepted configuration and never goes back.
+ *
+ * Two contents under one generation are settled alike on every instance: the
+ * one with the lower hash wins, in whatever order they arrive.
+ */
+export class AcceptedConfiguration {
+    private held: ConfigurationInForce | undefined;
+
+    /** The configuration in force; `undefined` before the first was accepted. */
+    get inForce(): ConfigurationInForce | undefined {
+        return this.held;
+    }
+
+    /**
+     * Offers a document from any source.
+     *
+     * @param file - Where it comes from, for findings.
+     * @param text - The document.
+     * @returns What became of it.
+     */
+    offer(file: string, text: string): OfferResult {
+        if (text === this.held?.text) {
+            return { type: "same" };
+        }
+        const checked = checkConfiguration(file, text);
+        if (checked.value === undefined) {
+            return { type: "invalid", findings: checked.findings };
+        }
+        const configuration = checked.value;
+        const current = this.held?.configuration;
+        const isConflict = configuration.generation === current?.generation;
+        if (current !== undefined && configuration.generation < current.generation) {
+            return { type: "older", configuration };
+        }
+        if (current !== undefined && isConflict && configuration.hash > current.hash) {
+            return { type: "conflict", configuration };
+        }
+        this.held = { configuration, text };
+        return { type: "accepted", configuration, conflict: isConflict };
+    }
+}
--- /dev/null
+++ b/packages/policy/src/service-facts.ts
@@ -0,0 +1,19 @@
+/**
+ * What a policy may know of the service that a request is for.
+ *
+ * @packageDocumentation
+ */
+
+/** The facts of one service at this instance, as the policy variable `service`. */
+export interface ServiceFacts {
+    /** Name of the service. */
+    readonly name: string;
+    /** This instance's requests in flight to all of the service's upstreams. */
+    readonly inFlight: number;
+    /** Requests held back at this instance. */
+    readonly queued: number;
+    /** Upstreams that may be chosen now. */
+    readonly candidates: number;
+    /** All upstreams of the service. */
+    readonly upstreams: number;
+}
--- /dev/null
+++ b/packages/policy/src/upstream-facts.ts
@@ -0,0 +1,48 @@
+/**
+ * What a policy may know of one candidate upstream.
+ *
+ * @packageDocumentation
+ */
+
+/**
+ * The state of an upstream as one instance believes it.
+ *
+ * - `ready`: takes work.
+ * - `cold`: takes work, but has just started or come back.
+ * - `suspect`: recent failures; takes work only when little else is left.
+ * - `ejected`: failing; takes no work until its return is tried.
+ * - `draining`: leaving; takes no new work.
+ */
+export type UpstreamState = "ready" | "cold" | "suspect" | "ejected" | "draining";
+
+/** The facts of one candidate, as the policy variable `upstream`. */
+export interface UpstreamFacts {
+    /** Id of the upstream. */
+    readonly id: string;
+    /** Availability zone of the upstream. */
+    readonly availabilityZone: string;
+    /** Whether it is the availability zone of this instance. */
+    readonly sameZone: boolean;
+    /** Believed state. */
+    readonly state: UpstreamState;
+    /** This instance's requests in flight there. */
+    readonly inFlight: number;
+    /** Most requests that this instance keeps in flight there. */
+    readonly limit: number;
+    /** Milliseconds for which the oldest request in flight there has waited; 0 without one. */
+    readonly oldestInFlightMs: number;
+    /** Decayed average latency in milliseconds; 0 before the first answer. */
+    readonly latencyMs: number;
+    /** Milliseconds since the last answer; -1 before the first. */
+    readonly latencyAgeMs: number;
+    /** Requests in flight that the upstream itself last reported; -1 without a report. */
+    readonly reportedInFlight: number;
+    /** Milliseconds since that report; -1 without one. */
+    readonly reportAgeMs: number;
+    /** Requests that this instance has sent there since that report; -1 without one. */
+    readonly sentSinceReport: number;
+    /** Decayed share of failed attempts, from 0 to 1. */
+    readonly failureRate: number;
+    /** Requests that the upstream serves at the same time, as configured. */
+    readonly slots: number;
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * The messages and services spoken between harrierhitch processes.
+ *
+ * The generated code is committed; `npm run generate` makes it again.
+ *
+ * @packageDocumentation
+ */
+
+export * from "./generated/harrierhitch/explanation/v1/explanation_pb.js";
+export * from "./generated/harrierhitch/operator/v1/operator_pb.js";
--- /dev/null
+++ b/packages/standin/bin/standin.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runStandinProgram } from "../dist/src/index.js";
+
+await runStandinProgram(process.argv.slice(2));
--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Stand-ins for the platform, upstreams and callers.
+ *
+ * @packageDocumentation
+ */
+
+export { type PlatformBehaviour, PlatformStandin } from "./platform-standin.js";
+export { runStandinProgram } from "./program.js";
+export { behaviourPath, calmBehaviour, type UpstreamBehaviour, UpstreamStandin } from "./upstream-standin.js";
--- /dev/null
+++ b/packages/standin/src/program.ts
@@ -0,0 +1,49 @@
+/**
+ * The program that runs one stand-in as a process of its own.
+ *
+ * @packageDocumentation
+ */
+
+import { defineCommand, runMain } from "citty";
+import { PlatformStandin } from "./platform-standin.js";
+import { calmBehaviour, UpstreamStandin } from "./upstream-standin.js";
+
+const platform = defineCommand({
+    meta: { name: "platform", description: "Serve the files of a directory as the platform would" },
+    args: {
+        directory: { type: "string", required: true, description: "Directory of published files" },
+        port: { type: "string", default: "0", description: "Port to listen on" },
+    },
+    run: async ({ args }) => {
+        const port = await new PlatformStandin(args.directory).listen(Number(args.port));
+        process.stdout.write(`${JSON.stringify({ port })}\n`);
+    },
+});
+
+const upstream = defineCommand({
+    meta: { name: "upstream", description: "Serve requests as an upstream would" },
+    args: {
+        name: { type: "string", required: true, description: "Name in its answers" },
+        port: { type: "string", default: "0", description: "Port to listen on" },
+        seed: { type: "string", default: "1", description: "Seed of its service times" },
+        slots: { type: "string", default: String(calmBehaviour.slots), description: "Requests served at the same time" },
+        meanServiceMs: { type: "string", default: String(calmBehaviour.meanServiceMs), description: "Mean service time" },
+    },
+    run: async ({ args }) => {
+        const behaviour = { slots: Number(args.slots), meanServiceMs: Number(args.meanServiceMs) };
+        const port = await new UpstreamStandin(args.name, behaviour, Number(args.seed)).listen(Number(args.port));
+        process.stdout.write(`${JSON.stringify({ port })}\n`);
+    },
+});
+
+const main = defineCommand({
+    meta: { name: "standin", description: "Stand-ins for tests, quickstart and benchmarks" },
+    subCommands: { platform, upstream },
+});
+
+/**
+ * Runs the stand-ins' program.
+ *
+ * @param args - Arguments without the program's name.
+ */
+export const runStandinProgram = (args: readonly string[]): Promise<void> => runMain(main, { rawArgs: [...args] });
--- /dev/null
+++ b/packages/standin/src/upstream-standin.ts
@@ -0,0 +1,187 @@
+/**
+ * A stand-in for an upstream: a few slots, a short queue, seeded service times,
+ * cold start, shedding, draining, cancellation, and faults that can be switched.
+ *
+ * @packageDocumentation
+ */
+
+import { type RandomSource, SeededRandom } from "@harrierhitch/core";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** How an upstream behaves; each part can be changed while it runs. */
+export interface UpstreamBehaviour {
+    /** Requests served at the same time. */
+    readonly slots: number;
+    /** Requests that wait for a slot; further ones are shed. */
+    readonly queue: number;
+    /** Mean service time; service times are distributed exponentially above half of it. */
+    readonly meanServiceMs: number;
+    /** Factor on service times, for sudden slowness. */
+    readonly slowness: number;
+    /** Answers at once with this status instead of serving. */
+    readonly failStatus: number | undefined;
+    /** Breaks the connection of every request that it has read. */
+    readonly reset: boolean;
+    /** Never answers. */
+    readonly hang: boolean;
+    /** Leaving: sheds new requests and says so. */
+    readonly draining: boolean;
+    /** What it reports as its load; `undefined` is the truth. */
+    readonly reportedInFlight: number | undefined;
+    /** Time for which service is slow after the start, by the factor `coldFactor`. */
+    readonly coldMs: number;
+    readonly coldFactor: number;
+}
+
+/** A calm upstream with three slots. */
+export const calmBehaviour: UpstreamBehaviour = {
+    slots: 3,
+    queue: 12,
+    meanServiceMs: 10,
+    slowness: 1,
+    failStatus: undefined,
+    reset: false,
+    hang: false,
+    draining: false,
+    reportedInFlight: undefined,
+    coldMs: 0,
+    coldFactor: 3,
+};
+
+/** Path on which the behaviour is read (GET) and changed (POST, JSON). */
+export const behaviourPath = "/standin/behaviour";
+
+interface Job {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly body: Promise<Buffer>;
+}
+
+/** Serves requests as an upstream would. */
+export class UpstreamStandin {
+    /** How it behaves now. */
+    behaviour: UpstreamBehaviour;
+    /** Requests that were run, by the value of `idempotency-key` or `x-request-number`. */
+    readonly runs = new Map<string, number>();
+    /** Requests that were begun since the start. */
+    started = 0;
+    private readonly server: Server;
+    private readonly random: RandomSource;
+    private readonly startedAtMs = performance.now();
+    private running = 0;
+    private waiting: Job[] = [];
+
+    /**
+     * @param name - Name, for the answers.
+     * @param behaviour - How it behaves.
+     * @param seed - Seed of the service times.
+     */
+    constructor(private readonly name: string, behaviour: Partial<UpstreamBehaviour> = {}, seed = 1) {
+        this.behaviour = { ...calmBehaviour, ...behaviour };
+        this.random = new SeededRandom(seed);
+        this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => void this.accept(request, response));
+    }
+
+    /** Begins to listen; gives the port. */
+    async listen(port = 0): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(port, "127.0.0.1", resolve));
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Stops listening and breaks all connections. */
+    async close(): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    private async accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = readBody(request);
+        if (request.url === behaviourPath) {
+            await this.control(request, response, body);
+            return;
+        }
+        const { slots, queue, draining, failStatus, hang, reset } = this.behaviour;
+        if (reset) {
+            await body;
+            request.socket.destroy();
+        }
+        else if (failStatus !== undefined) {
+            response.writeHead(failStatus, this.headers()).end();
+        }
+        else if (draining || this.running >= slots && this.waiting.length >= queue) {
+            response.writeHead(503, { ...this.headers(), "x-request-outcome": "not-run" }).end();
+        }
+        else if (!hang) {
+            this.waiting.push({ request, response, body });
+            this.next();
+        }
+    }
+
+    private next(): void {
+        while (this.running < this.behaviour.slots) {
+            const job = this.waiting.shift();
+            if (job === undefined) {
+                return;
+            }
+            if (!job.response.closed) {
+                this.running += 1;
+                void this.run(job);
+            }
+        }
+    }
+
+    private async run({ request, response, body }: Job): Promise<void> {
+        this.started += 1;
+        const key = request.headers["idempotency-key"] ?? request.headers["x-request-number"];
+        if (typeof key === "string") {
+            this.runs.set(key, (this.runs.get(key) ?? 0) + 1);
+        }
+        await wait(this.serviceMs());
+        const content = await body;
+        this.running -= 1;
+        if (!response.closed) {
+            const text = JSON.stringify({ upstream: this.name, path: request.url, key, bodyBytes: content.length });
+            response.writeHead(200, { ...this.headers(), "content-type": "application/json" }).end(text);
+        }
+        this.next();
+    }
+
+    private serviceMs(): number {
+        const { meanServiceMs, slowness, coldMs, coldFactor } = this.behaviour;
+        const cold = performance.now() - this.startedAtMs < coldMs ? coldFactor : 1;
+        const exponential = -Math.log(1 - this.random.next());
+        return meanServiceMs * (0.5 + 0.5 * exponential) * slowness * cold;
+    }
+
+    private headers(): Record<string, string | number> {
+        const { draining, reportedInFlight } = this.behaviour;
+        return {
+            "x-upstream-in-flight": reportedInFlight ?? this.running + this.waiting.length,
+            ...(draining ? { "x-upstream-state": "draining" } : {}),
+        };
+    }
+
+    private async control(request: IncomingMessage, response: ServerResponse, body: Promise<Buffer>): Promise<void> {
+        if (request.method === "POST") {
+            this.behaviour = { ...this.behaviour, ...JSON.parse((await body).toString("utf8")) as Partial<UpstreamBehaviour> };
+        }
+        const state = { ...this.behaviour, started: this.started, runs: Object.fromEntries(this.runs) };
+        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
+    }
+}
+
+const readBody = async (request: IncomingMessage): Promise<Buffer> => {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        // The caller left; whoever waits for the body sees what arrived.
+    }
+    return Buffer.concat(chunks);
+};
+
+const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
--- /dev/null
+++ b/packages/standin/test/system.ts
@@ -0,0 +1,131 @@
+/**
+ * A small system on real sockets: platform, upstreams and one daemon in this process.
+ */
+
+import { checkSettings } from "@harrierhitch/configuration";
+import { Daemon, EventLog } from "@harrierhitch/daemon";
+import { PlatformStandin, type UpstreamBehaviour, UpstreamStandin } from "../src/index.js";
+
+/** What a test wants of its system. */
+export interface SystemOptions {
+    /** Behaviour of each upstream of the one service. */
+    readonly upstreams: readonly Partial<UpstreamBehaviour>[];
+    /** Lines that join the section `[service.main]`. */
+    readonly service?: string;
+    /** Sections that join the configuration. */
+    readonly configuration?: string;
+    /** Lines that join the settings. */
+    readonly settings?: string;
+}
+
+/** A running system. */
+export interface System {
+    readonly url: string;
+    readonly callersPort: number;
+    readonly operators: string;
+    readonly daemon: Daemon;
+    readonly platform: PlatformStandin;
+    readonly upstreams: readonly UpstreamStandin[];
+    /** The published configuration under another generation. */
+    readonly document: (generation: number, ports?: readonly number[]) => string;
+    stop(): Promise<void>;
+}
+
+/** Starts a system and waits until it serves. */
+export const startSystem = async (options: SystemOptions): Promise<System> => {
+    const platform = new PlatformStandin();
+    const upstreams = options.upstreams.map((behaviour, index) =>
+        new UpstreamStandin(`main-${index + 1}`, { meanServiceMs: 1, ...behaviour }, index + 1)
+    );
+    const ports = await Promise.all(upstreams.map(upstream => upstream.listen()));
+    const document = (generation: number, only: readonly number[] = ports) => configurationText(generation, only, options);
+    platform.publish("configuration", document(1));
+    platform.publish("instances", "revision = 1\n");
+    const daemon = startDaemon(await platform.listen(), options.settings ?? "");
+    const { callers, operators } = await daemon.start();
+    await until(() => daemon.instance.stage === "serving");
+    return {
+        url: `http://127.0.0.1:${callers}`,
+        callersPort: callers,
+        operators: `127.0.0.1:${operators}`,
+        daemon,
+        platform,
+        upstreams,
+        document,
+        stop: async () => {
+            await daemon.stop();
+            await Promise.all([platform.close(), ...upstreams.map(upstream => upstream.close())]);
+        },
+    };
+};
+
+/** Makes a daemon that is quiet and stops fast. */
+export const startDaemon = (platformPort: number, settings: string): Daemon => {
+    const text = `
+[instance]
+id = entry-1
+availabilityZone = hall-a
+[callers]
+address = 127.0.0.1
+port = 0
+[operators]
+address = 127.0.0.1
+port = 0
+[platform]
+addresses = 127.0.0.1:${platformPort}
+retryMs = 20
+${settings.includes("[limits]") ? "" : "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\n"}
+${settings}`;
+    const checked = checkSettings("settings.ini", text);
+    if (checked.value === undefined) {
+        throw new TypeError(JSON.stringify(checked.findings));
+    }
+    return new Daemon({ settings: checked.value, log: new EventLog("silent", {}) });
+};
+
+const configurationText = (generation: number, ports: readonly number[], options: SystemOptions): string => `
+generation = ${generation}
+[fleet]
+maximumInstances = 1
+[kind.read]
+repeatable = true
+[kind.issue]
+repeatable = false
+[route.read]
+method = GET
+path = /read/*
+service = main
+kind = read
+[route.issue]
+method = POST
+path = /issue
+service = main
+kind = issue
+[route.upload]
+method = PUT
+path = /upload
+service = main
+kind = read
+[policy.main]
+chooser = round-robin
+[service.main]
+policy = main
+${options.service ?? ""}
+${
+    ports.map((port, index) =>
+        `[upstream.main-${index + 1}]
+service = main
+address = 127.0.0.1
+port = ${port}
+availabilityZone = hall-a`
+    ).join("\n")
+}
+${options.configuration ?? ""}
+`;
+
+/** Waits until a condition holds; the test runner's own limit ends a wait in vain. */
+export const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
+    while (!await condition()) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+};
--- /dev/null
+++ b/packages/standin/test/whole-path.test.ts
@@ -0,0 +1,48 @@
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { replay } from "@harrierhitch/command";
+import { OperatorService } from "@harrierhitch/protocol";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { startSystem, type System } from "./system.js";
+
+let system: System;
+
+before(async () => {
+    system = await startSystem({ upstreams: [{}, {}, {}] });
+});
+
+after(() => system.stop());
+
+const client = () =>
+    createClient(OperatorService, createConnectTransport({ baseUrl: `http://${system.operators}`, httpVersion: "1.1" }));
+
+test("a request is answered by an upstream, explained, and replayed to the same choice", async () => {
+    const response = await fetch(`${system.url}/read/seat-map`);
+    assert.equal(response.status, 200);
+    const answered = (await response.json() as { readonly upstream: string; }).upstream;
+    const requestId = response.headers.get("x-harrierhitch-request-id") ?? "";
+    const { explanation } = await client().explain({ requestId });
+    assert.ok(explanation);
+    assert.equal(explanation.steps[0]?.upstream, answered);
+    assert.equal(explanation.outcome, "ran");
+    assert.deepEqual(replay(explanation).map(step => step.same), [true]);
+});
+
+test("a request without a route is answered with a problem that says not-run", async () => {
+    const response = await fetch(`${system.url}/nowhere`);
+    assert.equal(response.status, 404);
+    assert.equal(response.headers.get("content-type"), "application/problem+json");
+    const problem = await response.json() as { readonly type: string; readonly outcome: string; };
+    assert.deepEqual([problem.type, problem.outcome], ["urn:harrierhitch:problem:no-route", "not-run"]);
+});
+
+test("the explanation of an unknown request is refused clearly", async () => {
+    await assert.rejects(client().explain({ requestId: "entry-1.0.0" }), /no record/);
+});
+
+test("the status names the generation in force and every upstream", async () => {
+    const { instances } = await client().getStatus({});
+    assert.equal(instances[0]?.generation, 1n);
+    assert.deepEqual(instances[0].upstreams.map(upstream => upstream.facts?.id), ["main-1", "main-2", "main-3"]);
+});
