--- /dev/null
+++ b/packages/standin/test/caller-faults.test.ts
@@ -0,0 +1,183 @@
+import assert from "node:assert/strict";
+import { after, before, describe, test } from "node:test";
+import { exchange, openCaller } from "./raw-caller.js";
+import { startSystem, type System, until } from "./system.js";
+
+let system: System;
+
+before(async () => {
+    system = await startSystem({
+        upstreams: [{ meanServiceMs: 40 }],
+        settings: "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\nreplayBodyBytes = 1000\n",
+    });
+});
+
+after(() => system.stop());
+
+const host = "host: x\r\n";
+const closing = `${host}connection: close\r\n`;
+
+interface RawCase {
+    readonly name: string;
+    readonly text: string;
+    readonly status: number;
+    readonly outcome: string | undefined;
+}
+
+const rawCases: readonly RawCase[] = [
+    {
+        name: "both lengths",
+        text: `POST /issue HTTP/1.1\r\n${host}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+        status: 400,
+        outcome: "not-run",
+    },
+    {
+        name: "two different lengths",
+        text: `POST /issue HTTP/1.1\r\n${host}content-length: 3\r\ncontent-length: 4\r\n\r\nabcd`,
+        status: 400,
+        outcome: "not-run",
+    },
+    {
+        name: "a length that is no number",
+        text: `POST /issue HTTP/1.1\r\n${host}content-length: +3\r\n\r\nabc`,
+        status: 400,
+        outcome: "not-run",
+    },
+    {
+        name: "an unknown transfer coding",
+        text: `POST /issue HTTP/1.1\r\n${host}transfer-encoding: chunked, x\r\n\r\n0\r\n\r\n`,
+        status: 400,
+        outcome: "not-run",
+    },
+    {
+        name: "a space before the colon",
+        text: `POST /issue HTTP/1.1\r\n${host}content-length : 3\r\n\r\nabc`,
+        status: 400,
+        outcome: "not-run",
+    },
+    { name: "a bare line feed in the head", text: `GET /read/x HTTP/1.1\n${host}\n\n`, status: 400, outcome: "not-run" },
+    { name: "no Host", text: "GET /read/x HTTP/1.1\r\n\r\n", status: 400, outcome: "not-run" },
+    {
+        name: "a head over the limit",
+        text: `GET /read/x HTTP/1.1\r\n${host}x: ${"y".repeat(20_000)}\r\n\r\n`,
+        status: 431,
+        outcome: "not-run",
+    },
+    {
+        name: "a body over the limit",
+        text: `PUT /upload HTTP/1.1\r\n${closing}content-length: 999999999999\r\n\r\n`,
+        status: 413,
+        outcome: "not-run",
+    },
+    {
+        name: "an upgrade",
+        text: `GET /read/x HTTP/1.1\r\n${host}connection: upgrade\r\nupgrade: websocket\r\n\r\n`,
+        status: 501,
+        outcome: "not-run",
+    },
+    { name: "CONNECT", text: `CONNECT x:80 HTTP/1.1\r\n${host}\r\n`, status: 501, outcome: "not-run" },
+    {
+        name: "another expectation",
+        text: `POST /issue HTTP/1.1\r\n${closing}expect: miracle\r\ncontent-length: 0\r\n\r\n`,
+        status: 417,
+        outcome: "not-run",
+    },
+    {
+        name: "too many hops",
+        text: `GET /read/x HTTP/1.1\r\n${closing}x-harrierhitch-depth: 9\r\n\r\n`,
+        status: 508,
+        outcome: "not-run",
+    },
+    { name: "a path without a route", text: `GET /%zz HTTP/1.1\r\n${closing}\r\n`, status: 404, outcome: "not-run" },
+    { name: "a plain request", text: `GET /read/x HTTP/1.1\r\n${closing}\r\n`, status: 200, outcome: "ran" },
+    {
+        name: "100-continue",
+        text: `POST /issue HTTP/1.1\r\n${closing}expect: 100-continue\r\ncontent-length: 3\r\n\r\nabc`,
+        status: 100,
+        outcome: "ran",
+    },
+];
+
+describe("a caller that sends", () => {
+    rawCases.forEach(({ name, text, status, outcome }) => {
+        test(name, async () => {
+            const received = await exchange(
+                system.callersPort,
+                text,
+                seen => /\r\n\r\n[^]*\}$/.test(seen) && !seen.endsWith("Continue\r\n\r\n"),
+            );
+            assert.match(received, new RegExp(`^HTTP/1.1 ${status} `));
+            assert.equal(/x-request-outcome: (\S+)/.exec(received)?.[1], outcome);
+        });
+    });
+});
+
+test("a bad chunk in a streamed body reaches no upstream as a whole request", async () => {
+    const before = system.upstreams[0]!.started;
+    const received = await exchange(
+        system.callersPort,
+        `PUT /upload HTTP/1.1\r\n${host}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n`,
+    );
+    assert.doesNotMatch(received, /^HTTP\/1.1 200/);
+    await until(() => system.daemon.instance.explanations.find !== undefined && inFlight() === 0);
+    assert.ok(system.upstreams[0]!.started - before <= 1);
+});
+
+test("HEAD has no body and keeps the connection usable", async () => {
+    const text = `HEAD /read/x HTTP/1.1\r\n${host}\r\nGET /read/second HTTP/1.1\r\n${closing}\r\n`;
+    const received = await exchange(system.callersPort, text);
+    assert.equal(received.match(/HTTP\/1.1 200/g)?.length, 2);
+    assert.equal(received.match(/"path":"\/read\/second"/g)?.length, 1);
+});
+
+const inFlight = (): number => system.daemon.instance.services.all().reduce((sum, runtime) => sum + runtime.beliefs.inFlight, 0);
+
+interface LeavingCase {
+    readonly name: string;
+    readonly text: string;
+    /** Whether the upstream runs the request to its end although the caller has left. */
+    readonly runs: boolean;
+}
+
+const leavingCases: readonly LeavingCase[] = [
+    { name: "in the head", text: "GET /read/x HTTP/1.1\r\nho", runs: false },
+    { name: "in a kept body", text: `POST /issue HTTP/1.1\r\n${host}content-length: 10\r\n\r\nabc`, runs: false },
+    { name: "in a streamed body", text: `PUT /upload HTTP/1.1\r\n${host}content-length: 100000\r\n\r\nabc`, runs: false },
+    { name: "while a read is served", text: `GET /read/x HTTP/1.1\r\n${host}\r\n`, runs: false },
+    {
+        name: "while an issue is served",
+        text: `POST /issue HTTP/1.1\r\n${host}idempotency-key: leave-1\r\ncontent-length: 3\r\n\r\nabc`,
+        runs: true,
+    },
+];
+
+describe("a caller that leaves", () => {
+    leavingCases.forEach(({ name, text, runs }) => {
+        test(name, async () => {
+            const socket = openCaller(system.callersPort, text);
+            await new Promise(resolve => setTimeout(resolve, 15));
+            socket.destroy();
+            await until(() => inFlight() === 0);
+            if (runs) {
+                await until(() => system.upstreams[0]!.runs.get("leave-1") === 1);
+            }
+            const next = await fetch(`${system.url}/read/after`);
+            assert.deepEqual((await next.json() as { path: string; }).path, "/read/after");
+        });
+    });
+});
+
+test("an answer after the deadline goes nowhere: the next request on the connection gets its own", async () => {
+    const late = `GET /read/late HTTP/1.1\r\n${host}x-request-timeout-ms: 5\r\n\r\n`;
+    const next = `GET /read/next HTTP/1.1\r\n${closing}\r\n`;
+    const received = await exchange(system.callersPort, late + next);
+    assert.match(received, /^HTTP\/1.1 504 /);
+    assert.match(received, /"path":"\/read\/next"/);
+    assert.doesNotMatch(received, /"path":"\/read\/late"/);
+});
+
+test("a slow reader gets the whole of a large streamed body back", async () => {
+    const body = Buffer.alloc(3_000_000, "x");
+    const response = await fetch(`${system.url}/upload`, { method: "PUT", body });
+    assert.equal((await response.json() as { bodyBytes: number; }).bodyBytes, body.length);
+});
--- /dev/null
+++ b/packages/standin/test/interleaved.test.ts
@@ -0,0 +1,48 @@
+import { SeededRandom } from "@harrierhitch/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { request } from "undici";
+import { startSystem } from "./system.js";
+
+const total = 10_000;
+const workers = 64;
+
+test("of 10,000 interleaved requests none gets another's answer and none runs twice", async () => {
+    const system = await startSystem({
+        upstreams: [{ slots: 16, queue: 500 }, { slots: 16, queue: 500 }, { slots: 16, queue: 500 }],
+    });
+    const random = new SeededRandom(7);
+    let next = 0;
+    const outcomes = new Map<string, number>();
+    const work = async (): Promise<void> => {
+        while (next < total) {
+            const number = String(next++);
+            const issue = Number(number) % 10 === 0;
+            const timeoutMs = random.next() < 0.02 ? "1" : "5000";
+            const response = await request(`${system.url}${issue ? "/issue" : `/read/${number}`}`, {
+                method: issue ? "POST" : "GET",
+                headers: { "x-request-number": number, "x-request-timeout-ms": timeoutMs },
+                body: issue ? number : null,
+            });
+            const answer = await response.body.json() as { readonly key?: string; readonly outcome?: string; };
+            const outcome = response.statusCode === 200 ? "ran" : answer.outcome ?? "none";
+            outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+            if (response.statusCode === 200) {
+                assert.equal(answer.key, number);
+            }
+            else if (outcome === "not-run") {
+                assert.ok(system.upstreams.every(upstream => !upstream.runs.has(number)));
+            }
+        }
+    };
+    try {
+        await Promise.all(Array.from({ length: workers }, work));
+        assert.equal([...outcomes.values()].reduce((sum, count) => sum + count, 0), total);
+        assert.ok((outcomes.get("ran") ?? 0) > total * 0.9);
+        const issueRuns = system.upstreams.flatMap(upstream => [...upstream.runs]).filter(([key]) => Number(key) % 10 === 0);
+        assert.equal(new Set(issueRuns.map(([key]) => key)).size, issueRuns.length);
+    }
+    finally {
+        await system.stop();
+    }
+});
