Measure throughput, added latency, memory and decision time

Cause: the wanted figures of the data path had no measurement. Change: npm run bench with a bare pass-through of node:http and undici as the baseline, interleaved in one run; cancelled attempts are now counted at the stand-in, which showed that the late-answer test could not fail before.

--- a/packages/daemon/src/undici-attempt.ts
+++ b/packages/daemon/src/undici-attempt.ts
@@ -33,6 +33,7 @@
     private controller: Dispatcher.DispatchController | undefined;
     private cancelled: AttemptCancelledError | undefined;
     private sent = false;
+    private finished = false;
     private status: number | undefined;
 
     /** @param sink - Takes the answer. */
@@ -68,7 +69,7 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-        if (status < 200) {
+        if (status < 200 || this.finished) {
             return;
         }
         this.status = status;
@@ -79,7 +80,7 @@
     }
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (!this.sink.onData(chunk)) {
+        if (!this.finished && !this.sink.onData(chunk)) {
             controller.pause();
         }
     }
@@ -101,6 +102,7 @@
     }
 
     private finish(end: AttemptEnd, detail: string): void {
+        this.finished = true;
         this.settle({ end, status: this.status, detail, sent: this.sent });
     }
 }
--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -5,6 +5,9 @@
  */
 
 import { defineCommand, runMain } from "citty";
+import { runBench } from "./bench.js";
+import { startFastUpstreams } from "./fast-upstream.js";
+import { startPassThrough } from "./pass-through.js";
 import { PlatformStandin } from "./platform-standin.js";
 import { calmBehaviour, UpstreamStandin } from "./upstream-standin.js";
 
@@ -36,9 +39,32 @@
     },
 });
 
+const fastUpstreams = defineCommand({
+    meta: { name: "fast-upstreams", description: "Serve as several upstreams that answer at once" },
+    args: { count: { type: "string", default: "10", description: "How many" } },
+    run: async ({ args }) => {
+        const ports = await startFastUpstreams(Number(args.count));
+        process.stdout.write(`${JSON.stringify({ ports })}\n`);
+    },
+});
+
+const passThrough = defineCommand({
+    meta: { name: "pass-through", description: "Pass requests on in turn: the benchmark's baseline" },
+    args: { ports: { type: "string", required: true, description: "Ports of the upstreams, separated by commas" } },
+    run: async ({ args }) => {
+        const port = await startPassThrough(args.ports.split(",").map(Number));
+        process.stdout.write(`${JSON.stringify({ port })}\n`);
+    },
+});
+
+const bench = defineCommand({
+    meta: { name: "bench", description: "Measure latency added, throughput, memory and the time of a decision" },
+    run: () => runBench(),
+});
+
 const main = defineCommand({
     meta: { name: "standin", description: "Stand-ins for tests, quickstart and benchmarks" },
-    subCommands: { platform, upstream },
+    subCommands: { platform, upstream, "fast-upstreams": fastUpstreams, "pass-through": passThrough, bench },
 });
 
 /**
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -66,6 +66,8 @@
     readonly runs = new Map<string, number>();
     /** Requests that were begun since the start. */
     started = 0;
+    /** Requests whose caller gave up before the answer. */
+    cancelled = 0;
     private readonly server: Server;
     private readonly random: RandomSource;
     private readonly startedAtMs = performance.now();
@@ -101,6 +103,9 @@
             await this.control(request, response, body);
             return;
         }
+        response.once("close", () => {
+            this.cancelled += response.writableFinished ? 0 : 1;
+        });
         const { slots, queue, draining, failStatus, hang, reset } = this.behaviour;
         if (reset) {
             await body;
