Ask for ranks only of compared candidates; measure processor time of a request

Cause: two choices over 20 candidates with a rank took 22 us because all candidates were ranked; latency figures were drowned by the load process. Change: ranks are asked lazily, heads of answers are built in one object, the targets of the latency measurement take turns, processor time is measured.

--- a/packages/daemon/src/caller-answer.ts
+++ b/packages/daemon/src/caller-answer.ts
@@ -57,7 +57,11 @@
         if (this.left) {
             return;
         }
-        this.response.writeHead(status, { ...answerHeaders(headers), ...own, ...this.closing() });
+        const passedOn = answerHeaders(headers, own);
+        if (this.mustClose) {
+            passedOn["connection"] = "close";
+        }
+        this.response.writeHead(status, passedOn);
     }
 
     /**
@@ -97,7 +101,8 @@
         }
         const { status } = problemKinds[problem.kind];
         const body = Buffer.from(JSON.stringify(problemBody(problem, id)));
-        const headers = { ...problemHeaders(problem, body.length), ...own, ...this.closing() };
+        const closing = this.mustClose ? { connection: "close" } : {};
+        const headers = { ...problemHeaders(problem, body.length), ...own, ...closing };
         this.finished = true;
         this.response.writeHead(status, headers);
         this.response.end(body);
@@ -105,7 +110,7 @@
     }
 
     /** A connection whose request was not read to its end cannot carry another one. */
-    private closing(): OutgoingHttpHeaders {
-        return !hasBody(this.request) || this.request.complete ? {} : { connection: "close" };
+    private get mustClose(): boolean {
+        return hasBody(this.request) && !this.request.complete;
     }
 }
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -52,8 +52,13 @@
     return result;
 };
 
-/** The upstream's headers as they are sent to the caller. */
-export const answerHeaders = (headers: IncomingHttpHeaders): OutgoingHttpHeaders => {
+/**
+ * The upstream's headers as they are sent to the caller.
+ *
+ * @param headers - The headers that arrived.
+ * @param own - Headers of our own, which replace those of the same name.
+ */
+export const answerHeaders = (headers: IncomingHttpHeaders, own: OutgoingHttpHeaders): OutgoingHttpHeaders => {
     const dropped = namedByConnection(headers.connection);
     const kept: OutgoingHttpHeaders = {};
     for (const name in headers) {
@@ -61,5 +66,5 @@
             kept[name] = headers[name];
         }
     }
-    return kept;
+    return Object.assign(kept, own);
 };
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Outcome, UpstreamId } from "@harrierhitch/core";
-import { type ChooseDecision, decide, type Decision, type DecisionInput, drawsPerDecision } from "@harrierhitch/decision";
+import { type ChooseDecision, decide, type Decision, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
 import { type AttemptReport, runAttempt } from "./attempt-task.js";
 import { events } from "./event.js";
 import { BodyCutShortError, BodyTooLargeError, type RequestBody, takeBody } from "./request-body.js";
@@ -96,7 +96,7 @@
             service: runtime.facts(upstreams),
             upstreams,
             tried: [...this.tried],
-            draws: Array.from({ length: drawsPerDecision }, () => services.random.next()),
+            draws: drawNumbers(services.random),
             turn: runtime.nextTurn(),
         };
         const decision = decide(progress.route.service.policy, input);
--- a/packages/decision/src/adaptive-chooser.ts
+++ b/packages/decision/src/adaptive-chooser.ts
@@ -36,7 +36,7 @@
     readonly name: ChooserName = "adaptive";
 
     choose(input: ChooserInput): Choice {
-        return lowest(input, sample(input, sampleSize), (candidate, index) => input.ranks?.[index] ?? expectedMs(candidate));
+        return lowest(input, sample(input, sampleSize), input.rank ?? expectedMs);
     }
 }
 
--- a/packages/decision/src/baseline-choosers.ts
+++ b/packages/decision/src/baseline-choosers.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ChooserName } from "@harrierhitch/configuration";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { Choice, Chooser, ChooserInput } from "./chooser.js";
 import { all, lowest, pick, sample } from "./compare.js";
 
@@ -33,7 +34,7 @@
     readonly name: ChooserName = "least-outstanding";
 
     choose(input: ChooserInput): Choice {
-        return lowest(input, all(input), candidate => candidate.inFlight);
+        return lowest(input, all(input), inFlightOf);
     }
 }
 
@@ -42,7 +43,7 @@
     readonly name: ChooserName = "two-choices";
 
     choose(input: ChooserInput): Choice {
-        return lowest(input, sample(input, 2), (candidate, index) => input.ranks?.[index] ?? candidate.inFlight);
+        return lowest(input, sample(input, 2), input.rank ?? inFlightOf);
     }
 }
 
@@ -60,6 +61,8 @@
     readonly name: ChooserName = "lowest-rank";
 
     choose(input: ChooserInput): Choice {
-        return lowest(input, all(input), (candidate, index) => input.ranks?.[index] ?? candidate.inFlight);
+        return lowest(input, all(input), input.rank ?? inFlightOf);
     }
 }
+
+const inFlightOf = (candidate: UpstreamFacts): number => candidate.inFlight;
--- a/packages/decision/src/chooser.ts
+++ b/packages/decision/src/chooser.ts
@@ -11,8 +11,8 @@
 export interface ChooserInput {
     /** The candidates, at least one. */
     readonly candidates: readonly UpstreamFacts[];
-    /** Ranks by the policy in the candidates' order; `undefined` when the policy has no rank. */
-    readonly ranks: readonly number[] | undefined;
+    /** Rank of a candidate by the policy; `undefined` when the policy has no rank. It is asked only of candidates that are compared. */
+    readonly rank: ((candidate: UpstreamFacts) => number) | undefined;
     /** Random numbers, each at least 0 and below 1. */
     readonly draws: readonly number[];
     /** Running number of the service's decisions. */
--- a/packages/decision/src/choosers.ts
+++ b/packages/decision/src/choosers.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ChooserName } from "@harrierhitch/configuration";
+import type { RandomSource } from "@harrierhitch/core";
 import { AdaptiveChooser } from "./adaptive-chooser.js";
 import {
     LatencyAverageChooser,
@@ -27,5 +28,7 @@
     "random": new RandomChooser(),
 };
 
-/** Random numbers that a decision needs for any chooser. */
-export const drawsPerDecision = 4;
+/** Draws the random numbers that a decision needs for any chooser. */
+export const drawNumbers = (
+    random: RandomSource,
+): readonly number[] => [random.next(), random.next(), random.next(), random.next()];
--- a/packages/decision/src/compare.ts
+++ b/packages/decision/src/compare.ts
@@ -8,7 +8,7 @@
 import type { Choice, ChooserInput } from "./chooser.js";
 
 /** Gives one candidate a score; lower is better. */
-export type Score = (candidate: UpstreamFacts, index: number) => number;
+export type Score = (candidate: UpstreamFacts) => number;
 
 /**
  * Picks the lowest score among some candidates; ties go round, by the first draw.
@@ -22,7 +22,7 @@
     let ties: number[] = [];
     let best = Infinity;
     indexes.forEach(index => {
-        const value = score(candidateAt(input, index), index);
+        const value = score(candidateAt(input, index));
         scores[index] = value;
         if (value < best) {
             best = value;
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -7,6 +7,7 @@
 import type { ServicePolicy } from "@harrierhitch/configuration";
 import { upstreamId } from "@harrierhitch/core";
 import { PolicyRunError, type UpstreamFacts } from "@harrierhitch/policy";
+import type { ChooserInput } from "./chooser.js";
 import { choosers } from "./choosers.js";
 import type { DecisionInput } from "./decision-input.js";
 import type { Decision, Exclusion, PolicyFailure } from "./decision.js";
@@ -58,16 +59,11 @@
     if (candidates.length === 0) {
         return withoutCandidates(exclusions, undefined);
     }
-    const ranks = rankAll(servicePolicy, input, candidates);
-    return chooseAmong(chooser, input, exclusions, candidates, ranks, undefined);
+    return chooseAmong(chooser, input, exclusions, candidates, rankBy(servicePolicy, input), undefined);
 };
 
-const rankAll = ({ policy }: ServicePolicy, input: DecisionInput, candidates: readonly UpstreamFacts[]) => {
-    if (policy.source.clauses.rank === undefined) {
-        return undefined;
-    }
-    return candidates.map(upstream => policy.rank(input.request, input.service, upstream) ?? 0);
-};
+const rankBy = ({ policy }: ServicePolicy, { request, service }: DecisionInput): ChooserInput["rank"] =>
+    policy.source.clauses.rank === undefined ? undefined : upstream => policy.rank(request, service, upstream) ?? 0;
 
 const decideWithoutPolicy = (input: DecisionInput, failure: PolicyFailure): Decision => {
     const exclusions = withoutTried(input, input.upstreams.map(exclusionOf));
@@ -113,11 +109,11 @@
     input: DecisionInput,
     exclusions: readonly (Exclusion | undefined)[],
     candidates: readonly UpstreamFacts[],
-    ranks: readonly number[] | undefined,
+    rank: ChooserInput["rank"],
     policyFailure: PolicyFailure | undefined,
 ): Decision => {
     const { draws, turn } = input;
-    const choice = choosers[chooserName].choose({ candidates, ranks, draws, turn });
+    const choice = choosers[chooserName].choose({ candidates, rank, draws, turn });
     let candidate = 0;
     const scores = exclusions.map(exclusion => exclusion === undefined ? choice.scores[candidate++] : undefined);
     return {
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -7,7 +7,7 @@
 export { type AttemptEnd, type AttemptResult, outcomeOf } from "./attempt-result.js";
 export { type Belief, type BeliefOptions, defaultBeliefOptions } from "./belief.js";
 export { type Choice, type Chooser, type ChooserInput } from "./chooser.js";
-export { choosers, drawsPerDecision } from "./choosers.js";
+export { choosers, drawNumbers } from "./choosers.js";
 export { decide } from "./decide.js";
 export { type DecisionInput } from "./decision-input.js";
 export {
--- /dev/null
+++ b/packages/standin/src/bench-decision-time.ts
@@ -0,0 +1,87 @@
+/**
+ * The time of a decision, for the benchmark.
+ *
+ * @packageDocumentation
+ */
+
+import { checkConfiguration, type ChooserName, chooserNames, type ServicePolicy } from "@harrierhitch/configuration";
+import { SeededRandom, serviceName } from "@harrierhitch/core";
+import { decide, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
+import { benchConfiguration, rankExpression } from "./bench-configuration.js";
+
+const candidateCounts = [10, 20, 100, 1000];
+
+/** Measures a decision for each chooser and writes a line for each number of candidates. */
+export const reportDecisions = (write: (text: string) => void): void => {
+    write("Time of a decision (microseconds, mean of 20,000 after warm-up)");
+    candidateCounts.forEach(count => {
+        const cells = [...chooserNames.map(chooser => ({ chooser, rank: "" })), {
+            chooser: "two-choices" as ChooserName,
+            rank: rankExpression,
+        }]
+            .map(({ chooser, rank }) =>
+                `${rank === "" ? chooser : `${chooser}+rank`} ${decisionMicroseconds(count, chooser, rank).toFixed(1)}`
+            );
+        write(`  ${String(count).padStart(4)} candidates: ${cells.join(", ")}`);
+    });
+};
+
+const decisionMicroseconds = (count: number, chooser: ChooserName, rank: string): number => {
+    const policy = policyOf(chooser, rank);
+    const random = new SeededRandom(1);
+    const inputs = Array.from({ length: 50 }, () => decisionInput(count, random));
+    const repetitions = Math.max(500, Math.floor(200_000 / count));
+    const run = (): number => {
+        const startMs = performance.now();
+        for (let turn = 0; turn < repetitions; turn += 1) {
+            decide(policy, inputs[turn % inputs.length] ?? decisionInput(count, random));
+        }
+        return (performance.now() - startMs) * 1000 / repetitions;
+    };
+    run();
+    return run();
+};
+
+const policyOf = (chooser: ChooserName, rank: string): ServicePolicy => {
+    const checked = checkConfiguration("bench", benchConfiguration([9000], chooser, rank));
+    const policy = checked.value?.services.get(serviceName("main"))?.policy;
+    if (policy === undefined) {
+        throw new TypeError(`the benchmark's configuration was rejected: ${JSON.stringify(checked.findings)}`);
+    }
+    return policy;
+};
+
+const decisionInput = (count: number, random: SeededRandom): DecisionInput => ({
+    request: {
+        kind: "read",
+        hall: "hall-a",
+        method: "GET",
+        path: "/read",
+        weight: 1,
+        repeatable: true,
+        attempt: 1,
+        depth: 0,
+        remainingMs: 900,
+        heldMs: 0,
+    },
+    service: { name: "main", inFlight: 5, queued: 0, candidates: count, upstreams: count },
+    upstreams: Array.from({ length: count }, (_, index) => ({
+        id: `main-${index}`,
+        availabilityZone: "hall-a",
+        sameZone: index % 3 === 0,
+        state: "ready",
+        inFlight: Math.floor(random.next() * 4),
+        limit: 11,
+        oldestInFlightMs: random.next() * 10,
+        latencyMs: random.next() * 20,
+        latencyAgeMs: random.next() * 100,
+        reportedInFlight: Math.floor(random.next() * 5),
+        reportAgeMs: random.next() * 100,
+        sentSinceReport: Math.floor(random.next() * 3),
+        failureRate: 0,
+        slots: 3,
+    })),
+    tried: [],
+    draws: drawNumbers(random),
+    turn: 1,
+});
--- a/packages/standin/src/bench.ts
+++ b/packages/standin/src/bench.ts
@@ -5,13 +5,12 @@
  * @packageDocumentation
  */
 
-import { checkConfiguration, type ChooserName, chooserNames, type ServicePolicy } from "@harrierhitch/configuration";
-import { SeededRandom, serviceName } from "@harrierhitch/core";
-import { decide, type DecisionInput, drawsPerDecision } from "@harrierhitch/decision";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import { benchConfiguration, rankExpression } from "./bench-configuration.js";
+import { reportDecisions } from "./bench-decision-time.js";
 import { type Child, programs, startChild } from "./child.js";
 import { closedLoop, type LoadResult, openLoop, percentileMs } from "./load.js";
 
@@ -19,32 +18,8 @@
 const rounds = 3;
 const roundSeconds = 3;
 const saturatingConnections = 64;
-
-const rankExpression = "upstream.inFlight * 2.0 + upstream.latencyMs + (upstream.sameZone ? 0.0 : 3.0)";
-
-/** A configuration of one service with the given upstreams. */
-export const benchConfiguration = (ports: readonly number[], chooser: string, rank: string): string => `
-generation = 1
-[fleet]
-maximumInstances = 18
-[kind.read]
-repeatable = true
-[route.read]
-method = GET
-path = /read
-service = main
-kind = read
-[policy.main]
-chooser = ${chooser}
-${rank === "" ? "" : `rank = ${rank}`}
-[service.main]
-policy = main
-${
-    ports.map((port, index) =>
-        `[upstream.main-${index}]\nservice = main\naddress = 127.0.0.1\nport = ${port}\navailabilityZone = hall-a`
-    ).join("\n")
-}
-`;
+const latencyRounds = 5;
+const upstreamProcesses = 2;
 
 /** Runs the whole benchmark and writes the report to standard output. */
 export const runBench = async (): Promise<void> => {
@@ -56,9 +31,10 @@
         return child;
     };
     try {
-        const { ports } = await start(programs.standin, ["fast-upstreams", "--count", String(upstreamCount)]).line<
-            { ports: number[]; }
-        >("ports");
+        const ports = (await Promise.all(Array.from({ length: upstreamProcesses }, () => {
+            const child = start(programs.standin, ["fast-upstreams", "--count", String(upstreamCount / upstreamProcesses)]);
+            return child.line<{ ports: number[]; }>("ports");
+        }))).flatMap(line => line.ports);
         await writeFile(join(directory, "configuration.ini"), benchConfiguration(ports, "two-choices", rankExpression));
         await writeFile(join(directory, "instances.ini"), "revision = 1\n");
         const platform = await start(programs.standin, ["platform", "--directory", directory]).line<{ port: number; }>("port");
@@ -70,13 +46,15 @@
         const daemon = start(programs.daemon, ["--settings", settings]);
         const { callers, operators } = await daemon.line<{ callers: number; operators: number; }>("callers");
         await daemon.line("generation");
+        const metrics = `http://127.0.0.1:${operators}/metrics`;
         await reportTraffic(
             `http://127.0.0.1:${ports[0]}/read`,
             `http://127.0.0.1:${through.port}/read`,
             `http://127.0.0.1:${callers}/read`,
+            metrics,
         );
-        await reportMemory(`http://127.0.0.1:${callers}/read`, `http://127.0.0.1:${operators}/metrics`);
-        reportDecisions();
+        await reportMemory(`http://127.0.0.1:${callers}/read`, metrics);
+        reportDecisions(write);
     }
     finally {
         await Promise.all(children.map(child => child.stop()));
@@ -104,45 +82,71 @@
     process.stdout.write(`${text}\n`);
 };
 
-const reportTraffic = async (direct: string, through: string, daemon: string): Promise<void> => {
+const reportTraffic = async (direct: string, through: string, daemon: string, metrics: string): Promise<void> => {
+    const throughCpu = () => passThroughCpu(through);
+    const daemonCpu = () => metricOf(metrics, "process_cpu_seconds_total");
     const best = { through: 0, daemon: 0 };
     await closedLoop(daemon, saturatingConnections, 2);
     await closedLoop(through, saturatingConnections, 2);
     write(`Saturation, ${saturatingConnections} connections, ${roundSeconds} s a round, alternating`);
     for (let round = 0; round < rounds; round += 1) {
-        const throughResult = await closedLoop(through, saturatingConnections, roundSeconds);
-        const daemonResult = await closedLoop(daemon, saturatingConnections, roundSeconds);
+        const throughResult = await withCpu(throughCpu, () => closedLoop(through, saturatingConnections, roundSeconds));
+        const daemonResult = await withCpu(daemonCpu, () => closedLoop(daemon, saturatingConnections, roundSeconds));
         best.through = Math.max(best.through, rate(throughResult));
         best.daemon = Math.max(best.daemon, rate(daemonResult));
-        write(
-            `  round ${round + 1}: pass-through ${rate(throughResult).toFixed(0)}/s, daemon ${rate(daemonResult).toFixed(0)}/s, `
-                + `share ${
-                    (rate(daemonResult) / rate(throughResult) * 100).toFixed(0)
-                } %, failures ${throughResult.failures}+${daemonResult.failures}`,
-        );
+        const rates = `pass-through ${rate(throughResult).toFixed(0)}/s, daemon ${rate(daemonResult).toFixed(0)}/s`;
+        const cpu = `${throughResult.cpuMicroseconds.toFixed(0)} and ${daemonResult.cpuMicroseconds.toFixed(0)} us`;
+        const cpuShare = (throughResult.cpuMicroseconds / daemonResult.cpuMicroseconds * 100).toFixed(0);
+        const rateShare = (rate(daemonResult) / rate(throughResult) * 100).toFixed(0);
+        write(`  round ${round + 1}: ${rates} (${rateShare} %); processor time of a request ${cpu} (${cpuShare} %)`);
+        write(`           failures ${throughResult.failures} and ${daemonResult.failures}`);
     }
-    const perSecond = Math.floor(best.daemon / 2);
-    write(`Latency at ${perSecond}/s to each, half of the daemon's saturation, 10 s, interleaved (ms)`);
-    const names = ["direct", "pass-through", "daemon"];
-    const results = await openLoop([direct, through, daemon], perSecond, 10);
-    results.forEach((result, index) => {
-        const [p50, p99, p999] = [50, 99, 99.9].map(percentile => percentileMs(result, percentile).toFixed(2));
+    await reportLatency([direct, through, daemon], Math.floor(best.daemon / 2));
+};
+
+/** The targets take turns, one at a time, so that none measures the load of another; the median round counts. */
+const reportLatency = async (urls: readonly string[], perSecond: number): Promise<void> => {
+    write(
+        `Latency at ${perSecond}/s, half of the daemon's saturation, median of ${latencyRounds} alternating rounds of ${roundSeconds} s (ms)`,
+    );
+    const results: LoadResult[][] = urls.map(() => []);
+    for (let round = 0; round < latencyRounds; round += 1) {
+        for (const [index, url] of urls.entries()) {
+            results[index]?.push(await openLoop(url, perSecond, roundSeconds));
+        }
+    }
+    const medians = results.map(rounds =>
+        [50, 99, 99.9].map(percentile => median(rounds.map(result => percentileMs(result, percentile))))
+    );
+    ["direct", "pass-through", "daemon"].forEach((name, index) => {
+        const [p50 = 0, p99 = 0, p999 = 0] = medians[index] ?? [];
+        const failures = results[index]?.reduce((sum, result) => sum + result.failures, 0) ?? 0;
         write(
-            `  ${
-                names[index]?.padEnd(14)
-            } p50 ${p50}  p99 ${p99}  p99.9 ${p999}  requests ${result.requests}  failures ${result.failures}`,
+            `  ${name.padEnd(14)} p50 ${p50.toFixed(2)}  p99 ${p99.toFixed(2)}  p99.9 ${p999.toFixed(2)}  failures ${failures}`,
         );
     });
-    const [directResult, throughResult, daemonResult] = results;
-    if (directResult !== undefined && throughResult !== undefined && daemonResult !== undefined) {
-        const added = (percentile: number, base: LoadResult): string =>
-            (percentileMs(daemonResult, percentile) - percentileMs(base, percentile)).toFixed(2);
-        write(
-            `  added to direct: p50 ${added(50, directResult)}, p99 ${added(99, directResult)}; to pass-through: p99 ${
-                added(99, throughResult)
-            }`,
-        );
-    }
+    const added = (base: number, column: number): string =>
+        ((medians[2]?.[column] ?? 0) - (medians[base]?.[column] ?? 0)).toFixed(2);
+    write(`  added to direct: p50 ${added(0, 0)}, p99 ${added(0, 1)}; to pass-through: p50 ${added(1, 0)}, p99 ${added(1, 1)}`);
+};
+
+const median = (values: readonly number[]): number => [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+/** Runs a load and adds the processor time of a request, which other work on the machine disturbs less than rates. */
+const withCpu = async (cpuSeconds: () => Promise<number>, run: () => Promise<LoadResult>) => {
+    const before = await cpuSeconds();
+    const result = await run();
+    return { ...result, cpuMicroseconds: (await cpuSeconds() - before) * 1_000_000 / result.requests };
+};
+
+const passThroughCpu = async (url: string): Promise<number> => {
+    const usage = await (await request(new URL("/cpu", url))).body.json() as { readonly user: number; readonly system: number; };
+    return (usage.user + usage.system) / 1_000_000;
+};
+
+const metricOf = async (metricsUrl: string, name: string): Promise<number> => {
+    const text = await (await request(metricsUrl)).body.text();
+    return Number(new RegExp(`^${name} (\\S+)`, "m").exec(text)?.[1] ?? NaN);
 };
 
 const rate = (result: LoadResult): number => result.requests / result.seconds;
@@ -153,82 +157,7 @@
         if (connections > 0) {
             await closedLoop(url, connections, 2);
         }
-        const text = await (await request(metrics)).body.text();
-        const bytes = Number(/^process_resident_memory_bytes (\S+)/m.exec(text)?.[1] ?? 0);
+        const bytes = await metricOf(metrics, "process_resident_memory_bytes");
         write(`  after ${String(connections).padStart(4)} connections: ${(bytes / 1_048_576).toFixed(0)}`);
     }
 };
-
-const reportDecisions = (): void => {
-    write("Time of a decision (microseconds, mean of 20,000 after warm-up)");
-    [10, 20, 100, 1000].forEach(count => {
-        const cells = [...chooserNames.map(chooser => ({ chooser, rank: "" })), {
-            chooser: "two-choices" as ChooserName,
-            rank: rankExpression,
-        }]
-            .map(({ chooser, rank }) =>
-                `${rank === "" ? chooser : `${chooser}+rank`} ${decisionMicroseconds(count, chooser, rank).toFixed(1)}`
-            );
-        write(`  ${String(count).padStart(4)} candidates: ${cells.join(", ")}`);
-    });
-};
-
-const decisionMicroseconds = (count: number, chooser: ChooserName, rank: string): number => {
-    const policy = policyOf(chooser, rank);
-    const random = new SeededRandom(1);
-    const inputs = Array.from({ length: 50 }, () => decisionInput(count, random));
-    const repetitions = Math.max(500, Math.floor(200_000 / count));
-    const run = (): number => {
-        const startMs = performance.now();
-        for (let turn = 0; turn < repetitions; turn += 1) {
-            decide(policy, inputs[turn % inputs.length] ?? decisionInput(count, random));
-        }
-        return (performance.now() - startMs) * 1000 / repetitions;
-    };
-    run();
-    return run();
-};
-
-const policyOf = (chooser: ChooserName, rank: string): ServicePolicy => {
-    const checked = checkConfiguration("bench", benchConfiguration([9000], chooser, rank));
-    const policy = checked.value?.services.get(serviceName("main"))?.policy;
-    if (policy === undefined) {
-        throw new TypeError(`the benchmark's configuration was rejected: ${JSON.stringify(checked.findings)}`);
-    }
-    return policy;
-};
-
-const decisionInput = (count: number, random: SeededRandom): DecisionInput => ({
-    request: {
-        kind: "read",
-        hall: "hall-a",
-        method: "GET",
-        path: "/read",
-        weight: 1,
-        repeatable: true,
-        attempt: 1,
-        depth: 0,
-        remainingMs: 900,
-        heldMs: 0,
-    },
-    service: { name: "main", inFlight: 5, queued: 0, candidates: count, upstreams: count },
-    upstreams: Array.from({ length: count }, (_, index) => ({
-        id: `main-${index}`,
-        availabilityZone: "hall-a",
-        sameZone: index % 3 === 0,
-        state: "ready",
-        inFlight: Math.floor(random.next() * 4),
-        limit: 11,
-        oldestInFlightMs: random.next() * 10,
-        latencyMs: random.next() * 20,
-        latencyAgeMs: random.next() * 100,
-        reportedInFlight: Math.floor(random.next() * 5),
-        reportAgeMs: random.next() * 100,
-        sentSinceReport: Math.floor(random.next() * 3),
-        failureRate: 0,
-        slots: 3,
-    })),
-    tried: [],
-    draws: Array.from({ length: drawsPerDecision }, () => random.next()),
-    turn: 1,
-});
--- a/packages/standin/src/load.ts
+++ b/packages/standin/src/load.ts
@@ -62,43 +62,37 @@
     return { requests: latencies.totalCount, failures, seconds: took, latencies };
 };
 
-/** Time between two looks at how many requests are due. */
-const tickMs = 1;
-
 /**
  * Sends at a fixed rate whatever the answers do; latency counts from the time a
  * request was due, so that a stall is not hidden.
  *
- * @param urls - Where to, in turn, so that all see the same conditions.
- * @param perSecond - Requests a second to each.
+ * @param url - Where to.
+ * @param perSecond - Requests a second.
  * @param seconds - How long.
  */
-export const openLoop = async (urls: readonly string[], perSecond: number, seconds: number): Promise<readonly LoadResult[]> => {
-    const targets = urls.map(url => {
-        const { origin, pathname } = new URL(url);
-        return { pool: new Pool(origin, { connections: 100, pipelining: 1 }), pathname, latencies: newHistogram(), failures: 0 };
-    });
+export const openLoop = async (url: string, perSecond: number, seconds: number): Promise<LoadResult> => {
+    const { origin, pathname } = new URL(url);
+    const pool = new Pool(origin, { connections: 100, pipelining: 1 });
+    const latencies = newHistogram();
     const startMs = performance.now();
     const pending = new Set<Promise<void>>();
     const total = Math.floor(perSecond * seconds);
+    let failures = 0;
+    const sendOne = async (dueMs: number): Promise<void> => {
+        failures += await getOnce(pool, pathname) ? 0 : 1;
+        latencies.recordValue(Math.round((performance.now() - dueMs) * 1000));
+    };
     for (let sent = 0; sent < total;) {
         const due = Math.min(total, Math.floor((performance.now() - startMs) / 1000 * perSecond));
         for (; sent < due; sent += 1) {
-            const dueMs = startMs + sent * 1000 / perSecond;
-            targets.forEach(target => {
-                const task = getOnce(target.pool, target.pathname).then(ok => {
-                    target.failures += ok ? 0 : 1;
-                    target.latencies.recordValue(Math.round((performance.now() - dueMs) * 1000));
-                }).finally(() => pending.delete(task));
-                pending.add(task);
-            });
+            const task = sendOne(startMs + sent * 1000 / perSecond).finally(() => pending.delete(task));
+            pending.add(task);
         }
-        await new Promise(resolve => setTimeout(resolve, tickMs));
+        await new Promise(resolve => setImmediate(resolve));
     }
     await Promise.all(pending);
-    const took = (performance.now() - startMs) / 1000;
-    await Promise.all(targets.map(target => target.pool.close()));
-    return targets.map(({ latencies, failures }) => ({ requests: latencies.totalCount, failures, seconds: took, latencies }));
+    await pool.close();
+    return { requests: latencies.totalCount, failures, seconds: (performance.now() - startMs) / 1000, latencies };
 };
 
 /** A percentile of a result in milliseconds. */
