Try policies offline, print references, trace with a span for each hop

Cause: operators could not run a policy before publishing it, and could not look up a key; hops left no spans. Change: harrierhitch try and reference, made from the schemas; spans are made from the record after the answer, in a bounded queue that drops and counts. Before: neither existed.

--- a/packages/command/src/index.ts
+++ b/packages/command/src/index.ts
@@ -7,4 +7,7 @@
 export { explanationText } from "./explanation-text.js";
 export { exitCodes } from "./failure.js";
 export { runCommandProgram } from "./program.js";
+export { references } from "./reference-command.js";
 export { replay, type ReplayedStep } from "./replay.js";
+export { readScenario } from "./scenario.js";
+export { readPolicy } from "./try-command.js";
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -7,7 +7,9 @@
 import { defineCommand, runMain } from "citty";
 import { checkCommand } from "./check-command.js";
 import { explainCommand, replayCommand } from "./explain-command.js";
+import { referenceCommand } from "./reference-command.js";
 import { drainCommand, metricsCommand, statusCommand, watchCommand } from "./status-command.js";
+import { tryCommand } from "./try-command.js";
 import { version } from "./version.js";
 
 const main = defineCommand({
@@ -21,8 +23,10 @@
         drain: drainCommand,
         explain: explainCommand,
         metrics: metricsCommand,
+        reference: referenceCommand,
         replay: replayCommand,
         status: statusCommand,
+        try: tryCommand,
         watch: watchCommand,
     },
 });
--- /dev/null
+++ b/packages/command/src/scenario.ts
@@ -0,0 +1,94 @@
+/**
+ * Scenarios: a request, a service and candidates on which a policy is tried.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    booleanKey,
+    checkDocument,
+    choiceKey,
+    InvalidDocumentError,
+    LocatedIni,
+    namePattern,
+    numberKey,
+    optionalSection,
+    textKey,
+} from "@harrierhitch/configuration";
+import { SeededRandom } from "@harrierhitch/core";
+import { type DecisionInput, drawNumbers } from "@harrierhitch/decision";
+import { z } from "zod";
+
+const text = (description: string, defaultValue: string) => textKey({ description, defaultValue });
+
+const number = (description: string, defaultValue: number, unit?: string) =>
+    numberKey({ description, defaultValue, minimum: 0, maximum: 1_000_000_000, ...(unit === undefined ? {} : { unit }) });
+
+/** Schema of a scenario file. */
+export const scenarioSchema = z.strictObject({
+    request: optionalSection({
+        kind: text("Name of the request's kind.", "read"),
+        hall: text("Name of the caller's hall.", "hall-a"),
+        method: text("HTTP method.", "GET"),
+        path: text("Path without the query.", "/"),
+        weight: number("Weight of the kind.", 1),
+        repeatable: booleanKey({ description: "Whether it may run more than once.", defaultValue: true }),
+        attempt: number("Number of the attempt.", 1),
+        depth: number("Hops before this one.", 0),
+        remainingMs: number("Time until the deadline.", 1000, "ms"),
+        heldMs: number("Time held back so far.", 0, "ms"),
+    }),
+    service: optionalSection({
+        name: text("Name of the service.", "service"),
+        inFlight: number("Requests in flight from this instance.", 0),
+        queued: number("Requests held back.", 0),
+    }),
+    upstream: z.record(
+        z.string().regex(namePattern, "expected a name of lower-case letters, digits and hyphens"),
+        z.strictObject({
+            availabilityZone: text("Availability zone.", "hall-a"),
+            sameZone: booleanKey({ description: "Whether it is the instance's own.", defaultValue: true }),
+            state: choiceKey(["ready", "cold", "suspect", "ejected", "draining"], {
+                description: "Believed state.",
+                defaultValue: "ready",
+            }),
+            inFlight: number("Requests in flight from this instance.", 0),
+            limit: number("Most requests in flight.", 16),
+            oldestInFlightMs: number("Age of the oldest request in flight.", 0, "ms"),
+            latencyMs: number("Decayed latency.", 5, "ms"),
+            latencyAgeMs: number("Age of the last answer.", 100, "ms"),
+            reportedInFlight: number("Reported requests in flight.", 0),
+            reportAgeMs: number("Age of the report.", 100, "ms"),
+            sentSinceReport: number("Requests sent since the report.", 0),
+            failureRate: number("Decayed share of failures.", 0),
+            slots: number("Slots of the upstream.", 3),
+        }),
+    ),
+});
+
+/**
+ * Reads a scenario and makes a decision's input of it.
+ *
+ * @param file - Name of the file, for findings.
+ * @param content - The file's text.
+ * @param seed - Seed of the random draws.
+ * @throws InvalidDocumentError with all findings.
+ */
+export const readScenario = (file: string, content: string, seed: number): DecisionInput => {
+    const checked = checkDocument(LocatedIni.read(file, content), scenarioSchema);
+    if (checked.value === undefined) {
+        throw new InvalidDocumentError(checked.findings);
+    }
+    const { request, service } = checked.value;
+    const upstreams = Object.entries(checked.value.upstream).map(([id, facts]) => ({ id, ...facts }));
+    const isCandidate = (upstream: typeof upstreams[number]): boolean =>
+        upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
+    return {
+        request,
+        service: { ...service, candidates: upstreams.filter(isCandidate).length, upstreams: upstreams.length },
+        upstreams,
+        tried: [],
+        draws: drawNumbers(new SeededRandom(seed)),
+        turn: 1,
+    };
+};
--- /dev/null
+++ b/packages/command/src/try-command.ts
@@ -0,0 +1,170 @@
+/**
+ * `harrierhitch try`.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    checkDocument,
+    checkPolicies,
+    InvalidDocumentError,
+    LocatedIni,
+    policySectionsSchema,
+    type ServicePolicy,
+} from "@harrierhitch/configuration";
+import { asError } from "@harrierhitch/core";
+import { decide, type Decision, type DecisionInput } from "@harrierhitch/decision";
+import { type ClauseName, clauseNames } from "@harrierhitch/policy";
+import { defineCommand } from "citty";
+import { readFile } from "node:fs/promises";
+import { z } from "zod";
+import { jsonArg } from "./common-args.js";
+import { exitCodes, InvalidInputError, reportingFailure } from "./failure.js";
+import { paint, table, writeJson, writeLine } from "./output.js";
+import { readScenario } from "./scenario.js";
+
+/** One evaluation of one clause. */
+interface ClauseStep {
+    readonly clause: ClauseName;
+    /** Candidate for which it was evaluated; empty for clauses about the request alone. */
+    readonly upstream: string;
+    readonly value: string;
+}
+
+/** Runs a policy offline on given candidates. */
+export const tryCommand = defineCommand({
+    meta: { name: "try", description: "Run a policy offline on a scenario and show each step. Scenarios: docs/POLICIES.md" },
+    args: {
+        policy: {
+            type: "string",
+            required: true,
+            valueHint: "FILE",
+            description: "INI file with one or more [policy.NAME] sections",
+        },
+        request: {
+            type: "string",
+            required: true,
+            valueHint: "FILE",
+            description: "INI file with the request, the service and the upstreams",
+        },
+        name: { type: "string", valueHint: "NAME", description: "Policy to try; needed when the file has several" },
+        seed: { type: "string", default: "1", valueHint: "NUMBER", description: "Seed of the random draws" },
+        ...jsonArg,
+    },
+    run: ({ args }) =>
+        reportingFailure(async () => {
+            const servicePolicy = readPolicy(args.policy, await readFile(args.policy, "utf8"), args.name);
+            if (!/^\d{1,9}$/.test(args.seed)) {
+                throw new InvalidInputError(`--seed: found ${args.seed}, expected a whole number`);
+            }
+            const input = readScenario(args.request, await readFile(args.request, "utf8"), Number(args.seed));
+            const steps = clauseNames.flatMap(clause => evaluate(servicePolicy, clause, input));
+            const decision = decide(servicePolicy, input);
+            if (args.json) {
+                writeJson({ policy: servicePolicy.policy.source.name, chooser: servicePolicy.chooser, steps, decision });
+            }
+            else {
+                writeLine(outcomeText(servicePolicy, steps, decision, input));
+            }
+            return exitCodes.done;
+        }),
+});
+
+/**
+ * Reads one policy of a file.
+ *
+ * @throws InvalidDocumentError with all findings, or {@link InvalidInputError} when the name is missing.
+ */
+export const readPolicy = (file: string, text: string, name: string | undefined): ServicePolicy => {
+    const document = LocatedIni.read(file, text);
+    const checked = checkDocument(document, z.object({ policy: policySectionsSchema }));
+    if (checked.value === undefined) {
+        throw new InvalidDocumentError(checked.findings);
+    }
+    const { policies, findings } = checkPolicies(document, checked.value.policy);
+    if (findings.length > 0) {
+        throw new InvalidDocumentError(findings);
+    }
+    const names = [...policies.keys()];
+    const policy = policies.get(name ?? (names.length === 1 ? names[0] ?? "" : ""));
+    if (policy === undefined) {
+        throw new InvalidInputError(`name one of the policies with --name: ${names.join(", ")}`);
+    }
+    return policy;
+};
+
+const evaluate = ({ policy }: ServicePolicy, clause: ClauseName, input: DecisionInput): readonly ClauseStep[] => {
+    if (policy.source.clauses[clause] === undefined) {
+        return [];
+    }
+    const { request, service, upstreams } = input;
+    switch (clause) {
+        case "refuse":
+            return [{ clause, upstream: "", value: valueOf(() => policy.refuse(request, service) ?? "(no)") }];
+        case "hold":
+            return [{ clause, upstream: "", value: valueOf(() => policy.hold(request, service)) }];
+        case "filter":
+            return upstreams.map(upstream => ({
+                clause,
+                upstream: upstream.id,
+                value: valueOf(() => policy.filter(request, service, upstream)),
+            }));
+        case "rank":
+            return upstreams.map(upstream => ({
+                clause,
+                upstream: upstream.id,
+                value: valueOf(() => policy.rank(request, service, upstream)),
+            }));
+    }
+};
+
+const valueOf = (evaluateClause: () => unknown): string => {
+    try {
+        return String(evaluateClause());
+    }
+    catch (thrown) {
+        return `failed: ${asError(thrown).message}`;
+    }
+};
+
+const outcomeText = (
+    { policy, chooser }: ServicePolicy,
+    steps: readonly ClauseStep[],
+    decision: Decision,
+    input: DecisionInput,
+): string =>
+    [
+        `${paint.bold("Policy")} ${policy.source.name}, chooser ${chooser}`,
+        ...clauseNames.flatMap(clause => {
+            const text = policy.source.clauses[clause];
+            return text === undefined ? [] : [`  line ${policy.source.lines[clause] ?? "?"}: ${clause} = ${text}`];
+        }),
+        "",
+        table(["clause", "upstream", "value"], steps.map(step => [step.clause, step.upstream, step.value])),
+        "",
+        table(
+            ["upstream", "state", "left out", "score"],
+            input.upstreams.map((upstream, index) => [
+                upstream.id,
+                upstream.state,
+                decision.exclusions[index] ?? "",
+                decision.scores[index]?.toFixed(2) ?? "",
+            ]),
+        ),
+        "",
+        `${paint.bold("Outcome")} ${decisionText(decision)}`,
+    ].join("\n");
+
+const decisionText = (decision: Decision): string => {
+    const failure = decision.policyFailure === undefined
+        ? ""
+        : ` (clause ${decision.policyFailure.clause} failed, safe default used)`;
+    switch (decision.action) {
+        case "choose":
+            return `send to ${paint.green(decision.upstream)}${failure}`;
+        case "hold":
+            return `hold back (${decision.cause})${failure}`;
+        case "refuse":
+            return `refuse: ${decision.reason}; come back after ${decision.retryAfterMs} ms${failure}`;
+    }
+};
--- a/packages/configuration/src/check.ts
+++ b/packages/configuration/src/check.ts
@@ -8,6 +8,7 @@
 import type { z } from "zod";
 import type { Finding } from "./finding.js";
 import type { LocatedIni } from "./located-ini.js";
+import { unwrapSchema } from "./unwrap-schema.js";
 
 /** The result of a check: the value, or what is wrong. */
 export type Checked<Value> = { readonly value: Value; readonly findings: readonly []; } | {
@@ -80,14 +81,9 @@
 };
 
 const childSchema = (schema: unknown, name: string): unknown => {
-    const unwrapped = unwrap(schema);
+    const unwrapped = unwrapSchema(schema);
     if (unwrapped !== undefined && "shape" in unwrapped) {
-        return unwrap((unwrapped as z.ZodObject).shape[name]);
+        return unwrapSchema((unwrapped as z.ZodObject).shape[name]);
     }
-    return unwrapped !== undefined && "valueType" in unwrapped ? unwrap(unwrapped.valueType) : undefined;
-};
-
-const unwrap = (schema: unknown): object | undefined => {
-    const definition = (schema as { def?: { innerType?: unknown; }; } | undefined)?.def;
-    return definition?.innerType === undefined ? schema as object | undefined : unwrap(definition.innerType);
+    return unwrapped !== undefined && "valueType" in unwrapped ? unwrapSchema(unwrapped.valueType) : undefined;
 };
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -40,6 +40,24 @@
 const headerKey = (description: string, defaultValue: string) =>
     textKey({ description, defaultValue, expected: "a header name in lower case", pattern: /^[a-z0-9-]+$/ });
 
+/** Schema of the policies of a document. */
+export const policySectionsSchema = named(z.strictObject({
+    refuse: optionalTextKey({
+        description: "Text expression; a text that is not empty refuses the request with that reason.",
+    }),
+    refuseRetryAfterMs: integerKey({
+        description: "When a caller that was refused should come back.",
+        unit: "ms",
+        minimum: 0,
+        maximum: 3_600_000,
+        defaultValue: 1000,
+    }),
+    hold: optionalTextKey({ description: "True or false expression; while true the request is held back." }),
+    filter: optionalTextKey({ description: "True or false expression for one candidate; false leaves it out." }),
+    rank: optionalTextKey({ description: "Number expression for one candidate; lower is better." }),
+    chooser: choiceKey(chooserNames, { description: "How one of the candidates is picked.", defaultValue: "adaptive" }),
+}));
+
 /** Schema of the published configuration. */
 export const configurationSchema = z.strictObject({
     generation: integerKey({
@@ -157,22 +175,7 @@
         service: nameKey({ description: "Service that answers." }),
         kind: nameKey({ description: "Kind of the request." }),
     })),
-    policy: named(z.strictObject({
-        refuse: optionalTextKey({
-            description: "Text expression; a text that is not empty refuses the request with that reason.",
-        }),
-        refuseRetryAfterMs: integerKey({
-            description: "When a caller that was refused should come back.",
-            unit: "ms",
-            minimum: 0,
-            maximum: 3_600_000,
-            defaultValue: 1000,
-        }),
-        hold: optionalTextKey({ description: "True or false expression; while true the request is held back." }),
-        filter: optionalTextKey({ description: "True or false expression for one candidate; false leaves it out." }),
-        rank: optionalTextKey({ description: "Number expression for one candidate; lower is better." }),
-        chooser: choiceKey(chooserNames, { description: "How one of the candidates is picked.", defaultValue: "adaptive" }),
-    })),
+    policy: policySectionsSchema,
 });
 
 /** The values of a published configuration, before its parts are joined. */
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -5,24 +5,17 @@
  */
 
 import { type Generation, generation, type ServiceName, serviceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { clauseNames, Policy, type PolicyCheckError, type PolicySource } from "@harrierhitch/policy";
 import { createHash } from "node:crypto";
 import { checkDocument, type Checked } from "./check.js";
-import { type ChooserName, configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
+import { configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
 import type { Finding } from "./finding.js";
 import { LocatedIni } from "./located-ini.js";
 import { Router } from "./router.js";
+import { checkPolicies, type ServicePolicy } from "./service-policy.js";
 
 /** A kind of request. */
 export type Kind = ConfigurationValues["kind"][string] & { readonly name: string; };
 
-/** A policy in force, with the chooser it picks. */
-export interface ServicePolicy {
-    readonly policy: Policy;
-    readonly chooser: ChooserName;
-    readonly refuseRetryAfterMs: number;
-}
-
 /** An upstream as configured. */
 export interface Upstream {
     readonly id: UpstreamId;
@@ -84,7 +77,7 @@
     if (checked.value === undefined) {
         return checked;
     }
-    const { policies, findings: policyFindings } = checkPolicies(document, checked.value);
+    const { policies, findings: policyFindings } = checkPolicies(document, checked.value.policy);
     const findings = [...policyFindings, ...checkReferences(document, checked.value)];
     if (findings.length > 0) {
         return { value: undefined, findings };
@@ -104,39 +97,6 @@
         return message === undefined ? [] : [{ file: document.file, section, key: "path", line, message }];
     });
 
-const checkPolicies = (document: LocatedIni, values: ConfigurationValues) => {
-    const policies = new Map<string, ServicePolicy>();
-    const findings = Object.entries(values.policy).flatMap(([name, section]): readonly Finding[] => {
-        const result = Policy.check(policySource(document, name, section));
-        if (result instanceof Policy) {
-            const { chooser, refuseRetryAfterMs } = section;
-            policies.set(name, { policy: result, chooser, refuseRetryAfterMs });
-            return [];
-        }
-        return result.map(error => policyFinding(document, error));
-    });
-    return { policies, findings };
-};
-
-const policySource = (
-    document: LocatedIni,
-    name: string,
-    section: ConfigurationValues["policy"][string],
-): PolicySource => {
-    const given = clauseNames.filter(clause => section[clause] !== undefined);
-    return {
-        name,
-        clauses: Object.fromEntries(given.map(clause => [clause, section[clause]])),
-        lines: Object.fromEntries(given.map(clause => [clause, document.lineOf(`policy.${name}`, clause)])),
-    };
-};
-
-const policyFinding = (document: LocatedIni, error: PolicyCheckError): Finding => {
-    const section = `policy.${error.policy}`;
-    const line = document.lineOf(section, error.clause);
-    return { file: document.file, section, key: error.clause, line, message: error.detail };
-};
-
 const checkReferences = (document: LocatedIni, values: ConfigurationValues): readonly Finding[] => {
     const finding = (section: string, key: string, message: string): Finding => {
         return { file: document.file, section, key, line: document.lineOf(section, key), message };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,6 +16,7 @@
 import { operatorService } from "./operator-service.js";
 import { OperatorsServer } from "./operators-server.js";
 import type { Platform, PlatformValue } from "./platform.js";
+import { openTracing, type Tracing } from "./tracing.js";
 import { UndiciTransport } from "./undici-transport.js";
 import type { UpstreamTransport } from "./upstream-transport.js";
 import { version } from "./version.js";
@@ -51,6 +52,7 @@
     private readonly metrics: Metrics;
     private readonly callers: CallersServer;
     private readonly operators: OperatorsServer;
+    private readonly tracing: Tracing | undefined;
     private readonly ending = new AbortController();
     private platformAnsweredAtMs: number | undefined;
     private platformFailing = false;
@@ -72,7 +74,16 @@
         this.transport = options.transport ?? new UndiciTransport();
         this.platform = options.platform ?? this.openPlatform();
         const { clock, random, transport, log, metrics } = this;
-        this.instance = new Instance({ settings, clock, random, transport, log, metrics });
+        this.tracing = openTracing(settings, clock, spans => this.onSpansDropped(spans));
+        this.instance = new Instance({
+            settings,
+            clock,
+            random,
+            transport,
+            log,
+            metrics,
+            onTraced: record => this.tracing?.add(record),
+        });
         this.callers = new CallersServer({
             settings: settings.callers,
             handler: (request, answer) => this.instance.serve(request, answer),
@@ -120,6 +131,7 @@
         }
         this.ending.abort();
         await this.transport.close();
+        await this.tracing?.close();
         await this.operators.close();
         this.log.write(events.stopped);
         this.announceStopped();
@@ -179,6 +191,11 @@
         });
     }
 
+    private onSpansDropped(spans: number): void {
+        this.metrics.spansDropped.inc(spans);
+        this.log.write(events.spansDropped, { spans });
+    }
+
     private refreshGauges(): void {
         this.metrics.inFlight.set(this.callers.inFlight);
         this.metrics.records.set(this.instance.explanations.entries);
--- a/packages/daemon/src/decision-record.ts
+++ b/packages/daemon/src/decision-record.ts
@@ -13,6 +13,8 @@
 export interface DecisionStep {
     /** Milliseconds since arrival. */
     readonly atMs: number;
+    /** Time that the decision took. */
+    readonly tookMs: number;
     readonly input: DecisionInput;
     readonly decision: Decision;
 }
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -90,6 +90,7 @@
 
     private decide(): Decision {
         const { progress, runtime, services } = this;
+        const atMs = progress.ageMs;
         const upstreams = runtime.beliefs.facts();
         const input: DecisionInput = {
             request: progress.facts(),
@@ -100,7 +101,7 @@
             turn: runtime.nextTurn(),
         };
         const decision = decide(progress.route.service.policy, input);
-        progress.record.steps.push({ atMs: progress.ageMs, input, decision });
+        progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision });
         if (decision.policyFailure !== undefined) {
             services.log.write(events.policyFailed, { request: progress.record.id, ...decision.policyFailure });
         }
