Add the fleet: membership, documents, observations, keyed requests at most once

Cause: a keyed request that is repeated at another instance had to run at most once, with nothing shared that can be written. Change: three keepers for each key by rendezvous over the published list, a majority of votes, views closed before a newer one grants, records handed over; heartbeats passed on over a few links; highest configuration and list spread. Ways ruled out by the failing runs: one owner by hash (a list change gives two owners), trusting a fresh keeper (the random schedules found a second run after a list shrank to one restarted instance: now the claimer names earlier views).

--- a/packages/core/src/fake-clock.ts
+++ b/packages/core/src/fake-clock.ts
@@ -8,15 +8,13 @@
 
 interface Pending {
     readonly atMs: number;
-    readonly order: number;
     readonly action: () => void;
 }
 
 /** A {@link Clock} for tests: time stands still until {@link FakeClock.advance} is called. */
 export class FakeClock implements Clock {
     private timeMs = 0;
-    private order = 0;
-    private pending: Pending[] = [];
+    private readonly pending: Pending[] = [];
 
     nowMs(): number {
         return this.timeMs;
@@ -27,8 +25,8 @@
     }
 
     after(delayMs: number, action: () => void): Timer {
-        const entry: Pending = { atMs: this.timeMs + Math.max(0, delayMs), order: this.order++, action };
-        this.pending.push(entry);
+        const entry: Pending = { atMs: this.timeMs + Math.max(0, delayMs), action };
+        this.insert(entry);
         return { cancel: () => this.remove(entry) };
     }
 
@@ -50,14 +48,32 @@
         this.timeMs += forMs;
     }
 
+    /** Keeps the timers in the order in which they fall due. */
+    private insert(entry: Pending): void {
+        let low = 0;
+        for (let high = this.pending.length; low < high;) {
+            const middle = (low + high) >> 1;
+            const other = this.pending[middle];
+            if (other !== undefined && other.atMs <= entry.atMs) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        this.pending.splice(low, 0, entry);
+    }
+
     private nextDue(untilMs: number): Pending | undefined {
-        return this.pending
-            .filter(entry => entry.atMs <= untilMs)
-            .sort((a, b) => a.atMs - b.atMs || a.order - b.order)[0];
+        const [first] = this.pending;
+        return first !== undefined && first.atMs <= untilMs ? first : undefined;
     }
 
     private remove(entry: Pending): void {
-        this.pending = this.pending.filter(other => other !== entry);
+        const index = this.pending.indexOf(entry);
+        if (index >= 0) {
+            this.pending.splice(index, 1);
+        }
     }
 }
 
--- /dev/null
+++ b/packages/fleet/src/claimer.ts
@@ -0,0 +1,220 @@
+/**
+ * Claiming keyed requests, so that each key runs at most once in the whole fleet.
+ *
+ * @packageDocumentation
+ */
+
+import { create } from "@bufbuild/protobuf";
+import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
+import { sleep } from "@harrierhitch/core";
+import {
+    type AwaitAnswerResponse,
+    type ClaimRequest,
+    ClaimRequestSchema,
+    type ClaimResponse,
+    type Holding,
+    HoldingSchema,
+    Vote,
+} from "@harrierhitch/protocol";
+import type { AnswerShelf, KeyedResult } from "./answer-shelf.js";
+import type { KeyCalls } from "./key-calls.js";
+import type { KeyHistory } from "./key-history.js";
+import { type ListedEntry, majorityOf, type View } from "./view.js";
+
+/** The result of a claim. */
+export type ClaimResult =
+    /** The request may run here, once; {@link Claimer.finish} must follow. */
+    | { readonly type: "granted"; readonly claimId: string; }
+    /** Another sending of the key ran, and this is what became of it. */
+    | { readonly type: "ended"; readonly result: KeyedResult; }
+    /** This sending was not run, and it cannot be told whether another was. */
+    | { readonly type: "unknown"; readonly detail: string; }
+    /** This sending was not run, and no other holds the key. */
+    | { readonly type: "not-run"; readonly detail: string; };
+
+/** Options of {@link Claimer}. */
+export interface ClaimerOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly instance: InstanceId;
+    readonly incarnation: number;
+    readonly fleet: string;
+    readonly history: KeyHistory;
+    readonly shelf: AnswerShelf;
+    readonly calls: KeyCalls;
+    /** Told of a newer view that a keeper named. */
+    readonly onView: (text: string) => void;
+}
+
+interface Tally {
+    readonly granted: number;
+    readonly held: readonly Holding[];
+    readonly full: number;
+    readonly olderView: boolean;
+}
+
+/** Pause before a claim is tried again, up to twice as long. */
+const retryMs = 10;
+
+/** Claims keys at their keepers and finds the answers of others. */
+export class Claimer {
+    private count = 0;
+
+    /** @param options - Parts of the instance. */
+    constructor(private readonly options: ClaimerOptions) {}
+
+    /**
+     * Claims a key, or finds what became of its other sending. A repeated
+     * sending that arrives while the first runs waits for its answer.
+     *
+     * @param key - The key, with the route that it belongs to.
+     * @param deadlineAtMs - Time on the clock until which it is worth trying.
+     */
+    async claim(key: string, deadlineAtMs: number): Promise<ClaimResult> {
+        let supersedes = "";
+        let detail = "the keepers of the key could not be asked in time";
+        while (this.options.clock.nowMs() < deadlineAtMs) {
+            const own = this.options.shelf.find(key);
+            const ownResult = own === undefined ? undefined : await this.ownResult(own.ended, deadlineAtMs);
+            if (own !== undefined && ownResult?.outcome !== "not-run") {
+                return ownResult === undefined ? unknown("the first sending still runs") : { type: "ended", result: ownResult };
+            }
+            const step = await this.claimOnce(key, supersedes === "" ? own?.claimId ?? "" : supersedes, deadlineAtMs);
+            if (step.type !== "again") {
+                return step;
+            }
+            supersedes = step.supersedes;
+            detail = step.detail;
+            await sleep(this.options.clock, retryMs * (1 + this.options.random.next()));
+        }
+        return unknown(detail);
+    }
+
+    /** Notes how a granted request ended, and tells the keepers. */
+    finish(key: string, claimId: string, result: KeyedResult): void {
+        this.options.shelf.finish(key, claimId, result);
+        const keepers = this.options.history.view?.keepersOf(key) ?? [];
+        keepers.forEach(keeper => void this.options.calls.settle(keeper, key, claimId, result.outcome));
+    }
+
+    private async ownResult(ended: Promise<KeyedResult>, deadlineAtMs: number): Promise<KeyedResult | undefined> {
+        const { clock } = this.options;
+        const ending = new AbortController();
+        const late = sleep(clock, deadlineAtMs - clock.nowMs(), ending.signal).then(() => undefined);
+        const result = await Promise.race([ended, late]);
+        ending.abort();
+        return result;
+    }
+
+    private async claimOnce(key: string, supersedes: string, deadlineAtMs: number) {
+        const { history, shelf } = this.options;
+        const { view } = history;
+        if (view === undefined) {
+            return unknown("there is no instance list yet");
+        }
+        const claimId = this.nextClaimId();
+        shelf.begin(key, claimId);
+        const keepers = view.keepersOf(key);
+        const tally = await this.ask(keepers, this.request(key, claimId, view, supersedes));
+        const isCurrent = history.view?.hash === view.hash;
+        if (isCurrent && tally.granted >= majorityOf(keepers) || keepers.length === 0 && history.proves(key)) {
+            return { type: "granted", claimId } as const;
+        }
+        this.finish(key, claimId, { outcome: "not-run", answer: undefined });
+        return await this.afterLoss(key, keepers, tally, deadlineAtMs);
+    }
+
+    /** Without a majority: follows the claim that stands in the way, or says what is known. */
+    private async afterLoss(key: string, keepers: readonly ListedEntry[], tally: Tally, deadlineAtMs: number) {
+        const [other] = tally.held;
+        if (other !== undefined) {
+            return await this.follow(key, other, deadlineAtMs);
+        }
+        if (tally.olderView) {
+            return again("", "the instance list changed while the key was claimed");
+        }
+        if (tally.full >= majorityOf(keepers)) {
+            return { type: "not-run", detail: "the keepers of the key have no room" } as const;
+        }
+        return unknown("too few keepers of the key could prove that it is new");
+    }
+
+    /** Finds what became of another claim on the key. */
+    private async follow(key: string, other: Holding, deadlineAtMs: number) {
+        if (other.outcome === "not-run") {
+            return again(other.claimId, "another sending ended as not run");
+        }
+        const answer = await this.options.calls.awaitAnswer(key, other, deadlineAtMs);
+        switch (answer?.outcome) {
+            case "ran":
+                return { type: "ended", result: toResult(answer) } as const;
+            case "not-run":
+                return again(other.claimId, "another sending ended as not run");
+            default:
+                return other.outcome === "ran"
+                    ? { type: "ended", result: { outcome: "ran", answer: undefined } } as const
+                    : unknown(
+                        `instance ${other.holder}, which holds the key, ${
+                            answer?.outcome === "" ? "still runs it" : "cannot tell its end"
+                        }`,
+                    );
+        }
+    }
+
+    private async ask(keepers: readonly ListedEntry[], request: ClaimRequest): Promise<Tally> {
+        const votes: ClaimResponse[] = [];
+        const needed = majorityOf(keepers);
+        await new Promise<void>(resolve => {
+            let open = keepers.length;
+            const count = (vote: ClaimResponse | undefined): void => {
+                open -= 1;
+                if (vote !== undefined) {
+                    votes.push(vote);
+                }
+                if (open === 0 || votes.filter(isGrant).length >= needed) {
+                    resolve();
+                }
+            };
+            keepers.forEach(keeper => void this.options.calls.claim(keeper, request).then(count));
+            if (open === 0) {
+                resolve();
+            }
+        });
+        votes.filter(vote => vote.view !== undefined).forEach(vote => this.options.onView(vote.view?.text ?? ""));
+        return {
+            granted: votes.filter(isGrant).length,
+            held: votes.flatMap(vote => vote.vote === Vote.HELD && vote.holding !== undefined ? [vote.holding] : []),
+            full: votes.filter(vote => vote.vote === Vote.FULL).length,
+            olderView: votes.some(vote => vote.vote === Vote.OLDER_VIEW),
+        };
+    }
+
+    private request(key: string, claimId: string, view: View, supersedes: string): ClaimRequest {
+        const { instance, incarnation, fleet, history } = this.options;
+        const holding = create(HoldingSchema, { key, claimId, holder: instance, holderIncarnation: BigInt(incarnation) });
+        const earlierViews = history.earlierViews.map(earlier => earlier.toDocument());
+        return create(ClaimRequestSchema, { fleet, holding, view: view.toDocument(), supersedes, earlierViews });
+    }
+
+    private nextClaimId(): string {
+        this.count += 1;
+        return `${this.options.instance}.${this.options.incarnation.toString(36)}.${this.count.toString(36)}`;
+    }
+}
+
+const isGrant = (vote: ClaimResponse): boolean => vote.vote === Vote.GRANTED;
+
+const unknown = (detail: string) => ({ type: "unknown", detail }) as const;
+
+const again = (supersedes: string, detail: string) => ({ type: "again", supersedes, detail }) as const;
+
+const toResult = (answer: AwaitAnswerResponse): KeyedResult => ({
+    outcome: "ran",
+    answer: answer.hasAnswer
+        ? {
+            status: answer.status,
+            headers: answer.headers.map(header => [header.name, header.value] as const),
+            body: Buffer.from(answer.body),
+        }
+        : undefined,
+});
--- /dev/null
+++ b/packages/fleet/src/peer-links.ts
@@ -0,0 +1,93 @@
+/**
+ * The links of this instance: one task for each peer that it talks to.
+ *
+ * @packageDocumentation
+ */
+
+import { type Clock, type RandomSource, sleep } from "@harrierhitch/core";
+import type { Member } from "@harrierhitch/protocol";
+import { chooseLinks } from "./links.js";
+import type { Members } from "./members.js";
+
+/** Options of {@link PeerLinks}. */
+export interface PeerLinksOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly members: Members;
+    /** Time between two exchanges over one link without news. */
+    readonly exchangeMs: number;
+    /** Exchanges news with one member; tells whether it answered. */
+    readonly exchangeWith: (member: Member) => Promise<boolean>;
+}
+
+/** Shortest pause between two exchanges over one link, so that news are gathered. */
+const minimumPauseMs = 20;
+
+/** Runs a task for each link. */
+export class PeerLinks {
+    private readonly tasks = new Map<string, AbortController>();
+    private readonly wakeUps = new Set<() => void>();
+
+    /** @param options - Members and the way to talk to them. */
+    constructor(private readonly options: PeerLinksOptions) {}
+
+    /** Lets every link exchange now, because there is news. */
+    wake(): void {
+        [...this.wakeUps].forEach(wake => wake());
+    }
+
+    /** Ends all tasks. */
+    stop(): void {
+        this.tasks.forEach(task => task.abort());
+        this.tasks.clear();
+    }
+
+    /** Starts a task for each peer that is a link now, and ends those of former links. */
+    refresh(): void {
+        const candidates = this.options.members.others.filter(member =>
+            member.port > 0 && this.options.members.stateOf(member.instance) !== "left"
+        );
+        const reachable = candidates.filter(member => this.options.members.stateOf(member.instance) !== "failed");
+        // A failed member is tried now and then, so that halves that were cut apart find each other again.
+        const failed = candidates.filter(member => !reachable.includes(member));
+        const retried = failed[Math.floor(this.options.random.next() * failed.length)];
+        const links = new Map(chooseLinks(this.options.members.self, reachable).map(member => [member.instance, member]));
+        if (retried !== undefined) {
+            void this.options.exchangeWith(retried);
+        }
+        this.tasks.forEach((task, id) => {
+            if (!links.has(id)) {
+                task.abort();
+                this.tasks.delete(id);
+            }
+        });
+        links.forEach((member, id) => {
+            if (!this.tasks.has(id)) {
+                const task = new AbortController();
+                this.tasks.set(id, task);
+                void this.talkTo(id, member, task.signal);
+            }
+        });
+    }
+
+    /** The task of one peer: exchanges on news and at intervals. */
+    private async talkTo(id: string, first: Member, signal: AbortSignal): Promise<void> {
+        const { clock, random } = this.options;
+        while (!signal.aborted) {
+            await this.options.exchangeWith(this.options.members.others.find(member => member.instance === id) ?? first);
+            await this.newsOr(this.options.exchangeMs * (0.75 + 0.5 * random.next()), signal);
+            await sleep(clock, minimumPauseMs, signal);
+        }
+    }
+
+    private newsOr(waitMs: number, signal: AbortSignal): Promise<void> {
+        const waking = new AbortController();
+        const wake = () => waking.abort();
+        this.wakeUps.add(wake);
+        signal.addEventListener("abort", wake, { once: true });
+        return sleep(this.options.clock, waitMs, waking.signal).finally(() => {
+            this.wakeUps.delete(wake);
+            signal.removeEventListener("abort", wake);
+        });
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/rendezvous.ts
@@ -0,0 +1,23 @@
+/**
+ * Rendezvous hashing: every instance finds the same order of nodes for a key,
+ * and a node that comes or goes moves only its own keys.
+ *
+ * @packageDocumentation
+ */
+
+import { createHash } from "node:crypto";
+
+/**
+ * Orders nodes for a key, the first being the one in charge.
+ *
+ * @param key - The key.
+ * @param nodes - The nodes, in any order.
+ * @param idOf - The id of a node.
+ */
+export const rendezvous = <Node>(key: string, nodes: readonly Node[], idOf: (node: Node) => string): readonly Node[] =>
+    nodes
+        .map(node => ({ node, weight: weightOf(key, idOf(node)) }))
+        .sort((a, b) => Buffer.compare(a.weight, b.weight))
+        .map(({ node }) => node);
+
+const weightOf = (key: string, id: string): Buffer => createHash("sha1").update(`${id}\n${key}`).digest();
