--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -82,6 +82,18 @@
             maximum: 64,
             defaultValue: 9,
         }),
+        keyTtlMs: integerKey({
+            description: "Time for which keys of requests that must not run twice are kept; at least twice the longest timeout.",
+            unit: "ms",
+            minimum: 1000,
+            maximum: 3_600_000,
+            defaultValue: 60_000,
+        }),
+        trustColdStart: booleanKey({
+            description:
+                "Whether keys count as new when every listed instance has just started; otherwise they are unknown for keyTtlMs.",
+            defaultValue: true,
+        }),
         retryPercent: numberKey({
             description: "Most retries, as a share of the requests of this instance.",
             unit: "%",
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -123,6 +123,9 @@
             ...duplicateOf(routes, name, other => `${other.method} ${other.path.replace(/:[^/]+/g, ":")}`)
                 .map(first => finding(`route.${name}`, "path", `same method and path as [route.${first}]`)),
         ]),
+        ...Object.entries(values.kind)
+            .filter(([, kind]) => kind.timeoutMs * 2 > values.fleet.keyTtlMs && !kind.repeatable)
+            .map(([name]) => finding(`kind.${name}`, "timeoutMs", "more than half of keyTtlMs in [fleet]")),
         ...(routes.length === 0 ? [finding("", "", "there is no route, so every request would be refused")] : []),
     ];
 };
--- a/packages/configuration/src/settings.ts
+++ b/packages/configuration/src/settings.ts
@@ -81,6 +81,20 @@
         port: portKey("Port on which operators are served; 0 takes a free one."),
         ...tlsKeys,
     }),
+    peers: z.strictObject({
+        address: addressKey({ description: "IP number on which other instances are served, as the instance list names it." }),
+        port: portKey("Port on which other instances are served; 0 takes a free one."),
+        fleet: nameKey({ description: "Name of the fleet; instances of another fleet are refused." }),
+        hearTimeoutMs: integerKey({
+            description:
+                "Longest time for which a new instance waits for other instances before it serves although it heard none.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 600_000,
+            defaultValue: 10_000,
+        }),
+        ...tlsKeys,
+    }),
     platform: z.strictObject({
         addresses: textKey({
             description: "Addresses of the configuration service, tried in turn.",
@@ -193,11 +207,17 @@
     if (checked.value === undefined) {
         return checked;
     }
-    const findings = (["callers", "operators"] as const).flatMap(section => tlsFindings(document, checked.value, section));
+    const findings = (["callers", "operators", "peers"] as const).flatMap(section =>
+        tlsFindings(document, checked.value, section)
+    );
     return findings.length === 0 ? checked : { value: undefined, findings };
 };
 
-const tlsFindings = (document: LocatedIni, settings: Settings, section: "callers" | "operators"): readonly Finding[] => {
+const tlsFindings = (
+    document: LocatedIni,
+    settings: Settings,
+    section: "callers" | "operators" | "peers",
+): readonly Finding[] => {
     const { address, certificateFile, keyFile, authorityFile } = settings[section];
     const place = { file: document.file, section };
     const findings: Finding[] = [];
@@ -205,8 +225,8 @@
         const key = certificateFile === undefined ? "certificateFile" : "keyFile";
         findings.push({ ...place, key, line: document.lineOf(section, key), message: "certificateFile and keyFile go together" });
     }
-    if (section === "operators" && !isLoopback(address) && (certificateFile === undefined || authorityFile === undefined)) {
-        const message = "outside loopback, operators are served with certificateFile, keyFile and authorityFile only";
+    if (section !== "callers" && !isLoopback(address) && (certificateFile === undefined || authorityFile === undefined)) {
+        const message = "outside loopback, operators and peers are served with certificateFile, keyFile and authorityFile only";
         findings.push({ ...place, key: "address", line: document.lineOf(section, "address"), message });
     }
     return findings;
--- /dev/null
+++ b/packages/fleet/test/fleet.test.ts
@@ -0,0 +1,148 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { configurationText } from "./documents.js";
+import { FakeFleet } from "./fake-fleet.js";
+
+const ids = (count: number): readonly string[] => Array.from({ length: count }, (_, index) => `n${index}`);
+
+const startFleet = async (count: number, seed = 1): Promise<FakeFleet> => {
+    const fleet = new FakeFleet(seed, { maximumDelayMs: 10, dropShare: 0.05, repeatShare: 0.05 });
+    const list = fleet.newList(ids(count));
+    ids(count).forEach(id => fleet.start(id, list));
+    await fleet.clock.advance(2000);
+    return fleet;
+};
+
+const generationsInForce = (fleet: FakeFleet): readonly (number | undefined)[] =>
+    fleet.running.map(node => node.generations.at(-1));
+
+test("a configuration offered at one of 18 instances is in force on all within 2 s", async () => {
+    const fleet = await startFleet(18);
+    fleet.node("n7").offer(configurationText(3));
+    await fleet.clock.advance(2000);
+    assert.deepEqual(generationsInForce(fleet), ids(18).map(() => 3));
+});
+
+test("an observation of one instance is known to all 18 within 2 s, and an older one never undoes it", async () => {
+    const fleet = await startFleet(18);
+    fleet.node("n4").fleet.tellRumor("main-1", "returned");
+    await fleet.clock.advance(100);
+    fleet.node("n9").fleet.tellRumor("main-1", "draining");
+    await fleet.clock.advance(2000);
+    const last = fleet.running.map(node => node.fleet.rumors.news().find(rumor => rumor.upstream === "main-1")?.type);
+    assert.deepEqual(last, ids(18).map(() => "draining"));
+});
+
+test("a restarted instance has the highest generation before it is told to serve", async () => {
+    const fleet = await startFleet(6);
+    fleet.node("n0").offer(configurationText(9));
+    await fleet.clock.advance(2000);
+    const node = fleet.start("n3", fleet.newList(ids(6), 1));
+    const heard = node.fleet.hearOthers(2000);
+    await fleet.clock.advance(2000);
+    assert.deepEqual([await heard, node.generations.at(-1)], [true, 9]);
+});
+
+test("an instance that hears nobody says so", async () => {
+    const fleet = await startFleet(3);
+    fleet.split(["n0"], ["n1", "n2"]);
+    const heard = fleet.start("n0", fleet.newList(ids(3), 1)).fleet.hearOthers(2000);
+    await fleet.clock.advance(3000);
+    assert.equal(await heard, false);
+});
+
+test("two contents under one generation are settled alike everywhere", async () => {
+    const fleet = await startFleet(6);
+    fleet.node("n0").offer(configurationText(4, "one"));
+    fleet.node("n5").offer(configurationText(4, "other"));
+    await fleet.clock.advance(4000);
+    assert.equal(new Set(fleet.running.map(node => node.accepted.inForce?.configuration.hash)).size, 1);
+});
+
+test("an older generation, an invalid and a garbled document change nothing", async () => {
+    const fleet = await startFleet(3);
+    fleet.node("n0").offer(configurationText(4));
+    await fleet.clock.advance(1000);
+    const results = [configurationText(3), configurationText(5).replace("random", "no-such"), "\u0000"].map(text =>
+        fleet.node("n1").offer(text).type
+    );
+    await fleet.clock.advance(1000);
+    assert.deepEqual([results, generationsInForce(fleet)], [["older", "invalid", "invalid"], [4, 4, 4]]);
+});
+
+interface MemberFault {
+    readonly name: string;
+    readonly act: (fleet: FakeFleet) => void;
+    readonly state: string;
+}
+
+const memberFaults: readonly MemberFault[] = [
+    { name: "lives", act: () => undefined, state: "alive" },
+    { name: "is killed", act: fleet => fleet.kill("n3"), state: "failed" },
+    { name: "is cut off both ways", act: fleet => fleet.split(["n3"], ["n0", "n1", "n2", "n4", "n5"]), state: "failed" },
+    { name: "cannot be reached by two of five, but by others", act: fleet => fleet.split(["n3"], ["n0", "n1"]), state: "alive" },
+    { name: "announces that it leaves", act: fleet => void fleet.node("n3").fleet.announceLeaving(), state: "left" },
+    { name: "is restarted", act: fleet => void fleet.start("n3", fleet.newList(ids(6), 1)), state: "alive" },
+];
+
+describe("to the others an instance that", () => {
+    memberFaults.forEach(({ name, act, state }) => {
+        test(`${name} is ${state}`, async () => {
+            const fleet = await startFleet(6);
+            act(fleet);
+            await fleet.clock.advance(12_000);
+            const states = ["n0", "n1", "n2"].map(id => fleet.node(id).fleet.members.stateOf("n3"));
+            assert.deepEqual(states, [state, state, state]);
+        });
+    });
+});
+
+test("readers are few, differ from none, and are replaced within seconds when they are cut off or killed", async () => {
+    const fleet = await startFleet(18);
+    const readers = () => fleet.running.filter(node => node.fleet.isReader);
+    const before = readers();
+    assert.ok(before.length >= 2 && before.length <= 6, `${before.length} readers`);
+    before.forEach(node => fleet.kill(node.id));
+    await fleet.clock.advance(8000);
+    assert.ok(readers().length >= 2);
+    readers().forEach(node => node.fleet.members.tell({ platformReachable: false }));
+    await fleet.clock.advance(4000);
+    assert.ok(readers().some(node => node.fleet.members.self.platformReachable));
+});
+
+test("an instance that slept does not take the others for dead", async () => {
+    const fleet = await startFleet(3);
+    fleet.clock.pause(20_000);
+    fleet.node("n0").fleet.wakeLate();
+    assert.deepEqual(["n1", "n2"].map(id => fleet.node("n0").fleet.members.stateOf(id)), ["alive", "alive"]);
+});
+
+test("under random cuts no generation falls, and after the heal all agree", async () => {
+    const cut = fc.record({
+        from: fc.integer({ min: 0, max: 5 }),
+        to: fc.integer({ min: 0, max: 5 }),
+        offer: fc.integer({ min: 0, max: 5 }),
+    });
+    await fc.assert(
+        fc.asyncProperty(
+            fc.integer({ min: 1, max: 1_000_000 }),
+            fc.array(cut, { minLength: 1, maxLength: 15 }),
+            async (seed, steps) => {
+                const fleet = await startFleet(6, seed);
+                for (const [index, { from, to, offer }] of steps.entries()) {
+                    fleet.cut(`n${from}`, `n${to}`);
+                    fleet.node(`n${offer}`).offer(configurationText(index + 1));
+                    await fleet.clock.advance(300);
+                }
+                fleet.heal();
+                await fleet.clock.advance(8000);
+                fleet.running.forEach(node => node.fleet.stop());
+                fleet.running.forEach(node => assert.deepEqual(node.generations, [...node.generations].sort((a, b) => a - b)));
+                assert.deepEqual(generationsInForce(fleet), ids(6).map(() => steps.length));
+                assert.equal(fleet.running.every(node => node.fleet.members.alive.length === 6), true);
+            },
+        ),
+        { seed: 7, numRuns: 30, endOnFailure: true },
+    );
+});
