Join the daemon to the fleet: keyed requests, readers, sleep, explanations anywhere

Cause: the fleet's code had no daemon around it. Change: a side between instances with mutual TLS, new instances hear others before they serve, only some instances watch the platform, keyed requests claim their key, a drain seen by one instance is told to all, explain and status ask every instance, sleep is noticed and the configuration asked for again.

--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -9,7 +9,7 @@
 import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AttemptRecord } from "./decision-record.js";
-import { requestHeaders } from "./headers.js";
+import { answerHeaders, requestHeaders } from "./headers.js";
 import { outcomeHeader } from "./problem.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
@@ -117,12 +117,14 @@
             return true;
         }
         this.passedOn = true;
+        progress.copy?.begin(status, answerHeaders(headers, {}));
         progress.answer.begin(status, headers, progress.ownHeaders(this.marked));
         return true;
     }
 
     onData(chunk: Buffer): boolean {
         if (this.passedOn) {
+            this.options.progress.copy?.add(chunk);
             return this.options.progress.answer.write(chunk, () => this.attempt?.resume());
         }
         this.discardedBytes += chunk.length;
--- a/packages/daemon/src/caller-answer.ts
+++ b/packages/daemon/src/caller-answer.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RequestId } from "@harrierhitch/core";
+import type { KeptAnswer } from "@harrierhitch/fleet";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { answerHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
@@ -85,6 +86,21 @@
         this.response.end();
     }
 
+    /** Gives a whole answer that is kept. */
+    whole(answer: KeptAnswer, own: OutgoingHttpHeaders): void {
+        if (this.begun || this.left) {
+            return;
+        }
+        const headers: OutgoingHttpHeaders = {};
+        answer.headers.forEach(([name, value]) => {
+            const before = headers[name];
+            headers[name] = before === undefined ? value : [before, value].flat().map(String);
+        });
+        this.finished = true;
+        this.response.writeHead(answer.status, Object.assign(headers, own));
+        this.response.end(answer.body);
+    }
+
     /** Cuts the answer off, because it cannot become whole. */
     cutOff(): void {
         this.response.destroy();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,26 +1,30 @@
 /**
- * The daemon: an instance with its two servers and its tasks.
+ * The daemon: an instance with its three servers and its tasks.
  *
  * @packageDocumentation
  */
 
 import type { Settings } from "@harrierhitch/configuration";
 import { type Clock, type RandomSource, sleep, SystemClock, SystemRandom } from "@harrierhitch/core";
-import { OperatorService } from "@harrierhitch/protocol";
+import { type PeerClients, peerService } from "@harrierhitch/fleet";
+import { OperatorService, PeerService } from "@harrierhitch/protocol";
 import { CallersServer } from "./callers-server.js";
+import { ConnectClients } from "./connect-clients.js";
 import { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import { HttpPlatform } from "./http-platform.js";
 import { Instance } from "./instance.js";
 import { Metrics } from "./metrics.js";
-import { operatorService } from "./operator-service.js";
-import { OperatorsServer } from "./operators-server.js";
-import type { Platform, PlatformValue } from "./platform.js";
+import { explainHere, operatorService, type OperatorServiceOptions, toStatus } from "./operator-service.js";
+import { answerNotFound, plainOperatorsHandler } from "./operators-server.js";
+import { PlatformFollower } from "./platform-follower.js";
+import type { Platform } from "./platform.js";
+import { RpcServer } from "./rpc-server.js";
+import { SleepDetector } from "./sleep-detector.js";
 import { openTracing, type Tracing } from "./tracing.js";
 import { UndiciTransport } from "./undici-transport.js";
 import type { UpstreamTransport } from "./upstream-transport.js";
 import { version } from "./version.js";
-import { watchKey } from "./watch-key.js";
 
 /** Parts of a daemon that can be replaced. */
 export interface DaemonOptions {
@@ -37,76 +41,75 @@
 export interface DaemonPorts {
     readonly callers: number;
     readonly operators: number;
+    readonly peers: number;
 }
 
 /** One running daemon. */
 export class Daemon {
     /** The instance that serves. */
     readonly instance: Instance;
+    /** Fulfilled when a planned stop has ended, however it was asked for. */
+    readonly whenStopped: Promise<void>;
     private readonly settings: Settings;
     private readonly clock: Clock;
-    private readonly random: RandomSource;
-    private readonly platform: Platform;
-    private readonly transport: UpstreamTransport;
     private readonly log: EventLog;
     private readonly metrics: Metrics;
-    private readonly callers: CallersServer;
-    private readonly operators: OperatorsServer;
+    private readonly transport: UpstreamTransport;
+    private readonly clients: PeerClients;
     private readonly tracing: Tracing | undefined;
-    private readonly ending = new AbortController();
-    private platformAnsweredAtMs: number | undefined;
-    private platformFailing = false;
-    private stopped: Promise<void> | undefined;
+    private readonly follower: PlatformFollower;
+    private readonly sleepDetector: SleepDetector;
+    private readonly callers: CallersServer;
+    private readonly operators: RpcServer;
+    private readonly peers: RpcServer;
     private announceStopped: () => void = () => undefined;
-    /** Fulfilled when a planned stop has ended, however it was asked for. */
-    readonly whenStopped = new Promise<void>(resolve => {
-        this.announceStopped = resolve;
-    });
+    private stopped: Promise<void> | undefined;
 
     /** @param options - Settings, and parts to replace. */
     constructor(options: DaemonOptions) {
         const { settings } = options;
+        this.whenStopped = new Promise<void>(resolve => {
+            this.announceStopped = resolve;
+        });
         this.settings = settings;
         this.clock = options.clock ?? new SystemClock();
-        this.random = options.random ?? new SystemRandom();
         this.metrics = options.metrics ?? new Metrics();
         this.log = options.log ?? new EventLog(settings.log.level, { instance: settings.instance.id });
         this.transport = options.transport ?? new UndiciTransport();
-        this.platform = options.platform ?? this.openPlatform();
-        const { clock, random, transport, log, metrics } = this;
-        this.tracing = openTracing(settings, clock, spans => this.onSpansDropped(spans));
-        this.instance = new Instance({
-            settings,
-            clock,
+        this.clients = new ConnectClients(settings.peers);
+        this.tracing = openTracing(settings, this.clock, spans => this.onSpansDropped(spans));
+        const random = options.random ?? new SystemRandom();
+        this.instance = this.createInstance(random);
+        this.follower = new PlatformFollower({
+            settings: settings.platform,
+            platform: options.platform ?? this.openPlatform(),
+            clock: this.clock,
             random,
-            transport,
-            log,
-            metrics,
-            onTraced: record => this.tracing?.add(record),
-        });
-        this.callers = new CallersServer({
-            settings: settings.callers,
-            handler: (request, answer) => this.instance.serve(request, answer),
-        });
-        this.operators = new OperatorsServer({
-            settings: settings.operators,
-            registry: metrics.registry,
-            routes: router => router.service(OperatorService, this.operatorService()),
-            isReady: () => this.instance.stage === "serving",
-            refresh: () => this.refreshGauges(),
+            instance: this.instance,
+            log: this.log,
         });
+        this.sleepDetector = new SleepDetector({ clock: this.clock, onWake: sleptMs => this.instance.wakeLate(sleptMs) });
+        this.callers = this.createCallersServer();
+        this.operators = this.createOperatorsServer();
+        this.peers = this.createPeersServer();
     }
 
-    /** Begins to listen and to follow the platform. */
+    /** Begins to listen, to talk to other instances and to follow the platform. */
     async start(): Promise<DaemonPorts> {
-        const ports = { operators: await this.operators.listen(), callers: await this.callers.listen() };
+        const ports = {
+            operators: await this.operators.listen(),
+            peers: await this.peers.listen(),
+            callers: await this.callers.listen(),
+        };
         this.log.write(events.started, { version, ...ports });
         if (this.settings.operators.certificateFile === undefined) {
             this.log.write(events.plainOperators, { address: this.settings.operators.address });
         }
-        const { configurationKey, instancesKey } = this.settings.platform;
-        this.follow(configurationKey, value => this.instance.offerConfiguration(configurationKey, value.text));
-        this.follow(instancesKey, value => this.instance.takeInstanceList(instancesKey, value.text));
+        this.instance.fleet.members.tell({ port: ports.peers });
+        this.instance.fleet.start();
+        this.follower.start();
+        this.sleepDetector.start();
+        void this.instance.hearOthers().then(() => this.log.write(events.serving));
         return ports;
     }
 
@@ -121,6 +124,7 @@
         this.log.write(events.stopRequested, { stopDelayMs, stopTimeoutMs });
         this.instance.beginStop();
         this.callers.announceStop();
+        void this.instance.fleet.announceLeaving();
         await sleep(this.clock, stopDelayMs);
         this.log.write(events.callersClosed, { inFlight: this.callers.inFlight });
         const closed = new AbortController();
@@ -129,76 +133,104 @@
         if (cutOff > 0) {
             this.log.write(events.stopCutOff, { requests: cutOff });
         }
-        this.ending.abort();
+        this.sleepDetector.stop();
+        this.follower.stop();
+        this.instance.fleet.stop();
         await this.transport.close();
         await this.tracing?.close();
-        await this.operators.close();
+        await Promise.all([this.operators.close(), this.peers.close()]);
         this.log.write(events.stopped);
         this.announceStopped();
     }
 
-    private openPlatform(): Platform {
-        const { addresses, readTimeoutMs, watchMs } = this.settings.platform;
-        return new HttpPlatform({
-            addresses: addresses.split(",").map(address => address.trim()),
-            readTimeoutMs,
-            watchMs,
-            onCall: kind => this.metrics.platformCalls.inc({ kind }),
-        });
+    private createInstance(random: RandomSource): Instance {
+        const { settings, clock, transport, log, metrics, clients } = this;
+        const onTraced = (record: Parameters<Tracing["add"]>[0]) => this.tracing?.add(record);
+        return new Instance({ settings, clock, random, transport, log, metrics, clients, onTraced });
     }
 
-    private follow(key: string, onValue: (value: PlatformValue) => void): void {
-        const { platform, clock, random } = this;
-        const { retryMs } = this.settings.platform;
-        void watchKey({
-            platform,
-            clock,
-            random,
-            key,
-            retryMs,
-            signal: this.ending.signal,
-            onValue,
-            onAnswer: () => this.onPlatformAnswer(),
-            onFailure: error => this.onPlatformFailure(key, error),
+    private createCallersServer(): CallersServer {
+        return new CallersServer({
+            settings: this.settings.callers,
+            handler: (request, answer) => {
+                this.sleepDetector.look();
+                return this.instance.serve(request, answer);
+            },
         });
     }
 
-    private onPlatformAnswer(): void {
-        this.platformAnsweredAtMs = this.clock.nowMs();
-        if (this.platformFailing) {
-            this.platformFailing = false;
-            this.log.write(events.platformRecovered);
-        }
+    private createOperatorsServer(): RpcServer {
+        return new RpcServer({
+            settings: this.settings.operators,
+            routes: router => router.service(OperatorService, operatorService(this.serviceOptions())),
+            fallback: plainOperatorsHandler({
+                registry: this.metrics.registry,
+                isReady: () => this.instance.stage === "serving",
+                refresh: () => this.refreshGauges(),
+            }),
+            onRefused: reason => this.onRefused(reason),
+        });
     }
 
-    private onPlatformFailure(key: string, error: Error): void {
-        if (!this.platformFailing) {
-            this.platformFailing = true;
-            this.log.write(events.platformFailed, { key, error });
-        }
+    private createPeersServer(): RpcServer {
+        const service = peerService({
+            clock: this.clock,
+            fleetName: this.settings.peers.fleet,
+            fleet: this.instance.fleet,
+            explain: id => explainHere(this.instance, id),
+            status: () => toStatus(this.serviceOptions()),
+            onRefused: reason => this.onRefused(reason),
+        });
+        return new RpcServer({
+            settings: this.settings.peers,
+            routes: router => router.service(PeerService, service),
+            fallback: answerNotFound,
+            onRefused: reason => this.onRefused(reason),
+        });
     }
 
-    private operatorService() {
-        return operatorService({
+    private serviceOptions(): OperatorServiceOptions {
+        return {
             instance: this.instance,
+            clock: this.clock,
+            clients: this.clients,
             availabilityZone: this.settings.instance.availabilityZone,
             requestsInFlight: () => this.callers.inFlight,
-            platformAgeMs: () => this.platformAnsweredAtMs === undefined ? -1 : this.clock.nowMs() - this.platformAnsweredAtMs,
+            platformAgeMs: () => this.follower.ageMs,
             drain: () => {
                 void this.stop();
                 return this.settings.limits.stopDelayMs;
             },
+        };
+    }
+
+    private openPlatform(): Platform {
+        const { addresses, readTimeoutMs, watchMs } = this.settings.platform;
+        return new HttpPlatform({
+            addresses: addresses.split(",").map(address => address.trim()),
+            readTimeoutMs,
+            watchMs,
+            onCall: kind => this.metrics.platformCalls.inc({ kind }),
         });
     }
 
+    private onRefused(reason: string): void {
+        this.metrics.peersRefused.inc();
+        this.log.write(events.peerRefused, { reason });
+    }
+
     private onSpansDropped(spans: number): void {
         this.metrics.spansDropped.inc(spans);
         this.log.write(events.spansDropped, { spans });
     }
 
     private refreshGauges(): void {
+        const { fleet, explanations } = this.instance;
         this.metrics.inFlight.set(this.callers.inFlight);
-        this.metrics.records.set(this.instance.explanations.entries);
-        this.metrics.recordBytes.set(this.instance.explanations.bytes);
+        this.metrics.records.set(explanations.entries);
+        this.metrics.recordBytes.set(explanations.bytes);
+        this.metrics.members.set(fleet.members.alive.length);
+        this.metrics.keys.set(fleet.keeper.size);
+        this.metrics.reader.set(fleet.isReader ? 1 : 0);
     }
 }
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,22 +4,24 @@
  * @packageDocumentation
  */
 
-import { checkInstanceList, formatFinding, type InstanceList, type Settings } from "@harrierhitch/configuration";
-import { type Clock, type Generation, type InstanceId, instanceId, type RandomSource } from "@harrierhitch/core";
+import { checkInstanceList, formatFinding, type Settings } from "@harrierhitch/configuration";
+import { type Clock, type Generation, type InstanceId, instanceId, type RandomSource, upstreamId } from "@harrierhitch/core";
 import { RetryBudget } from "@harrierhitch/decision";
-import { AcceptedConfiguration, type OfferResult } from "@harrierhitch/fleet";
+import { AcceptedConfiguration, type Fleet, type OfferResult, type PeerClients } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
 import type { CallerAnswer } from "./caller-answer.js";
-import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
+import type { DecisionRecord } from "./decision-record.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import { ExplanationStore } from "./explanation-store.js";
+import { joinFleet } from "./join-fleet.js";
 import type { Metrics } from "./metrics.js";
 import { RequestIds } from "./request-id.js";
 import { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import { RequestTask } from "./request-task.js";
-import { ServiceRegistry, type StateChange, toTargets } from "./service-registry.js";
+import { ServiceRegistry, toTargets } from "./service-registry.js";
+import { Telemetry } from "./telemetry.js";
 import type { UpstreamTransport } from "./upstream-transport.js";
 
 /** Parts that an instance is made of; each can be replaced in tests. */
@@ -30,6 +32,8 @@
     readonly transport: UpstreamTransport;
     readonly log: EventLog;
     readonly metrics: Metrics;
+    /** Opens clients of other instances. */
+    readonly clients: PeerClients;
     /** Takes the record of each request that is traced. */
     readonly onTraced?: (record: DecisionRecord) => void;
 }
@@ -40,18 +44,30 @@
 /** When a caller should come back that met an instance without a configuration. */
 const notReadyRetryAfterMs = 1000;
 
+/** Sleep after which the configuration is asked for again before the next request. */
+const minimumRefreshSleepMs = 1000;
+
+/** Longest time for which requests wait for that. */
+const refreshTimeoutMs = 300;
+
 /** Serves requests by the configuration in force. */
 export class Instance {
     readonly id: InstanceId;
     readonly explanations: ExplanationStore;
     readonly services: ServiceRegistry;
+    readonly fleet: Fleet;
     private readonly accepted = new AcceptedConfiguration();
     private readonly requestServices: RequestServices;
+    private readonly telemetry: Telemetry;
+    private hasHeardOthers = false;
+    private hearing = false;
+    private refreshing: Promise<unknown> | undefined;
     private stopping = false;
 
     /** @param parts - What the instance is made of. */
     constructor(private readonly parts: InstanceParts) {
         const { settings, clock, random } = parts;
+        this.telemetry = new Telemetry(parts.log, parts.metrics);
         this.id = instanceId(settings.instance.id);
         this.explanations = new ExplanationStore({
             maximumEntries: settings.limits.recordEntries,
@@ -60,7 +76,25 @@
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
-            onStateChange: change => this.onStateChange(change),
+            onStateChange: change => {
+                this.telemetry.stateChanged(change);
+                if (change.after.state === "draining" && !this.hearing) {
+                    this.fleet.tellRumor(change.upstream, "draining");
+                }
+            },
+        });
+        const incarnation = Math.floor(clock.wallMs());
+        this.fleet = joinFleet(parts, {
+            instance: this.id,
+            incarnation,
+            accepted: this.accepted,
+            onConfiguration: (source, text) => void this.offerConfiguration(source, text),
+            onView: ({ list }) => this.services.takeList(list),
+            onRumor: ({ upstream, type, atMs }) => {
+                this.hearing = true;
+                this.services.observe(upstreamId(upstream), { type, atMs });
+                this.hearing = false;
+            },
         });
         this.requestServices = {
             clock,
@@ -68,15 +102,21 @@
             transport: parts.transport,
             explanations: this.explanations,
             retryBudget: new RetryBudget({ share: 0 }),
-            requestIds: new RequestIds(this.id, Math.floor(clock.wallMs())),
+            requestIds: new RequestIds(this.id, incarnation),
             bodyLimits: {
                 maximumBytes: settings.callers.maximumBodyBytes,
                 replayBytes: settings.limits.replayBodyBytes,
             },
             log: parts.log,
+            claimer: this.fleet.claimer,
             sampleTrace: () => settings.traces.otlpUrl !== undefined && random.next() < settings.traces.sampleShare,
-            onAttempt: (route, attempt) => this.onAttempt(route.service.name, attempt),
-            onServed: (record, sampled) => this.onServed(record, sampled),
+            onAttempt: (route, attempt) => this.telemetry.attempted(route.service.name, attempt),
+            onServed: (record, sampled) => {
+                this.telemetry.served(record);
+                if (sampled) {
+                    parts.onTraced?.(record);
+                }
+            },
         };
     }
 
@@ -85,7 +125,31 @@
         if (this.stopping) {
             return "stopping";
         }
-        return this.accepted.inForce === undefined ? "starting" : "serving";
+        return this.accepted.inForce === undefined || !this.hasHeardOthers ? "starting" : "serving";
+    }
+
+    /**
+     * Hears other instances before serving, so that this one does not serve
+     * under an older configuration than theirs; in the end it serves alone.
+     */
+    async hearOthers(): Promise<void> {
+        const { hearTimeoutMs } = this.parts.settings.peers;
+        if (!await this.fleet.hearOthers(hearTimeoutMs)) {
+            this.parts.log.write(events.heardNobody, { hearTimeoutMs });
+        }
+        this.hasHeardOthers = true;
+    }
+
+    /** Refreshes what time made doubtful after this process slept; requests wait for it, for a short while. */
+    wakeLate(sleptMs: number): void {
+        this.parts.log.write(events.wokeLate, { sleptMs });
+        this.fleet.wakeLate();
+        if (sleptMs >= minimumRefreshSleepMs) {
+            const refreshing = this.fleet.hearOthers(refreshTimeoutMs).finally(() => {
+                this.refreshing = this.refreshing === refreshing ? undefined : this.refreshing;
+            });
+            this.refreshing = refreshing;
+        }
     }
 
     /** The configuration in force. */
@@ -106,6 +170,9 @@
     /** Serves one request; never rejects. */
     async serve(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         try {
+            if (this.refreshing !== undefined) {
+                await this.refreshing;
+            }
             await this.route(request, answer);
         }
         catch (thrown) {
@@ -127,23 +194,11 @@
     offerConfiguration(source: string, text: string): OfferResult {
         const before = this.generation;
         const result = this.accepted.offer(source, text);
-        const { log } = this.parts;
-        switch (result.type) {
-            case "accepted":
-                this.applyConfiguration();
-                log.write(events.configurationAccepted, { source, generation: result.configuration.generation, before });
-                break;
-            case "older":
-                log.write(events.configurationOlder, { source, generation: result.configuration.generation, inForce: before });
-                break;
-            case "invalid":
-                log.write(events.configurationInvalid, { source, findings: result.findings.map(formatFinding) });
-                break;
-        }
-        if (result.type === "conflict" || result.type === "accepted" && result.conflict) {
-            const { generation, hash } = result.configuration;
-            log.write(events.configurationConflict, { source, generation, hash, taken: result.type === "accepted" });
+        if (result.type === "accepted") {
+            this.applyConfiguration();
+            this.fleet.wakeLinks();
         }
+        this.telemetry.offered(source, result, before);
         return result;
     }
 
@@ -154,15 +209,10 @@
             this.parts.log.write(events.instanceListInvalid, { findings: checked.findings.map(formatFinding) });
         }
         else {
-            this.services.takeList(checked.value);
+            this.fleet.takeList(text);
         }
     }
 
-    /** The instance list in use. */
-    get instanceList(): InstanceList | undefined {
-        return this.services.instances;
-    }
-
     private applyConfiguration(): void {
         const { configuration } = this;
         if (configuration === undefined) {
@@ -171,13 +221,14 @@
         this.parts.transport.configure(toTargets(configuration));
         this.services.configure(configuration);
         this.requestServices.retryBudget.configure(configuration.fleet.retryPercent / 100);
-        this.parts.metrics.generation.set(configuration.generation);
     }
 
     private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         const { inForce } = this.accepted;
-        if (inForce === undefined) {
-            const detail = "no configuration has been accepted yet";
+        if (inForce === undefined || !this.hasHeardOthers) {
+            const detail = inForce === undefined
+                ? "no configuration has been accepted yet"
+                : "other instances have not been heard yet";
             answer.problem({ kind: "not-ready", detail, outcome: "not-run", retryAfterMs: notReadyRetryAfterMs }, undefined);
             return;
         }
@@ -192,29 +243,4 @@
         const progress = new RequestProgress(this.requestServices, inForce.configuration, route, request, answer);
         await new RequestTask(this.requestServices, runtime, progress).run();
     }
-
-    private onAttempt(service: string, attempt: AttemptRecord): void {
-        this.parts.metrics.attempts.inc({ service, end: attempt.result?.end ?? "unknown" });
-    }
-
-    private onServed(record: DecisionRecord, sampled: boolean): void {
-        const { metrics } = this.parts;
-        const labels = { service: record.route.service.name, kind: record.route.kind.name };
-        metrics.requests.inc({ ...labels, outcome: record.outcome ?? "unknown" });
-        metrics.requestDuration.observe(labels, (record.durationMs ?? 0) / 1000);
-        record.steps.forEach(step => metrics.decisions.inc({ service: labels.service, action: step.decision.action }));
-        if (record.problem !== undefined) {
-            metrics.problems.inc({ problem: record.problem });
-        }
-        if (sampled) {
-            this.parts.onTraced?.(record);
-        }
-    }
-
-    private onStateChange({ service, upstream, before, after }: StateChange): void {
-        this.parts.metrics.stateChanges.inc({ service, state: after.state });
-        const { failureRate, failuresInRow } = after;
-        const fields = { service, upstream, before: before.state, after: after.state, failureRate, failuresInRow };
-        this.parts.log.write(events.upstreamStateChanged, fields);
-    }
 }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -45,12 +45,31 @@
         ["service", "state"],
     );
 
+    /** Keyed requests, by the result of their claim. */
+    readonly claims = this.counter("harrierhitch_key_claims_total", "Keyed requests, by the result of their claim", ["result"]);
+
+    /** Calls and connections of other instances that were refused. */
+    readonly peersRefused = this.counter(
+        "harrierhitch_peers_refused_total",
+        "Calls and connections of other instances refused",
+        [],
+    );
+
     /** Spans that were dropped because the queue was full or the receiver failed. */
     readonly spansDropped = this.counter("harrierhitch_spans_dropped_total", "Spans dropped instead of exported", []);
 
     /** Generation in force. */
     readonly generation = this.gauge("harrierhitch_configuration_generation", "Generation of the configuration in force");
 
+    /** Members believed alive, this instance included. */
+    readonly members = this.gauge("harrierhitch_members_alive", "Members of the fleet believed alive");
+
+    /** Keys kept for the fleet. */
+    readonly keys = this.gauge("harrierhitch_keys", "Keys kept for the fleet");
+
+    /** Whether this instance reads the platform now. */
+    readonly reader = this.gauge("harrierhitch_platform_reader", "Whether this instance reads the platform now");
+
     /** Requests in flight. */
     readonly inFlight = this.gauge("harrierhitch_requests_in_flight", "Requests being served");
 
--- a/packages/daemon/src/operator-service.ts
+++ b/packages/daemon/src/operator-service.ts
@@ -6,9 +6,13 @@
 
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
-import { requestId } from "@harrierhitch/core";
+import { type Clock, requestId } from "@harrierhitch/core";
+import { callWithin, type PeerClients } from "@harrierhitch/fleet";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import {
+    type ExplainResponse,
     ExplainResponseSchema,
+    type Explanation,
     GetStatusResponseSchema,
     type InstanceStatus,
     InstanceStatusSchema,
@@ -18,12 +22,15 @@
 } from "@harrierhitch/protocol";
 import { toCandidate, toExplanation } from "./explanation-message.js";
 import type { Instance } from "./instance.js";
+import { instanceOf } from "./request-id.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 import { version } from "./version.js";
 
 /** Options of {@link operatorService}. */
 export interface OperatorServiceOptions {
     readonly instance: Instance;
+    readonly clock: Clock;
+    readonly clients: PeerClients;
     readonly availabilityZone: string;
     readonly requestsInFlight: () => number;
     /** Milliseconds since the platform last answered; negative if it never did. */
@@ -32,20 +39,85 @@
     readonly drain: () => number;
 }
 
+/** Longest time for asking another instance. */
+const peerTimeoutMs = 1000;
+
 /** Implements the operators' service. */
 export const operatorService = (options: OperatorServiceOptions): ServiceImpl<typeof OperatorService> => ({
-    explain: request => {
-        const record = options.instance.explanations.find(requestId(request.requestId));
-        if (record === undefined) {
-            throw new ConnectError(`instance ${options.instance.id} has no record of ${request.requestId}`, Code.NotFound);
-        }
-        return create(ExplainResponseSchema, { explanation: toExplanation(record), instance: options.instance.id });
+    explain: async request => {
+        const explanation = explainHere(options.instance, request.requestId);
+        return explanation === undefined && !request.localOnly
+            ? await explainElsewhere(options, request.requestId)
+            : create(ExplainResponseSchema, {
+                explanation: explanation ?? notFound(options, request.requestId),
+                instance: options.instance.id,
+            });
+    },
+    getStatus: async request => {
+        const others = request.localOnly ? [] : await statusOfOthers(options);
+        return create(GetStatusResponseSchema, {
+            instances: [toStatus(options), ...others.flatMap(other => other.status ?? [])],
+            unreachable: others.filter(other => other.status === undefined).map(other => other.instance),
+        });
     },
-    getStatus: () => create(GetStatusResponseSchema, { instances: [toStatus(options)], unreachable: [] }),
     drain: () => ({ closesInMs: options.drain() }),
 });
 
-const toStatus = ({ instance, availabilityZone, requestsInFlight, platformAgeMs }: OperatorServiceOptions): InstanceStatus =>
+/** Explains a request that this instance decided; `undefined` without a record. */
+export const explainHere = (instance: Instance, id: string): Explanation | undefined => {
+    const record = instance.explanations.find(requestId(id));
+    return record && toExplanation(record);
+};
+
+const notFound = ({ instance }: OperatorServiceOptions, id: string): never => {
+    throw new ConnectError(`instance ${instance.id} has no record of ${id}`, Code.NotFound);
+};
+
+/** What is left of an explanation when the instance that decided is gone. */
+const whatSurvives = "; what survives is the header x-harrierhitch-decision of the answer and the trace";
+
+const explainElsewhere = async (options: OperatorServiceOptions, id: string): Promise<ExplainResponse> => {
+    const decider = instanceOf(requestId(id));
+    const { fleet } = options.instance;
+    const peer = fleet.members.others.find(member => member.instance === decider);
+    if (decider === undefined || peer === undefined) {
+        return notFound(options, id);
+    }
+    try {
+        const { explanation } = await callWithin(
+            options.clock,
+            peerTimeoutMs,
+            signal => options.clients.to(peer).explainLocal({ requestId: id }, { signal }),
+        );
+        return create(ExplainResponseSchema, { explanation: explanation ?? notFound(options, id), instance: decider });
+    }
+    catch (thrown) {
+        const isKnownGap = thrown instanceof ConnectError && thrown.code === Code.NotFound;
+        const reason = isKnownGap ? "has no record of it any more" : "does not answer or is gone";
+        throw new ConnectError(`instance ${decider}, which decided ${id}, ${reason}${whatSurvives}`, Code.NotFound);
+    }
+};
+
+interface OtherStatus {
+    readonly instance: string;
+    readonly status: InstanceStatus | undefined;
+}
+
+const statusOfOthers = ({ instance, clock, clients }: OperatorServiceOptions): Promise<readonly OtherStatus[]> =>
+    Promise.all(instance.fleet.members.others.map(async (member): Promise<OtherStatus> => {
+        try {
+            const response = await callWithin(clock, peerTimeoutMs, signal => clients.to(member).statusLocal({}, { signal }));
+            return { instance: member.instance, status: response.status };
+        }
+        catch {
+            return { instance: member.instance, status: undefined };
+        }
+    }));
+
+/** Tells the state of this instance. */
+export const toStatus = (
+    { instance, availabilityZone, requestsInFlight, platformAgeMs }: OperatorServiceOptions,
+): InstanceStatus =>
     create(InstanceStatusSchema, {
         instance: instance.id,
         availabilityZone,
@@ -63,5 +135,21 @@
 
 const toUpstreamStatuses = (runtime: ServiceRuntime): readonly UpstreamStatus[] =>
     runtime.beliefs.facts().map(facts =>
-        create(UpstreamStatusSchema, { service: runtime.name, facts: toCandidate(facts), why: "" })
+        create(UpstreamStatusSchema, { service: runtime.name, facts: toCandidate(facts), why: whyOf(facts) })
     );
+
+/** Says in a few words why an upstream is in its state. */
+const whyOf = (facts: UpstreamFacts): string => {
+    switch (facts.state) {
+        case "ready":
+            return "";
+        case "cold":
+            return "has just started or come back";
+        case "suspect":
+            return "failed lately; a few requests try it";
+        case "ejected":
+            return `failed too often (${(facts.failureRate * 100).toFixed(0)} % lately)`;
+        case "draining":
+            return "leaves, by its own word, the list's or another instance's";
+    }
+};
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -31,6 +31,8 @@
 export interface RequestBody {
     /** Whether it can be sent again after a failed attempt. */
     readonly canReplay: boolean;
+    /** The whole body, when it is kept. */
+    readonly whole: Buffer | undefined;
     /** The body for the next attempt; `undefined` when there is none. */
     open(): Buffer | Readable | undefined;
 }
@@ -43,7 +45,7 @@
     readonly replayBytes: number;
 }
 
-const noBody: RequestBody = { canReplay: true, open: () => undefined };
+const noBody: RequestBody = { canReplay: true, whole: undefined, open: () => undefined };
 
 /** Whether a request has a body. */
 export const hasBody = (request: IncomingMessage): boolean =>
@@ -66,7 +68,7 @@
     }
     if (length !== undefined && Number(length) <= limits.replayBytes) {
         const whole = await readWhole(request);
-        return { canReplay: true, open: () => whole };
+        return { canReplay: true, whole, open: () => whole };
     }
     return new StreamedBody(request, limits.maximumBytes);
 };
@@ -81,6 +83,7 @@
 
 /** A body that passes through with bounded memory and can be sent once. */
 class StreamedBody implements RequestBody {
+    readonly whole = undefined;
     private opened = false;
 
     constructor(private readonly request: IncomingMessage, private readonly maximumBytes: number) {}
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -8,6 +8,7 @@
 import type { Outcome } from "@harrierhitch/core";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
+import type { AnswerCopy } from "./answer-copy.js";
 import { type Arrival, readArrival } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
 import type { DecisionRecord } from "./decision-record.js";
@@ -35,6 +36,8 @@
     readonly arrival: Arrival;
     readonly trace: TraceContext;
     readonly record: DecisionRecord;
+    /** Takes a copy of the answer, for a keyed request. */
+    copy: AnswerCopy | undefined;
     /** Time for which the request has been held back. */
     heldMs = 0;
 
--- a/packages/daemon/src/request-services.ts
+++ b/packages/daemon/src/request-services.ts
@@ -7,6 +7,7 @@
 import type { Route } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { RetryBudget } from "@harrierhitch/decision";
+import type { Claimer } from "@harrierhitch/fleet";
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { EventLog } from "./event-log.js";
 import type { ExplanationStore } from "./explanation-store.js";
@@ -24,6 +25,8 @@
     readonly requestIds: RequestIds;
     readonly bodyLimits: BodyLimits;
     readonly log: EventLog;
+    /** Claims the keys of requests that must not run twice. */
+    readonly claimer: Claimer;
     /** Decides whether a trace that begins here is recorded. */
     sampleTrace(): boolean;
     /** Told when an attempt has ended. */
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -8,6 +8,7 @@
 import { type ChooseDecision, decide, type Decision, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
 import { type AttemptReport, runAttempt } from "./attempt-task.js";
 import { events } from "./event.js";
+import { serveOnce } from "./keyed-request.js";
 import { BodyCutShortError, BodyTooLargeError, type RequestBody, takeBody } from "./request-body.js";
 import { overloadRetryAfterMs, type RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
@@ -34,7 +35,11 @@
         services.explanations.begin(progress.record);
         services.retryBudget.earn();
         const body = await this.takeBody();
-        if (body !== undefined) {
+        const key = progress.route.kind.repeatable ? undefined : progress.arrival.idempotencyKey;
+        if (body !== undefined && key !== undefined) {
+            await serveOnce(progress, key, body, services.claimer, () => this.serve(body));
+        }
+        else if (body !== undefined) {
             await this.serve(body);
         }
         progress.record.durationMs = progress.ageMs;
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/service-registry.ts
@@ -6,7 +6,7 @@
 
 import type { Configuration, InstanceList } from "@harrierhitch/configuration";
 import { type Clock, type ServiceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { type Belief, ServiceBeliefs } from "@harrierhitch/decision";
+import { type Belief, type Observation, ServiceBeliefs } from "@harrierhitch/decision";
 import { HoldQueue } from "./hold-queue.js";
 import { ServiceRuntime } from "./service-runtime.js";
 import type { UpstreamTarget } from "./upstream-transport.js";
@@ -53,6 +53,11 @@
         }
     }
 
+    /** Takes in an observation of an upstream, whichever service it belongs to. */
+    observe(upstream: UpstreamId, observation: Observation): void {
+        this.runtimes.forEach(runtime => runtime.beliefs.observe(upstream, observation));
+    }
+
     /** The runtime of a service. */
     get(name: ServiceName): ServiceRuntime | undefined {
         return this.runtimes.get(name);
@@ -85,7 +90,7 @@
             const cameBack = listed.state === "live" && before?.instances.get(name)?.state === "leaving";
             const type = listed.state === "leaving" ? "draining" : cameBack ? "returned" : undefined;
             if (listed.role === "upstream" && type !== undefined) {
-                this.runtimes.forEach(runtime => runtime.beliefs.observe(upstreamId(name), { type, atMs }));
+                this.observe(upstreamId(name), { type, atMs });
             }
         });
     }
--- a/packages/decision/src/belief.ts
+++ b/packages/decision/src/belief.ts
@@ -41,6 +41,8 @@
 
 /** An immutable belief; {@link update} makes the next one. */
 export interface Belief {
+    /** Time at which the upstream became known or came back; older news of its leaving is void. */
+    readonly bornAtMs: number;
     readonly state: UpstreamState;
     /** Time of the last change of state. */
     readonly stateAtMs: number;
@@ -63,6 +65,7 @@
 
 /** The belief about an upstream of which nothing is known. */
 export const initialBelief = (options: BeliefOptions, atMs: number): Belief => ({
+    bornAtMs: atMs,
     state: "ready",
     stateAtMs: atMs,
     ejectedUntilMs: 0,
@@ -98,7 +101,9 @@
         case "shed":
             return { ...belief, limit: Math.max(1, belief.limit * shedFactor) };
         case "draining":
-            return belief.state === "draining" ? belief : withState(belief, "draining", observation.atMs);
+            return belief.state === "draining" || observation.atMs < belief.bornAtMs
+                ? belief
+                : withState(belief, "draining", observation.atMs);
         case "returned":
             return { ...withState(initialBelief(options, observation.atMs), "cold", observation.atMs), limit: coldLimit };
         case "reported":
--- a/packages/fleet/src/answer-shelf.ts
+++ b/packages/fleet/src/answer-shelf.ts
@@ -18,6 +18,8 @@
 export interface HeldRequest {
     readonly key: string;
     readonly claimId: string;
+    /** Digest of the request. */
+    readonly fingerprint: string;
     /** Fulfilled when the request has ended. */
     readonly ended: Promise<KeyedResult>;
 }
@@ -25,6 +27,7 @@
 interface Entry {
     readonly key: string;
     readonly claimId: string;
+    readonly fingerprint: string;
     ended: Promise<KeyedResult>;
     readonly atMs: number;
     result: KeyedResult | undefined;
@@ -76,13 +79,22 @@
     }
 
     /** Takes up a request that is being claimed. */
-    begin(key: string, claimId: string): void {
+    begin(key: string, claimId: string, fingerprint: string): void {
         this.remove(key);
         let end: (result: KeyedResult) => void = () => undefined;
         const ended = new Promise<KeyedResult>(resolve => {
             end = resolve;
         });
-        this.entries.set(key, { key, claimId, ended, end, atMs: this.options.clock.nowMs(), result: undefined, bytes: 0 });
+        this.entries.set(key, {
+            fingerprint,
+            key,
+            claimId,
+            ended,
+            end,
+            atMs: this.options.clock.nowMs(),
+            result: undefined,
+            bytes: 0,
+        });
     }
 
     /** Notes how a request ended. A claim that has ended never runs again. */
--- a/packages/fleet/src/claimer.ts
+++ b/packages/fleet/src/claimer.ts
@@ -30,7 +30,9 @@
     /** This sending was not run, and it cannot be told whether another was. */
     | { readonly type: "unknown"; readonly detail: string; }
     /** This sending was not run, and no other holds the key. */
-    | { readonly type: "not-run"; readonly detail: string; };
+    | { readonly type: "not-run"; readonly detail: string; }
+    /** The key belongs to another request; this one was not run. */
+    | { readonly type: "mismatch"; };
 
 /** Options of {@link Claimer}. */
 export interface ClaimerOptions {
@@ -46,6 +48,12 @@
     readonly onView: (text: string) => void;
 }
 
+interface Sending {
+    readonly key: string;
+    readonly fingerprint: string;
+    readonly deadlineAtMs: number;
+}
+
 interface Tally {
     readonly granted: number;
     readonly held: readonly Holding[];
@@ -67,19 +75,26 @@
      * Claims a key, or finds what became of its other sending. A repeated
      * sending that arrives while the first runs waits for its answer.
      *
-     * @param key - The key, with the route that it belongs to.
+     * @param key - The key, with the service that it belongs to.
+     * @param fingerprint - Digest of the request; a key is never shared by two different requests.
      * @param deadlineAtMs - Time on the clock until which it is worth trying.
      */
-    async claim(key: string, deadlineAtMs: number): Promise<ClaimResult> {
+    async claim(key: string, fingerprint: string, deadlineAtMs: number): Promise<ClaimResult> {
         let supersedes = "";
         let detail = "the keepers of the key could not be asked in time";
         while (this.options.clock.nowMs() < deadlineAtMs) {
             const own = this.options.shelf.find(key);
+            if (own !== undefined && own.fingerprint !== fingerprint) {
+                return { type: "mismatch" };
+            }
             const ownResult = own === undefined ? undefined : await this.ownResult(own.ended, deadlineAtMs);
             if (own !== undefined && ownResult?.outcome !== "not-run") {
                 return ownResult === undefined ? unknown("the first sending still runs") : { type: "ended", result: ownResult };
             }
-            const step = await this.claimOnce(key, supersedes === "" ? own?.claimId ?? "" : supersedes, deadlineAtMs);
+            const step = await this.claimOnce(
+                { key, fingerprint, deadlineAtMs },
+                supersedes === "" ? own?.claimId ?? "" : supersedes,
+            );
             if (step.type !== "again") {
                 return step;
             }
@@ -106,29 +121,30 @@
         return result;
     }
 
-    private async claimOnce(key: string, supersedes: string, deadlineAtMs: number) {
+    private async claimOnce(sending: Sending, supersedes: string) {
+        const { key, fingerprint } = sending;
         const { history, shelf } = this.options;
         const { view } = history;
         if (view === undefined) {
             return unknown("there is no instance list yet");
         }
         const claimId = this.nextClaimId();
-        shelf.begin(key, claimId);
+        shelf.begin(key, claimId, fingerprint);
         const keepers = view.keepersOf(key);
-        const tally = await this.ask(keepers, this.request(key, claimId, view, supersedes));
+        const tally = await this.ask(keepers, this.request(sending, claimId, view, supersedes));
         const isCurrent = history.view?.hash === view.hash;
         if (isCurrent && tally.granted >= majorityOf(keepers) || keepers.length === 0 && history.proves(key)) {
             return { type: "granted", claimId } as const;
         }
         this.finish(key, claimId, { outcome: "not-run", answer: undefined });
-        return await this.afterLoss(key, keepers, tally, deadlineAtMs);
+        return await this.afterLoss(sending, keepers, tally);
     }
 
     /** Without a majority: follows the claim that stands in the way, or says what is known. */
-    private async afterLoss(key: string, keepers: readonly ListedEntry[], tally: Tally, deadlineAtMs: number) {
+    private async afterLoss(sending: Sending, keepers: readonly ListedEntry[], tally: Tally) {
         const [other] = tally.held;
         if (other !== undefined) {
-            return await this.follow(key, other, deadlineAtMs);
+            return await this.follow(sending, other);
         }
         if (tally.olderView) {
             return again("", "the instance list changed while the key was claimed");
@@ -140,7 +156,10 @@
     }
 
     /** Finds what became of another claim on the key. */
-    private async follow(key: string, other: Holding, deadlineAtMs: number) {
+    private async follow({ key, fingerprint, deadlineAtMs }: Sending, other: Holding) {
+        if (other.fingerprint !== fingerprint && other.outcome !== "not-run") {
+            return { type: "mismatch" } as const;
+        }
         if (other.outcome === "not-run") {
             return again(other.claimId, "another sending ended as not run");
         }
@@ -189,9 +208,15 @@
         };
     }
 
-    private request(key: string, claimId: string, view: View, supersedes: string): ClaimRequest {
+    private request({ key, fingerprint }: Sending, claimId: string, view: View, supersedes: string): ClaimRequest {
         const { instance, incarnation, fleet, history } = this.options;
-        const holding = create(HoldingSchema, { key, claimId, holder: instance, holderIncarnation: BigInt(incarnation) });
+        const holding = create(HoldingSchema, {
+            key,
+            fingerprint,
+            claimId,
+            holder: instance,
+            holderIncarnation: BigInt(incarnation),
+        });
         const earlierViews = history.earlierViews.map(earlier => earlier.toDocument());
         return create(ClaimRequestSchema, { fleet, holding, view: view.toDocument(), supersedes, earlierViews });
     }
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -229,4 +229,4 @@
 const linksAtStart = 4;
 
 /** Pause between two rounds of asking at the start. */
-const hearRetryMs = 100;
+const hearRetryMs = 50;
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -40,6 +40,7 @@
     readonly holder: string;
     readonly holderIncarnation: bigint;
     readonly outcome: string;
+    readonly fingerprint: string;
     readonly grantedAtMs: number;
 }
 
@@ -138,6 +139,7 @@
             holder: holding.holder,
             holderIncarnation: holding.holderIncarnation,
             outcome: holding.outcome,
+            fingerprint: holding.fingerprint,
             grantedAtMs: this.options.clock.nowMs() - holding.ageMs,
         });
     }
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -168,7 +168,7 @@
     /** Sends a keyed request to an instance, as a request task does, and gives what its caller is told. */
     async send(id: string, key: string, serviceMs = 20, timeoutMs = 1000): Promise<ClaimResult["type"] | "ran"> {
         const node = this.node(id);
-        const result = await node.fleet.claimer.claim(key, this.clock.nowMs() + timeoutMs);
+        const result = await node.fleet.claimer.claim(key, "same", this.clock.nowMs() + timeoutMs);
         if (result.type !== "granted") {
             return result.type;
         }
--- a/packages/standin/src/bench.ts
+++ b/packages/standin/src/bench.ts
@@ -72,6 +72,10 @@
 [operators]
 address = 127.0.0.1
 port = 0
+[peers]
+address = 127.0.0.1
+port = 0
+fleet = bench
 [platform]
 addresses = 127.0.0.1:${platformPort}
 [limits]
--- a/packages/standin/test/system.ts
+++ b/packages/standin/test/system.ts
@@ -71,6 +71,11 @@
 [operators]
 address = 127.0.0.1
 port = 0
+[peers]
+address = 127.0.0.1
+port = 0
+fleet = test
+hearTimeoutMs = 200
 [platform]
 addresses = 127.0.0.1:${platformPort}
 retryMs = 20
