--- a/packages/standin/src/bench-decisions.ts
+++ b/packages/standin/src/bench-decisions.ts
@@ -34,7 +34,7 @@
 const warmUpSeconds = 8;
 const warmUpLoad = 0.7;
 
-const calm: Partial<UpstreamBehaviour> = { slowness: 1, failStatus: null as never, draining: false, reset: false };
+const calm: Partial<UpstreamBehaviour> = { slowness: 1, failStatus: 0, draining: false, reset: false };
 
 /** Faults of the first upstream, by the first word of a scenario. */
 const faults: Readonly<Record<string, Partial<UpstreamBehaviour>>> = {
--- a/packages/standin/src/host.ts
+++ b/packages/standin/src/host.ts
@@ -48,7 +48,6 @@
     const daemons = numbers.map(number => createDaemon(number, zones, platformPort, basePort));
     const ports = await Promise.all(daemons.map(daemon => daemon.start()));
     tell({ callers: ports.map(port => port.callers), operators: ports.map(port => port.operators) });
-    process.on("message", () => undefined);
     process.once("SIGTERM", () => process.exit(0));
     setInterval(() => {
         const { user, system } = process.cpuUsage();
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -19,8 +19,8 @@
     readonly meanServiceMs: number;
     /** Factor on service times, for sudden slowness. */
     readonly slowness: number;
-    /** Answers at once with this status instead of serving. */
-    readonly failStatus: number | undefined;
+    /** Answers at once with this status instead of serving; 0 serves. */
+    readonly failStatus: number;
     /** Breaks the connection of every request that it has read. */
     readonly reset: boolean;
     /** Never answers. */
@@ -40,7 +40,7 @@
     queue: 12,
     meanServiceMs: 10,
     slowness: 1,
-    failStatus: undefined,
+    failStatus: 0,
     reset: false,
     hang: false,
     draining: false,
@@ -68,6 +68,10 @@
     countsReads = false;
     /** Requests that were begun since the start. */
     started = 0;
+    /** Requests that have arrived, whatever became of them. */
+    arrived = 0;
+    /** Value of `traceparent` in the last request. */
+    lastTraceparent = "";
     /** Requests whose caller gave up before the answer. */
     cancelled = 0;
     private readonly server: Server;
@@ -108,12 +112,14 @@
         response.once("close", () => {
             this.cancelled += response.writableFinished ? 0 : 1;
         });
+        this.arrived += 1;
+        this.lastTraceparent = String(request.headers["traceparent"] ?? "");
         const { slots, queue, draining, failStatus, hang, reset } = this.behaviour;
         if (reset) {
             await body;
             request.socket.destroy();
         }
-        else if (typeof failStatus === "number") {
+        else if (failStatus !== 0) {
             response.writeHead(failStatus, this.headers()).end();
         }
         else if (draining || this.running >= slots && this.waiting.length >= queue) {
--- a/packages/standin/test/fleet-system.test.ts
+++ b/packages/standin/test/fleet-system.test.ts
@@ -104,7 +104,7 @@
     assert.deepEqual(instances.map(instance => instance.instance).sort(), ["entry-1", "entry-2", "entry-3"]);
 });
 
-test("a drain that one instance sees reaches the others while the platform is down", async () => {
+test("a drain that one instance sees reaches the others while the platform is down, and none sends new work there", async () => {
     system.platform.behaviour = { failStatus: 500 };
     system.upstreams[0]!.behaviour = { ...system.upstreams[0]!.behaviour, draining: true };
     const stateAt = (daemon: Daemon) => daemon.instance.services.all()[0]!.beliefs.facts()[0]!.state;
@@ -112,6 +112,12 @@
         await (await fetch(`http://127.0.0.1:${ports[0]!.callers}/read/x`)).text();
     }
     await until(() => daemons.every(daemon => stateAt(daemon) === "draining"));
+    const arrivedBefore = system.upstreams[0]!.arrived;
+    const answers = await Promise.all(
+        Array.from({ length: 9 }, (_, number) => fetch(`http://127.0.0.1:${ports[number % 3]!.callers}/read/x`)),
+    );
+    assert.ok(answers.every(answer => answer.status === 200));
+    assert.equal(system.upstreams[0]!.arrived, arrivedBefore);
     system.platform.behaviour = {};
 });
 
