Let no library send an attempt a second time

Cause: reading the transport as a newcomer would: undici says that it may begin a request again by itself when a connection's head fails; then one attempt would be two sendings of what may not be repeated. Ruled out: no test has seen it happen with one request a connection. Change: an attempt that was begun once is given up when it is begun again; its outcome is unknown. An unused getter of the key history is gone. Before: 184 tests pass. After: 184 pass; the guard itself has no test, since the library could not be made to do it. Conclusion: a guard for a promise, not a mended fault.

--- a/packages/daemon/src/undici-attempt.ts
+++ b/packages/daemon/src/undici-attempt.ts
@@ -60,11 +60,12 @@
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
-        if (this.cancelled === undefined) {
+        if (this.cancelled === undefined && !this.sent) {
             this.sent = true;
         }
         else {
-            controller.abort(this.cancelled);
+            // Cancelled while it waited; or the library would send it again by itself, which only the task may decide.
+            controller.abort(this.cancelled ?? new AttemptCancelledError("cancelled"));
         }
     }
 
--- a/packages/fleet/src/key-history.ts
+++ b/packages/fleet/src/key-history.ts
@@ -88,11 +88,6 @@
         return this.current;
     }
 
-    /** Views that were voted under and still matter, the one in force included. */
-    get views(): readonly View[] {
-        return this.current === undefined ? this.earlierViews : [...this.earlierViews, this.current];
-    }
-
     /** Takes over a newer view; an older one changes nothing. */
     adopt(view: View): boolean {
         if (!view.isNewerThan(this.current)) {
