--- a/packages/standin/src/child.ts
+++ b/packages/standin/src/child.ts
@@ -36,6 +36,7 @@
  */
 export const startChild = (program: string, args: readonly string[]): Child => {
     const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "inherit"] });
+    endWithThisProcess(child);
     const seen: Record<string, unknown>[] = [];
     const waiting = new Set<() => void>();
     createInterface({ input: child.stdout }).on("line", text => {
@@ -66,6 +67,18 @@
     };
 };
 
+const running = new Set<ChildProcess>();
+
+/** Children never outlive the tool that started them, also when it is stopped or fails. */
+const endWithThisProcess = (child: ChildProcess): void => {
+    if (running.size === 0) {
+        process.once("exit", () => running.forEach(other => other.kill("SIGKILL")));
+        process.once("SIGTERM", () => process.exit(1));
+    }
+    running.add(child);
+    child.once("exit", () => running.delete(child));
+};
+
 /** Runs a program to its end and gives what it wrote. */
 export const runProgram = async (program: string, args: readonly string[]): Promise<string> => {
     const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "inherit"] });
