--- a/packages/daemon/src/callers-server.ts
+++ b/packages/daemon/src/callers-server.ts
@@ -8,9 +8,9 @@
 import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { CallerAnswer } from "./caller-answer.js";
+import { listenOn } from "./listen.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
 
@@ -53,13 +53,8 @@
     }
 
     /** Begins to listen; gives the port. */
-    async listen(): Promise<number> {
-        const { address, port } = this.options.settings;
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, address, resolve);
-        });
-        return (this.server.address() as AddressInfo).port;
+    listen(): Promise<number> {
+        return listenOn(this.server, this.options.settings);
     }
 
     /** Announces to callers that their connections will be closed. */
--- a/packages/daemon/src/rpc-server.ts
+++ b/packages/daemon/src/rpc-server.ts
@@ -9,7 +9,7 @@
 import { asError } from "@harrierhitch/core";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import { listenOn } from "./listen.js";
 import { readTlsFiles, type TlsFileNames, watchTlsFiles } from "./tls-files.js";
 
 /** Options of {@link RpcServer}. */
@@ -52,13 +52,8 @@
     }
 
     /** Begins to listen; gives the port. */
-    async listen(): Promise<number> {
-        const { address, port } = this.options.settings;
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, address, resolve);
-        });
-        return (this.server.address() as AddressInfo).port;
+    listen(): Promise<number> {
+        return listenOn(this.server, this.options.settings);
     }
 
     /** Stops listening and closes all connections. */
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -84,7 +84,10 @@
         if (held === undefined && this.holdings.size >= this.options.maximumKeys) {
             return create(ClaimResponseSchema, { vote: Vote.FULL });
         }
-        this.keep(claim);
+        // A message that arrives a second time must not make the claim's end forgotten.
+        if (held?.claimId !== claim.claimId) {
+            this.keep(claim);
+        }
         return create(ClaimResponseSchema, { vote: Vote.GRANTED });
     }
 
--- a/packages/fleet/test/keys.test.ts
+++ b/packages/fleet/test/keys.test.ts
@@ -1,3 +1,5 @@
+import { create } from "@bufbuild/protobuf";
+import { ClaimRequestSchema, HoldingSchema, SettleRequestSchema } from "@harrierhitch/protocol";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { FakeFleet } from "./fake-fleet.js";
@@ -158,6 +160,20 @@
     });
 });
 
+test("a claim that arrives again after its end does not make the end forgotten", async () => {
+    const fleet = await startFleet(1);
+    const { keeper, history } = fleet.node("n0").fleet;
+    const holding = create(HoldingSchema, { key: "k", claimId: "c", holder: "n0" });
+    const claim = create(ClaimRequestSchema, { fleet: "test", holding, view: history.view!.toReference() });
+    keeper.vote(claim);
+    keeper.settle(create(SettleRequestSchema, { fleet: "test", key: "k", claimId: "c", outcome: "ran" }));
+    keeper.vote(claim);
+    const other = keeper.vote(
+        create(ClaimRequestSchema, { ...claim, holding: create(HoldingSchema, { ...holding, claimId: "d" }) }),
+    );
+    assert.equal(other.holding?.outcome, "ran");
+});
+
 test("a new key runs while one keeper in three is dead", async () => {
     const fleet = await startFleet(6);
     fleet.kill("n5");
--- a/packages/standin/src/bench.ts
+++ b/packages/standin/src/bench.ts
@@ -14,6 +14,7 @@
 import { reportRecordMemory } from "./bench-memory.js";
 import { type Child, programs, startChild } from "./child.js";
 import { closedLoop, type LoadResult, openLoop, percentileMs } from "./load.js";
+import { loopbackSettings } from "./loopback-settings.js";
 
 const upstreamCount = 10;
 const rounds = 3;
@@ -64,25 +65,8 @@
     }
 };
 
-const daemonSettings = (platformPort: number): string => `
-[instance]
-id = bench
-availabilityZone = hall-a
-[callers]
-address = 127.0.0.1
-port = 0
-[operators]
-address = 127.0.0.1
-port = 0
-[peers]
-address = 127.0.0.1
-port = 0
-fleet = bench
-[platform]
-addresses = 127.0.0.1:${platformPort}
-[limits]
-stopDelayMs = 0
-`;
+const daemonSettings = (platformPort: number): string =>
+    loopbackSettings({ id: "bench", availabilityZone: "hall-a", fleet: "bench", platformPort });
 
 const write = (text: string): void => {
     process.stdout.write(`${text}\n`);
--- a/packages/standin/src/host.ts
+++ b/packages/standin/src/host.ts
@@ -7,6 +7,7 @@
 
 import { checkSettings } from "@harrierhitch/configuration";
 import { Daemon, EventLog } from "@harrierhitch/daemon";
+import { loopbackSettings } from "./loopback-settings.js";
 import { UpstreamStandin } from "./upstream-standin.js";
 
 /** Tells the process that started this one. */
@@ -60,25 +61,13 @@
 };
 
 const createDaemon = (number: number, zones: number, platformPort: number, basePort: number): Daemon => {
-    const text = `
-[instance]
-id = entry-${number}
-availabilityZone = zone-${number % zones}
-[callers]
-address = 127.0.0.1
-port = 0
-[operators]
-address = 127.0.0.1
-port = 0
-[peers]
-address = 127.0.0.1
-port = ${basePort + number}
-fleet = bench
-[platform]
-addresses = 127.0.0.1:${platformPort}
-[limits]
-stopDelayMs = 0
-`;
+    const text = loopbackSettings({
+        id: `entry-${number}`,
+        availabilityZone: `zone-${number % zones}`,
+        fleet: "bench",
+        platformPort,
+        peersPort: basePort + number,
+    });
     const checked = checkSettings("host", text);
     if (checked.value === undefined) {
         throw new TypeError(JSON.stringify(checked.findings));
--- a/packages/standin/src/quickstart.ts
+++ b/packages/standin/src/quickstart.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { type Child, programs, runProgram, startChild } from "./child.js";
+import { loopbackSettings } from "./loopback-settings.js";
 
 const examples = fileURLToPath(new URL("../../../../examples/", import.meta.url));
 const platformPort = 9000;
@@ -80,25 +81,16 @@
     return children;
 };
 
-const settingsOf = (name: string, number: number): string => `
-[instance]
-id = ${name}
-availabilityZone = ${["hall-a", "hall-b", "gate-pier"][number - 1]}
-[callers]
-address = 127.0.0.1
-port = ${9000 + number}
-[operators]
-address = 127.0.0.1
-port = ${9010 + number}
-[peers]
-address = 127.0.0.1
-port = ${9020 + number}
-fleet = example
-[platform]
-addresses = 127.0.0.1:${platformPort}
-[limits]
-stopDelayMs = 0
-`;
+const settingsOf = (id: string, number: number): string =>
+    loopbackSettings({
+        id,
+        availabilityZone: ["hall-a", "hall-b", "gate-pier"][number - 1] ?? "hall-a",
+        fleet: "example",
+        platformPort,
+        callersPort: 9000 + number,
+        operatorsPort: 9010 + number,
+        peersPort: 9020 + number,
+    });
 
 const untilReady = async (url: string): Promise<void> => {
     while ((await fetch(url)).status !== 200) {
