Take out a field for hedges, which are not built

Cause: records, spans and explanations carried a hedge mark that was always false: a stub. Change: it is gone until hedges exist.

--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -106,7 +106,7 @@
         indent(table(
             ["upstream", "from", "to", "end", "outcome", "status", "detail"],
             attempts.map(attempt => [
-                attempt.upstream + (attempt.hedge ? " (hedge)" : ""),
+                attempt.upstream,
                 formatMs(attempt.startedMs),
                 formatMs(attempt.endedMs),
                 attempt.end,
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -84,7 +84,6 @@
             upstream: upstream.id,
             spanId: newSpanId(),
             startedMs: this.startedAtMs - progress.arrivedAtMs,
-            hedge: false,
             endedMs: undefined,
             result: undefined,
             outcome: undefined,
--- a/packages/daemon/src/decision-record.ts
+++ b/packages/daemon/src/decision-record.ts
@@ -26,7 +26,6 @@
     readonly spanId: string;
     /** Milliseconds since arrival. */
     readonly startedMs: number;
-    readonly hedge: boolean;
     endedMs: number | undefined;
     result: AttemptResult | undefined;
     outcome: Outcome | undefined;
--- a/packages/daemon/src/explanation-message.ts
+++ b/packages/daemon/src/explanation-message.ts
@@ -102,5 +102,4 @@
         outcome: attempt.outcome ?? "",
         status: attempt.result?.status ?? 0,
         detail: attempt.result?.detail ?? "",
-        hedge: attempt.hedge,
     });
--- a/packages/daemon/src/spans.ts
+++ b/packages/daemon/src/spans.ts
@@ -101,7 +101,6 @@
         "harrierhitch.upstream": attempt.upstream,
         "harrierhitch.end": attempt.result?.end ?? "",
         "harrierhitch.outcome": attempt.outcome ?? "",
-        "harrierhitch.hedge": attempt.hedge,
         "http.response.status_code": attempt.result?.status ?? 0,
     },
     failed: attempt.result?.end !== "answered",
--- a/packages/decision/src/attempt-result.ts
+++ b/packages/decision/src/attempt-result.ts
@@ -15,7 +15,7 @@
  * - `reset`: the connection broke after the request may have been sent.
  * - `garbled`: the answer broke the rules of HTTP.
  * - `timed-out`: no answer before the deadline.
- * - `cancelled`: this side gave up, for example because the caller left or a hedge won.
+ * - `cancelled`: this side gave up, for example because the caller left.
  */
 export type AttemptEnd = "answered" | "shed" | "connect-failed" | "reset" | "garbled" | "timed-out" | "cancelled";
 
