--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -110,6 +110,7 @@
             log: parts.log,
             claimer: this.fleet.claimer,
             sampleTrace: () => settings.traces.otlpUrl !== undefined && random.next() < settings.traces.sampleShare,
+            onClaim: result => this.parts.metrics.claims.inc({ result }),
             onAttempt: (route, attempt) => this.telemetry.attempted(route.service.name, attempt),
             onServed: (record, sampled) => {
                 this.telemetry.served(record);
--- a/packages/daemon/src/keyed-request.ts
+++ b/packages/daemon/src/keyed-request.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
-import type { Claimer, KeyedResult } from "@harrierhitch/fleet";
+import type { KeyedResult } from "@harrierhitch/fleet";
 import { createHash } from "node:crypto";
 import { AnswerCopy } from "./answer-copy.js";
 import type { RequestBody } from "./request-body.js";
 import { overloadRetryAfterMs, type RequestProgress } from "./request-progress.js";
+import type { RequestServices } from "./request-services.js";
 
 /** Header that tells that an answer was given before. */
 export const replayedHeader = "idempotency-replayed";
@@ -22,18 +23,19 @@
  * @param progress - The request.
  * @param key - Its key.
  * @param body - Its body.
- * @param claimer - Claims keys.
+ * @param services - Claims keys, and is told of the result.
  * @param serve - Serves the request, once it is granted.
  */
 export const serveOnce = async (
     progress: RequestProgress,
     key: string,
     body: RequestBody,
-    claimer: Claimer,
+    { claimer, onClaim }: Pick<RequestServices, "claimer" | "onClaim">,
     serve: () => Promise<void>,
 ): Promise<void> => {
     const scoped = `${progress.route.service.name}\n${key}`;
     const result = await claimer.claim(scoped, fingerprintOf(progress, body), progress.deadlineAtMs - answerMarginMs);
+    onClaim(result.type);
     switch (result.type) {
         case "granted": {
             const copy = new AnswerCopy();
--- a/packages/daemon/src/request-services.ts
+++ b/packages/daemon/src/request-services.ts
@@ -7,7 +7,7 @@
 import type { Route } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { RetryBudget } from "@harrierhitch/decision";
-import type { Claimer } from "@harrierhitch/fleet";
+import type { Claimer, ClaimResult } from "@harrierhitch/fleet";
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { EventLog } from "./event-log.js";
 import type { ExplanationStore } from "./explanation-store.js";
@@ -29,6 +29,8 @@
     readonly claimer: Claimer;
     /** Decides whether a trace that begins here is recorded. */
     sampleTrace(): boolean;
+    /** Told of the result of each claim. */
+    onClaim(result: ClaimResult["type"]): void;
     /** Told when an attempt has ended. */
     onAttempt(route: Route, attempt: AttemptRecord): void;
     /** Told when a request was answered. */
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -37,7 +37,7 @@
         const body = await this.takeBody();
         const key = progress.route.kind.repeatable ? undefined : progress.arrival.idempotencyKey;
         if (body !== undefined && key !== undefined) {
-            await serveOnce(progress, key, body, services.claimer, () => this.serve(body));
+            await serveOnce(progress, key, body, services, () => this.serve(body));
         }
         else if (body !== undefined) {
             await this.serve(body);
@@ -160,6 +160,10 @@
             return true;
         }
         const { upstream } = decision;
+        if (this.isHopeless(upstream)) {
+            progress.giveUpUnderLoad("too little time is left for an answer");
+            return true;
+        }
         const mayDiscard = (outcome: Outcome) => this.mayRetry(outcome, body);
         const report = await runAttempt({ services, runtime, progress, body, upstream, mayDiscard });
         this.tried.push(upstream);
@@ -170,6 +174,14 @@
         return true;
     }
 
+    /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
+    private isHopeless(upstream: UpstreamId): boolean {
+        const { progress } = this;
+        const isFirst = progress.heldMs === 0 && this.tried.length === 0;
+        const facts = progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
+        return !isFirst && progress.remainingMs < (facts?.latencyMs ?? 0);
+    }
+
     private endAnswer(report: AttemptReport): void {
         const { record, answer } = this.progress;
         record.outcome = report.outcome;
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -105,7 +105,7 @@
             holdings: [...this.holdings.values()].map(held => this.toMessage(held)),
             views: history.views.map(view => view.toDocument()),
             ...(history.view === undefined ? {} : { view: history.view.toDocument() }),
-            established: history.isEstablished,
+            standing: history.standing,
             answered: [...history.closedUnderView],
             left: [...history.closedForGood],
         });
--- a/packages/fleet/src/key-history.ts
+++ b/packages/fleet/src/key-history.ts
@@ -8,11 +8,20 @@
 import { keyMadeAtUnixMs } from "./key-time.js";
 import { type ListedEntry, majorityOf, type View } from "./view.js";
 
+/**
+ * What a run can vouch for.
+ *
+ * - `fresh`: keys since its start.
+ * - `cold`: likewise, but nobody knew more when it started: the whole fleet had just started.
+ * - `established`: all keys, because it has run long enough or was told what went before.
+ */
+export type Standing = "fresh" | "cold" | "established";
+
 /** What a sync with another keeper brought. */
 export interface SyncAnswer {
     readonly instance: string;
-    /** Whether the answering run can itself vouch for keys from before its start. */
-    readonly established: boolean;
+    /** What the answering run can itself vouch for. */
+    readonly standing: Standing;
     /** Views that it voted under. */
     readonly views: readonly View[];
     /** Instances whose records it has, taken over under the view in force. */
@@ -60,9 +69,9 @@
     private passed: readonly PassedView[] = [];
     /** Instances that answered a sync under the view in force. */
     private answered = new Set<string>();
-    /** Instances that answered a sync since this run began, and whether they were established. */
-    private readonly told = new Map<string, boolean>();
-    private cured = false;
+    /** Instances that answered a sync since this run began, and their standing. */
+    private readonly told = new Map<string, Standing>();
+    private ownStanding: Standing = "fresh";
     /** Instances whose records arrived under the view in force, from themselves or through others. */
     private closing = new Set<string>();
     /** Instances that handed over on leaving. */
@@ -93,7 +102,9 @@
             this.remember(this.current, true);
         }
         this.current = view;
-        this.cured ||= !view.list.instances.has(this.options.instance);
+        if (!view.list.instances.has(this.options.instance)) {
+            this.ownStanding = "established";
+        }
         this.adoptedAtMs = this.options.clock.nowMs();
         this.answered = new Set();
         this.closing = new Set();
@@ -102,9 +113,9 @@
 
     /** Takes in the answer of a sync under the view in force. */
     learn(answer: SyncAnswer): void {
-        this.told.set(answer.instance, answer.established);
+        this.told.set(answer.instance, answer.standing);
         this.answered.add(answer.instance);
-        if (answer.established) {
+        if (answer.standing !== "fresh") {
             this.closing.add(answer.instance);
             answer.answered.forEach(id => this.closing.add(id));
             answer.left.forEach(id => this.left.add(id));
@@ -140,28 +151,31 @@
 
     /** Instances of the list that are still to be asked for a sync under the view in force. */
     get missing(): readonly string[] {
-        const isDone = (id: string): boolean => this.answered.has(id) && (this.isEstablished || this.told.get(id) === true);
+        const isDone = (id: string): boolean =>
+            this.answered.has(id) && (this.standing !== "fresh" || vouches(this.told.get(id)));
         return this.others(this.current?.entries ?? []).map(entry => entry.id).filter(id => !isDone(id));
     }
 
     /**
-     * Whether this run can vouch for all keys from before its start: it has run
-     * for as long as keys are kept, or every other instance of the list told it
-     * what went before, or it saw a list from before it was named in one, so that
-     * no former run of it can have voted. When all others have just started too,
-     * the fleet as a whole starts anew and its keys count as new, where trusted.
+     * What this run can vouch for. It is established when it has run for as long
+     * as keys are kept, when every other instance of the list told it what went
+     * before, or when it saw a list from before it was named in one, so that no
+     * former run of it can have voted.
      */
-    get isEstablished(): boolean {
-        if (!this.cured) {
-            const answers = this.others(this.current?.entries ?? []).map(entry => this.told.get(entry.id));
-            const allTold = answers.every(established => established === true);
-            const allFresh = answers.every(established => established === false);
-            const isColdStart = allFresh && this.options.trustsColdStart();
-            this.cured = this.uptimeMs >= this.options.keyTtlMs()
-                || this.current !== undefined && answers.length > 0 && allTold
-                || this.current !== undefined && isColdStart;
+    get standing(): Standing {
+        if (this.ownStanding !== "established" && this.current !== undefined) {
+            const others = this.others(this.current.entries).map(entry => this.told.get(entry.id));
+            const isTold = others.length > 0 && others.every(standing => standing === "established");
+            const isCold = others.every(standing => standing === "fresh" || standing === "cold")
+                && this.options.trustsColdStart();
+            if (this.uptimeMs >= this.options.keyTtlMs() || isTold) {
+                this.ownStanding = "established";
+            }
+            else if (isCold) {
+                this.ownStanding = "cold";
+            }
         }
-        return this.cured;
+        return this.ownStanding;
     }
 
     /** Whether a key that this keeper has not seen is proved to be new. */
@@ -189,8 +203,8 @@
         const madeAtUnixMs = keyMadeAtUnixMs(key);
         const isYounger = madeAtUnixMs !== undefined && madeAtUnixMs > this.startedAtUnixMs + clockSkewMs;
         return isYounger
-            || this.isEstablished
-            || this.others(current.keepersOf(key)).every(keeper => this.told.get(keeper.id) === true);
+            || this.standing !== "fresh"
+            || this.others(current.keepersOf(key)).every(keeper => vouches(this.told.get(keeper.id)));
     }
 
     private others(entries: readonly ListedEntry[]): readonly ListedEntry[] {
@@ -213,3 +227,5 @@
         this.passed = [...others, { view, untilMs: Math.max(untilMs, known?.untilMs ?? 0), own: own || known?.own === true }];
     }
 }
+
+const vouches = (standing: Standing | undefined): boolean => standing === "established" || standing === "cold";
--- a/packages/fleet/src/key-sync.ts
+++ b/packages/fleet/src/key-sync.ts
@@ -8,7 +8,7 @@
 import { type Clock, type InstanceId, sleep } from "@harrierhitch/core";
 import { type Member, SyncRecordsRequestSchema, type SyncRecordsResponse } from "@harrierhitch/protocol";
 import type { Keeper } from "./keeper.js";
-import type { KeyHistory } from "./key-history.js";
+import type { KeyHistory, Standing } from "./key-history.js";
 import { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
 import { View } from "./view.js";
 
@@ -33,6 +33,8 @@
 /** Longest pause between two rounds of syncs. */
 const longestPauseMs = 2000;
 
+const standings: readonly Standing[] = ["fresh", "cold", "established"];
+
 /** Asks other keepers for their records, so that this one can vouch for keys. */
 export class KeySync {
     private running = false;
@@ -90,8 +92,9 @@
             return false;
         }
         const views = response.views.flatMap(document => View.read(document.text) ?? []);
-        const { established, answered, left } = response;
-        history.learn({ instance: id, established, views, answered, left });
+        const { answered, left } = response;
+        const standing = standings.find(known => known === response.standing) ?? "fresh";
+        history.learn({ instance: id, standing, views, answered, left });
         return history.view?.hash === view.hash;
     }
 
--- a/packages/fleet/test/keys.test.ts
+++ b/packages/fleet/test/keys.test.ts
@@ -26,7 +26,7 @@
 test("two sendings at the same time run once, and both callers get the answer", async () => {
     const fleet = await startFleet(6);
     const results = await settle(fleet, fleet.send("n0", "k"), fleet.send("n3", "k"));
-    assert.deepEqual([results, fleet.runs.get("k")], [["ran", "ended"], 1]);
+    assert.deepEqual([[...results].sort(), fleet.runs.get("k")], [["ended", "ran"], 1]);
 });
 
 test("six sendings at the same time run once", async () => {
--- /dev/null
+++ b/packages/standin/src/bench-fleet.ts
@@ -0,0 +1,185 @@
+/**
+ * `npm run bench:fleet`: how fast news reaches everyone, and what acting
+ * together costs, by the number of instances.
+ *
+ * @packageDocumentation
+ */
+
+import { readFileSync } from "node:fs";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { request } from "undici";
+import { benchConfiguration } from "./bench-configuration.js";
+import { type Child, programs, startChild } from "./child.js";
+import { hostedList } from "./host.js";
+
+const sizes = (process.env["SIZES"] ?? "3,6,12,18,36,72").split(",").map(Number);
+const publications = Number(process.env["PUBLICATIONS"] ?? 5);
+const perHost = 12;
+const zones = 3;
+const basePort = 22_000;
+const settleMs = 4000;
+const idleMs = 8000;
+const publicationMs = 2500;
+const acceptedEvent = 200;
+
+interface HostLine {
+    readonly event?: number;
+    readonly time?: number;
+    readonly generation?: number;
+    readonly cpuMs?: number;
+    readonly rssBytes?: number;
+    readonly serving?: number;
+}
+
+/** Figures of one size. */
+export interface FleetFigures {
+    readonly instances: number;
+    /** Milliseconds from publishing until the last instance had accepted, for each publication. */
+    readonly spreadMs: readonly number[];
+    readonly cpuShare: number;
+    readonly bytesPerSecond: number;
+    readonly rssBytes: number;
+    readonly platformCallsPerSecond: number;
+}
+
+/** Measures every size and writes a table. */
+export const runFleetBench = async (): Promise<void> => {
+    write("instances  serving  in force everywhere p50 / max (ms)  cpu a node  bytes/s a node  memory a node  platform calls/s");
+    for (const instances of sizes) {
+        await measure(instances);
+    }
+};
+
+const write = (text: string): void => {
+    process.stdout.write(`${text}\n`);
+};
+
+const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+const measure = async (instances: number): Promise<void> => {
+    const directory = await mkdtemp(join(tmpdir(), "fleet-"));
+    const children: Child[] = [];
+    const lines: HostLine[][] = [];
+    const start = (args: readonly string[]): Child => {
+        const child = startChild(programs.standin, args);
+        children.push(child);
+        return child;
+    };
+    const publish = (generation: number): Promise<void> =>
+        writeFile(
+            join(directory, "configuration.ini"),
+            benchConfiguration([9000], "adaptive", "").replace("generation = 1", `generation = ${generation}`),
+        );
+    try {
+        await publish(1);
+        await writeFile(join(directory, "instances.ini"), hostedList(instances, basePort, zones));
+        const platform = await start(["platform", "--directory", directory]).line<{ port: number; }>("port");
+        for (let first = 0; first < instances; first += perHost) {
+            const count = Math.min(perHost, instances - first);
+            const child = start([
+                "host-entries",
+                "--first",
+                String(first),
+                "--count",
+                String(count),
+                "--platformPort",
+                String(platform.port),
+                "--basePort",
+                String(basePort),
+                "--zones",
+                String(zones),
+            ]);
+            const own: HostLine[] = [];
+            lines.push(own);
+            if (child.process.stdout !== null) {
+                createInterface({ input: child.process.stdout }).on("line", text => own.push(JSON.parse(text) as HostLine));
+            }
+        }
+        await untilServing(lines, instances);
+        await wait(settleMs);
+        const before = snapshot(lines);
+        const callsBefore = await calls(platform.port);
+        await wait(idleMs);
+        const after = snapshot(lines);
+        const callsAfter = await calls(platform.port);
+        const spreadMs = await measureSpread(lines, instances, publish);
+        report(instances, lines, before, after, (callsAfter - callsBefore) * 1000 / idleMs, spreadMs);
+    }
+    finally {
+        await Promise.all(children.map(child => child.stop()));
+        await rm(directory, { recursive: true });
+    }
+};
+
+const untilServing = async (lines: readonly HostLine[][], instances: number): Promise<void> => {
+    const serving = (): number => lines.reduce((sum, own) => sum + (latest(own, "serving") ?? 0), 0);
+    for (let tries = 0; serving() < instances && tries < 60; tries += 1) {
+        await wait(500);
+    }
+};
+
+const latest = (own: readonly HostLine[], field: "serving" | "cpuMs" | "rssBytes"): number | undefined =>
+    own.findLast(line => line[field] !== undefined)?.[field];
+
+const sum = (lines: readonly HostLine[][], field: "serving" | "cpuMs" | "rssBytes"): number =>
+    lines.reduce((total, own) => total + (latest(own, field) ?? 0), 0);
+
+interface Snapshot {
+    readonly atMs: number;
+    readonly cpuMs: number;
+    readonly loopbackBytes: number;
+}
+
+const snapshot = (lines: readonly HostLine[][]): Snapshot => ({
+    atMs: performance.now(),
+    cpuMs: sum(lines, "cpuMs"),
+    loopbackBytes: Number(/lo:\s*(\d+)/.exec(readFileSync("/proc/net/dev", "utf8"))?.[1] ?? 0),
+});
+
+const calls = async (port: number): Promise<number> => {
+    const response = await request(`http://127.0.0.1:${port}/calls`);
+    return (await response.body.json() as { readonly calls: number; }).calls;
+};
+
+const measureSpread = async (
+    lines: readonly HostLine[][],
+    instances: number,
+    publish: (generation: number) => Promise<void>,
+): Promise<readonly number[]> => {
+    const spreads: number[] = [];
+    for (let generation = 2; generation < 2 + publications; generation += 1) {
+        const atUnixMs = Date.now();
+        await publish(generation);
+        await wait(publicationMs);
+        const times = lines.flat().filter(line => line.event === acceptedEvent && line.generation === generation).map(line =>
+            line.time ?? 0
+        );
+        spreads.push(times.length === instances ? Math.max(...times) - atUnixMs : Infinity);
+    }
+    return spreads.sort((a, b) => a - b);
+};
+
+const report = (
+    instances: number,
+    lines: readonly HostLine[][],
+    before: Snapshot,
+    after: Snapshot,
+    callsPerSecond: number,
+    spreadMs: readonly number[],
+): void => {
+    const elapsedMs = after.atMs - before.atMs;
+    const cpu = (after.cpuMs - before.cpuMs) / elapsedMs / instances * 100;
+    const bytes = (after.loopbackBytes - before.loopbackBytes) * 1000 / elapsedMs / instances;
+    write([
+        String(instances).padStart(9),
+        String(sum(lines, "serving")).padStart(8),
+        `${spreadMs[Math.floor(spreadMs.length / 2)]} / ${spreadMs.at(-1)}`.padStart(36),
+        `${cpu.toFixed(2)} %`.padStart(11),
+        bytes.toFixed(0).padStart(15),
+        `${(sum(lines, "rssBytes") / instances / 1_048_576).toFixed(0)} MB`.padStart(14),
+        callsPerSecond.toFixed(2).padStart(17),
+    ].join(" "));
+};
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -6,4 +6,5 @@
 
 export { type PlatformBehaviour, PlatformStandin } from "./platform-standin.js";
 export { runStandinProgram } from "./program.js";
+export { runQuickstart } from "./quickstart.js";
 export { behaviourPath, calmBehaviour, type UpstreamBehaviour, UpstreamStandin } from "./upstream-standin.js";
--- a/packages/standin/src/platform-standin.ts
+++ b/packages/standin/src/platform-standin.ts
@@ -56,6 +56,10 @@
     }
 
     private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.url === "/calls") {
+            response.end(JSON.stringify({ calls: this.calls }));
+            return;
+        }
         this.calls += 1;
         await wait(this.behaviour.delayMs ?? 0);
         const key = decodeURIComponent((request.url ?? "").replace(/^\/keys\//, ""));
--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -5,8 +5,11 @@
  */
 
 import { defineCommand, runMain } from "citty";
+import { runDecisionsBench } from "./bench-decisions.js";
+import { runFleetBench } from "./bench-fleet.js";
 import { runBench } from "./bench.js";
 import { startFastUpstreams } from "./fast-upstream.js";
+import { hostEntries, hostUpstreams } from "./host.js";
 import { startPassThrough } from "./pass-through.js";
 import { PlatformStandin } from "./platform-standin.js";
 import { calmBehaviour, UpstreamStandin } from "./upstream-standin.js";
@@ -57,6 +60,45 @@
     },
 });
 
+const hostUpstreamsCommand = defineCommand({
+    meta: { name: "host-upstreams", description: "Host several upstreams in one process" },
+    args: {
+        first: { type: "string", required: true, description: "Number of the first" },
+        count: { type: "string", required: true, description: "How many" },
+        meanServiceMs: { type: "string", required: true, description: "Mean service time" },
+    },
+    run: ({ args }) => hostUpstreams(Number(args.first), Number(args.count), Number(args.meanServiceMs)),
+});
+
+const hostEntriesCommand = defineCommand({
+    meta: { name: "host-entries", description: "Host several entry instances in one process" },
+    args: {
+        first: { type: "string", required: true, description: "Number of the first" },
+        count: { type: "string", required: true, description: "How many" },
+        platformPort: { type: "string", required: true, description: "Port of the platform" },
+        basePort: { type: "string", required: true, description: "Port between instances of instance 0" },
+        zones: { type: "string", required: true, description: "Number of availability zones" },
+    },
+    run: ({ args }) =>
+        hostEntries({
+            first: Number(args.first),
+            count: Number(args.count),
+            platformPort: Number(args.platformPort),
+            basePort: Number(args.basePort),
+            zones: Number(args.zones),
+        }),
+});
+
+const benchDecisions = defineCommand({
+    meta: { name: "bench-decisions", description: "Measure choosers under load and faults" },
+    run: () => runDecisionsBench(),
+});
+
+const benchFleet = defineCommand({
+    meta: { name: "bench-fleet", description: "Measure how a fleet acts together, by its size" },
+    run: () => runFleetBench(),
+});
+
 const bench = defineCommand({
     meta: { name: "bench", description: "Measure latency added, throughput, memory and the time of a decision" },
     run: () => runBench(),
@@ -64,7 +106,17 @@
 
 const main = defineCommand({
     meta: { name: "standin", description: "Stand-ins for tests, quickstart and benchmarks" },
-    subCommands: { platform, upstream, "fast-upstreams": fastUpstreams, "pass-through": passThrough, bench },
+    subCommands: {
+        platform,
+        upstream,
+        "fast-upstreams": fastUpstreams,
+        "pass-through": passThrough,
+        "host-upstreams": hostUpstreamsCommand,
+        "host-entries": hostEntriesCommand,
+        bench,
+        "bench-decisions": benchDecisions,
+        "bench-fleet": benchFleet,
+    },
 });
 
 /**
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -64,6 +64,8 @@
     behaviour: UpstreamBehaviour;
     /** Requests that were run, by the value of `idempotency-key` or `x-request-number`. */
     readonly runs = new Map<string, number>();
+    /** Whether repeatable requests are counted in {@link runs} too. */
+    countsReads = false;
     /** Requests that were begun since the start. */
     started = 0;
     /** Requests whose caller gave up before the answer. */
@@ -99,7 +101,7 @@
 
     private async accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = readBody(request);
-        if (request.url === behaviourPath) {
+        if (request.url?.startsWith(behaviourPath) === true) {
             await this.control(request, response, body);
             return;
         }
@@ -111,7 +113,7 @@
             await body;
             request.socket.destroy();
         }
-        else if (failStatus !== undefined) {
+        else if (typeof failStatus === "number") {
             response.writeHead(failStatus, this.headers()).end();
         }
         else if (draining || this.running >= slots && this.waiting.length >= queue) {
@@ -139,7 +141,7 @@
     private async run({ request, response, body }: Job): Promise<void> {
         this.started += 1;
         const key = request.headers["idempotency-key"] ?? request.headers["x-request-number"];
-        if (typeof key === "string") {
+        if (typeof key === "string" && (request.method === "POST" || this.countsReads)) {
             this.runs.set(key, (this.runs.get(key) ?? 0) + 1);
         }
         await wait(this.serviceMs());
@@ -171,7 +173,7 @@
         if (request.method === "POST") {
             this.behaviour = { ...this.behaviour, ...JSON.parse((await body).toString("utf8")) as Partial<UpstreamBehaviour> };
         }
-        const state = { ...this.behaviour, started: this.started, runs: Object.fromEntries(this.runs) };
+        const state = { ...this.behaviour, started: this.started, issues: Object.fromEntries(this.runs) };
         response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
     }
 }
--- /dev/null
+++ b/packages/standin/test/catalogues.test.ts
@@ -0,0 +1,26 @@
+import { references } from "@harrierhitch/command";
+import { events, Metrics } from "@harrierhitch/daemon";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+
+const page = (name: string): string => readFileSync(new URL(`../../../../docs/${name}`, import.meta.url), "utf8");
+
+test("the catalogue of events names every event and no other", () => {
+    const documented = [...page("EVENTS.md").matchAll(/^\| (\d+) \| (\w+) \| ([^|]+) \|/gm)].map(([, number, level, message]) =>
+        `${number} ${level} ${message}`
+    );
+    const coded = Object.values(events).map(event => `${event.number} ${event.level} ${event.message}`);
+    assert.deepEqual(documented, [...coded].sort());
+    assert.equal(new Set(Object.values(events).map(event => event.number)).size, coded.length);
+});
+
+test("the catalogue of metrics names every metric and no other", async () => {
+    const documented = [...page("METRICS.md").matchAll(/^\| `(\w+)` \| (\w+) \|/gm)].map(([, name, type]) => `${name} ${type}`);
+    const metrics = await new Metrics(false).registry.getMetricsAsJSON();
+    assert.deepEqual(documented.sort(), metrics.map(metric => `${metric.name} ${metric.type}`).sort());
+});
+
+test("the references in docs/ are those of the schemas", () => {
+    Object.entries(references).forEach(([name, text]) => assert.equal(page(`reference/${name}.md`), text));
+});
--- a/packages/standin/test/interleaved.test.ts
+++ b/packages/standin/test/interleaved.test.ts
@@ -11,6 +11,9 @@
     const system = await startSystem({
         upstreams: [{ slots: 16, queue: 500 }, { slots: 16, queue: 500 }, { slots: 16, queue: 500 }],
     });
+    system.upstreams.forEach(upstream => {
+        upstream.countsReads = true;
+    });
     const random = new SeededRandom(7);
     let next = 0;
     const outcomes = new Map<string, number>();
--- a/packages/standin/test/system.ts
+++ b/packages/standin/test/system.ts
@@ -3,7 +3,7 @@
  */
 
 import { checkSettings } from "@harrierhitch/configuration";
-import { Daemon, EventLog } from "@harrierhitch/daemon";
+import { Daemon, type DaemonPorts, EventLog } from "@harrierhitch/daemon";
 import { PlatformStandin, type UpstreamBehaviour, UpstreamStandin } from "../src/index.js";
 
 /** What a test wants of its system. */
@@ -24,6 +24,8 @@
     readonly callersPort: number;
     readonly operators: string;
     readonly daemon: Daemon;
+    readonly ports: DaemonPorts;
+    readonly platformPort: number;
     readonly platform: PlatformStandin;
     readonly upstreams: readonly UpstreamStandin[];
     /** The published configuration under another generation. */
@@ -41,14 +43,18 @@
     const document = (generation: number, only: readonly number[] = ports) => configurationText(generation, only, options);
     platform.publish("configuration", document(1));
     platform.publish("instances", "revision = 1\n");
-    const daemon = startDaemon(await platform.listen(), options.settings ?? "");
-    const { callers, operators } = await daemon.start();
+    const platformPort = await platform.listen();
+    const daemon = startDaemon(platformPort, options.settings ?? "");
+    const started = await daemon.start();
+    const { callers, operators } = started;
     await until(() => daemon.instance.stage === "serving");
     return {
         url: `http://127.0.0.1:${callers}`,
         callersPort: callers,
         operators: `127.0.0.1:${operators}`,
         daemon,
+        ports: started,
+        platformPort,
         platform,
         upstreams,
         document,
@@ -60,10 +66,10 @@
 };
 
 /** Makes a daemon that is quiet and stops fast. */
-export const startDaemon = (platformPort: number, settings: string): Daemon => {
+export const startDaemon = (platformPort: number, settings: string, id = "entry-1"): Daemon => {
     const text = `
 [instance]
-id = entry-1
+id = ${id}
 availabilityZone = hall-a
 [callers]
 address = 127.0.0.1
