--- a/packages/command/src/check-command.ts
+++ b/packages/command/src/check-command.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { checkConfiguration, checkInstanceList, checkSettings, type Finding, formatFinding } from "@harrierhitch/configuration";
+import { checkConfiguration, checkPolicyFile, checkSettings, type Finding, formatFinding } from "@harrierhitch/configuration";
 import { defineCommand } from "citty";
 import { readFile } from "node:fs/promises";
 import { jsonArg } from "./common-args.js";
@@ -14,7 +14,7 @@
 const checks = {
     settings: checkSettings,
     configuration: checkConfiguration,
-    instances: checkInstanceList,
+    policies: checkPolicyFile,
 } as const;
 
 type DocumentKind = keyof typeof checks;
@@ -24,13 +24,13 @@
     meta: {
         name: "check",
         description:
-            "Check a settings file, a configuration or an instance list. References: docs/SETTINGS.md, docs/CONFIGURATION.md",
+            "Check a settings file, a configuration or a file of policies. References: docs/reference/",
     },
     args: {
         file: { type: "positional", required: true, description: "The file" },
         kind: {
             type: "string",
-            valueHint: "settings|configuration|instances",
+            valueHint: "settings|configuration|policies",
             description: "What the file is; guessed without it",
         },
         ...jsonArg,
@@ -47,7 +47,7 @@
 
 const toKind = (name: string | undefined): DocumentKind | undefined => {
     if (name !== undefined && !Object.hasOwn(checks, name)) {
-        throw new InvalidInputError(`unknown kind ${name}, expected settings, configuration or instances`);
+        throw new InvalidInputError(`unknown kind ${name}, expected settings, configuration or policies`);
     }
     return name as DocumentKind | undefined;
 };
@@ -56,7 +56,7 @@
     if (/^\s*\[instance\]/m.test(text)) {
         return "settings";
     }
-    return /^\s*revision\s*=/m.test(text) ? "instances" : "configuration";
+    return /^\s*generation\s*=/m.test(text) ? "configuration" : "policies";
 };
 
 const report = (file: string, kind: DocumentKind, findings: readonly Finding[], json: boolean): void => {
--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -94,6 +94,7 @@
     formatMs(candidate.latencyAgeMs),
     formatCount(candidate.reportedInFlight),
     formatMs(candidate.reportAgeMs),
+    candidate.slowness.toFixed(1),
     `${(candidate.failureRate * 100).toFixed(0)} %`,
     candidate.score === undefined ? "" : candidate.score.toFixed(2),
     candidate.excluded,
--- a/packages/command/src/reference-command.ts
+++ b/packages/command/src/reference-command.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { configurationSchema, instanceListSchema, referenceMarkdown, settingsSchema } from "@harrierhitch/configuration";
+import { configurationSchema, policyFileSchema, referenceMarkdown, settingsSchema } from "@harrierhitch/configuration";
 import { defineCommand } from "citty";
 import { exitCodes, InvalidInputError, reportingFailure } from "./failure.js";
 import { scenarioSchema } from "./scenario.js";
@@ -21,10 +21,10 @@
         "What operators publish under the platform's key `configuration`, as INI. Made by `npm run reference`; do not edit.",
         configurationSchema,
     ),
-    instances: referenceMarkdown(
-        "Instance list",
-        "What the platform publishes under the key `instances`, as INI. Made by `npm run reference`; do not edit.",
-        instanceListSchema,
+    policies: referenceMarkdown(
+        "Policies",
+        "A file of policies that the settings name, as INI. Made by `npm run reference`; do not edit.",
+        policyFileSchema,
     ),
     scenario: referenceMarkdown(
         "Scenario",
--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -60,6 +60,7 @@
             reportedInFlight: number("Reported requests in flight.", 0),
             reportAgeMs: number("Age of the report.", 100, "ms"),
             sentSinceReport: number("Requests sent since the report.", 0),
+            slowness: number("Factor by which work takes longer than usual, as reported.", 1),
             failureRate: number("Decayed share of failures.", 0),
             slots: number("Slots of the upstream.", 3),
         }),
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -21,6 +21,7 @@
 /** Names of the choosers that a policy can pick. */
 export const chooserNames = [
     "adaptive",
+    "expected-time",
     "lowest-rank",
     "two-choices",
     "least-outstanding",
@@ -32,7 +33,10 @@
 /** Name of a chooser. */
 export type ChooserName = typeof chooserNames[number];
 
-const methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"] as const;
+/** The method of a route that takes requests of every method. */
+export const anyMethod = "ANY";
+
+const methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", anyMethod] as const;
 
 const named = <Section extends z.ZodObject>(section: Section) =>
     z.record(z.string().regex(namePattern, "expected a name of lower-case letters, digits and hyphens"), section);
@@ -56,6 +60,26 @@
     filter: optionalTextKey({ description: "True or false expression for one candidate; false leaves it out." }),
     rank: optionalTextKey({ description: "Number expression for one candidate; lower is better." }),
     chooser: choiceKey(chooserNames, { description: "How one of the candidates is picked.", defaultValue: "adaptive" }),
+    probeCandidates: integerKey({
+        description: "How many of the best candidates are asked for their load just before the choice; 0 asks none.",
+        minimum: 0,
+        maximum: 16,
+        defaultValue: 0,
+    }),
+    probeTimeoutMs: integerKey({
+        description: "Longest time for which a choice waits for answers to its probes.",
+        unit: "ms",
+        minimum: 1,
+        maximum: 1000,
+        defaultValue: 12,
+    }),
+    hedgePercent: integerKey({
+        description: "When a second attempt of a repeatable request begins, as a share of its target latency; 0 begins none.",
+        unit: "%",
+        minimum: 0,
+        maximum: 1000,
+        defaultValue: 0,
+    }),
 }));
 
 /** Schema of the published configuration. */
@@ -74,7 +98,6 @@
         }),
         timeoutHeader: headerKey("Header with the milliseconds that the caller will still wait.", "x-request-timeout-ms"),
         hallHeader: headerKey("Header with the name of the caller's hall.", "x-hall"),
-        idempotencyHeader: headerKey("Header with the key of a request that must not run twice.", "idempotency-key"),
         depthHeader: headerKey("Header with the number of harrierhitch hops so far.", "x-harrierhitch-depth"),
         maximumDepth: integerKey({
             description: "Most hops; a deeper call is refused.",
@@ -82,18 +105,6 @@
             maximum: 64,
             defaultValue: 9,
         }),
-        keyTtlMs: integerKey({
-            description: "Time for which keys of requests that must not run twice are kept; at least twice the longest timeout.",
-            unit: "ms",
-            minimum: 1000,
-            maximum: 3_600_000,
-            defaultValue: 60_000,
-        }),
-        trustColdStart: booleanKey({
-            description:
-                "Whether keys count as new when every listed instance has just started; otherwise they are unknown for keyTtlMs.",
-            defaultValue: true,
-        }),
         retryPercent: numberKey({
             description: "Most retries, as a share of the requests of this instance.",
             unit: "%",
@@ -101,6 +112,36 @@
             maximum: 100,
             defaultValue: 10,
         }),
+        probesPerSecond: numberKey({
+            description: "Most probes of one upstream by the whole fleet.",
+            unit: "1/s",
+            minimum: 0,
+            maximum: 100_000,
+            defaultValue: 20,
+        }),
+    }),
+    callers: optionalSection({
+        maximumBodyBytes: integerKey({
+            description: "Largest request body; 0 leaves it to the settings.",
+            unit: "bytes",
+            minimum: 0,
+            maximum: 10_737_418_240,
+            defaultValue: 0,
+        }),
+        keepAliveTimeoutMs: integerKey({
+            description: "Idle time after which a caller's connection is closed; 0 leaves it to the settings.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 3_600_000,
+            defaultValue: 0,
+        }),
+        headersTimeoutMs: integerKey({
+            description: "Longest time for a caller to send its request head; 0 leaves it to the settings.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 600_000,
+            defaultValue: 0,
+        }),
     }),
     kind: named(z.strictObject({
         repeatable: booleanKey({ description: "Whether a request of this kind may run more than once." }),
@@ -123,6 +164,20 @@
             maximum: 10,
             defaultValue: 3,
         }),
+        targetLatencyMs: integerKey({
+            description: "Time within which an answer is worth most; 0 when there is none.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 3_600_000,
+            defaultValue: 0,
+        }),
+        priority: integerKey({
+            description: "Rank under overload; 0 is the most urgent.",
+            minimum: 0,
+            maximum: 1000,
+            defaultValue: 0,
+        }),
+        policy: optionalTextKey({ description: "Policy that decides for this kind, in place of the service's.", expected: "a policy" }),
     })),
     service: named(z.strictObject({
         policy: nameKey({ description: "Policy that decides for this service." }),
@@ -164,6 +219,10 @@
         ),
         drainHeader: headerKey("Header by which an upstream says that it is leaving; its value is draining.", "x-upstream-state"),
         loadHeader: headerKey("Header with the upstream's requests in flight.", "x-upstream-in-flight"),
+        probePath: optionalTextKey({
+            description: "Path at which an upstream tells its load; it is never probed without one.",
+            expected: "a path that begins with /",
+        }),
     })),
     upstream: named(z.strictObject({
         service: nameKey({ description: "Service to which this upstream belongs." }),
@@ -178,13 +237,23 @@
         }),
     })),
     route: named(z.strictObject({
-        method: choiceKey(methods, { description: "HTTP method." }),
+        method: choiceKey(methods, { description: "HTTP method, or ANY." }),
+        host: textKey({
+            description: "Host that the request names; a route without one takes every host.",
+            expected: "a host name in lower case",
+            pattern: /^[a-z0-9.:-]*$/,
+            defaultValue: "",
+        }),
         path: textKey({
-            description: "Path pattern, for example /seats/:flight or /scans/*.",
+            description: "Path pattern, for example /seats/:flight or /scans/*; with the method ANY, the beginning of the path.",
             expected: "a path that begins with /",
             pattern: /^\//,
         }),
-        service: nameKey({ description: "Service that answers." }),
+        service: textKey({
+            description: "Service that answers, or several that share the requests by weight, for example a:90, b:10.",
+            expected: "a service, or services with weights separated by commas",
+            pattern: /^[a-z0-9][a-z0-9-]*(:\d+(\.\d+)?(\s*,\s*[a-z0-9][a-z0-9-]*:\d+(\.\d+)?)*)?$/,
+        }),
         kind: nameKey({ description: "Kind of the request." }),
     })),
     policy: policySectionsSchema,
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -4,43 +4,16 @@
  * @packageDocumentation
  */
 
-import { type Generation, generation, type ServiceName, serviceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { type Generation, generation, type ServiceName, serviceName, upstreamId } from "@harrierhitch/core";
 import { createHash } from "node:crypto";
 import { checkDocument, type Checked } from "./check.js";
 import { configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
 import type { Finding } from "./finding.js";
 import { LocatedIni } from "./located-ini.js";
+import type { Route, RouteGroup } from "./route.js";
 import { Router } from "./router.js";
 import { checkPolicies, type ServicePolicy } from "./service-policy.js";
-
-/** A kind of request. */
-export type Kind = ConfigurationValues["kind"][string] & { readonly name: string; };
-
-/** An upstream as configured. */
-export interface Upstream {
-    readonly id: UpstreamId;
-    readonly address: string;
-    readonly port: number;
-    readonly availabilityZone: string;
-    readonly slots: number;
-}
-
-/** A service with its policy and its upstreams. */
-export interface Service extends Omit<ConfigurationValues["service"][string], "policy" | "shedStatuses"> {
-    readonly name: ServiceName;
-    readonly policy: ServicePolicy;
-    readonly upstreams: readonly Upstream[];
-    readonly shedStatuses: ReadonlySet<number>;
-}
-
-/** A route from a method and a path to a service and a kind. */
-export interface Route {
-    readonly name: string;
-    readonly method: ConfigurationValues["route"][string]["method"];
-    readonly path: string;
-    readonly service: Service;
-    readonly kind: Kind;
-}
+import type { Service } from "./service.js";
 
 /** A configuration that passed all checks. */
 export interface Configuration {
@@ -49,7 +22,8 @@
     readonly hash: string;
     readonly fleet: ConfigurationValues["fleet"];
     readonly services: ReadonlyMap<ServiceName, Service>;
-    readonly routes: readonly Route[];
+    readonly callers: ConfigurationValues["callers"];
+    readonly routes: readonly RouteGroup[];
     /** Finds one of the routes. */
     readonly router: Router;
 }
@@ -57,38 +31,69 @@
 /** Largest published document, in bytes: the platform holds values up to a megabyte. */
 export const maximumDocumentBytes = 1_048_576;
 
+/** What a configuration may build on besides its own text. */
+export interface ConfigurationContext {
+    /** Policies that stand outside the document; its own go before them. */
+    readonly policies?: ReadonlyMap<string, ServicePolicy>;
+    /** Whether upstreams are listed apart from the configuration, so that a service may name none. */
+    readonly listsUpstreams?: boolean;
+}
+
 /**
  * Reads and checks a published configuration.
  *
- * The result depends on the text alone, so that every instance judges a
- * document alike.
+ * The result depends on the text and the context alone, so that every instance
+ * judges a document alike.
  *
  * @param file - Name of the file or key, for findings.
  * @param text - The document's text.
  * @returns The configuration, or all findings.
  */
-export const checkConfiguration = (file: string, text: string): Checked<Configuration> => {
-    if (Buffer.byteLength(text) > maximumDocumentBytes) {
-        const message = `the document has more than ${maximumDocumentBytes} bytes`;
-        return { value: undefined, findings: [{ file, section: "", key: "", line: undefined, message }] };
-    }
-    const document = LocatedIni.read(file, text);
+export const checkConfiguration = (file: string, text: string): Checked<Configuration> =>
+    tooLarge(file, text) ?? checkSections(LocatedIni.read(file, text), hashOf(text));
+
+/**
+ * Checks the sections of a configuration that was published in another syntax.
+ *
+ * @param document - The sections.
+ * @param hash - Hash of the published text.
+ * @param context - What the configuration may build on.
+ * @returns The configuration, or all findings.
+ */
+export const checkSections = (
+    document: LocatedIni,
+    hash: string,
+    context: ConfigurationContext = {},
+): Checked<Configuration> => {
     const checked = checkDocument(document, configurationSchema);
     if (checked.value === undefined) {
         return checked;
     }
-    const { policies, findings: policyFindings } = checkPolicies(document, checked.value.policy);
-    const findings = [...policyFindings, ...checkReferences(document, checked.value)];
+    const { policies: ownPolicies, findings: policyFindings } = checkPolicies(document, checked.value.policy);
+    const policies = new Map([...context.policies ?? [], ...ownPolicies]);
+    const findings = [...policyFindings, ...checkReferences(document, checked.value, context)];
     if (findings.length > 0) {
         return { value: undefined, findings };
     }
-    const configuration = join(text, checked.value, policies);
+    const configuration = join(hash, checked.value, policies);
     const routeFindings = addRoutes(document, configuration);
     return routeFindings.length > 0
         ? { value: undefined, findings: routeFindings }
         : { value: configuration, findings: [] };
 };
 
+/** Says that a document is too large; `undefined` when it is not. */
+export const tooLarge = (file: string, text: string): Checked<never> | undefined => {
+    if (Buffer.byteLength(text) <= maximumDocumentBytes) {
+        return undefined;
+    }
+    const message = `the document has more than ${maximumDocumentBytes} bytes`;
+    return { value: undefined, findings: [{ file, section: "", key: "", line: undefined, message }] };
+};
+
+/** SHA-256 of a document's text, in hexadecimal. */
+export const hashOf = (text: string): string => createHash("sha256").update(text).digest("hex");
+
 const addRoutes = (document: LocatedIni, configuration: Configuration): readonly Finding[] =>
     configuration.routes.flatMap(route => {
         const section = `route.${route.name}`;
@@ -97,50 +102,80 @@
         return message === undefined ? [] : [{ file: document.file, section, key: "path", line, message }];
     });
 
-const checkReferences = (document: LocatedIni, values: ConfigurationValues): readonly Finding[] => {
+const checkReferences = (
+    document: LocatedIni,
+    values: ConfigurationValues,
+    { listsUpstreams = false, policies }: ConfigurationContext,
+): readonly Finding[] => {
     const finding = (section: string, key: string, message: string): Finding => {
         return { file: document.file, section, key, line: document.lineOf(section, key), message };
     };
     const reference = (section: string, key: string, target: "policy" | "service" | "kind", name: string) =>
-        Object.hasOwn(values[target], name) ? [] : [finding(section, key, `there is no section [${target}.${name}]`)];
+        Object.hasOwn(values[target], name) || target === "policy" && policies?.has(name) === true ? [] : [finding(section, key, `there is no section [${target}.${name}]`)];
     const upstreams = Object.entries(values.upstream);
     const routes = Object.entries(values.route);
+    const sameUpstream = duplicatesIn(upstreams, other => `${other.address}:${other.port}`);
+    const sameRoute = duplicatesIn(routes, routeIdentity);
     return [
         ...Object.entries(values.service).flatMap(([name, service]) => [
             ...reference(`service.${name}`, "policy", "policy", service.policy),
-            ...(upstreams.some(([, upstream]) => upstream.service === name)
+            ...(listsUpstreams || upstreams.some(([, upstream]) => upstream.service === name)
                 ? []
                 : [finding(`service.${name}`, "", "no upstream belongs to this service, so it would answer nothing")]),
         ]),
         ...upstreams.flatMap(([name, upstream]) => [
             ...reference(`upstream.${name}`, "service", "service", upstream.service),
-            ...duplicateOf(upstreams, name, other => `${other.address}:${other.port}`)
-                .map(first => finding(`upstream.${name}`, "port", `same address and port as [upstream.${first}]`)),
+            ...sameUpstream(name).map(first => finding(`upstream.${name}`, "port", `same address and port as [upstream.${first}]`)),
         ]),
         ...routes.flatMap(([name, route]) => [
-            ...reference(`route.${name}`, "service", "service", route.service),
+            ...parseDestinations(route.service).flatMap(({ service }) =>
+                reference(`route.${name}`, "service", "service", service)
+            ),
             ...reference(`route.${name}`, "kind", "kind", route.kind),
-            ...duplicateOf(routes, name, other => `${other.method} ${other.path.replace(/:[^/]+/g, ":")}`)
-                .map(first => finding(`route.${name}`, "path", `same method and path as [route.${first}]`)),
+            ...sameRoute(name).map(first => finding(`route.${name}`, "path", `same method and path as [route.${first}]`)),
         ]),
-        ...Object.entries(values.kind)
-            .filter(([, kind]) => kind.timeoutMs * 2 > values.fleet.keyTtlMs && !kind.repeatable)
-            .map(([name]) => finding(`kind.${name}`, "timeoutMs", "more than half of keyTtlMs in [fleet]")),
+        ...Object.entries(values.kind).flatMap(([name, kind]) =>
+            kind.policy === undefined ? [] : reference(`kind.${name}`, "policy", "policy", kind.policy)
+        ),
         ...(routes.length === 0 ? [finding("", "", "there is no route, so every request would be refused")] : []),
     ];
 };
 
-const duplicateOf = <Value>(
+const routeIdentity = ({ method, host, path }: ConfigurationValues["route"][string]): string =>
+    `${method} ${host} ${path.replace(/:[^/]+/g, ":")}`;
+
+/** Finds, for each entry, the first other one with the same identity. */
+const duplicatesIn = <Value>(
     entries: readonly (readonly [string, Value])[],
-    name: string,
     identity: (value: Value) => string,
-): readonly string[] => {
-    const own = entries.find(([other]) => other === name);
-    const first = own && entries.find(([, value]) => identity(value) === identity(own[1]));
-    return first === undefined || first[0] === name ? [] : [first[0]];
+): (name: string) => readonly string[] => {
+    const firsts = new Map<string, string>();
+    const duplicates = new Map<string, string>();
+    entries.forEach(([name, value]) => {
+        const first = firsts.get(identity(value));
+        if (first === undefined) {
+            firsts.set(identity(value), name);
+        }
+        else {
+            duplicates.set(name, first);
+        }
+    });
+    return name => [duplicates.get(name) ?? []].flat();
 };
 
-const join = (text: string, values: ConfigurationValues, policies: ReadonlyMap<string, ServicePolicy>): Configuration => {
+interface Destination {
+    readonly service: string;
+    readonly weight: number;
+}
+
+/** Reads the services of a route; one without a weight takes every request. */
+const parseDestinations = (text: string): readonly Destination[] =>
+    text.split(",").map(part => {
+        const [service = "", weight = "1"] = part.trim().split(":");
+        return { service, weight: Number(weight) };
+    });
+
+const join = (hash: string, values: ConfigurationValues, policies: ReadonlyMap<string, ServicePolicy>): Configuration => {
     const services = new Map(
         Object.entries(values.service).map(([name, section]) => {
             const service: Service = {
@@ -155,15 +190,21 @@
             return [service.name, service] as const;
         }),
     );
-    const routes = Object.entries(values.route).map(([name, route]): Route => ({
-        name,
-        method: route.method,
-        path: route.path,
-        service: defined(services.get(serviceName(route.service))),
-        kind: { ...defined(values.kind[route.kind]), name: route.kind },
-    }));
-    const hash = createHash("sha256").update(text).digest("hex");
-    return { generation: generation(values.generation), hash, fleet: values.fleet, services, routes, router: new Router() };
+    const routes = Object.entries(values.route).map(([name, route]): RouteGroup => {
+        const { policy: policyName, ...section } = defined(values.kind[route.kind]);
+        const kind = { ...section, name: route.kind };
+        const { method, host, path } = route;
+        const toRoute = (service: Service): Route => {
+            const policy = policyName === undefined ? service.policy : defined(policies.get(policyName));
+            return { name, method, path, service, kind, policy };
+        };
+        const choices = parseDestinations(route.service).map(({ service, weight }) => {
+            return { weight, route: toRoute(defined(services.get(serviceName(service)))) };
+        });
+        return { name, method, host, path, choices };
+    });
+    const { fleet, callers } = values;
+    return { generation: generation(values.generation), hash, fleet, callers, services, routes, router: new Router() };
 };
 
 const defined = <Value>(value: Value | undefined): Value => {
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -9,19 +9,32 @@
 export { type ChooserName, chooserNames, configurationSchema, policySectionsSchema } from "./configuration-schema.js";
 export {
     checkConfiguration,
+    checkSections,
     type Configuration,
-    type Kind,
+    type ConfigurationContext,
+    hashOf,
     maximumDocumentBytes,
-    type Route,
-    type Service,
-    type Upstream,
+    tooLarge,
 } from "./configuration.js";
 export { type Finding, formatFinding } from "./finding.js";
-export { checkInstanceList, type InstanceList, instanceListSchema, type ListedInstance } from "./instance-list.js";
 export { InvalidDocumentError } from "./invalid-document-error.js";
-export { booleanKey, choiceKey, integerKey, nameKey, namePattern, numberKey, optionalSection, textKey } from "./key.js";
-export { LocatedIni } from "./located-ini.js";
+export {
+    booleanKey,
+    choiceKey,
+    type Endpoint,
+    integerKey,
+    nameKey,
+    namePattern,
+    numberKey,
+    optionalSection,
+    parseEndpoint,
+    textKey,
+} from "./key.js";
+export { type IniValue, LocatedIni } from "./located-ini.js";
 export { referenceMarkdown } from "./reference.js";
+export { type Kind, pickRoute, type Route, type RouteGroup, type WeightedRoute } from "./route.js";
 export { Router } from "./router.js";
-export { checkPolicies, type ServicePolicy } from "./service-policy.js";
+export { checkPolicies, checkPolicyFile, policyFileSchema, type ServicePolicy } from "./service-policy.js";
+export { type Service } from "./service.js";
 export { checkSettings, isLoopback, type Settings, settingsSchema } from "./settings.js";
+export { type ListedUpstream, type Upstream } from "./upstream.js";
--- a/packages/configuration/src/key.ts
+++ b/packages/configuration/src/key.ts
@@ -101,6 +101,27 @@
 export const addressKey = (options: KeyOptions<string>) =>
     key(value => typeof value === "string" && isIP(value) !== 0 ? value : undefined, "an IP number", options);
 
+/** A key that holds an IP number, or an IP number and a port as `IP:port`. */
+export const endpointKey = (options: KeyOptions<string>) =>
+    key(
+        value => typeof value === "string" && (isIP(value) !== 0 || parseEndpoint(value) !== undefined) ? value : undefined,
+        "an IP number, or IP:port",
+        options,
+    );
+
+/** An address with its port. */
+export interface Endpoint {
+    readonly address: string;
+    readonly port: number;
+}
+
+/** Reads `IP:port`; `undefined` when the text is none. */
+export const parseEndpoint = (text: string): Endpoint | undefined => {
+    const [, address = "", port = ""] = /^(.+):(\d{1,5})$/.exec(text.trim()) ?? [];
+    const plain = address.replace(/^\[(.*)\]$/, "$1");
+    return isIP(plain) !== 0 && Number(port) <= 65_535 ? { address: plain, port: Number(port) } : undefined;
+};
+
 /** A key that holds one of a few words. */
 export const choiceKey = <Choice extends string>(choices: readonly Choice[], options: KeyOptions<Choice>) =>
     key(value => choices.find(choice => choice === value), `one of ${choices.join(", ")}`, options);
--- a/packages/configuration/src/located-ini.ts
+++ b/packages/configuration/src/located-ini.ts
@@ -63,6 +63,16 @@
         return new LocatedIni(file, parse(text), lines, mistakes);
     }
 
+    /**
+     * Takes values that were published in another syntax; their lines are unknown.
+     *
+     * @param file - Name of the file or key, for findings.
+     * @param values - The values, as an INI document would give them.
+     */
+    static of(file: string, values: Readonly<Record<string, IniValue>>): LocatedIni {
+        return new LocatedIni(file, values, new Map(), []);
+    }
+
     /** The line of a key, else of its section, else `undefined`. */
     lineOf(section: string, key: string): number | undefined {
         return this.lines.get(place(section, key)) ?? this.lines.get(place(section, ""));
--- a/packages/configuration/src/router.ts
+++ b/packages/configuration/src/router.ts
@@ -6,20 +6,27 @@
 
 import { asError } from "@harrierhitch/core";
 import findMyWay, { type HTTPMethod } from "find-my-way";
-import type { Route } from "./configuration.js";
+import { anyMethod } from "./configuration-schema.js";
+import type { RouteGroup } from "./route.js";
 
-/** Finds routes by method and path. */
+/** Finds routes by host, method and path. */
 export class Router {
-    private readonly routes = findMyWay({ ignoreTrailingSlash: false, maxParamLength: 1024 });
+    /** Routes of one method with a path pattern, by host; the empty host takes every request. */
+    private readonly patterns = new Map<string, findMyWay.Instance<findMyWay.HTTPVersion.V1>>();
+    /** Routes of every method, by host and beginning of the path. */
+    private readonly prefixes = new Map<string, RouteGroup>();
 
     /**
      * Adds a route.
      *
      * @returns What is wrong with its path, if anything.
      */
-    add(route: Route): string | undefined {
+    add(route: RouteGroup): string | undefined {
+        if (route.method === anyMethod) {
+            return this.addPrefix(route);
+        }
         try {
-            this.routes.on(route.method, route.path, unusedHandler, route);
+            this.patternsOf(route.host).on(route.method as HTTPMethod, route.path, unusedHandler, route);
             return undefined;
         }
         catch (thrown) {
@@ -28,19 +35,59 @@
     }
 
     /**
-     * Finds the route of a request. `HEAD` falls back to `GET`.
+     * Finds the route of a request. A route for the request's host goes before
+     * one for every host, the longest beginning of the path before shorter ones.
      *
-     * @param method - HTTP method in capitals.
+     * @param method - HTTP method in capitals; `HEAD` falls back to `GET`.
+     * @param host - Host in lower case, without the port.
      * @param path - Path without the query.
      */
-    find(method: string, path: string): Route | undefined {
-        const found = this.routes.find(method as HTTPMethod, path);
-        if (found !== null) {
-            return (found.store ?? undefined) as Route | undefined;
+    find(method: string, host: string, path: string): RouteGroup | undefined {
+        return this.findAt(method, host, path) ?? (host === "" ? undefined : this.findAt(method, "", path));
+    }
+
+    private findAt(method: string, host: string, path: string): RouteGroup | undefined {
+        return this.findPattern(method, host, path) ?? this.findPrefix(host, path);
+    }
+
+    private findPattern(method: string, host: string, path: string): RouteGroup | undefined {
+        const found = this.patterns.get(host)?.find(method as HTTPMethod, path);
+        if (found !== null && found !== undefined) {
+            return (found.store ?? undefined) as RouteGroup | undefined;
+        }
+        return method === "HEAD" ? this.findPattern("GET", host, path) : undefined;
+    }
+
+    private findPrefix(host: string, path: string): RouteGroup | undefined {
+        for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+            const route = this.prefixes.get(prefixKey(host, path.slice(0, end + 1)));
+            if (route !== undefined) {
+                return route;
+            }
         }
-        return method === "HEAD" ? this.find("GET", path) : undefined;
+        return undefined;
+    }
+
+    private addPrefix(route: RouteGroup): string | undefined {
+        if (!route.path.endsWith("/")) {
+            return `a route of the method ${anyMethod} needs a path that ends with /`;
+        }
+        const key = prefixKey(route.host, route.path);
+        if (this.prefixes.has(key)) {
+            return "another route has the same host and path";
+        }
+        this.prefixes.set(key, route);
+        return undefined;
+    }
+
+    private patternsOf(host: string): findMyWay.Instance<findMyWay.HTTPVersion.V1> {
+        const known = this.patterns.get(host) ?? findMyWay({ ignoreTrailingSlash: false, maxParamLength: 1024 });
+        this.patterns.set(host, known);
+        return known;
     }
 }
 
+const prefixKey = (host: string, prefix: string): string => `${host} ${prefix}`;
+
 /** The library calls handlers; here only the route beside it is used. */
 const unusedHandler = (): void => undefined;
--- a/packages/configuration/src/service-policy.ts
+++ b/packages/configuration/src/service-policy.ts
@@ -5,9 +5,11 @@
  */
 
 import { clauseNames, Policy, type PolicyCheckError, type PolicySource } from "@harrierhitch/policy";
-import type { ChooserName, ConfigurationValues } from "./configuration-schema.js";
+import { z } from "zod";
+import { checkDocument, type Checked } from "./check.js";
+import { type ChooserName, type ConfigurationValues, policySectionsSchema } from "./configuration-schema.js";
 import type { Finding } from "./finding.js";
-import type { LocatedIni } from "./located-ini.js";
+import { LocatedIni } from "./located-ini.js";
 
 /** A policy in force, with the chooser it picks. */
 export interface ServicePolicy {
@@ -15,6 +17,12 @@
     readonly chooser: ChooserName;
     /** When a caller that was refused should come back, in milliseconds. */
     readonly refuseRetryAfterMs: number;
+    /** Candidates that are asked for their load before the choice. */
+    readonly probeCandidates: number;
+    /** Longest time for which the choice waits for them, in milliseconds. */
+    readonly probeTimeoutMs: number;
+    /** When a second attempt begins, in hundredths of the target latency; 0 for never. */
+    readonly hedgePercent: number;
 }
 
 /** Checks the policies of a document; gives those that pass, by name, and what is wrong with the others. */
@@ -23,8 +31,8 @@
     const findings = Object.entries(values).flatMap(([name, section]): readonly Finding[] => {
         const result = Policy.check(policySource(document, name, section));
         if (result instanceof Policy) {
-            const { chooser, refuseRetryAfterMs } = section;
-            policies.set(name, { policy: result, chooser, refuseRetryAfterMs });
+            const { refuse: _, hold: _hold, filter: _filter, rank: _rank, ...options } = section;
+            policies.set(name, { policy: result, ...options });
             return [];
         }
         return result.map(error => policyFinding(document, error));
@@ -32,6 +40,26 @@
     return { policies, findings };
 };
 
+/** Schema of a file that holds nothing but policies. */
+export const policyFileSchema = z.strictObject({ policy: policySectionsSchema });
+
+/**
+ * Reads and checks a file of policies, for configurations that name them.
+ *
+ * @param file - Name of the file, for findings.
+ * @param text - The file's text.
+ * @returns The policies by name, or all findings.
+ */
+export const checkPolicyFile = (file: string, text: string): Checked<ReadonlyMap<string, ServicePolicy>> => {
+    const document = LocatedIni.read(file, text);
+    const checked = checkDocument(document, policyFileSchema);
+    if (checked.value === undefined) {
+        return checked;
+    }
+    const { policies, findings } = checkPolicies(document, checked.value.policy);
+    return findings.length > 0 ? { value: undefined, findings } : { value: policies, findings: [] };
+};
+
 const policySource = (
     document: LocatedIni,
     name: string,
--- a/packages/configuration/src/settings.ts
+++ b/packages/configuration/src/settings.ts
@@ -7,10 +7,30 @@
 import { z } from "zod";
 import { checkDocument, type Checked } from "./check.js";
 import type { Finding } from "./finding.js";
-import { addressKey, choiceKey, integerKey, nameKey, numberKey, optionalSection, optionalTextKey, textKey } from "./key.js";
+import {
+    booleanKey,
+    choiceKey,
+    endpointKey,
+    integerKey,
+    nameKey,
+    numberKey,
+    optionalSection,
+    optionalTextKey,
+    parseEndpoint,
+    textKey,
+} from "./key.js";
 import { LocatedIni } from "./located-ini.js";
 
-const portKey = (description: string) => integerKey({ description, minimum: 0, maximum: 65535 });
+/** A port; 0 stands for a free one, or for the port that the address names. */
+const portKey = (description: string) => integerKey({ description, minimum: 0, maximum: 65535, defaultValue: 0 });
+
+const trustsNetworkKey = booleanKey({
+    description: "Whether to serve without TLS outside loopback, because nobody else reaches this network.",
+    defaultValue: false,
+});
+
+const endpointsKey = (options: { readonly description: string; readonly defaultValue?: string; }) =>
+    textKey({ ...options, expected: "IP:port pairs separated by commas", pattern: /^([^,\s]+:\d+(\s*,\s*[^,\s]+:\d+)*)?$/ });
 
 const tlsKeys = {
     certificateFile: optionalTextKey({
@@ -31,7 +51,7 @@
         availabilityZone: nameKey({ description: "Availability zone in which this instance runs." }),
     }),
     callers: z.strictObject({
-        address: addressKey({ description: "IP number on which callers are served." }),
+        address: endpointKey({ description: "IP number on which callers are served." }),
         port: portKey("Port on which callers are served; 0 takes a free one."),
         maximumConnections: integerKey({
             description: "Most connections of callers at the same time; further ones are closed.",
@@ -77,13 +97,21 @@
         ...tlsKeys,
     }),
     operators: z.strictObject({
-        address: addressKey({ description: "IP number on which operators are served." }),
+        address: endpointKey({ description: "IP number on which operators are served." }),
         port: portKey("Port on which operators are served; 0 takes a free one."),
+        trustsNetwork: trustsNetworkKey,
         ...tlsKeys,
     }),
+    ready: z.strictObject({
+        address: endpointKey({ description: "IP number on which the balancer in front asks for readiness." }),
+        port: portKey("Port on which it asks; 0 takes a free one."),
+        path: textKey({ description: "Path that it asks for.", defaultValue: "/readyz", expected: "a path", pattern: /^\// }),
+    }).optional(),
     peers: z.strictObject({
-        address: addressKey({ description: "IP number on which other instances are served, as the instance list names it." }),
+        address: endpointKey({ description: "IP number on which other instances are served, as the instance list names it." }),
         port: portKey("Port on which other instances are served; 0 takes a free one."),
+        trustsNetwork: trustsNetworkKey,
+        seeds: endpointsKey({ description: "Instances that are asked first for the others.", defaultValue: "" }),
         fleet: nameKey({ description: "Name of the fleet; instances of another fleet are refused." }),
         hearTimeoutMs: integerKey({
             description:
@@ -94,18 +122,13 @@
             defaultValue: 10_000,
         }),
         ...tlsKeys,
-    }),
+    }).optional(),
     platform: z.strictObject({
-        addresses: textKey({
-            description: "Addresses of the configuration service, tried in turn.",
-            expected: "IP:port pairs separated by commas",
-            pattern: /^[^,\s]+:\d+(\s*,\s*[^,\s]+:\d+)*$/,
-        }),
+        addresses: endpointsKey({ description: "Addresses of the configuration service, tried in turn." }),
         configurationKey: textKey({
             description: "Key under which the configuration is published.",
             defaultValue: "configuration",
         }),
-        instancesKey: textKey({ description: "Key under which the instance list is published.", defaultValue: "instances" }),
         readTimeoutMs: integerKey({
             description: "Longest time for one read.",
             unit: "ms",
@@ -150,6 +173,14 @@
             maximum: 1_048_576,
             defaultValue: 65_536,
         }),
+        answerBufferBytes: integerKey({
+            description: "Largest answer that is kept back until it is whole, so that a broken one can be replaced; "
+                + "larger ones are passed on as they arrive.",
+            unit: "bytes",
+            minimum: 0,
+            maximum: 16_777_216,
+            defaultValue: 0,
+        }),
         stopDelayMs: integerKey({
             description: "Time between turning readiness off and closing the callers' port in a planned stop.",
             unit: "ms",
@@ -165,11 +196,42 @@
             defaultValue: 60_000,
         }),
     }),
+    budgets: z.strictObject({
+        retryShare: numberKey({
+            description: "Attempts beyond the first of each request that the whole fleet may make, as a share of a service's requests.",
+            minimum: 0,
+            maximum: 1,
+        }),
+        retrySlack: numberKey({
+            description: "Attempts beyond the first that the whole fleet may make on top of that share, for each service.",
+            minimum: 0,
+            maximum: 1_000_000,
+        }),
+        probesPerSecond: numberKey({
+            description: "Probes of one upstream that the whole fleet may make.",
+            unit: "1/s",
+            minimum: 0,
+            maximum: 100_000,
+        }),
+    }).optional(),
+    policies: optionalSection({
+        file: optionalTextKey({
+            description: "INI file with policies that every configuration may name.",
+            expected: "a path",
+        }),
+    }),
     log: optionalSection({
         level: choiceKey(["debug", "info", "warn", "error"], {
             description: "Lowest level of events that are logged.",
             defaultValue: "info",
         }),
+        linesPerSecond: integerKey({
+            description: "Most lines; further ones are dropped and counted.",
+            unit: "1/s",
+            minimum: 1,
+            maximum: 100_000,
+            defaultValue: 200,
+        }),
     }),
     traces: optionalSection({
         otlpUrl: optionalTextKey({
@@ -207,25 +269,38 @@
     if (checked.value === undefined) {
         return checked;
     }
-    const findings = (["callers", "operators", "peers"] as const).flatMap(section =>
-        tlsFindings(document, checked.value, section)
-    );
-    return findings.length === 0 ? checked : { value: undefined, findings };
+    const settings = withPorts(checked.value);
+    const findings = (["callers", "operators", "peers"] as const).flatMap(section => tlsFindings(document, settings, section));
+    return findings.length === 0 ? { value: settings, findings: [] } : { value: undefined, findings };
 };
 
+/** Takes apart the addresses that name their port. */
+const withPorts = (settings: Settings): Settings => ({
+    ...settings,
+    callers: { ...settings.callers, ...parseEndpoint(settings.callers.address) },
+    operators: { ...settings.operators, ...parseEndpoint(settings.operators.address) },
+    ...(settings.peers && { peers: { ...settings.peers, ...parseEndpoint(settings.peers.address) } }),
+    ...(settings.ready && { ready: { ...settings.ready, ...parseEndpoint(settings.ready.address) } }),
+});
+
 const tlsFindings = (
     document: LocatedIni,
     settings: Settings,
     section: "callers" | "operators" | "peers",
 ): readonly Finding[] => {
-    const { address, certificateFile, keyFile, authorityFile } = settings[section];
+    const values = settings[section];
+    if (values === undefined) {
+        return [];
+    }
+    const { address, certificateFile, keyFile, authorityFile } = values;
+    const trustsNetwork = !("trustsNetwork" in values) || values.trustsNetwork;
     const place = { file: document.file, section };
     const findings: Finding[] = [];
     if ((certificateFile === undefined) !== (keyFile === undefined)) {
         const key = certificateFile === undefined ? "certificateFile" : "keyFile";
         findings.push({ ...place, key, line: document.lineOf(section, key), message: "certificateFile and keyFile go together" });
     }
-    if (section !== "callers" && !isLoopback(address) && (certificateFile === undefined || authorityFile === undefined)) {
+    if (!trustsNetwork && !isLoopback(address) && (certificateFile === undefined || authorityFile === undefined)) {
         const message = "outside loopback, operators and peers are served with certificateFile, keyFile and authorityFile only";
         findings.push({ ...place, key: "address", line: document.lineOf(section, "address"), message });
     }
--- a/packages/daemon/src/arrival.ts
+++ b/packages/daemon/src/arrival.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 
-import type { Configuration, Kind } from "@harrierhitch/configuration";
 import type { IncomingMessage } from "node:http";
 
 /** What was read from the head of a request. */
@@ -17,37 +16,29 @@
     readonly depth: number;
     /** Path without the query. */
     readonly path: string;
-    /** Key of a request that must not run twice. */
-    readonly idempotencyKey: string | undefined;
 }
 
-/** Longest hall name and longest idempotency key that are taken. */
-const maximumNameLength = 256;
+/** Longest header value that is taken. */
+const maximumValueLength = 256;
 
-/** Reads the head of a request. */
-export const readArrival = (request: IncomingMessage, fleet: Configuration["fleet"], kind: Kind): Arrival => {
-    const asked = numberHeader(request, fleet.timeoutHeader);
-    const key = textHeader(request, fleet.idempotencyHeader);
-    return {
-        timeoutMs: asked === undefined ? kind.timeoutMs : Math.min(asked, kind.timeoutMs),
-        hall: textHeader(request, fleet.hallHeader) ?? "",
-        depth: numberHeader(request, fleet.depthHeader) ?? 0,
-        path: pathOf(request.url ?? "/"),
-        idempotencyKey: key,
-    };
-};
-
-const pathOf = (url: string): string => {
+/** The path of a URL, without its query. */
+export const pathOf = (url: string): string => {
     const query = url.indexOf("?");
     return query < 0 ? url : url.slice(0, query);
 };
 
-const textHeader = (request: IncomingMessage, name: string): string | undefined => {
+/** The host that a request names, in lower case and without the port; empty when it names none. */
+export const hostOf = (request: IncomingMessage): string =>
+    (request.headers.host ?? "").toLowerCase().replace(/:\d*$/, "");
+
+/** A header's text; `undefined` when it is missing, empty or repeated. */
+export const textHeader = (request: IncomingMessage, name: string): string | undefined => {
     const value = request.headers[name];
-    return typeof value === "string" && value !== "" ? value.slice(0, maximumNameLength) : undefined;
+    return typeof value === "string" && value !== "" ? value.slice(0, maximumValueLength) : undefined;
 };
 
-const numberHeader = (request: IncomingMessage, name: string): number | undefined => {
+/** A header's whole number; `undefined` when it is none. */
+export const numberHeader = (request: IncomingMessage, name: string): number | undefined => {
     const text = textHeader(request, name);
     return text !== undefined && /^\d{1,9}$/.test(text) ? Number(text) : undefined;
 };
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -5,18 +5,20 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
-import type { Outcome, UpstreamId } from "@harrierhitch/core";
+import type { Outcome } from "@harrierhitch/core";
 import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AttemptRecord } from "./decision-record.js";
-import { answerHeaders, requestHeaders } from "./headers.js";
-import { outcomeHeader } from "./problem.js";
+import type { AnswerReading } from "./dialect.js";
+import { requestHeaders } from "./headers.js";
+import { learnFromAnswer } from "./learn.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 import { newSpanId, toTraceparent } from "./trace-context.js";
 import type { AnswerSink, Attempt } from "./upstream-transport.js";
+import { AnswerBuffer, type WholeAnswer } from "./whole-answer.js";
 
 /** Everything that one attempt needs. */
 export interface AttemptOptions {
@@ -25,59 +27,46 @@
     /** The request, to whose record the attempt is added. */
     readonly progress: RequestProgress;
     readonly body: RequestBody;
-    readonly upstream: UpstreamId;
-    /** Whether an answer with this outcome may be thrown away because another attempt is allowed. */
-    readonly mayDiscard: (outcome: Outcome) => boolean;
+    readonly upstream: Upstream;
+    /** Asked before an answer is passed on as it arrives: whether it is this attempt's turn to answer the caller. */
+    readonly mayStream: (reading: AnswerReading) => boolean;
 }
 
 /** What became of an attempt. */
 export interface AttemptReport {
+    readonly task: AttemptTask;
     readonly result: AttemptResult;
     readonly outcome: Outcome;
+    /** What the head of the answer said; `undefined` without one. */
+    readonly reading: AnswerReading | undefined;
+    /** The whole answer, where it was kept back. */
+    readonly answer: WholeAnswer | undefined;
     /** Whether the head of the answer was passed on to the caller. */
     readonly passedOn: boolean;
-    /** Whether the whole answer arrived. */
-    readonly whole: boolean;
 }
 
 /** Time that is kept back at each hop, so that an answer of the next one still arrives in time. */
 const hopMarginMs = 2;
 
-/** Statuses by which a gateway says that it could not answer; they do not tell whether the request ran. */
-const gatewayStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
-
-/** Least load of an upstream that sheds, in its slots. */
-const shedLoadFactor = 4;
-
 /** Most bytes of an answer that is not passed on, read so that its connection can be used again. */
 const maximumDiscardedBytes = 65_536;
 
-/**
- * Runs one attempt to its end.
- *
- * @param options - The request and what is known of it.
- * @returns What became of it; never rejected.
- */
-export const runAttempt = async (options: AttemptOptions): Promise<AttemptReport> => {
-    const upstream = options.progress.route.service.upstreams.find(candidate => candidate.id === options.upstream);
-    if (upstream === undefined) {
-        throw new RangeError(`the service has no upstream ${options.upstream}`);
-    }
-    return new AttemptTask(options, upstream).run();
-};
-
-class AttemptTask implements AnswerSink {
-    private readonly startedAtMs: number;
+/** Runs one attempt to its end. */
+export class AttemptTask implements AnswerSink {
+    /** Fulfilled, never rejected, when the attempt has ended. */
+    readonly ended: Promise<AttemptReport>;
+    readonly startedAtMs: number;
     private readonly flight: Flight;
     private readonly record: AttemptRecord;
-    private attempt: Attempt | undefined;
+    private readonly attempt: Attempt;
+    private reading: AnswerReading | undefined;
+    private buffer: AnswerBuffer | undefined;
     private passedOn = false;
     private discardedBytes = 0;
-    /** What the head of the answer told, where it told more than the transport can see. */
-    private marked: Outcome | undefined;
 
-    constructor(private readonly options: AttemptOptions, private readonly upstream: Upstream) {
-        const { runtime, services, progress } = options;
+    /** @param options - The request and what is known of it. */
+    constructor(private readonly options: AttemptOptions) {
+        const { runtime, services, progress, upstream } = options;
         this.startedAtMs = services.clock.nowMs();
         this.flight = runtime.beliefs.start(upstream.id);
         this.record = {
@@ -88,111 +77,106 @@
             result: undefined,
             outcome: undefined,
         };
+        progress.record.attempts.push(this.record);
+        this.attempt = services.transport.send(upstream, this.upstreamRequest(), this);
+        this.ended = this.attempt.result.then(result => this.finish(result));
     }
 
-    async run(): Promise<AttemptReport> {
-        const { services, progress } = this.options;
-        const { answer, deadlineAtMs, route, record } = progress;
-        record.attempts.push(this.record);
-        this.attempt = services.transport.send(this.upstream, this.upstreamRequest(), this);
-        const deadline = services.clock.after(deadlineAtMs - this.startedAtMs, () => this.attempt?.cancel("timed-out"));
-        const onLeft = () => {
-            // What may not be repeated runs to its end, so that its outcome is known.
-            if (route.kind.repeatable) {
-                this.attempt?.cancel("cancelled");
-            }
-        };
-        const forgetLeaving = answer.onCallerLeft(onLeft);
-        const result = await this.attempt.result;
-        forgetLeaving();
-        deadline.cancel();
-        return this.finish(result);
+    /** The upstream that is tried. */
+    get upstream(): Upstream {
+        return this.options.upstream;
+    }
+
+    /** Gives up; the upstream is told by the end of the connection. */
+    cancel(end: "timed-out" | "cancelled"): void {
+        this.attempt.cancel(end);
     }
 
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
-        const { progress, mayDiscard } = this.options;
-        const shed = this.isShed(status, headers);
-        this.learn(status, headers, shed);
-        this.marked = shed ? "not-run" : this.outcomeOfStatus(status, headers);
-        const failed = shed || gatewayStatuses.has(status);
-        if (failed && mayDiscard(this.marked)) {
+        const { services, runtime, progress, upstream } = this.options;
+        const { service } = progress.route;
+        const reading = services.dialect.readAnswer({ status, headers, service, requestHeaders: progress.request.headers });
+        this.reading = reading;
+        learnFromAnswer(services, runtime, upstream, reading, this.startedAtMs);
+        if (reading.foreign !== undefined) {
+            return false;
+        }
+        const keptBytes = services.answerBufferBytes;
+        if (keptBytes > 0 || !this.options.mayStream(reading)) {
+            this.buffer = new AnswerBuffer(status, headers, keptBytes);
             return true;
         }
-        this.passedOn = true;
-        progress.copy?.begin(status, answerHeaders(headers, {}));
-        progress.answer.begin(status, headers, progress.ownHeaders(this.marked));
+        this.passOn(status, headers, reading);
         return true;
     }
 
     onData(chunk: Buffer): boolean {
         if (this.passedOn) {
-            this.options.progress.copy?.add(chunk);
-            return this.options.progress.answer.write(chunk, () => this.attempt?.resume());
+            return this.options.progress.answer.write(chunk, () => this.attempt.resume());
         }
-        this.discardedBytes += chunk.length;
-        if (this.discardedBytes > maximumDiscardedBytes) {
-            this.attempt?.cancel("cancelled");
+        if (this.buffer?.add(chunk) === false) {
+            this.streamOrDiscard(this.buffer, chunk);
         }
         return true;
     }
 
-    private isShed(status: number, headers: IncomingHttpHeaders): boolean {
-        const { shedStatuses, shedHeader } = this.options.progress.route.service;
-        return shedStatuses.has(status) && headers[shedHeader] === "not-run";
-    }
-
-    private outcomeOfStatus(status: number, headers: IncomingHttpHeaders): Outcome {
-        const told = headers[outcomeHeader];
-        if (status >= 500 && (told === "unknown" || told === "not-run")) {
-            return told;
+    /** The answer is too large to be kept: it is passed on from here, if it is its turn, or thrown away. */
+    private streamOrDiscard(buffer: AnswerBuffer, chunk: Buffer): void {
+        if (this.reading !== undefined && this.options.mayStream(this.reading)) {
+            this.passOn(buffer.status, buffer.headers, this.reading);
+            buffer.parts.forEach(part => this.options.progress.answer.write(part, () => undefined));
+            return;
+        }
+        this.discardedBytes += chunk.length;
+        if (this.discardedBytes > maximumDiscardedBytes) {
+            this.attempt.cancel("cancelled");
         }
-        return gatewayStatuses.has(status) ? "unknown" : "ran";
     }
 
-    private learn(status: number, headers: IncomingHttpHeaders, shed: boolean): void {
-        const { runtime, services, progress } = this.options;
-        const atMs = services.clock.nowMs();
-        const reported = Number(headers[progress.route.service.loadHeader] ?? NaN);
-        const reportedInFlight = Number.isFinite(reported) && reported >= 0 ? reported : undefined;
-        if (headers[progress.route.service.drainHeader] === "draining") {
-            runtime.beliefs.observe(this.upstream.id, { type: "draining", atMs });
-        }
-        if (shed) {
-            // Whatever it reports, an upstream that sheds is full: it must not look idle.
-            const inFlight = Math.max(reportedInFlight ?? 0, this.upstream.slots * shedLoadFactor);
-            runtime.beliefs.observe(this.upstream.id, { type: "shed", atMs });
-            runtime.beliefs.observe(this.upstream.id, { type: "reported", atMs, inFlight });
-            return;
-        }
-        const latencyMs = atMs - this.startedAtMs;
-        const failed = status >= 500;
-        runtime.beliefs.observe(this.upstream.id, { type: "answered", atMs, latencyMs, failed, reportedInFlight });
+    private passOn(status: number, headers: IncomingHttpHeaders, reading: AnswerReading): void {
+        const { progress } = this.options;
+        this.passedOn = true;
+        this.buffer = undefined;
+        progress.answer.begin(status, headers, progress.ownHeaders(reading.outcome));
     }
 
     private finish(result: AttemptResult): AttemptReport {
-        const { runtime, services, progress } = this.options;
+        const { runtime, services, progress, upstream } = this.options;
+        const { reading } = this;
         runtime.beliefs.finish(this.flight);
         runtime.queue.wake();
         const atMs = services.clock.nowMs();
-        if (result.end !== "answered" && result.end !== "cancelled") {
-            runtime.beliefs.observe(this.upstream.id, { type: "failed", atMs });
+        const isForeign = reading?.foreign !== undefined;
+        if (isForeign || result.end !== "answered" && result.end !== "cancelled") {
+            runtime.beliefs.observe(upstream.id, { type: "failed", atMs });
         }
-        const outcome = this.marked ?? outcomeOf(result);
+        const outcome = this.outcomeOf(result);
         this.record.endedMs = atMs - progress.arrivedAtMs;
-        this.record.result = this.marked === "not-run" ? { ...result, end: "shed" } : result;
+        this.record.result = isForeign
+            ? { ...result, end: "garbled", detail: reading.foreign }
+            : { ...result, end: reading?.shed === true ? "shed" : result.end };
         this.record.outcome = outcome;
-        services.onAttempt(progress.route, this.record);
-        return { result: this.record.result, outcome, passedOn: this.passedOn, whole: result.end === "answered" };
+        services.onAttempt(progress, this.record);
+        const isWhole = result.end === "answered" && !isForeign;
+        const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
+        return { task: this, result: this.record.result, outcome, reading, answer, passedOn: this.passedOn };
+    }
+
+    private outcomeOf(result: AttemptResult): Outcome {
+        if (this.reading === undefined) {
+            return outcomeOf(result);
+        }
+        return this.reading.foreign === undefined ? this.reading.outcome : "unknown";
     }
 
     private upstreamRequest() {
-        const { body, progress } = this.options;
+        const { body, progress, services, upstream } = this.options;
         const { request, arrival, trace } = progress;
-        const { fleet } = progress.record.configuration;
+        const { configuration } = progress.record;
         const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
+        const own = services.dialect.attemptHeaders({ configuration, upstream, remainingMs, depth: arrival.depth + 1 });
         const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
-            [fleet.timeoutHeader]: String(remainingMs),
-            [fleet.depthHeader]: String(arrival.depth + 1),
+            ...own,
             traceparent: toTraceparent(trace, this.record.spanId),
         });
         return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open() };
--- a/packages/daemon/src/caller-answer.ts
+++ b/packages/daemon/src/caller-answer.ts
@@ -5,11 +5,15 @@
  */
 
 import type { RequestId } from "@harrierhitch/core";
-import type { KeptAnswer } from "@harrierhitch/fleet";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { answerHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
+import type { WholeAnswer } from "./whole-answer.js";
+
+/** Statuses whose answers have no body, whatever their headers say. */
+const noContentStatus = 204;
+const notModifiedStatus = 304;
 
 /**
  * Writes either one upstream's whole answer or one problem. An answer that
@@ -86,19 +90,21 @@
         this.response.end();
     }
 
-    /** Gives a whole answer that is kept. */
-    whole(answer: KeptAnswer, own: OutgoingHttpHeaders): void {
+    /** Gives a whole answer of an upstream, with headers of our own. */
+    whole({ status, headers, body }: WholeAnswer, own: OutgoingHttpHeaders): void {
         if (this.begun || this.left) {
             return;
         }
-        const headers: OutgoingHttpHeaders = {};
-        answer.headers.forEach(([name, value]) => {
-            const before = headers[name];
-            headers[name] = before === undefined ? value : [before, value].flat().map(String);
-        });
+        const passedOn = answerHeaders(headers, own);
+        if (this.mustClose) {
+            passedOn["connection"] = "close";
+        }
+        if (this.request.method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus) {
+            passedOn["content-length"] = body.length;
+        }
         this.finished = true;
-        this.response.writeHead(answer.status, Object.assign(headers, own));
-        this.response.end(answer.body);
+        this.response.writeHead(status, passedOn);
+        this.response.end(body);
     }
 
     /** Cuts the answer off, because it cannot become whole. */
--- a/packages/daemon/src/callers-server.ts
+++ b/packages/daemon/src/callers-server.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Settings } from "@harrierhitch/configuration";
+import type { Configuration, Settings } from "@harrierhitch/configuration";
 import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
@@ -30,10 +30,12 @@
     private readonly server: Server;
     private readonly tasks = new Set<Promise<void>>();
     private stopping = false;
+    private maximumBodyBytes: number;
 
     /** @param options - Addresses, limits and the handler. */
     constructor(private readonly options: CallersServerOptions) {
         this.server = createPlainOrTls(options.settings);
+        this.maximumBodyBytes = options.settings.maximumBodyBytes;
         this.server.maxConnections = options.settings.maximumConnections;
         this.server.on("request", (request, response) => this.accept(request, response));
         this.server.on("checkContinue", (request, response) => this.acceptAfterContinue(request, response));
@@ -62,6 +64,19 @@
         this.stopping = true;
     }
 
+    /** Takes over the limits that a configuration sets; 0 leaves a limit to the settings. */
+    configure({ maximumBodyBytes, keepAliveTimeoutMs, headersTimeoutMs }: Configuration["callers"]): void {
+        const { settings } = this.options;
+        this.maximumBodyBytes = maximumBodyBytes === 0 ? settings.maximumBodyBytes : maximumBodyBytes;
+        this.server.keepAliveTimeout = keepAliveTimeoutMs === 0 ? settings.keepAliveTimeoutMs : keepAliveTimeoutMs;
+        this.server.headersTimeout = headersTimeoutMs === 0 ? settings.headersTimeoutMs : headersTimeoutMs;
+    }
+
+    /** Closes the connections on which no request is being served. */
+    closeIdle(): void {
+        this.server.closeIdleConnections();
+    }
+
     /**
      * Takes no more connections and waits for the requests in flight.
      *
@@ -82,7 +97,7 @@
 
     private acceptAfterContinue(request: IncomingMessage, response: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
-        if (length <= this.options.settings.maximumBodyBytes) {
+        if (length <= this.maximumBodyBytes) {
             response.writeContinue();
         }
         this.accept(request, response);
--- a/packages/daemon/src/event-log.ts
+++ b/packages/daemon/src/event-log.ts
@@ -4,26 +4,93 @@
  * @packageDocumentation
  */
 
-import { type Logger, pino } from "pino";
-import type { EventKind } from "./event.js";
+import { type Clock, SystemClock } from "@harrierhitch/core";
+import { type DestinationStream, type Logger, pino } from "pino";
+import { type EventKind, events } from "./event.js";
 
 /** Fields of one event. Errors go under `error`. */
 export type EventFields = Readonly<Record<string, unknown>>;
 
-/** Writes events to standard output, one JSON object a line. */
+/** Options of {@link EventLog}. */
+export interface EventLogOptions {
+    /** Lowest level that is written. */
+    readonly level: string;
+    /** Fields of every event, for example the instance. */
+    readonly base?: EventFields;
+    /** Most lines a second; warnings and errors may use as many again. */
+    readonly linesPerSecond?: number;
+    readonly clock?: Clock;
+    /** Where lines go; standard output, written in the background, without one. */
+    readonly destination?: DestinationStream;
+    /** Told of lines that were dropped. */
+    readonly onDropped?: (lines: number) => void;
+}
+
+const defaultLinesPerSecond = 200;
+
+/** Length of the spans of time in which lines are counted. */
+const windowMs = 1000;
+
+/** Most bytes that wait to be written: a reader of standard output that stalls costs lines, not time. */
+const maximumWaitingBytes = 1_048_576;
+
+/** Writes events as JSON, one object a line; it never blocks and drops lines rather than growing. */
 export class EventLog {
     private readonly logger: Logger;
+    private readonly clock: Clock;
+    private readonly linesPerSecond: number;
+    private windowAtMs = -Infinity;
+    private lines = 0;
+    private dropped = 0;
 
-    /**
-     * @param level - Lowest level that is written.
-     * @param base - Fields of every event, for example the instance.
-     */
-    constructor(level: string, base: EventFields) {
-        this.logger = pino({ level, base, serializers: { error: pino.stdSerializers.err } });
+    /** @param options - Level, bounds and destination. */
+    constructor(private readonly options: EventLogOptions) {
+        this.clock = options.clock ?? new SystemClock();
+        this.linesPerSecond = options.linesPerSecond ?? defaultLinesPerSecond;
+        const { level, base = {} } = options;
+        const settings = { level, base, serializers: { error: pino.stdSerializers.err } };
+        this.logger = options.destination === undefined
+            ? pino(settings, this.openStandardOutput())
+            : pino(settings, options.destination);
     }
 
-    /** Writes one event. */
+    /** Writes one event, unless the second is full. */
     write(kind: EventKind, fields: EventFields = {}): void {
+        if (!this.logger.isLevelEnabled(kind.level)) {
+            return;
+        }
+        this.turnWindow();
+        const isUrgent = kind.level === "warn" || kind.level === "error";
+        this.lines += 1;
+        if (this.lines > this.linesPerSecond * (isUrgent ? 2 : 1)) {
+            this.drop(1);
+            return;
+        }
         this.logger[kind.level]({ event: kind.number, ...fields }, kind.message);
     }
+
+    private turnWindow(): void {
+        const nowMs = this.clock.nowMs();
+        if (nowMs - this.windowAtMs < windowMs) {
+            return;
+        }
+        this.windowAtMs = nowMs;
+        this.lines = 0;
+        if (this.dropped > 0) {
+            const { dropped } = this;
+            this.dropped = 0;
+            this.write(events.linesDropped, { lines: dropped });
+        }
+    }
+
+    private drop(lines: number): void {
+        this.dropped += lines;
+        this.options.onDropped?.(lines);
+    }
+
+    private openStandardOutput(): DestinationStream {
+        const output = pino.destination({ dest: 1, sync: false, maxLength: maximumWaitingBytes });
+        output.on("drop", () => this.drop(1));
+        return output;
+    }
 }
--- a/packages/daemon/src/explanation-message.ts
+++ b/packages/daemon/src/explanation-message.ts
@@ -52,7 +52,7 @@
     });
 
 const toPolicy = ({ route }: DecisionRecord): Policy => {
-    const { policy, chooser, refuseRetryAfterMs } = route.service.policy;
+    const { policy, chooser, refuseRetryAfterMs } = route.policy;
     const { name, clauses, lines } = policy.source;
     return create(PolicySchema, {
         name,
--- /dev/null
+++ b/packages/daemon/src/header-dialect.ts
@@ -0,0 +1,65 @@
+/**
+ * The dialect whose header names are written in the configuration.
+ *
+ * @packageDocumentation
+ */
+
+import type { Configuration, Kind } from "@harrierhitch/configuration";
+import type { Outcome } from "@harrierhitch/core";
+import type { IncomingMessage } from "node:http";
+import { type Arrival, numberHeader, pathOf, textHeader } from "./arrival.js";
+import type { AnswerHead, AnswerReading, Dialect, LoadReport, OutgoingAttempt } from "./dialect.js";
+import { outcomeHeader } from "./problem.js";
+
+/** Statuses by which a gateway says that it could not answer; they do not tell whether the request ran. */
+const gatewayStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+/** harrierhitch's own {@link Dialect}. */
+export class HeaderDialect implements Dialect {
+    readArrival(request: IncomingMessage, { fleet }: Configuration, kind: Kind): Arrival {
+        const asked = numberHeader(request, fleet.timeoutHeader);
+        return {
+            timeoutMs: asked === undefined ? kind.timeoutMs : Math.min(asked, kind.timeoutMs),
+            hall: textHeader(request, fleet.hallHeader) ?? "",
+            depth: numberHeader(request, fleet.depthHeader) ?? 0,
+            path: pathOf(request.url ?? "/"),
+        };
+    }
+
+    attemptHeaders({ configuration, remainingMs, depth }: OutgoingAttempt): Readonly<Record<string, string | undefined>> {
+        const { timeoutHeader, depthHeader } = configuration.fleet;
+        return { [timeoutHeader]: String(remainingMs), [depthHeader]: String(depth) };
+    }
+
+    retryAfter(delayMs: number): string {
+        return String(Math.ceil(delayMs / 1000));
+    }
+
+    readAnswer({ status, headers, service }: AnswerHead): AnswerReading {
+        const shed = service.shedStatuses.has(status) && headers[service.shedHeader] === "not-run";
+        const told = headers[outcomeHeader];
+        return {
+            foreign: undefined,
+            outcome: shed ? "not-run" : outcomeOfStatus(status, told),
+            shed,
+            misdirected: false,
+            failed: status >= 500,
+            retryable: shed || gatewayStatuses.has(status),
+            mayPassOn: true,
+            leaving: headers[service.drainHeader] === "draining",
+            load: readLoad(headers[service.loadHeader]),
+        };
+    }
+}
+
+const outcomeOfStatus = (status: number, told: string | readonly string[] | undefined): Outcome => {
+    if (status >= 500 && (told === "unknown" || told === "not-run")) {
+        return told;
+    }
+    return gatewayStatuses.has(status) ? "unknown" : "ran";
+};
+
+const readLoad = (text: string | readonly string[] | undefined): LoadReport | undefined => {
+    const inFlight = Number(text ?? NaN);
+    return Number.isFinite(inFlight) && inFlight >= 0 ? { inFlight } : undefined;
+};
--- /dev/null
+++ b/packages/daemon/src/http-attempt.ts
@@ -0,0 +1,186 @@
+/**
+ * One attempt over `node:http`.
+ *
+ * @packageDocumentation
+ */
+
+import { asError, HarrierhitchError } from "@harrierhitch/core";
+import type { AttemptEnd, AttemptResult } from "@harrierhitch/decision";
+import { type Agent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import type { Socket } from "node:net";
+import { Readable } from "node:stream";
+import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTarget } from "./upstream-transport.js";
+
+/** This side gave up on an attempt. */
+export class AttemptCancelledError extends HarrierhitchError {
+    readonly code = "attempt-cancelled";
+
+    /** @param end - How the attempt ends. */
+    constructor(readonly end: "timed-out" | "cancelled") {
+        super(`the attempt was given up: ${end}`);
+    }
+}
+
+/** No connection came up in time. */
+export class ConnectTimeoutError extends HarrierhitchError {
+    readonly code = "connect-timeout";
+
+    /** @param timeoutMs - The time that it was given. */
+    constructor(readonly timeoutMs: number) {
+        super(`no connection within ${timeoutMs} ms`);
+    }
+}
+
+/** Limit on the head of an answer. */
+const maximumAnswerHeadBytes = 32_768;
+
+/** An {@link Attempt} over a connection of the upstream's agent. */
+export class HttpAttempt implements Attempt {
+    readonly result: Promise<AttemptResult>;
+    private readonly request: ClientRequest;
+    private settle: (result: AttemptResult) => void = () => undefined;
+    private answer: IncomingMessage | undefined;
+    private cancelled: AttemptCancelledError | undefined;
+    private connectTimer: NodeJS.Timeout | undefined;
+    private sent = false;
+    private finished = false;
+
+    /**
+     * @param target - The upstream.
+     * @param agent - Its connections.
+     * @param outgoing - The request.
+     * @param sink - Takes the answer.
+     */
+    constructor(
+        private readonly target: UpstreamTarget,
+        agent: Agent,
+        outgoing: UpstreamRequest,
+        private readonly sink: AnswerSink,
+    ) {
+        this.result = new Promise(resolve => {
+            this.settle = resolve;
+        });
+        const { address, port } = target.upstream;
+        this.request = openRequest({
+            agent,
+            host: address,
+            port,
+            method: outgoing.method,
+            path: outgoing.path,
+            headers: outgoing.headers as string[],
+            maxHeaderSize: maximumAnswerHeadBytes,
+            setHost: false,
+        });
+        this.listen();
+        this.send(outgoing.body);
+    }
+
+    cancel(end: "timed-out" | "cancelled"): void {
+        this.cancelled ??= new AttemptCancelledError(end);
+        this.request.destroy(this.cancelled);
+        this.fail(this.cancelled);
+    }
+
+    resume(): void {
+        this.answer?.resume();
+    }
+
+    private listen(): void {
+        this.request.on("socket", socket => this.onSocket(socket));
+        this.request.on("response", answer => this.onResponse(answer));
+        this.request.on("error", error => this.onError(error));
+        this.request.on("close", () => this.onClose());
+    }
+
+    private send(body: UpstreamRequest["body"]): void {
+        if (body instanceof Readable) {
+            body.on("error", error => this.request.destroy(error));
+            body.pipe(this.request);
+            this.request.on("close", () => body.destroy());
+        }
+        else {
+            this.request.end(body);
+        }
+    }
+
+    private onSocket(socket: Socket): void {
+        if (!socket.connecting) {
+            this.sent = true;
+            return;
+        }
+        const { connectTimeoutMs } = this.target;
+        this.connectTimer = setTimeout(() => this.request.destroy(new ConnectTimeoutError(connectTimeoutMs)), connectTimeoutMs);
+        socket.setNoDelay(true);
+        socket.once("connect", () => {
+            clearTimeout(this.connectTimer);
+            this.sent = !this.finished;
+        });
+    }
+
+    private onResponse(answer: IncomingMessage): void {
+        if (this.finished) {
+            answer.resume();
+            return;
+        }
+        this.answer = answer;
+        answer.on("error", error => this.onError(error));
+        answer.on("data", (chunk: Buffer) => this.onData(chunk));
+        answer.on("end", () => this.onEnd());
+        if (!this.sink.onHead(answer.statusCode ?? 0, answer.headers)) {
+            this.cancel("cancelled");
+        }
+    }
+
+    private onData(chunk: Buffer): void {
+        if (!this.finished && !this.sink.onData(chunk)) {
+            this.answer?.pause();
+        }
+    }
+
+    private onEnd(): void {
+        if (this.answer?.complete === true) {
+            this.finish("answered", "");
+        }
+    }
+
+    private onError(error: Error): void {
+        // Bytes after a whole answer spoil its connection, not the answer, whose end is still to be read.
+        if (this.answer?.complete !== true || this.cancelled !== undefined) {
+            this.fail(error);
+        }
+    }
+
+    private onClose(): void {
+        if (this.answer?.complete !== true || this.answer.destroyed) {
+            this.fail(new TypeError("the connection closed before the answer was whole"));
+        }
+    }
+
+    private fail(error: Error): void {
+        this.finish(this.cancelled?.end ?? this.endOf(error), describe(error));
+    }
+
+    private endOf(error: Error): AttemptEnd {
+        if (!this.sent) {
+            return "connect-failed";
+        }
+        return codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
+    }
+
+    private finish(end: AttemptEnd, detail: string): void {
+        if (this.finished) {
+            return;
+        }
+        this.finished = true;
+        clearTimeout(this.connectTimer);
+        this.settle({ end, status: this.answer?.statusCode, detail, sent: this.sent });
+    }
+}
+
+const codeOf = (error: Error): string => "code" in error ? String(error.code) : "";
+
+const describe = (thrown: Error): string => {
+    const error = asError(thrown);
+    const code = codeOf(error);
+    return code === "" ? error.message : `${code}: ${error.message}`;
+};
--- a/packages/daemon/src/http-platform.ts
+++ b/packages/daemon/src/http-platform.ts
@@ -6,109 +6,67 @@
  */
 
 import { maximumDocumentBytes } from "@harrierhitch/configuration";
-import { asError } from "@harrierhitch/core";
-import { Agent, request } from "undici";
-import { type Platform, PlatformError, type PlatformValue } from "./platform.js";
-
-/** Options of {@link HttpPlatform}. */
-export interface HttpPlatformOptions {
-    /** Addresses as `IP:port`, tried in turn. */
-    readonly addresses: readonly string[];
-    readonly readTimeoutMs: number;
-    readonly watchMs: number;
-    /** Called once for each call to the service, for counting. */
-    readonly onCall?: (kind: "read" | "watch") => void;
-}
+import { httpGet, HttpGetter, type HttpResult } from "./http-get.js";
+import { type Platform, PlatformError, type PlatformOptions, type Publication } from "./platform.js";
 
 /** Time that a watch may take beyond the time asked for. */
 const watchGraceMs = 2000;
 
-/** A {@link Platform} that is met by HTTP. */
+/** A {@link Platform} that publishes one document. */
 export class HttpPlatform implements Platform {
-    private readonly agent = new Agent({ connections: 4 });
+    private readonly getter = new HttpGetter({ maximumBytes: maximumDocumentBytes });
     private turn = 0;
+    private version = "";
+    private revision = 0;
 
     /** @param options - Addresses and times. */
-    constructor(private readonly options: HttpPlatformOptions) {}
+    constructor(private readonly options: PlatformOptions) {}
 
-    async read(key: string, signal: AbortSignal): Promise<PlatformValue> {
-        this.options.onCall?.("read");
-        const value = await this.get(key, {}, this.options.readTimeoutMs, signal);
-        if (value === undefined) {
-            throw new PlatformError(`the platform answered a plain read of ${key} with 304`);
+    async read(signal: AbortSignal): Promise<Publication> {
+        this.options.onCall("read");
+        const result = await this.get({}, this.options.readTimeoutMs, signal);
+        if (result.status === notModified) {
+            throw new PlatformError("the platform answered a plain read with 304");
         }
-        return value;
+        return this.toPublication(result);
     }
 
-    watch(key: string, version: string, signal: AbortSignal): Promise<PlatformValue | undefined> {
-        this.options.onCall?.("watch");
+    async watch(_: number, signal: AbortSignal): Promise<Publication> {
+        this.options.onCall("watch");
         const { watchMs } = this.options;
-        const headers = { "if-none-match": version, "prefer": `wait=${Math.ceil(watchMs / 1000)}` };
-        return this.get(key, headers, watchMs + watchGraceMs, signal);
-    }
-
-    /** Closes the connections. */
-    async close(): Promise<void> {
-        await this.agent.destroy();
+        const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(watchMs / 1000)}` };
+        const result = await this.get(headers, watchMs + watchGraceMs, signal);
+        return result.status === notModified
+            ? { revision: this.revision, configuration: undefined, listings: [] }
+            : this.toPublication(result);
     }
 
-    private async get(
-        key: string,
-        headers: Readonly<Record<string, string>>,
-        timeoutMs: number,
-        signal: AbortSignal,
-    ): Promise<PlatformValue | undefined> {
-        const { addresses } = this.options;
-        const address = addresses[this.turn % addresses.length];
+    private async get(headers: Readonly<Record<string, string>>, timeoutMs: number, signal: AbortSignal): Promise<HttpResult> {
+        const { addresses, configurationKey } = this.options;
+        const address = addresses[this.turn % addresses.length] ?? "";
+        const url = `http://${address}/keys/${encodeURIComponent(configurationKey)}`;
         try {
-            return await this.getFrom(`http://${address}/keys/${encodeURIComponent(key)}`, headers, timeoutMs, signal);
+            const result = await httpGet(this.getter, { url, headers, timeoutMs, signal });
+            if (result.status !== 200 && result.status !== notModified) {
+                throw new PlatformError(`${url} answered with status ${result.status}`);
+            }
+            return result;
         }
         catch (thrown) {
             this.turn += 1;
-            const { message } = asError(thrown);
-            throw thrown instanceof PlatformError ? thrown : new PlatformError(`${address}: ${message}`, { cause: thrown });
+            throw thrown;
         }
     }
 
-    private async getFrom(
-        url: string,
-        headers: Readonly<Record<string, string>>,
-        timeoutMs: number,
-        signal: AbortSignal,
-    ): Promise<PlatformValue | undefined> {
-        const response = await request(url, {
-            dispatcher: this.agent,
-            headers,
-            headersTimeout: timeoutMs,
-            bodyTimeout: timeoutMs,
-            signal: AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
-        });
-        if (response.statusCode === 304) {
-            await response.body.dump();
-            return undefined;
+    private toPublication({ headers, body }: HttpResult): Publication {
+        const { etag } = headers;
+        if (etag === undefined) {
+            throw new PlatformError("the platform answered without an ETag");
         }
-        if (response.statusCode !== 200) {
-            await response.body.dump();
-            throw new PlatformError(`${url} answered with status ${response.statusCode}`);
-        }
-        const version = response.headers.etag;
-        if (typeof version !== "string") {
-            await response.body.dump();
-            throw new PlatformError(`${url} answered without an ETag`);
-        }
-        return { version, text: await readBounded(response.body, url) };
+        this.version = etag;
+        this.revision += 1;
+        return { revision: this.revision, configuration: body.toString("utf8"), listings: [] };
     }
 }
 
-const readBounded = async (body: AsyncIterable<Buffer>, url: string): Promise<string> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of body) {
-        bytes += chunk.length;
-        if (bytes > maximumDocumentBytes) {
-            throw new PlatformError(`${url} answered with more than ${maximumDocumentBytes} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-};
+const notModified = 304;
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,23 +4,28 @@
  * @packageDocumentation
  */
 
-import { checkInstanceList, formatFinding, type Settings } from "@harrierhitch/configuration";
+import { formatFinding, type Route, type RouteGroup, pickRoute, type Settings } from "@harrierhitch/configuration";
 import { type Clock, type Generation, type InstanceId, instanceId, type RandomSource, upstreamId } from "@harrierhitch/core";
-import { RetryBudget } from "@harrierhitch/decision";
-import { AcceptedConfiguration, type Fleet, type OfferResult, type PeerClients } from "@harrierhitch/fleet";
+import { AcceptedConfiguration, type Fleet, type HeardRumor, type OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
+import { hostOf, pathOf } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
 import type { DecisionRecord } from "./decision-record.js";
+import type { Dialect } from "./dialect.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import { ExplanationStore } from "./explanation-store.js";
-import { joinFleet } from "./join-fleet.js";
 import type { Metrics } from "./metrics.js";
+import type { Publication, PublishedSyntax } from "./platform.js";
+import { ProbeBudget } from "./probe-budget.js";
+import { Prober } from "./prober.js";
 import { RequestIds } from "./request-id.js";
 import { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import { RequestTask } from "./request-task.js";
-import { ServiceRegistry, toTargets } from "./service-registry.js";
+import { type RegistryUpdate, ServiceRegistry, toTargets } from "./service-registry.js";
+import { sharesOf } from "./shares.js";
+import { SpreadDraws } from "./spread-draws.js";
 import { Telemetry } from "./telemetry.js";
 import type { UpstreamTransport } from "./upstream-transport.js";
 
@@ -30,10 +35,14 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly transport: UpstreamTransport;
+    readonly dialect: Dialect;
+    readonly syntax: PublishedSyntax;
     readonly log: EventLog;
     readonly metrics: Metrics;
-    /** Opens clients of other instances. */
-    readonly clients: PeerClients;
+    /** Whether the platform was away just now. */
+    readonly isPlatformDoubtful: () => boolean;
+    /** Told when another configuration came into force. */
+    readonly onConfigured?: (update: RegistryUpdate) => void;
     /** Takes the record of each request that is traced. */
     readonly onTraced?: (record: DecisionRecord) => void;
 }
@@ -53,12 +62,17 @@
 /** Serves requests by the configuration in force. */
 export class Instance {
     readonly id: InstanceId;
+    readonly incarnation: number;
     readonly explanations: ExplanationStore;
     readonly services: ServiceRegistry;
-    readonly fleet: Fleet;
-    private readonly accepted = new AcceptedConfiguration();
+    readonly accepted: AcceptedConfiguration;
+    readonly directory: UpstreamDirectory;
+    /** This instance's part in the fleet; `undefined` while it works alone. */
+    fleet: Fleet | undefined;
+    private readonly probeBudget: ProbeBudget;
     private readonly requestServices: RequestServices;
     private readonly telemetry: Telemetry;
+    private readonly draws: SpreadDraws;
     private hasHeardOthers = false;
     private hearing = false;
     private refreshing: Promise<unknown> | undefined;
@@ -66,9 +80,20 @@
 
     /** @param parts - What the instance is made of. */
     constructor(private readonly parts: InstanceParts) {
-        const { settings, clock, random } = parts;
+        const { settings, clock, random, syntax } = parts;
         this.telemetry = new Telemetry(parts.log, parts.metrics);
         this.id = instanceId(settings.instance.id);
+        this.incarnation = Math.floor(clock.wallMs());
+        this.draws = new SpreadDraws(random);
+        this.accepted = new AcceptedConfiguration((source, text) => syntax.configuration(source, text));
+        this.directory = new UpstreamDirectory({
+            clock,
+            read: (id, text) => syntax.upstream(id, text),
+            isDoubtful: () => parts.isPlatformDoubtful(),
+            onChange: change => this.telemetry.listingChanged(change),
+            onInvalid: (id, findings) =>
+                parts.log.write(events.listingInvalid, { upstream: id, findings: findings.map(formatFinding) }),
+        });
         this.explanations = new ExplanationStore({
             maximumEntries: settings.limits.recordEntries,
             maximumBytes: settings.limits.recordBytes,
@@ -79,46 +104,12 @@
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
                 if (change.after.state === "draining" && !this.hearing) {
-                    this.fleet.tellRumor(change.upstream, "draining");
+                    this.fleet?.tellRumor(change.upstream, "draining");
                 }
             },
         });
-        const incarnation = Math.floor(clock.wallMs());
-        this.fleet = joinFleet(parts, {
-            instance: this.id,
-            incarnation,
-            accepted: this.accepted,
-            onConfiguration: (source, text) => void this.offerConfiguration(source, text),
-            onView: ({ list }) => this.services.takeList(list),
-            onRumor: ({ upstream, type, atMs }) => {
-                this.hearing = true;
-                this.services.observe(upstreamId(upstream), { type, atMs });
-                this.hearing = false;
-            },
-        });
-        this.requestServices = {
-            clock,
-            random,
-            transport: parts.transport,
-            explanations: this.explanations,
-            retryBudget: new RetryBudget({ share: 0 }),
-            requestIds: new RequestIds(this.id, incarnation),
-            bodyLimits: {
-                maximumBytes: settings.callers.maximumBodyBytes,
-                replayBytes: settings.limits.replayBodyBytes,
-            },
-            log: parts.log,
-            claimer: this.fleet.claimer,
-            sampleTrace: () => settings.traces.otlpUrl !== undefined && random.next() < settings.traces.sampleShare,
-            onClaim: result => this.parts.metrics.claims.inc({ result }),
-            onAttempt: (route, attempt) => this.telemetry.attempted(route.service.name, attempt),
-            onServed: (record, sampled) => {
-                this.telemetry.served(record);
-                if (sampled) {
-                    parts.onTraced?.(record);
-                }
-            },
-        };
+        this.probeBudget = new ProbeBudget(clock);
+        this.requestServices = this.createRequestServices();
     }
 
     /** Stage of the instance's life. */
@@ -134,8 +125,8 @@
      * under an older configuration than theirs; in the end it serves alone.
      */
     async hearOthers(): Promise<void> {
-        const { hearTimeoutMs } = this.parts.settings.peers;
-        if (!await this.fleet.hearOthers(hearTimeoutMs)) {
+        const hearTimeoutMs = this.parts.settings.peers?.hearTimeoutMs ?? 0;
+        if (await this.fleet?.hearOthers(hearTimeoutMs) === false) {
             this.parts.log.write(events.heardNobody, { hearTimeoutMs });
         }
         this.hasHeardOthers = true;
@@ -144,8 +135,8 @@
     /** Refreshes what time made doubtful after this process slept; requests wait for it, for a short while. */
     wakeLate(sleptMs: number): void {
         this.parts.log.write(events.wokeLate, { sleptMs });
-        this.fleet.wakeLate();
-        if (sleptMs >= minimumRefreshSleepMs) {
+        this.fleet?.wakeLate();
+        if (sleptMs >= minimumRefreshSleepMs && this.fleet !== undefined) {
             const refreshing = this.fleet.hearOthers(refreshTimeoutMs).finally(() => {
                 this.refreshing = this.refreshing === refreshing ? undefined : this.refreshing;
             });
@@ -186,6 +177,21 @@
         }
     }
 
+    /** Takes what the platform told. */
+    takePublication({ configuration, listings, revision }: Publication, isWhole: boolean): void {
+        const before = this.directory.revision;
+        this.directory.takeIn({ revision, whole: isWhole, listings });
+        if (configuration !== undefined) {
+            this.offerConfiguration("platform", configuration);
+        }
+        if (listings.length > 0 || isWhole) {
+            this.apply();
+        }
+        if (before !== this.directory.revision) {
+            this.fleet?.wakeLinks();
+        }
+    }
+
     /**
      * Offers a configuration document from any source.
      *
@@ -196,32 +202,67 @@
         const before = this.generation;
         const result = this.accepted.offer(source, text);
         if (result.type === "accepted") {
-            this.applyConfiguration();
-            this.fleet.wakeLinks();
+            this.apply();
+            this.fleet?.wakeLinks();
         }
         this.telemetry.offered(source, result, before);
         return result;
     }
 
-    /** Takes an instance list document; an invalid or older one changes nothing. */
-    takeInstanceList(source: string, text: string): void {
-        const checked = checkInstanceList(source, text);
-        if (checked.value === undefined) {
-            this.parts.log.write(events.instanceListInvalid, { findings: checked.findings.map(formatFinding) });
-        }
-        else {
-            this.fleet.takeList(text);
-        }
+    /** Takes in what another instance learned of an upstream. */
+    takeRumor({ upstream, type, atMs }: HeardRumor): void {
+        this.hearing = true;
+        this.services.observe(upstreamId(upstream), { type, atMs });
+        this.hearing = false;
     }
 
-    private applyConfiguration(): void {
+    /** Brings services, connections and budgets up to date with the configuration and the listings. */
+    apply(): void {
         const { configuration } = this;
         if (configuration === undefined) {
             return;
         }
-        this.parts.transport.configure(toTargets(configuration));
-        this.services.configure(configuration);
-        this.requestServices.retryBudget.configure(configuration.fleet.retryPercent / 100);
+        const update: RegistryUpdate = { configuration, listed: this.directory.upstreams };
+        const targets = toTargets(update);
+        this.parts.transport.configure(targets);
+        const shares = sharesOf(configuration, this.parts.settings.budgets, this.fleet?.members.alive.length);
+        this.services.configure(update, shares);
+        this.probeBudget.configure(shares.probesPerSecond);
+        this.probeBudget.retain(new Set(targets.map(target => target.upstream.id)));
+        this.parts.onConfigured?.(update);
+    }
+
+    private createRequestServices(): RequestServices {
+        const { settings, clock, random, transport, dialect, log, metrics, onTraced } = this.parts;
+        return {
+            clock,
+            random,
+            dialect,
+            transport,
+            prober: new Prober({
+                clock,
+                transport,
+                dialect,
+                budget: this.probeBudget,
+                onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
+            }),
+            explanations: this.explanations,
+            requestIds: new RequestIds(this.id, this.incarnation),
+            bodyLimits: {
+                maximumBytes: settings.callers.maximumBodyBytes,
+                replayBytes: settings.limits.replayBodyBytes,
+            },
+            answerBufferBytes: settings.limits.answerBufferBytes,
+            log,
+            sampleTrace: () => settings.traces.otlpUrl !== undefined && random.next() < settings.traces.sampleShare,
+            onAttempt: (progress, attempt) => this.telemetry.attempted(progress, attempt),
+            onServed: (progress, sampled) => {
+                this.telemetry.served(progress);
+                if (sampled) {
+                    onTraced?.(progress.record);
+                }
+            },
+        };
     }
 
     private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
@@ -233,15 +274,20 @@
             answer.problem({ kind: "not-ready", detail, outcome: "not-run", retryAfterMs: notReadyRetryAfterMs }, undefined);
             return;
         }
-        const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
-        const route = inForce.configuration.router.find(request.method ?? "", path);
+        const path = pathOf(request.url ?? "/");
+        const group = inForce.configuration.router.find(request.method ?? "", hostOf(request), path);
+        const route = group && this.pick(group);
         const runtime = route && this.services.get(route.service.name);
         if (route === undefined || runtime === undefined) {
-            this.parts.metrics.problems.inc({ problem: "no-route" });
+            this.telemetry.unrouted(request, path, inForce.configuration.generation);
             answer.problem({ kind: "no-route", detail: `${request.method} ${path}`, outcome: "not-run" }, undefined);
             return;
         }
         const progress = new RequestProgress(this.requestServices, inForce.configuration, route, request, answer);
         await new RequestTask(this.requestServices, runtime, progress).run();
     }
+
+    private pick(group: RouteGroup): Route | undefined {
+        return pickRoute(group, group.choices.length > 1 ? this.draws.next(group.name) : 0);
+    }
 }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -45,8 +45,14 @@
         ["service", "state"],
     );
 
-    /** Keyed requests, by the result of their claim. */
-    readonly claims = this.counter("harrierhitch_key_claims_total", "Keyed requests, by the result of their claim", ["result"]);
+    /** Probes of upstreams, by service and result. */
+    readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
+
+    /** Exchanges with other instances that failed. */
+    readonly peersUnreachable = this.counter("harrierhitch_peers_unreachable_total", "Exchanges with other instances that failed", []);
+
+    /** Log lines that were dropped. */
+    readonly linesDropped = this.counter("harrierhitch_log_lines_dropped_total", "Log lines dropped to bound the volume", []);
 
     /** Calls and connections of other instances that were refused. */
     readonly peersRefused = this.counter(
@@ -64,8 +70,8 @@
     /** Members believed alive, this instance included. */
     readonly members = this.gauge("harrierhitch_members_alive", "Members of the fleet believed alive");
 
-    /** Keys kept for the fleet. */
-    readonly keys = this.gauge("harrierhitch_keys", "Keys kept for the fleet");
+    /** Upstreams that are listed apart from the configuration. */
+    readonly listed = this.gauge("harrierhitch_listed_upstreams", "Upstreams listed apart from the configuration");
 
     /** Whether this instance reads the platform now. */
     readonly reader = this.gauge("harrierhitch_platform_reader", "Whether this instance reads the platform now");
--- a/packages/daemon/src/operator-service.ts
+++ b/packages/daemon/src/operator-service.ts
@@ -30,7 +30,8 @@
 export interface OperatorServiceOptions {
     readonly instance: Instance;
     readonly clock: Clock;
-    readonly clients: PeerClients;
+    /** Clients of other instances; `undefined` for an instance that works alone. */
+    readonly clients: PeerClients | undefined;
     readonly availabilityZone: string;
     readonly requestsInFlight: () => number;
     /** Milliseconds since the platform last answered; negative if it never did. */
@@ -78,16 +79,16 @@
 
 const explainElsewhere = async (options: OperatorServiceOptions, id: string): Promise<ExplainResponse> => {
     const decider = instanceOf(requestId(id));
-    const { fleet } = options.instance;
-    const peer = fleet.members.others.find(member => member.instance === decider);
-    if (decider === undefined || peer === undefined) {
+    const { clients, clock } = options;
+    const peer = options.instance.fleet?.members.others.find(member => member.instance === decider);
+    if (decider === undefined || peer === undefined || clients === undefined) {
         return notFound(options, id);
     }
     try {
         const { explanation } = await callWithin(
-            options.clock,
+            clock,
             peerTimeoutMs,
-            signal => options.clients.to(peer).explainLocal({ requestId: id }, { signal }),
+            signal => clients.to(peer).explainLocal({ requestId: id }, { signal }),
         );
         return create(ExplainResponseSchema, { explanation: explanation ?? notFound(options, id), instance: decider });
     }
@@ -104,7 +105,10 @@
 }
 
 const statusOfOthers = ({ instance, clock, clients }: OperatorServiceOptions): Promise<readonly OtherStatus[]> =>
-    Promise.all(instance.fleet.members.others.map(async (member): Promise<OtherStatus> => {
+    Promise.all((instance.fleet?.members.others ?? []).map(async (member): Promise<OtherStatus> => {
+        if (clients === undefined) {
+            return { instance: member.instance, status: undefined };
+        }
         try {
             const response = await callWithin(clock, peerTimeoutMs, signal => clients.to(member).statusLocal({}, { signal }));
             return { instance: member.instance, status: response.status };
--- a/packages/daemon/src/platform-follower.ts
+++ b/packages/daemon/src/platform-follower.ts
@@ -4,42 +4,51 @@
  * @packageDocumentation
  */
 
-import type { Settings } from "@harrierhitch/configuration";
-import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { EventLog } from "./event-log.js";
-import { events } from "./event.js";
-import type { Instance } from "./instance.js";
-import { PlatformReader } from "./platform-reader.js";
-import type { Platform, PlatformValue } from "./platform.js";
+import { asError, type Clock, type RandomSource, sleep } from "@harrierhitch/core";
+import { HistoryLostError, type Platform, type Publication } from "./platform.js";
 
 /** Options of {@link PlatformFollower}. */
 export interface PlatformFollowerOptions {
-    readonly settings: Settings["platform"];
     readonly platform: Platform;
     readonly clock: Clock;
     readonly random: RandomSource;
-    readonly instance: Instance;
-    readonly log: EventLog;
+    /** Time between two tries while the platform is down. */
+    readonly retryMs: () => number;
+    /** Whether it is this instance's turn to watch. */
+    readonly isReader: () => boolean;
+    /** The revision up to which this instance knows everything, from whatever source. */
+    readonly knownRevision: () => number;
+    /** Takes what a read or a watch told. */
+    readonly onPublication: (publication: Publication, isWhole: boolean) => void;
+    /** Told when the platform failed after it had answered, or at the first call. */
+    readonly onLost: (error: Error) => void;
+    /** Told when the platform answers again. */
+    readonly onRegained: () => void;
 }
 
-/** While the service is down, the whole fleet together tries at most so often. */
-const fleetTriesPerSecond = 100;
+/** Shortest time between two calls, should the platform answer its watches at once. */
+const minimumIntervalMs = 50;
 
-/** Follows the configuration and the instance list, and tells the others whether the platform is reached. */
+/** Time between two looks at whose turn it is. */
+const turnMs = 250;
+
+/** Failures in a row after which the time between two tries no longer grows, as a power of two. */
+const maximumBackOff = 2;
+
+/**
+ * Reads the platform once, then watches it whenever it is this instance's turn.
+ * Failures are told and tried again, they never end it.
+ */
 export class PlatformFollower {
-    private readonly readers: readonly PlatformReader[];
+    private readonly ending = new AbortController();
     private answeredAtMs: number | undefined;
-    private failing = false;
-
-    /** @param options - The platform and the instance that takes its values. */
-    constructor(private readonly options: PlatformFollowerOptions) {
-        const { settings, instance } = options;
-        const { configurationKey, instancesKey } = settings;
-        this.readers = [
-            this.readerOf(configurationKey, value => void instance.offerConfiguration(configurationKey, value.text)),
-            this.readerOf(instancesKey, value => instance.takeInstanceList(instancesKey, value.text)),
-        ];
-    }
+    private hasRead = false;
+    private failuresInRow = 0;
+    /** After a gap in the history only a fresh read tells what went away meanwhile. */
+    private mustBeFresh = false;
+
+    /** @param options - The platform and what to do with its answers. */
+    constructor(private readonly options: PlatformFollowerOptions) {}
 
     /** Milliseconds since the platform last answered; negative if it never did. */
     get ageMs(): number {
@@ -48,46 +57,72 @@
 
     /** Begins to follow. */
     start(): void {
-        this.readers.forEach(reader => reader.start());
+        void this.follow();
     }
 
     /** Ends following. */
     stop(): void {
-        this.readers.forEach(reader => reader.stop());
+        this.ending.abort();
+    }
+
+    private async follow(): Promise<void> {
+        const { clock, isReader, knownRevision } = this.options;
+        const { signal } = this.ending;
+        while (!isAborted(signal)) {
+            if (knownRevision() > 0 && !isReader()) {
+                await sleep(clock, turnMs, signal);
+                continue;
+            }
+            const nextCallAtMs = clock.nowMs() + minimumIntervalMs;
+            await this.callOnce(signal);
+            await sleep(clock, nextCallAtMs - clock.nowMs(), signal);
+        }
     }
 
-    private readerOf(key: string, onValue: (value: PlatformValue) => void): PlatformReader {
-        const { platform, clock, random, settings, instance } = this.options;
-        const { members } = instance.fleet;
-        return new PlatformReader({
-            platform,
-            clock,
-            random,
-            key,
-            retryMs: () => Math.max(settings.retryMs, members.alive.length * 1000 / fleetTriesPerSecond),
-            // An instance that cannot reach the platform goes on trying, so that it notices when it can again.
-            isReader: () => instance.fleet.isReader || !members.self.platformReachable,
-            onValue,
-            onAnswer: () => this.onAnswer(),
-            onFailure: error => this.onFailure(key, error),
-        });
+    private async callOnce(signal: AbortSignal): Promise<void> {
+        const { clock, random, retryMs, onPublication } = this.options;
+        const isWhole = !this.hasRead || this.mustBeFresh;
+        try {
+            const publication = await this.call(isWhole, signal);
+            this.hasRead = true;
+            this.mustBeFresh = false;
+            this.onAnswer();
+            onPublication(publication, isWhole);
+        }
+        catch (thrown) {
+            if (isAborted(signal)) {
+                return;
+            }
+            if (thrown instanceof HistoryLostError) {
+                this.mustBeFresh = true;
+                return;
+            }
+            this.onFailure(asError(thrown));
+            const backOff = 2 ** Math.min(maximumBackOff, this.failuresInRow - 1);
+            await sleep(clock, retryMs() * backOff * (0.5 + random.next()), signal);
+        }
+    }
+
+    private call(isWhole: boolean, signal: AbortSignal): Promise<Publication> {
+        const { platform, knownRevision } = this.options;
+        return isWhole ? platform.read(signal, !this.mustBeFresh) : platform.watch(knownRevision(), signal);
     }
 
     private onAnswer(): void {
         this.answeredAtMs = this.options.clock.nowMs();
-        if (this.failing) {
-            this.failing = false;
-            this.options.instance.fleet.members.tell({ platformReachable: true });
-            this.options.log.write(events.platformRecovered);
+        if (this.failuresInRow > 0) {
+            this.failuresInRow = 0;
+            this.options.onRegained();
         }
     }
 
-    private onFailure(key: string, error: Error): void {
-        if (!this.failing) {
-            this.failing = true;
-            this.options.instance.fleet.members.tell({ platformReachable: false });
-            this.options.instance.fleet.wakeLinks();
-            this.options.log.write(events.platformFailed, { key, error });
+    private onFailure(error: Error): void {
+        this.failuresInRow += 1;
+        if (this.failuresInRow === 1) {
+            this.options.onLost(error);
         }
     }
 }
+
+/** Read through a function, because the compiler takes the loop's condition for granted. */
+const isAborted = (signal: AbortSignal): boolean => signal.aborted;
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -1,42 +1,88 @@
 /**
- * The platform's configuration service, as far as harrierhitch uses it.
+ * What the platform publishes, behind an interface.
  *
  * @packageDocumentation
  */
 
-import { HarrierhitchError } from "@harrierhitch/core";
+import type { Checked, Configuration, ListedUpstream, ServicePolicy } from "@harrierhitch/configuration";
+import { HarrierhitchError, type UpstreamId } from "@harrierhitch/core";
+import type { Listing } from "@harrierhitch/fleet";
+import type { Dialect } from "./dialect.js";
 
-/** A value that the platform publishes. */
-export interface PlatformValue {
-    /** Opaque version of the value. */
-    readonly version: string;
-    readonly text: string;
+/** What a read or a watch of the platform tells. */
+export interface Publication {
+    /** Revision up to which everything is included. */
+    readonly revision: number;
+    /** The published configuration; `undefined` when there is none, or none that is new. */
+    readonly configuration: string | undefined;
+    /** Listed upstreams: all of them after a read, those that changed after a watch. */
+    readonly listings: readonly Listing[];
 }
 
-/** The configuration service: it can be read and watched, never written. */
+/** The platform: it can be read and watched, never written. */
 export interface Platform {
     /**
-     * Reads a key.
+     * Reads all that is published.
      *
-     * @param key - The key.
      * @param signal - Ends the read.
-     * @throws {@link PlatformError} when the service does not answer properly.
+     * @param mayBeStale - Whether an answer from a few seconds ago will do.
+     * @throws {@link PlatformError} when the platform does not answer properly.
      */
-    read(key: string, signal: AbortSignal): Promise<PlatformValue>;
+    read(signal: AbortSignal, mayBeStale: boolean): Promise<Publication>;
 
     /**
-     * Waits until a key has another version than the given one.
+     * Waits until something changes.
      *
-     * @param key - The key.
-     * @param version - The version already known.
+     * @param revision - The revision that is already known.
      * @param signal - Ends the watch.
-     * @returns The new value, or `undefined` when nothing changed for the time of a watch.
-     * @throws {@link PlatformError} when the service does not answer properly.
+     * @returns What changed; nothing when nothing changed for the time of a watch.
+     * @throws {@link HistoryLostError} when the changes since that revision are no longer known.
+     * @throws {@link PlatformError} when the platform does not answer properly.
      */
-    watch(key: string, version: string, signal: AbortSignal): Promise<PlatformValue | undefined>;
+    watch(revision: number, signal: AbortSignal): Promise<Publication>;
 }
 
 /** The platform did not answer, or not as agreed. */
 export class PlatformError extends HarrierhitchError {
-    readonly code = "platform";
+    readonly code: string = "platform";
+}
+
+/** The platform no longer knows what changed since a revision: everything must be read again. */
+export class HistoryLostError extends PlatformError {
+    override readonly code = "history-lost";
+}
+
+/** Options that every platform is opened with. */
+export interface PlatformOptions {
+    /** Addresses as `IP:port`, tried in turn. */
+    readonly addresses: readonly string[];
+    readonly configurationKey: string;
+    readonly readTimeoutMs: number;
+    readonly watchMs: number;
+    /** Called once for each call to the platform, for counting. */
+    readonly onCall: (kind: "read" | "watch") => void;
+}
+
+/** Options of the syntax in which a platform publishes. */
+export interface SyntaxOptions {
+    /** Policies that every configuration may name. */
+    readonly policies: ReadonlyMap<string, ServicePolicy>;
+}
+
+/** Reads what the platform publishes. The result depends on the text alone, so that every instance judges it alike. */
+export interface PublishedSyntax {
+    /** Reads and checks a configuration. */
+    configuration(source: string, text: string): Checked<Configuration>;
+    /** Reads and checks a listed upstream. */
+    upstream(id: UpstreamId, text: string): Checked<ListedUpstream>;
+}
+
+/** Everything in which one platform differs from another. */
+export interface PlatformAdapter {
+    /** Opens the way to the platform. */
+    open(options: PlatformOptions): Platform;
+    /** Makes the reader of what it publishes. */
+    syntax(options: SyntaxOptions): PublishedSyntax;
+    /** How callers and upstreams say things in headers. */
+    readonly dialect: Dialect;
 }
--- /dev/null
+++ b/packages/daemon/src/prober.ts
@@ -0,0 +1,130 @@
+/**
+ * Asking upstreams for their load just before a choice.
+ *
+ * @packageDocumentation
+ */
+
+import type { Service, Upstream } from "@harrierhitch/configuration";
+import type { Clock, UpstreamId } from "@harrierhitch/core";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dialect } from "./dialect.js";
+import type { ProbeBudget } from "./probe-budget.js";
+import type { ServiceRuntime } from "./service-runtime.js";
+import type { UpstreamTransport } from "./upstream-transport.js";
+
+/** Options of {@link Prober}. */
+export interface ProberOptions {
+    readonly clock: Clock;
+    readonly transport: UpstreamTransport;
+    readonly dialect: Dialect;
+    readonly budget: ProbeBudget;
+    /** Told of each probe that was sent, and of how it ended. */
+    readonly onProbe: (service: Service, result: ProbeResult) => void;
+}
+
+/** How a probe ended. */
+export type ProbeResult = "told" | "silent" | "failed" | "over-budget";
+
+/** One question to several upstreams. */
+export interface ProbeQuestion {
+    readonly service: Service;
+    readonly runtime: ServiceRuntime;
+    readonly upstreams: readonly Upstream[];
+    /** Longest time for which the answers are waited for. */
+    readonly timeoutMs: number;
+    /** Asked after each answer: whether the others need not be waited for. */
+    readonly isEnough: () => boolean;
+}
+
+/** Age below which a report is as good as a new answer. */
+const freshMs = 8;
+
+/** Time after which a probe is given up; its answer then tells nothing any more. */
+const abandonMs = 250;
+
+/** Probes a few upstreams in parallel; requests that want to know the same share the answer. */
+export class Prober {
+    private readonly asking = new Map<UpstreamId, Promise<void>>();
+
+    /** @param options - Transport, budget and dialect. */
+    constructor(private readonly options: ProberOptions) {}
+
+    /**
+     * Brings the beliefs about some upstreams up to date, as far as they answer in
+     * time. Answers that come later are still learned from.
+     */
+    async ask(question: ProbeQuestion): Promise<void> {
+        const probes = question.upstreams.flatMap(upstream => this.probe(question, upstream) ?? []);
+        if (probes.length === 0) {
+            return;
+        }
+        let endWait = (): void => undefined;
+        const patience = new Promise<void>(resolve => {
+            endWait = resolve;
+        });
+        const timer = this.options.clock.after(question.timeoutMs, endWait);
+        probes.forEach(probe => void probe.then(() => question.isEnough() ? endWait() : undefined));
+        await Promise.race([Promise.all(probes), patience]);
+        timer.cancel();
+    }
+
+    private probe(question: ProbeQuestion, upstream: Upstream): Promise<void> | undefined {
+        const { clock, budget, onProbe } = this.options;
+        const running = this.asking.get(upstream.id);
+        if (running !== undefined) {
+            return running;
+        }
+        const reportedAtMs = question.runtime.beliefs.reportedAtMs(upstream.id);
+        if (reportedAtMs !== undefined && clock.nowMs() - reportedAtMs < freshMs) {
+            return undefined;
+        }
+        if (!budget.take(upstream.id)) {
+            onProbe(question.service, "over-budget");
+            return undefined;
+        }
+        const probe = this.send(question, upstream).finally(() => this.asking.delete(upstream.id));
+        this.asking.set(upstream.id, probe);
+        return probe;
+    }
+
+    private async send({ service, runtime }: ProbeQuestion, upstream: Upstream): Promise<void> {
+        const { clock, transport, onProbe } = this.options;
+        let told = false;
+        const request = {
+            method: "GET",
+            path: service.probePath ?? "/",
+            headers: ["host", `${upstream.address}:${upstream.port}`],
+            body: undefined,
+        };
+        const attempt = transport.send(upstream, request, {
+            onHead: (status, headers) => {
+                told = this.learn(service, runtime, upstream, status, headers);
+                return true;
+            },
+            onData: () => true,
+        });
+        const timer = clock.after(abandonMs, () => attempt.cancel("timed-out"));
+        const { end } = await attempt.result;
+        timer.cancel();
+        onProbe(service, told ? "told" : end === "answered" ? "silent" : "failed");
+    }
+
+    private learn(
+        service: Service,
+        runtime: ServiceRuntime,
+        upstream: Upstream,
+        status: number,
+        headers: IncomingHttpHeaders,
+    ): boolean {
+        const { clock, dialect } = this.options;
+        const { load, leaving, misdirected } = dialect.readAnswer({ status, headers, service, requestHeaders: undefined });
+        const atMs = clock.nowMs();
+        if (leaving || misdirected) {
+            runtime.beliefs.observe(upstream.id, { type: "draining", atMs });
+        }
+        if (load !== undefined) {
+            runtime.beliefs.observe(upstream.id, { type: "reported", atMs, ...load });
+        }
+        return load !== undefined;
+    }
+}
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -4,39 +4,46 @@
  * @packageDocumentation
  */
 
-import { checkSettings, InvalidDocumentError } from "@harrierhitch/configuration";
+import { type Checked, checkPolicyFile, checkSettings, InvalidDocumentError, type ServicePolicy, type Settings } from "@harrierhitch/configuration";
 import { asError } from "@harrierhitch/core";
 import { defineCommand, runMain } from "citty";
 import { readFile } from "node:fs/promises";
 import { Daemon } from "./daemon.js";
+import type { PlatformAdapter } from "./platform.js";
 import { version } from "./version.js";
 
 /** Exit codes of the daemon. */
 export const exitCodes = { stopped: 0, failed: 1, settingsInvalid: 2 } as const;
 
-const main = defineCommand({
-    meta: {
-        name: "harrierhitchd",
-        version,
-        description: "Load balancer daemon of an entry instance. Settings: docs/SETTINGS.md. "
-            + "Exit codes: 0 stopped as planned, 1 failed, 2 settings rejected.",
-    },
-    args: {
-        settings: { type: "string", required: true, valueHint: "FILE", description: "INI file with this instance's settings" },
-    },
-    run: ({ args }) => runDaemon(args.settings),
-});
-
-const runDaemon = async (file: string): Promise<void> => {
+/** What a program built on the daemon brings along. */
+export interface DaemonProgramOptions {
+    /** The platform it runs on; harrierhitch's own without one. */
+    readonly adapter?: PlatformAdapter;
+}
+
+const command = (options: DaemonProgramOptions) =>
+    defineCommand({
+        meta: {
+            name: "harrierhitchd",
+            version,
+            description: "Load balancer daemon of an entry instance. Settings: docs/reference/settings.md. "
+                + "Exit codes: 0 stopped as planned, 1 failed, 2 settings rejected.",
+        },
+        args: {
+            settings: { type: "string", required: true, valueHint: "FILE", description: "INI file with this instance's settings" },
+        },
+        run: ({ args }) => runDaemon(args.settings, options),
+    });
+
+const runDaemon = async (file: string, { adapter }: DaemonProgramOptions): Promise<void> => {
     try {
-        const checked = checkSettings(file, await readFile(file, "utf8"));
-        if (checked.value === undefined) {
-            throw new InvalidDocumentError(checked.findings);
-        }
-        const daemon = new Daemon({ settings: checked.value });
+        const settings = accept(checkSettings(file, await readFile(file, "utf8")));
+        const policies = await readPolicies(settings);
+        const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }) });
         await daemon.start();
         const stop = () => void daemon.stop();
         process.once("SIGTERM", stop).once("SIGINT", stop);
+        process.on("SIGHUP", () => void reload(file, daemon));
         await daemon.whenStopped;
         process.exit(exitCodes.stopped);
     }
@@ -46,9 +53,31 @@
     }
 };
 
+const readPolicies = async ({ policies }: Settings): Promise<ReadonlyMap<string, ServicePolicy>> =>
+    policies.file === undefined ? new Map() : accept(checkPolicyFile(policies.file, await readFile(policies.file, "utf8")));
+
+/** Reads the settings again; what cannot be read leaves the last good ones in force. */
+const reload = async (file: string, daemon: Daemon): Promise<void> => {
+    try {
+        daemon.reload(accept(checkSettings(file, await readFile(file, "utf8"))));
+    }
+    catch (thrown) {
+        daemon.reloadFailed(asError(thrown));
+    }
+};
+
+const accept = <Value>(checked: Checked<Value>): Value => {
+    if (checked.value === undefined) {
+        throw new InvalidDocumentError(checked.findings);
+    }
+    return checked.value;
+};
+
 /**
  * Runs the daemon's program.
  *
  * @param args - Arguments without the program's name.
+ * @param options - What the program brings along.
  */
-export const runDaemonProgram = (args: readonly string[]): Promise<void> => runMain(main, { rawArgs: [...args] });
+export const runDaemonProgram = (args: readonly string[], options: DaemonProgramOptions = {}): Promise<void> =>
+    runMain(command(options), { rawArgs: [...args] });
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -8,8 +8,7 @@
 import type { Outcome } from "@harrierhitch/core";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
-import type { AnswerCopy } from "./answer-copy.js";
-import { type Arrival, readArrival } from "./arrival.js";
+import type { Arrival } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
 import type { DecisionRecord } from "./decision-record.js";
 import { events } from "./event.js";
@@ -36,8 +35,6 @@
     readonly arrival: Arrival;
     readonly trace: TraceContext;
     readonly record: DecisionRecord;
-    /** Takes a copy of the answer, for a keyed request. */
-    copy: AnswerCopy | undefined;
     /** Time for which the request has been held back. */
     heldMs = 0;
 
@@ -56,7 +53,7 @@
         readonly answer: CallerAnswer,
     ) {
         this.arrivedAtMs = services.clock.nowMs();
-        this.arrival = readArrival(request, configuration.fleet, route.kind);
+        this.arrival = services.dialect.readArrival(request, configuration, route.kind);
         this.deadlineAtMs = this.arrivedAtMs + this.arrival.timeoutMs;
         this.trace = continueTrace(request.headers["traceparent"], () => services.sampleTrace());
         this.record = {
@@ -91,6 +88,22 @@
         return this.remainingMs <= minimumAttemptMs;
     }
 
+    /** Attempts of which something may have reached an upstream. */
+    get sentAttempts(): number {
+        return this.record.attempts.filter(attempt => attempt.result?.sent !== false).length;
+    }
+
+    /** Why upstreams were left out of the last decision, each reason with its number. */
+    private get upstreamsOut(): Readonly<Record<string, number>> {
+        const counts: Record<string, number> = {};
+        (this.record.steps.at(-1)?.decision.exclusions ?? []).forEach(reason => {
+            if (reason !== undefined) {
+                counts[reason] = (counts[reason] ?? 0) + 1;
+            }
+        });
+        return counts;
+    }
+
     /** The request as policies see it. */
     facts(): RequestFacts {
         const { kind } = this.route;
@@ -118,7 +131,7 @@
     ownHeaders(outcome: Outcome): Record<string, string> {
         const { attempts, configuration } = this.record;
         const last = attempts.at(-1)?.upstream ?? "none";
-        const policy = this.route.service.policy.policy.source.name;
+        const policy = this.route.policy.policy.source.name;
         const parts = [
             `generation=${configuration.generation}`,
             `policy=${policy}`,
@@ -132,9 +145,16 @@
     giveUp(problem: Problem): void {
         this.record.outcome = problem.outcome;
         this.record.problem = problem.kind;
-        this.record.status = this.answer.problem(problem, this.record.id, this.ownHeaders(problem.outcome));
-        const { id } = this.record;
-        this.services.log.write(events.requestProblem, { request: id, problem: problem.kind, outcome: problem.outcome });
+        const { retryAfterMs, kind, detail, outcome } = problem;
+        const retryAfter = retryAfterMs === undefined ? {} : { "retry-after": this.services.dialect.retryAfter(retryAfterMs) };
+        this.record.status = this.answer.problem(problem, this.record.id, { ...this.ownHeaders(outcome), ...retryAfter });
+        const { id, status, steps } = this.record;
+        const { generation } = this.record.configuration;
+        const ageMs = Math.round(this.ageMs);
+        const decision = steps.at(-1)?.decision.action;
+        const { upstreamsOut } = this;
+        const fields = { request: id, route: this.route.name, problem: kind, detail, outcome, status, retryAfterMs };
+        this.services.log.write(events.requestProblem, { ...fields, ageMs, decision, generation, upstreamsOut });
     }
 
     /** Gives up because the request cannot be served in time. */
--- a/packages/daemon/src/rpc-server.ts
+++ b/packages/daemon/src/rpc-server.ts
@@ -4,41 +4,38 @@
  * @packageDocumentation
  */
 
-import type { ConnectRouter } from "@connectrpc/connect";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { asError } from "@harrierhitch/core";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
 import { listenOn } from "./listen.js";
 import { readTlsFiles, type TlsFileNames, watchTlsFiles } from "./tls-files.js";
 
+/** Handles one request. */
+export type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+
 /** Options of {@link RpcServer}. */
 export interface RpcServerOptions {
     readonly settings: TlsFileNames & { readonly address: string; readonly port: number; };
-    /** Registers the services. */
-    readonly routes: (router: ConnectRouter) => void;
+    /** Paths below this one are RPC. */
+    readonly rpcPrefix: string;
+    /** Makes the handler of RPC at the first call, so that a start does not pay for it. */
+    readonly openRpc: () => Promise<Listener>;
     /** Answers what is no RPC. */
-    readonly fallback: (request: IncomingMessage, response: ServerResponse) => void;
+    readonly fallback: Listener;
     /** Told of a connection that was refused, for example for its certificate. */
     readonly onRefused: (reason: string) => void;
 }
 
-/** Largest message that is read: a document of a megabyte and what goes with it. */
-const maximumMessageBytes = 2 * 1024 * 1024;
-
 /** Serves RPC; with TLS only holders of a certificate of the authority are admitted. */
 export class RpcServer {
     private readonly server: Server | TlsServer;
     private readonly endWatch: () => void;
+    private rpc: Promise<Listener> | undefined;
 
     /** @param options - Address, services and files. */
     constructor(private readonly options: RpcServerOptions) {
-        const { settings, routes, fallback } = options;
-        const listener = connectNodeAdapter({
-            routes,
-            readMaxBytes: maximumMessageBytes,
-            fallback: (request, response) => fallback(request as IncomingMessage, response as ServerResponse),
-        });
+        const { settings } = options;
+        const listener: Listener = (request, response) => this.handle(request, response);
         const tls = readTlsFiles(settings);
         if (tls === undefined) {
             this.server = createServer(listener);
@@ -65,6 +62,22 @@
         });
     }
 
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        const { rpcPrefix, openRpc, fallback, onRefused } = this.options;
+        if (request.url?.startsWith(rpcPrefix) !== true) {
+            fallback(request, response);
+            return;
+        }
+        this.rpc ??= openRpc();
+        this.rpc.then(
+            rpc => rpc(request, response),
+            (thrown: unknown) => {
+                onRefused(`the service could not be opened: ${asError(thrown).message}`);
+                response.writeHead(500).end();
+            },
+        );
+    }
+
     private reload(server: TlsServer): void {
         try {
             const tls = readTlsFiles(this.options.settings);
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/service-registry.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
-import type { Configuration, InstanceList } from "@harrierhitch/configuration";
-import { type Clock, type ServiceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { type Belief, type Observation, ServiceBeliefs } from "@harrierhitch/decision";
+import type { Configuration, ListedUpstream, Service } from "@harrierhitch/configuration";
+import type { Clock, ServiceName, UpstreamId } from "@harrierhitch/core";
+import { type Belief, type KnownUpstream, type Observation, RetryBudget, ServiceBeliefs } from "@harrierhitch/decision";
 import { HoldQueue } from "./hold-queue.js";
 import { ServiceRuntime } from "./service-runtime.js";
+import type { Shares } from "./shares.js";
 import type { UpstreamTarget } from "./upstream-transport.js";
 
 /** A change of an upstream's believed state. */
@@ -26,31 +27,34 @@
     readonly onStateChange: (change: StateChange) => void;
 }
 
+/** What a registry is brought up to date by. */
+export interface RegistryUpdate {
+    readonly configuration: Configuration;
+    /** Upstreams that are listed apart from the configuration. */
+    readonly listed: readonly ListedUpstream[];
+}
+
 /** Keeps a {@link ServiceRuntime} for each configured service. */
 export class ServiceRegistry {
     private runtimes = new Map<ServiceName, ServiceRuntime>();
-    private list: InstanceList | undefined;
 
     /** @param options - Clock, place and what to do on changes. */
     constructor(private readonly options: ServiceRegistryOptions) {}
 
-    /** Takes over an accepted configuration; states of what stays are kept. */
-    configure(configuration: Configuration): void {
+    /** Takes over an accepted configuration or a changed listing; states of what stays are kept. */
+    configure({ configuration, listed }: RegistryUpdate, shares: Shares): void {
+        const { maximumInstances } = configuration.fleet;
         this.runtimes = new Map([...configuration.services.values()].map(service => {
             const runtime = this.runtimes.get(service.name) ?? this.create(service.name);
-            runtime.beliefs.configure(service, configuration.fleet.maximumInstances);
+            const own = listed.filter(upstream => upstream.service === service.name);
+            runtime.beliefs.configure(service, maximumInstances, knownUpstreams(service, own));
+            runtime.retryBudget.configure(shares.retryShare, shares.retriesSaved);
+            const atMs = this.options.clock.nowMs();
+            own.filter(upstream => upstream.leaving).forEach(({ id }) =>
+                runtime.beliefs.observe(id, { type: "draining", atMs })
+            );
             return [service.name, runtime];
         }));
-        this.applyList(undefined);
-    }
-
-    /** Takes over a newer instance list; an older one is left aside. */
-    takeList(list: InstanceList): void {
-        if (this.list === undefined || list.revision > this.list.revision) {
-            const before = this.list;
-            this.list = list;
-            this.applyList(before);
-        }
     }
 
     /** Takes in an observation of an upstream, whichever service it belongs to. */
@@ -68,11 +72,6 @@
         return [...this.runtimes.values()];
     }
 
-    /** The instance list that was taken last. */
-    get instances(): InstanceList | undefined {
-        return this.list;
-    }
-
     private create(name: ServiceName): ServiceRuntime {
         const { clock, availabilityZone, onStateChange } = this.options;
         const beliefs = new ServiceBeliefs({
@@ -80,26 +79,20 @@
             availabilityZone,
             onStateChange: (upstream, before, after) => onStateChange({ service: name, upstream, before, after }),
         });
-        return new ServiceRuntime(name, beliefs, new HoldQueue(clock));
-    }
-
-    /** Only the list's own step from leaving to live says that an upstream came back. */
-    private applyList(before: InstanceList | undefined): void {
-        const atMs = this.options.clock.nowMs();
-        this.list?.instances.forEach((listed, name) => {
-            const cameBack = listed.state === "live" && before?.instances.get(name)?.state === "leaving";
-            const type = listed.state === "leaving" ? "draining" : cameBack ? "returned" : undefined;
-            if (listed.role === "upstream" && type !== undefined) {
-                this.observe(upstreamId(name), { type, atMs });
-            }
-        });
+        return new ServiceRuntime(name, beliefs, new HoldQueue(clock), new RetryBudget({ share: 0 }));
     }
 }
 
-/** The upstreams of a configuration with the limits of their connections. */
-export const toTargets = (configuration: Configuration): readonly UpstreamTarget[] =>
+/** The upstreams of a service: those of the configuration, and those that are listed. */
+const knownUpstreams = (service: Service, listed: readonly ListedUpstream[]): readonly KnownUpstream[] => [
+    ...service.upstreams,
+    ...listed,
+];
+
+/** The upstreams of all services with the limits of their connections. */
+export const toTargets = ({ configuration, listed }: RegistryUpdate): readonly UpstreamTarget[] =>
     [...configuration.services.values()].flatMap(service =>
-        service.upstreams.map(upstream => ({
+        knownUpstreams(service, listed.filter(upstream => upstream.service === service.name)).map(upstream => ({
             upstream,
             connections: Math.max(1, Math.floor(service.maximumConnections / configuration.fleet.maximumInstances)),
             connectTimeoutMs: service.connectTimeoutMs,
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -5,25 +5,35 @@
  */
 
 import type { ServiceName } from "@harrierhitch/core";
-import type { ServiceBeliefs } from "@harrierhitch/decision";
+import type { RetryBudget, ServiceBeliefs } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
 
 /** Beliefs, queue and turn of one service; it outlives configurations. */
 export class ServiceRuntime {
-    private turn = 0;
+    private turns = 0;
 
     /**
      * @param name - The service.
      * @param beliefs - What is believed of its upstreams.
      * @param queue - Its requests that are held back.
+     * @param retryBudget - Its attempts beyond the first of each request.
      */
-    constructor(readonly name: ServiceName, readonly beliefs: ServiceBeliefs, readonly queue: HoldQueue) {}
+    constructor(
+        readonly name: ServiceName,
+        readonly beliefs: ServiceBeliefs,
+        readonly queue: HoldQueue,
+        readonly retryBudget: RetryBudget,
+    ) {}
 
-    /** Running number of decisions. */
-    nextTurn(): number {
-        this.turn += 1;
-        return this.turn;
+    /** Running number of the next decision. */
+    get turn(): number {
+        return this.turns + 1;
+    }
+
+    /** Notes that a decision was taken. */
+    nextTurn(): void {
+        this.turns += 1;
     }
 
     /** The service as policies see it. */
--- a/packages/daemon/src/spans.ts
+++ b/packages/daemon/src/spans.ts
@@ -69,7 +69,7 @@
     const common = { kind: SpanKind.INTERNAL, parentSpanId: record.spanId, failed: decision.policyFailure !== undefined };
     const attributes = {
         "harrierhitch.action": decision.action,
-        "harrierhitch.policy": record.route.service.policy.policy.source.name,
+        "harrierhitch.policy": record.route.policy.policy.source.name,
         "harrierhitch.upstream": decision.action === "choose" ? decision.upstream : "",
         "harrierhitch.candidates": input.service.candidates,
         "harrierhitch.draws": [...input.draws],
--- a/packages/daemon/src/telemetry.ts
+++ b/packages/daemon/src/telemetry.ts
@@ -6,11 +6,13 @@
 
 import { formatFinding } from "@harrierhitch/configuration";
 import type { Generation } from "@harrierhitch/core";
-import type { OfferResult } from "@harrierhitch/fleet";
-import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
+import type { DirectoryChange, OfferResult } from "@harrierhitch/fleet";
+import type { IncomingMessage } from "node:http";
+import type { AttemptRecord } from "./decision-record.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import type { Metrics } from "./metrics.js";
+import type { RequestProgress } from "./request-progress.js";
 import type { StateChange } from "./service-registry.js";
 
 /** Writes events and counts. */
@@ -45,20 +47,70 @@
         }
     }
 
-    /** Counts an attempt that has ended. */
-    attempted(service: string, attempt: AttemptRecord): void {
-        this.metrics.attempts.inc({ service, end: attempt.result?.end ?? "unknown" });
+    /** Tells of an attempt that has ended, with what the choice was made by. */
+    attempted({ record, route }: RequestProgress, attempt: AttemptRecord): void {
+        const service = route.service.name;
+        const { result, upstream, outcome, startedMs, endedMs } = attempt;
+        this.metrics.attempts.inc({ service, end: result?.end ?? "unknown" });
+        const step = record.steps.findLast(({ decision }) => decision.action === "choose" && decision.upstream === upstream);
+        const index = step?.input.upstreams.findIndex(facts => facts.id === upstream) ?? -1;
+        const facts = step?.input.upstreams[index];
+        this.log.write(events.attemptEnded, {
+            request: record.id,
+            service,
+            upstream,
+            number: record.attempts.indexOf(attempt) + 1,
+            end: result?.end,
+            status: result?.status,
+            outcome,
+            detail: result?.detail === "" ? undefined : result?.detail,
+            startedMs: Math.round(startedMs),
+            endedMs: endedMs === undefined ? undefined : Math.round(endedMs),
+            generation: record.configuration.generation,
+            chosenBy: facts === undefined ? undefined : {
+                state: facts.state,
+                inFlight: facts.inFlight,
+                reportedInFlight: facts.reportedInFlight,
+                slowness: facts.slowness,
+                reportAgeMs: Math.round(facts.reportAgeMs),
+                failureRate: rounded(facts.failureRate),
+                score: rounded(step?.decision.scores[index] ?? 0),
+            },
+        });
     }
 
     /** Counts a request that was answered. */
-    served(record: DecisionRecord): void {
-        const labels = { service: record.route.service.name, kind: record.route.kind.name };
+    served({ record, route }: RequestProgress): void {
+        const labels = { service: route.service.name, kind: route.kind.name };
         this.metrics.requests.inc({ ...labels, outcome: record.outcome ?? "unknown" });
         this.metrics.requestDuration.observe(labels, (record.durationMs ?? 0) / 1000);
         record.steps.forEach(step => this.metrics.decisions.inc({ service: labels.service, action: step.decision.action }));
         if (record.problem !== undefined) {
             this.metrics.problems.inc({ problem: record.problem });
         }
+        const { id, outcome, status } = record;
+        const durationMs = Math.round(record.durationMs ?? 0);
+        this.log.write(events.requestServed, { request: id, route: route.name, outcome, status, durationMs });
+    }
+
+    /** Tells of a request that no route matches. */
+    unrouted(request: IncomingMessage, path: string, generation: Generation): void {
+        this.metrics.problems.inc({ problem: "no-route" });
+        this.log.write(events.requestUnrouted, { method: request.method, host: request.headers.host, path, generation });
+    }
+
+    /** Tells of a listed upstream that came, changed or went. */
+    listingChanged({ upstream, before, after, revision }: DirectoryChange): void {
+        const { service, address, port, availabilityZone } = after ?? before ?? {};
+        this.log.write(events.listingChanged, {
+            upstream,
+            service,
+            address: `${address}:${port}`,
+            availabilityZone,
+            before: listingState(before),
+            after: listingState(after),
+            revision,
+        });
     }
 
     /** Tells of a change of an upstream's believed state. */
@@ -69,3 +121,8 @@
         this.log.write(events.upstreamStateChanged, fields);
     }
 }
+
+const listingState = (upstream: DirectoryChange["after"]): string =>
+    upstream === undefined ? "absent" : upstream.leaving ? "leaving" : "ready";
+
+const rounded = (value: number): number => Math.round(value * 1000) / 1000;
--- a/packages/daemon/src/version.ts
+++ b/packages/daemon/src/version.ts
@@ -4,7 +4,5 @@
  * @packageDocumentation
  */
 
-import { createRequire } from "node:module";
-
-/** Version of this package, as its manifest says. */
-export const version: string = (createRequire(import.meta.url)("../../package.json") as { version: string; }).version;
+/** Version of this package; a test compares it with the manifest. */
+export const version = "0.1.0";
--- a/packages/decision/src/belief.ts
+++ b/packages/decision/src/belief.ts
@@ -5,7 +5,7 @@
  */
 
 import type { UpstreamState } from "@harrierhitch/policy";
-import type { Observation } from "./observation.js";
+import type { LoadFigures, Observation } from "./observation.js";
 
 /** Numbers that say how beliefs change; see docs/DECISIONS.md for how they were found. */
 export interface BeliefOptions {
@@ -59,6 +59,12 @@
     /** Time of the last report; `undefined` without one. */
     readonly reportedAtMs: number | undefined;
     readonly sentSinceReport: number;
+    /** Factor by which work takes longer there than usual, by the last report. */
+    readonly slowness: number;
+    /** Slots by the last report; `undefined` while only the configured ones are known. */
+    readonly reportedSlots: number | undefined;
+    /** Time for which it stays in the state `cold`. */
+    readonly coldMs: number;
     /** Most requests in flight, with a fraction that grows towards the next. */
     readonly limit: number;
 }
@@ -77,6 +83,9 @@
     reportedInFlight: 0,
     reportedAtMs: undefined,
     sentSinceReport: 0,
+    slowness: 1,
+    reportedSlots: undefined,
+    coldMs: options.coldMs,
     limit: options.maximumLimit,
 });
 
@@ -105,9 +114,13 @@
                 ? belief
                 : withState(belief, "draining", observation.atMs);
         case "returned":
-            return { ...withState(initialBelief(options, observation.atMs), "cold", observation.atMs), limit: coldLimit };
+            return {
+                ...withState(initialBelief(options, observation.atMs), "cold", observation.atMs),
+                limit: coldLimit,
+                coldMs: observation.coldMs ?? options.coldMs,
+            };
         case "reported":
-            return afterReport(belief, { atMs: observation.atMs, reportedInFlight: observation.inFlight });
+            return afterReport(belief, { ...observation, reportedInFlight: observation.inFlight });
     }
 };
 
@@ -116,13 +129,12 @@
  *
  * @param belief - The belief so far.
  * @param nowMs - The time now.
- * @param options - How beliefs change.
  */
-export const atTime = (belief: Belief, nowMs: number, options: BeliefOptions): Belief => {
+export const atTime = (belief: Belief, nowMs: number): Belief => {
     if (belief.state === "ejected" && nowMs >= belief.ejectedUntilMs) {
         return { ...withState(belief, "suspect", nowMs), limit: 1, failuresInRow: 0 };
     }
-    return belief.state === "cold" && nowMs >= belief.stateAtMs + options.coldMs
+    return belief.state === "cold" && nowMs >= belief.stateAtMs + belief.coldMs
         ? withState(belief, "ready", nowMs)
         : belief;
 };
@@ -137,11 +149,18 @@
 
 const afterReport = (
     belief: Belief,
-    report: { readonly atMs: number; readonly reportedInFlight: number | undefined; },
+    report: LoadFigures & { readonly atMs: number; readonly reportedInFlight: number | undefined; },
 ): Belief =>
     report.reportedInFlight === undefined
         ? belief
-        : { ...belief, reportedInFlight: report.reportedInFlight, reportedAtMs: report.atMs, sentSinceReport: 0 };
+        : {
+            ...belief,
+            reportedInFlight: report.reportedInFlight,
+            reportedAtMs: report.atMs,
+            sentSinceReport: 0,
+            slowness: report.slowness ?? 1,
+            reportedSlots: report.slots ?? belief.reportedSlots,
+        };
 
 const afterSuccess = (
     belief: Belief,
--- a/packages/decision/src/choosers.ts
+++ b/packages/decision/src/choosers.ts
@@ -16,10 +16,12 @@
     TwoChoicesChooser,
 } from "./baseline-choosers.js";
 import type { Chooser } from "./chooser.js";
+import { ExpectedTimeChooser } from "./expected-time-chooser.js";
 
 /** Every chooser that a policy can pick. */
 export const choosers: Readonly<Record<ChooserName, Chooser>> = {
     "adaptive": new AdaptiveChooser(),
+    "expected-time": new ExpectedTimeChooser(),
     "lowest-rank": new LowestRankChooser(),
     "two-choices": new TwoChoicesChooser(),
     "least-outstanding": new LeastOutstandingChooser(),
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -12,6 +12,9 @@
 import type { DecisionInput } from "./decision-input.js";
 import type { Decision, Exclusion, PolicyFailure } from "./decision.js";
 
+/** What a decision needs of a policy. */
+export type DecisionPolicy = Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs">;
+
 /** When a caller should come back after a refusal for lack of upstreams. */
 const noUpstreamRetryAfterMs = 1000;
 
@@ -26,7 +29,7 @@
  * @param policy - The policy of the request's service.
  * @param input - What is believed.
  */
-export const decide = (policy: ServicePolicy, input: DecisionInput): Decision => {
+export const decide = (policy: DecisionPolicy, input: DecisionInput): Decision => {
     try {
         return decideBy(policy, input);
     }
@@ -38,7 +41,7 @@
     }
 };
 
-const decideBy = (servicePolicy: ServicePolicy, input: DecisionInput): Decision => {
+const decideBy = (servicePolicy: DecisionPolicy, input: DecisionInput): Decision => {
     const { policy, chooser } = servicePolicy;
     const { request, service } = input;
     const reason = policy.refuse(request, service);
@@ -62,7 +65,7 @@
     return chooseAmong(chooser, input, exclusions, candidates, rankBy(servicePolicy, input), undefined);
 };
 
-const rankBy = ({ policy }: ServicePolicy, { request, service }: DecisionInput): ChooserInput["rank"] =>
+const rankBy = ({ policy }: DecisionPolicy, { request, service }: DecisionInput): ChooserInput["rank"] =>
     policy.source.clauses.rank === undefined ? undefined : upstream => policy.rank(request, service, upstream) ?? 0;
 
 const decideWithoutPolicy = (input: DecisionInput, failure: PolicyFailure): Decision => {
--- a/packages/decision/src/observation.ts
+++ b/packages/decision/src/observation.ts
@@ -4,13 +4,21 @@
  * @packageDocumentation
  */
 
+/** What an upstream may report besides its requests in flight. */
+export interface LoadFigures {
+    /** Requests that it serves at the same time. */
+    readonly slots?: number | undefined;
+    /** Factor by which work takes longer than usual there; 1 is as usual. */
+    readonly slowness?: number | undefined;
+}
+
 /** One thing that was learned about an upstream, at `atMs` on the instance's clock. */
 export type Observation =
     | {
         readonly type: "started";
         readonly atMs: number;
     }
-    | {
+    | LoadFigures & {
         readonly type: "answered";
         readonly atMs: number;
         /** Time from sending to the head of the answer. */
@@ -37,8 +45,10 @@
         /** The upstream was seen to come back after leaving: a new start. */
         readonly type: "returned";
         readonly atMs: number;
+        /** Time for which it will answer slowly; the usual time when it is not known. */
+        readonly coldMs?: number | undefined;
     }
-    | {
+    | LoadFigures & {
         /** Its load as another instance or a probe reported it. */
         readonly type: "reported";
         readonly atMs: number;
--- /dev/null
+++ b/packages/decision/src/probe-targets.ts
@@ -0,0 +1,45 @@
+/**
+ * Which candidates are worth asking for their load before a choice.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import type { DecisionInput } from "./decision-input.js";
+import { expectedTime } from "./expected-time-chooser.js";
+
+/** Share of a random draw in the order, in times of usual work, so that instances do not all ask the same upstreams. */
+const drawWeight = 0.3;
+
+/** Expected time, in times of usual work, at which a candidate is as good as can be hoped for: no queue, and as fast as usual. */
+const goodTime = 1.3;
+
+/** Age of a report below which it still tells how things are. */
+const freshMs = 20;
+
+/** Whether what is known of an upstream is fresh, and so good that asking others would gain nothing. */
+export const isGoodNow = (upstream: UpstreamFacts): boolean =>
+    mayBeChosen(upstream) && upstream.reportAgeMs >= 0 && upstream.reportAgeMs < freshMs && expectedTime(upstream) < goodTime;
+
+/**
+ * Picks the candidates that are likely to be chosen.
+ *
+ * @param input - What is believed.
+ * @param count - Most candidates.
+ * @param draw - Gives random numbers of at least 0 and below 1.
+ * @returns Their ids, the likeliest first.
+ */
+export const probeTargets = (
+    input: Pick<DecisionInput, "upstreams" | "tried">,
+    count: number,
+    draw: () => number,
+): readonly string[] =>
+    input.upstreams
+        .filter(upstream => mayBeChosen(upstream) && !input.tried.includes(upstream.id))
+        .map(upstream => ({ id: upstream.id, order: expectedTime(upstream) + drawWeight * draw() }))
+        .sort((a, b) => a.order - b.order)
+        .slice(0, count)
+        .map(({ id }) => id);
+
+const mayBeChosen = (upstream: UpstreamFacts): boolean =>
+    upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- a/packages/decision/src/retry-budget.ts
+++ b/packages/decision/src/retry-budget.ts
@@ -23,7 +23,7 @@
  */
 export class RetryBudget {
     private saved: number;
-    private readonly maximumSaved: number;
+    private maximumSaved: number;
     private share: number;
 
     /** @param options - Share and bound. */
@@ -33,9 +33,11 @@
         this.saved = this.maximumSaved;
     }
 
-    /** Changes the share, as a new configuration says. */
-    configure(share: number): void {
+    /** Changes the share, and the bound on what is saved where one is given, as a new configuration says. */
+    configure(share: number, maximumSaved = this.maximumSaved): void {
         this.share = share;
+        this.maximumSaved = maximumSaved;
+        this.saved = Math.min(this.saved, maximumSaved);
     }
 
     /** Notes one request, which earns its share. */
@@ -43,13 +45,18 @@
         this.saved = Math.min(this.maximumSaved, this.saved + this.share);
     }
 
+    /** Whether there is a retry to take. */
+    canTake(): boolean {
+        return this.saved >= 1 - roundingError;
+    }
+
     /**
      * Takes one retry out of the budget.
      *
      * @returns Whether there was one.
      */
     take(): boolean {
-        if (this.saved < 1 - roundingError) {
+        if (!this.canTake()) {
             return false;
         }
         this.saved -= 1;
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -16,8 +16,11 @@
     readonly startedAtMs: number;
 }
 
+/** An upstream, with the time for which it will answer slowly where that is known. */
+export type KnownUpstream = Upstream & { readonly coldMs?: number; };
+
 interface Tracked {
-    readonly upstream: Upstream;
+    readonly upstream: KnownUpstream;
     belief: Belief;
     /** Requests in flight, oldest first. */
     readonly flights: Set<Flight>;
@@ -59,18 +62,25 @@
      *
      * @param service - The service as configured.
      * @param maximumInstances - Most entry instances, which share the connections to an upstream.
+     * @param upstreams - Its upstreams, where others than the configured ones are known.
      */
-    configure(service: Service, maximumInstances: number): void {
+    configure(
+        service: Pick<Service, "upstreams" | "maximumConnections">,
+        maximumInstances: number,
+        upstreams: readonly KnownUpstream[] = service.upstreams,
+    ): void {
         const maximumLimit = Math.max(1, Math.floor(service.maximumConnections / maximumInstances));
         this.belief = { ...this.belief, maximumLimit };
         const isFirst = this.tracked.size === 0;
         const nowMs = this.options.clock.nowMs();
-        this.tracked = new Map(service.upstreams.map(upstream => {
+        this.tracked = new Map(upstreams.map(upstream => {
             const old = this.tracked.get(upstream.id);
             const sameAddress = old?.upstream.address === upstream.address && old.upstream.port === upstream.port;
             const fresh = initialBelief(this.belief, nowMs);
-            const belief = isFirst ? fresh : update(fresh, { type: "returned", atMs: nowMs }, this.belief, () => false);
-            const tracked = old !== undefined && sameAddress
+            const returned = { type: "returned", atMs: nowMs, coldMs: upstream.coldMs } as const;
+            const isCold = upstream.coldMs === undefined ? !isFirst : upstream.coldMs > 0;
+            const belief = isCold ? update(fresh, returned, this.belief, () => false) : fresh;
+            const tracked: Tracked = old !== undefined && sameAddress
                 ? { upstream, belief: old.belief, flights: old.flights }
                 : { upstream, belief, flights: new Set<Flight>() };
             return [upstream.id, tracked];
@@ -95,7 +105,7 @@
         const tracked = this.tracked.get(upstream);
         if (tracked !== undefined) {
             // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
-            const belief = atTime(tracked.belief, this.options.clock.nowMs(), this.belief);
+            const belief = atTime(tracked.belief, this.options.clock.nowMs());
             this.replace(tracked, update(belief, observation, this.belief, () => this.mayEject()));
         }
     }
@@ -104,11 +114,26 @@
     facts(): readonly UpstreamFacts[] {
         const nowMs = this.options.clock.nowMs();
         return [...this.tracked.values()].map(tracked => {
-            this.replace(tracked, atTime(tracked.belief, nowMs, this.belief));
+            this.replace(tracked, atTime(tracked.belief, nowMs));
             return toFacts(tracked, nowMs, this.options.availabilityZone);
         });
     }
 
+    /** The upstreams. */
+    get upstreams(): readonly Upstream[] {
+        return [...this.tracked.values()].map(tracked => tracked.upstream);
+    }
+
+    /** One of the upstreams. */
+    find(upstream: UpstreamId): Upstream | undefined {
+        return this.tracked.get(upstream)?.upstream;
+    }
+
+    /** When an upstream last reported its load; `undefined` if it never did. */
+    reportedAtMs(upstream: UpstreamId): number | undefined {
+        return this.tracked.get(upstream)?.belief.reportedAtMs;
+    }
+
     /** All requests in flight. */
     get inFlight(): number {
         return [...this.tracked.values()].reduce((sum, tracked) => sum + tracked.flights.size, 0);
@@ -148,7 +173,8 @@
         reportedInFlight: belief.reportedAtMs === undefined ? -1 : belief.reportedInFlight,
         reportAgeMs: belief.reportedAtMs === undefined ? -1 : nowMs - belief.reportedAtMs,
         sentSinceReport: belief.reportedAtMs === undefined ? -1 : belief.sentSinceReport,
+        slowness: belief.slowness,
         failureRate: belief.failureRate,
-        slots: upstream.slots,
+        slots: belief.reportedSlots ?? upstream.slots,
     };
 };
--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -19,6 +19,7 @@
     reportedInFlight: 0,
     reportAgeMs: 50,
     sentSinceReport: 0,
+    slowness: 1,
     failureRate: 0,
     slots: 3,
     ...change,
--- a/packages/fleet/src/accepted-configuration.ts
+++ b/packages/fleet/src/accepted-configuration.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { checkConfiguration, type Configuration } from "@harrierhitch/configuration";
+import { checkConfiguration, type Checked, type Configuration } from "@harrierhitch/configuration";
 import type { OfferResult } from "./offer-result.js";
 
 /** A configuration in force, with the document it was made from. */
@@ -22,6 +22,9 @@
 export class AcceptedConfiguration {
     private held: ConfigurationInForce | undefined;
 
+    /** @param check - Reads and checks a document; the product's own syntax without one. */
+    constructor(private readonly check: (file: string, text: string) => Checked<Configuration> = checkConfiguration) {}
+
     /** The configuration in force; `undefined` before the first was accepted. */
     get inForce(): ConfigurationInForce | undefined {
         return this.held;
@@ -38,7 +41,7 @@
         if (text === this.held?.text) {
             return { type: "same" };
         }
-        const checked = checkConfiguration(file, text);
+        const checked = this.check(file, text);
         if (checked.value === undefined) {
             return { type: "invalid", findings: checked.findings };
         }
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -6,33 +6,32 @@
 
 import { create } from "@bufbuild/protobuf";
 import {
+    type Directory,
+    DirectorySchema,
     type Document,
     DocumentSchema,
     type ExchangeRequest,
     ExchangeRequestSchema,
     type ExchangeResponse,
     ExchangeResponseSchema,
-    type Member,
+    ListingSchema,
     type Version,
     VersionSchema,
 } from "@harrierhitch/protocol";
 import type { AcceptedConfiguration } from "./accepted-configuration.js";
-import type { KeyHistory } from "./key-history.js";
 import type { Members } from "./members.js";
 import type { HeardRumor, Rumors } from "./rumors.js";
+import { toListing, type UpstreamDirectory } from "./upstream-directory.js";
 
 /** Options of {@link Exchange}. */
 export interface ExchangeOptions {
     readonly fleet: string;
     readonly members: Members;
     readonly rumors: Rumors;
-    readonly history: KeyHistory;
+    readonly directory: UpstreamDirectory;
     readonly accepted: AcceptedConfiguration;
     readonly onConfiguration: (source: string, text: string) => void;
-    readonly onView: (text: string) => void;
     readonly onRumor: (rumor: HeardRumor) => void;
-    /** Told once of each member that announces that it leaves. */
-    readonly onLeaving: (member: Member) => void;
     /** Told when an exchange brought something that others should hear at once. */
     readonly onNews: () => void;
 }
@@ -47,11 +46,12 @@
 
     /** Exchanges news with one instance; documents that it lacks follow in a second request. */
     async with(send: SendExchange): Promise<void> {
-        const response = await send(this.request({}));
+        const response = await send(this.request([], this.directoryFor(Infinity)));
         this.takeIn(response.sender?.instance ?? "", response);
-        const lacks = this.documentsFor(response.configuration, response.instances);
-        if (lacks.configurationDocuments.length > 0 || lacks.instancesDocuments.length > 0) {
-            this.takeIn(response.sender?.instance ?? "", await send(this.request(lacks)));
+        const documents = this.documentsFor(response.configuration);
+        const directory = this.directoryFor(Number(response.directory?.revision ?? 0n));
+        if (documents.length > 0 || directory.listings.length > 0) {
+            this.takeIn(response.sender?.instance ?? "", await send(this.request(documents, directory)));
         }
     }
 
@@ -62,70 +62,85 @@
         return create(ExchangeResponseSchema, {
             sender: members.self,
             members: [...members.news()],
-            ...this.versions(),
-            ...this.documentsFor(request.configuration, request.instances),
+            configuration: this.version(),
+            configurationDocuments: this.documentsFor(request.configuration),
             observations: [...rumors.news()],
+            directory: this.directoryFor(Number(request.directory?.revision ?? 0n)),
         });
     }
 
-    private request(documents: { configurationDocuments?: Document[]; instancesDocuments?: Document[]; }): ExchangeRequest {
+    private request(configurationDocuments: Document[], directory: Directory): ExchangeRequest {
         const { fleet, members, rumors } = this.options;
         return create(ExchangeRequestSchema, {
             fleet,
             sender: members.self,
             members: [...members.news()],
-            ...this.versions(),
-            ...documents,
+            configuration: this.version(),
+            configurationDocuments,
             observations: [...rumors.news()],
+            directory,
         });
     }
 
     private takeIn(source: string, news: ExchangeRequest | ExchangeResponse): void {
-        const { members, rumors, onConfiguration, onView, onRumor, onNews, onLeaving } = this.options;
+        const { members, rumors, accepted, directory, onConfiguration, onRumor, onNews } = this.options;
         const told = news.sender === undefined ? news.members : [news.sender, ...news.members];
         const leaving = told.filter(member => member.leaving && members.stateOf(member.instance) !== "left");
+        const generationBefore = accepted.inForce?.configuration.generation;
+        const revisionBefore = directory.revision;
         members.merge(told);
-        leaving.filter(member => members.stateOf(member.instance) === "left").forEach(onLeaving);
         news.configurationDocuments.forEach(document => onConfiguration(source, document.text));
-        news.instancesDocuments.forEach(document => onView(document.text));
+        this.takeInDirectory(news.directory);
         const heard = rumors.merge(news.observations);
         heard.forEach(onRumor);
-        if (heard.length > 0 || leaving.length > 0) {
+        const isNewer = generationBefore !== accepted.inForce?.configuration.generation || revisionBefore !== directory.revision;
+        if (heard.length > 0 || leaving.length > 0 || isNewer) {
             onNews();
         }
     }
 
-    private versions(): { readonly configuration: Version; readonly instances: Version; } {
-        const { accepted, history } = this.options;
-        const configuration = accepted.inForce?.configuration;
-        const view = history.view;
-        return {
-            configuration: create(VersionSchema, {
-                number: BigInt(configuration?.generation ?? 0),
-                hash: configuration?.hash ?? "",
-            }),
-            instances: create(VersionSchema, { number: BigInt(view?.list.revision ?? 0), hash: view?.hash ?? "" }),
-        };
+    private takeInDirectory(news: Directory | undefined): void {
+        // Without listings it only tells how far the other instance knows.
+        if (news !== undefined && news.listings.length > 0) {
+            const listings = news.listings.map(({ upstream, revision, text, removed }) =>
+                toListing(upstream, Number(revision), removed ? undefined : text)
+            );
+            this.options.directory.takeIn({ revision: Number(news.revision), whole: news.whole, listings });
+        }
+    }
+
+    /** What is known of the directory, with the changes that an instance lacks that knows it up to a revision. */
+    private directoryFor(revision: number): Directory {
+        const { directory } = this.options;
+        if (directory.revision <= revision) {
+            return create(DirectorySchema, { revision: BigInt(directory.revision) });
+        }
+        const { whole, listings } = directory.newsAfter(revision);
+        return create(DirectorySchema, {
+            revision: BigInt(directory.revision),
+            whole,
+            listings: listings.map(({ upstream, revision: at, text }) =>
+                create(ListingSchema, { upstream, revision: BigInt(at), text: text ?? "", removed: text === undefined })
+            ),
+        });
+    }
+
+    private version(): Version {
+        const configuration = this.options.accepted.inForce?.configuration;
+        return create(VersionSchema, {
+            number: BigInt(configuration?.generation ?? 0),
+            hash: configuration?.hash ?? "",
+        });
     }
 
-    /** The documents that another instance lacks, by the versions it told. */
-    private documentsFor(
-        configuration: Version | undefined,
-        instances: Version | undefined,
-    ): { readonly configurationDocuments: Document[]; readonly instancesDocuments: Document[]; } {
-        const { accepted, history } = this.options;
-        const { inForce } = accepted;
-        const { view } = history;
-        const own = this.versions();
-        // Of two contents under one generation the lower hash wins, of two lists under one revision the higher.
-        const lacksConfiguration = inForce !== undefined && isAhead(own.configuration, configuration, (a, b) => a < b);
-        const lacksInstances = view !== undefined && isAhead(own.instances, instances, (a, b) => a > b);
-        return {
-            configurationDocuments: lacksConfiguration
-                ? [create(DocumentSchema, { version: own.configuration, text: inForce.text })]
-                : [],
-            instancesDocuments: lacksInstances ? [view.toDocument()] : [],
-        };
+    /** The configuration, if another instance lacks it by the version it told. */
+    private documentsFor(other: Version | undefined): Document[] {
+        const { inForce } = this.options.accepted;
+        const own = this.version();
+        // Of two contents under one generation the lower hash wins.
+        return inForce !== undefined && isAhead(own, other, (a, b) => a < b)
+            ? [create(DocumentSchema, { version: own, text: inForce.text })]
+            : [];
     }
 }
 
--- a/packages/fleet/src/fleet-times.ts
+++ b/packages/fleet/src/fleet-times.ts
@@ -12,10 +12,6 @@
     readonly callTimeoutMs: number;
     readonly suspectMs: number;
     readonly failMs: number;
-    /** Most bytes of answers kept for repeated sendings. */
-    readonly answerBytes: number;
-    /** Most keys that this instance keeps for the fleet. */
-    readonly maximumKeys: number;
 }
 
 /** Times that suit fleets of today's size. */
@@ -24,6 +20,4 @@
     callTimeoutMs: 300,
     suspectMs: 4000,
     failMs: 8000,
-    answerBytes: 8_388_608,
-    maximumKeys: 100_000,
 };
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -8,7 +8,6 @@
 import type { Clock, InstanceId } from "@harrierhitch/core";
 import { type Member, MemberSchema } from "@harrierhitch/protocol";
 import { isNewer, type MemberState } from "./member.js";
-import type { ListedEntry } from "./view.js";
 
 /** Options of {@link Members}. */
 export interface MembersOptions {
@@ -70,15 +69,6 @@
         });
     }
 
-    /** Takes in the instance list: a way to reach members, never a proof of life. */
-    seed(entries: readonly ListedEntry[]): void {
-        entries.filter(entry => entry.id !== this.own.instance && !this.known.has(entry.id)).forEach(entry => {
-            const { id: instance, availabilityZone, address, port } = entry;
-            const member = create(MemberSchema, { instance, availabilityZone, address, port });
-            this.known.set(instance, { member, heardAtMs: this.options.clock.nowMs() });
-        });
-    }
-
     /** Gives every member new time, because this process slept and could not hear them. */
     forgive(): void {
         const atMs = this.options.clock.nowMs();
@@ -121,11 +111,11 @@
         return latest.slice(0, maximumPerExchange).map(known => known.member);
     }
 
-    /** Drops members that failed or left long ago and are not listed. */
-    prune(listed: ReadonlySet<string>, afterMs: number): void {
+    /** Drops members that failed or left long ago. */
+    prune(afterMs: number): void {
         const oldestMs = this.options.clock.nowMs() - afterMs;
         this.known.forEach((known, id) => {
-            if (known.heardAtMs < oldestMs && !listed.has(id)) {
+            if (known.heardAtMs < oldestMs) {
                 this.known.delete(id);
             }
         });
--- a/packages/fleet/src/peer-service.ts
+++ b/packages/fleet/src/peer-service.ts
@@ -4,26 +4,12 @@
  * @packageDocumentation
  */
 
-import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
-import { type Clock, sleep } from "@harrierhitch/core";
-import {
-    type AwaitAnswerRequest,
-    type AwaitAnswerResponse,
-    AwaitAnswerResponseSchema,
-    ClaimResponseSchema,
-    type Explanation,
-    HeaderSchema,
-    type InstanceStatus,
-    type PeerService,
-    Vote,
-} from "@harrierhitch/protocol";
-import type { KeyedResult } from "./answer-shelf.js";
+import type { Explanation, InstanceStatus, PeerService } from "@harrierhitch/protocol";
 import type { Fleet } from "./fleet.js";
 
 /** Options of {@link peerService}. */
 export interface PeerServiceOptions {
-    readonly clock: Clock;
     readonly fleetName: string;
     readonly fleet: Fleet;
     /** Explains a request that this instance decided. */
@@ -33,12 +19,12 @@
     readonly onRefused: (reason: string) => void;
 }
 
-/** Longest key and longest claim id that are taken. */
-const maximumKeyLength = 1024;
-
 /** Most members and observations in one message. */
 const maximumItems = 1024;
 
+/** Most listings in one message: a fleet's upstreams, with room for those that were replaced lately. */
+const maximumListings = 50_000;
+
 /** Implements the service that instances offer each other. */
 export const peerService = (options: PeerServiceOptions): ServiceImpl<typeof PeerService> => {
     const { fleet } = options;
@@ -58,28 +44,9 @@
         exchange: request => {
             admit(request.fleet);
             bounded(request.members.length <= maximumItems && request.observations.length <= maximumItems, "the number of items");
+            bounded((request.directory?.listings.length ?? 0) <= maximumListings, "the number of listings");
             return fleet.exchange.answer(request);
         },
-        claim: request => {
-            admit(request.fleet);
-            bounded((request.holding?.key.length ?? 0) <= maximumKeyLength, "the length of the key");
-            return fleet.members.self.leaving
-                ? create(ClaimResponseSchema, { vote: Vote.INCOMPLETE })
-                : fleet.keeper.vote(request);
-        },
-        settle: request => {
-            admit(request.fleet);
-            fleet.keeper.settle(request);
-            return {};
-        },
-        awaitAnswer: async request => {
-            admit(request.fleet);
-            return await awaitAnswer(options, request);
-        },
-        syncRecords: request => {
-            admit(request.fleet);
-            return fleet.keeper.handOver(request);
-        },
         explainLocal: request => {
             const explanation = options.explain(request.requestId);
             if (explanation === undefined) {
@@ -90,24 +57,3 @@
         statusLocal: () => ({ status: options.status() }),
     };
 };
-
-const awaitAnswer = async ({ clock, fleet }: PeerServiceOptions, request: AwaitAnswerRequest): Promise<AwaitAnswerResponse> => {
-    const end = fleet.shelf.endOf(request.key, request.claimId);
-    if (end === undefined) {
-        return create(AwaitAnswerResponseSchema, { outcome: "unknown" });
-    }
-    const ending = new AbortController();
-    const late = sleep(clock, request.waitMs, ending.signal).then(() => undefined);
-    const result = await Promise.race([end, late]);
-    ending.abort();
-    return result === undefined ? create(AwaitAnswerResponseSchema, {}) : toResponse(result);
-};
-
-const toResponse = ({ outcome, answer }: KeyedResult): AwaitAnswerResponse =>
-    create(AwaitAnswerResponseSchema, {
-        outcome,
-        hasAnswer: answer !== undefined,
-        status: answer?.status ?? 0,
-        headers: answer?.headers.map(([name, value]) => create(HeaderSchema, { name, value })) ?? [],
-        body: answer?.body ?? new Uint8Array(),
-    });
--- /dev/null
+++ b/packages/fleet/src/upstream-directory.ts
@@ -0,0 +1,185 @@
+/**
+ * The upstreams that the platform lists apart from the configuration.
+ *
+ * @packageDocumentation
+ */
+
+import type { Checked, Finding, ListedUpstream } from "@harrierhitch/configuration";
+import { type Clock, type UpstreamId, upstreamId } from "@harrierhitch/core";
+
+/** One listing as it was published or passed on. */
+export interface Listing {
+    readonly upstream: UpstreamId;
+    /** Revision of the platform at which it was published or taken away. */
+    readonly revision: number;
+    /** Published text; `undefined` when the upstream was taken away. */
+    readonly text: string | undefined;
+}
+
+/** Listings of a read or a watch, or as another instance passes them on. */
+export interface DirectoryNews {
+    /** Every change up to this revision is included. */
+    readonly revision: number;
+    /** Whether these are all listings, so that upstreams without one are gone. */
+    readonly whole: boolean;
+    readonly listings: readonly Listing[];
+}
+
+/** What changed by some news. */
+export interface DirectoryChange {
+    readonly upstream: UpstreamId;
+    readonly before: ListedUpstream | undefined;
+    readonly after: ListedUpstream | undefined;
+    readonly revision: number;
+}
+
+/** Options of {@link UpstreamDirectory}. */
+export interface UpstreamDirectoryOptions {
+    readonly clock: Clock;
+    /** Reads the text of a listing. */
+    readonly read: (id: UpstreamId, text: string) => Checked<ListedUpstream>;
+    /** Whether the platform was away just now, so that entries may have lapsed although their upstreams live. */
+    readonly isDoubtful: () => boolean;
+    /** Told of each change. */
+    readonly onChange: (change: DirectoryChange) => void;
+    /** Told of a listing that cannot be read; the last good one stays. */
+    readonly onInvalid: (id: UpstreamId, findings: readonly Finding[]) => void;
+}
+
+interface Entry {
+    readonly revision: number;
+    readonly text: string | undefined;
+    readonly upstream: ListedUpstream | undefined;
+}
+
+/**
+ * Time for which upstreams that a whole read lacks are still used: entries that
+ * lapsed while the platform was away are back about two seconds after its return.
+ */
+const lapseGraceMs = 2_300;
+
+/** Upstreams gone at once without a word that are taken for lapsed entries at first: at least so many, and this share of all. */
+const minimumLapsed = 3;
+const lapsedShare = 0.2;
+
+/** Changes that were taken away are remembered for this many revisions, so that they can be passed on. */
+const rememberedRevisions = 2_000;
+
+/** Keeps the listings by their revisions; an older one never undoes a later one. */
+export class UpstreamDirectory {
+    private readonly entries = new Map<UpstreamId, Entry>();
+    private known = 0;
+    /** Removals that are not believed yet, until it is clear that the entries did not just lapse. */
+    private readonly doubted = new Map<UpstreamId, Listing>();
+
+    /** @param options - Clock, reader and listeners. */
+    constructor(private readonly options: UpstreamDirectoryOptions) {}
+
+    /** Every change up to this revision is known; 0 before the first news. */
+    get revision(): number {
+        return this.known;
+    }
+
+    /** The listed upstreams. */
+    get upstreams(): readonly ListedUpstream[] {
+        return [...this.entries.values()].flatMap(entry => entry.upstream ?? []);
+    }
+
+    /** Takes in news from any source. */
+    takeIn(news: DirectoryNews): void {
+        const removals = [...news.listings.filter(listing => this.isRemoval(listing)), ...this.missingFrom(news)];
+        const doubtful = removals.length > 0 && (this.options.isDoubtful() || this.areTooMany(removals));
+        news.listings.filter(listing => !removals.includes(listing)).forEach(listing => this.put(listing));
+        removals.forEach(removal => doubtful ? this.doubt(removal) : this.put(removal));
+        this.known = Math.max(this.known, news.revision);
+        this.forgetOldRemovals();
+    }
+
+    /**
+     * The news for an instance that knows every change up to a revision.
+     *
+     * @param revision - What it knows; 0 for nothing.
+     */
+    newsAfter(revision: number): DirectoryNews {
+        const isWhole = revision === 0 || revision < this.known - rememberedRevisions;
+        const kept = [...this.entries]
+            .filter(([, entry]) => isWhole ? entry.text !== undefined : entry.revision > revision)
+            .map(([upstream, entry]) => ({ upstream, revision: entry.revision, text: entry.text }));
+        const doubted = [...this.doubted.values()].filter(listing => listing.revision > revision);
+        return { revision: this.known, whole: isWhole, listings: [...kept, ...doubted] };
+    }
+
+    private put({ upstream, revision, text }: Listing): void {
+        const before = this.entries.get(upstream);
+        if (before !== undefined && before.revision >= revision) {
+            return;
+        }
+        const after = text === undefined ? undefined : this.read(upstream, text, before?.upstream);
+        this.entries.set(upstream, { revision, text, upstream: after });
+        this.tell({ upstream, before: before?.upstream, after, revision });
+    }
+
+    private read(id: UpstreamId, text: string, lastGood: ListedUpstream | undefined): ListedUpstream | undefined {
+        const checked = this.options.read(id, text);
+        if (checked.value === undefined) {
+            this.options.onInvalid(id, checked.findings);
+            return lastGood;
+        }
+        return checked.value;
+    }
+
+    private isRemoval({ upstream, revision, text }: Listing): boolean {
+        const before = this.entries.get(upstream);
+        return text === undefined && before?.upstream !== undefined && before.revision < revision;
+    }
+
+    /** Removals of the upstreams that a whole read lacks. */
+    private missingFrom(news: DirectoryNews): readonly Listing[] {
+        if (!news.whole || news.revision < this.known) {
+            return [];
+        }
+        const present = new Set(news.listings.map(listing => listing.upstream));
+        return [...this.entries].flatMap(([upstream, entry]) =>
+            entry.text !== undefined && !present.has(upstream) && entry.revision <= news.revision
+                ? [{ upstream, revision: Math.max(entry.revision + 1, news.revision), text: undefined }]
+                : []
+        );
+    }
+
+    /** Whether so many upstreams that never said they leave are gone at once that a lapse is likelier. */
+    private areTooMany(removals: readonly Listing[]): boolean {
+        const sudden = removals.filter(({ upstream }) => this.entries.get(upstream)?.upstream?.leaving === false).length;
+        return sudden >= minimumLapsed && sudden > this.upstreams.length * lapsedShare;
+    }
+
+    private doubt(removal: Listing): void {
+        this.doubted.set(removal.upstream, removal);
+        this.options.clock.after(lapseGraceMs, () => {
+            if (this.doubted.get(removal.upstream) === removal) {
+                this.doubted.delete(removal.upstream);
+                this.put(removal);
+            }
+        });
+    }
+
+    private tell(change: DirectoryChange): void {
+        if (change.before !== undefined || change.after !== undefined) {
+            this.options.onChange(change);
+        }
+    }
+
+    private forgetOldRemovals(): void {
+        this.entries.forEach((entry, id) => {
+            if (entry.text === undefined && entry.revision < this.known - rememberedRevisions) {
+                this.entries.delete(id);
+            }
+        });
+    }
+}
+
+/** Brands the listings that another instance passed on. */
+export const toListing = (upstream: string, revision: number, text: string | undefined): Listing => ({
+    upstream: upstreamId(upstream),
+    revision,
+    text,
+});
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -43,6 +43,7 @@
     reportedInFlight: "double",
     reportAgeMs: "double",
     sentSinceReport: "double",
+    slowness: "double",
     failureRate: "double",
     slots: "double",
 };
--- a/packages/policy/src/upstream-facts.ts
+++ b/packages/policy/src/upstream-facts.ts
@@ -41,8 +41,10 @@
     readonly reportAgeMs: number;
     /** Requests that this instance has sent there since that report; -1 without one. */
     readonly sentSinceReport: number;
+    /** Factor by which work takes longer there than usual, by that report; 1 is as usual, and without a report. */
+    readonly slowness: number;
     /** Decayed share of failed attempts, from 0 to 1. */
     readonly failureRate: number;
-    /** Requests that the upstream serves at the same time, as configured. */
+    /** Requests that the upstream serves at the same time, by its report or else as configured. */
     readonly slots: number;
 }
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -80,6 +80,7 @@
         reportedInFlight: Math.floor(random.next() * 5),
         reportAgeMs: random.next() * 100,
         sentSinceReport: Math.floor(random.next() * 3),
+        slowness: 1,
         failureRate: 0,
         slots: 3,
     })),
