--- a/packages/daemon/src/caller-answer.ts
+++ b/packages/daemon/src/caller-answer.ts
@@ -90,8 +90,12 @@
         this.response.end();
     }
 
-    /** Gives a whole answer of an upstream, with headers of our own. */
-    whole({ status, headers, body }: WholeAnswer, own: OutgoingHttpHeaders): void {
+    /**
+     * Gives a whole answer of an upstream, with headers of our own. One whose end
+     * was told by nothing but the end of its connection is passed on like that,
+     * since a length of our own would claim that it is whole.
+     */
+    whole({ status, headers, body, isFramed }: WholeAnswer, own: OutgoingHttpHeaders): void {
         if (this.begun || this.left) {
             return;
         }
@@ -99,9 +103,14 @@
         if (this.mustClose) {
             passedOn["connection"] = "close";
         }
-        if (this.request.method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus) {
+        const mayHaveBody = this.request.method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
+        if (mayHaveBody && isFramed) {
             passedOn["content-length"] = body.length;
         }
+        else if (mayHaveBody) {
+            passedOn["connection"] = "close";
+            this.response.useChunkedEncodingByDefault = false;
+        }
         this.finished = true;
         this.response.writeHead(status, passedOn);
         this.response.end(body);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -50,8 +50,8 @@
 /** The whole fleet together tries at most so often a second while the platform is down. */
 const fleetTriesPerSecond = 100;
 
-/** Time after the platform's return for which entries may still be missing although their upstreams live. */
-const doubtfulMs = 2500;
+/** Time after the platform's return for which entries that lapsed meanwhile may still be missing although their upstreams live. */
+const lapseGraceMs = 2300;
 
 /** Time for which closing callers' connections is announced in answers before idle ones are closed. */
 const idleCloseMs = 500;
@@ -194,7 +194,7 @@
             metrics,
             dialect: adapter.dialect,
             syntax: adapter.syntax({ policies }),
-            isPlatformDoubtful: () => this.isPlatformLost || clock.nowMs() - this.regainedAtMs < doubtfulMs,
+            doubtfulMs: () => this.isPlatformLost ? lapseGraceMs : Math.max(0, this.regainedAtMs + lapseGraceMs - clock.nowMs()),
             onConfigured: ({ configuration }) => this.callers.configure(configuration.callers),
             onTraced: record => this.tracing?.add(record),
         });
@@ -226,6 +226,7 @@
         this.log.write(events.platformFailed, { revision: this.instance.directory.revision, error });
     }
 
+    /** Called before the answer is taken in, so that what it lacks is doubted. */
     private onPlatformRegained(): void {
         this.isPlatformLost = false;
         this.regainedAtMs = this.clock.nowMs();
--- a/packages/daemon/src/http-platform.ts
+++ b/packages/daemon/src/http-platform.ts
@@ -31,9 +31,9 @@
         return this.toPublication(result);
     }
 
-    async watch(_: number, signal: AbortSignal): Promise<Publication> {
+    async watch(_: number, signal: AbortSignal, waits: boolean): Promise<Publication> {
         this.options.onCall("watch");
-        const { watchMs } = this.options;
+        const watchMs = waits ? this.options.watchMs : 0;
         const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(watchMs / 1000)}` };
         const result = await this.get(headers, watchMs + watchGraceMs, signal);
         return result.status === notModified
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -39,8 +39,8 @@
     readonly syntax: PublishedSyntax;
     readonly log: EventLog;
     readonly metrics: Metrics;
-    /** Whether the platform was away just now. */
-    readonly isPlatformDoubtful: () => boolean;
+    /** Milliseconds for which removals that the platform tells are doubtful. */
+    readonly doubtfulMs: () => number;
     /** Told when another configuration came into force. */
     readonly onConfigured?: (update: RegistryUpdate) => void;
     /** Takes the record of each request that is traced. */
@@ -89,7 +89,7 @@
         this.directory = new UpstreamDirectory({
             clock,
             read: (id, text) => syntax.upstream(id, text),
-            isDoubtful: () => parts.isPlatformDoubtful(),
+            doubtfulMs: () => parts.doubtfulMs(),
             onChange: change => this.telemetry.listingChanged(change),
             onInvalid: (id, findings) =>
                 parts.log.write(events.listingInvalid, { upstream: id, findings: findings.map(formatFinding) }),
--- a/packages/daemon/src/platform-follower.ts
+++ b/packages/daemon/src/platform-follower.ts
@@ -33,7 +33,7 @@
 const turnMs = 250;
 
 /** Failures in a row after which the time between two tries no longer grows, as a power of two. */
-const maximumBackOff = 2;
+const maximumBackOff = 1;
 
 /**
  * Reads the platform once, then watches it whenever it is this instance's turn.
@@ -105,7 +105,9 @@
 
     private call(isWhole: boolean, signal: AbortSignal): Promise<Publication> {
         const { platform, knownRevision } = this.options;
-        return isWhole ? platform.read(signal, !this.mustBeFresh) : platform.watch(knownRevision(), signal);
+        // While the platform fails, short calls notice its return at once.
+        const waits = this.failuresInRow === 0;
+        return isWhole ? platform.read(signal, !this.mustBeFresh) : platform.watch(knownRevision(), signal, waits);
     }
 
     private onAnswer(): void {
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -35,11 +35,12 @@
      *
      * @param revision - The revision that is already known.
      * @param signal - Ends the watch.
+     * @param waits - Whether to wait for a change; otherwise it only tells what has changed.
      * @returns What changed; nothing when nothing changed for the time of a watch.
      * @throws {@link HistoryLostError} when the changes since that revision are no longer known.
      * @throws {@link PlatformError} when the platform does not answer properly.
      */
-    watch(revision: number, signal: AbortSignal): Promise<Publication>;
+    watch(revision: number, signal: AbortSignal, waits: boolean): Promise<Publication>;
 }
 
 /** The platform did not answer, or not as agreed. */
--- a/packages/daemon/src/telemetry.ts
+++ b/packages/daemon/src/telemetry.ts
@@ -101,6 +101,9 @@
 
     /** Tells of a listed upstream that came, changed or went. */
     listingChanged({ upstream, before, after, revision }: DirectoryChange): void {
+        if (listingState(before) === listingState(after)) {
+            return;
+        }
         const { service, address, port, availabilityZone } = after ?? before ?? {};
         this.log.write(events.listingChanged, {
             upstream,
--- a/packages/daemon/src/whole-answer.ts
+++ b/packages/daemon/src/whole-answer.ts
@@ -11,6 +11,8 @@
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     readonly body: Buffer;
+    /** Whether the upstream told where the body ends; otherwise it ended with its connection, which proves nothing. */
+    readonly isFramed: boolean;
 }
 
 /** Gathers an answer, as long as it stays small. */
@@ -47,6 +49,8 @@
 
     /** The answer, once it has ended. */
     whole(): WholeAnswer {
-        return { status: this.status, headers: this.headers, body: Buffer.concat(this.chunks, this.bytes) };
+        const { status, headers } = this;
+        const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+        return { status, headers, body: Buffer.concat(this.chunks, this.bytes), isFramed };
     }
 }
--- a/packages/fleet/src/upstream-directory.ts
+++ b/packages/fleet/src/upstream-directory.ts
@@ -38,8 +38,11 @@
     readonly clock: Clock;
     /** Reads the text of a listing. */
     readonly read: (id: UpstreamId, text: string) => Checked<ListedUpstream>;
-    /** Whether the platform was away just now, so that entries may have lapsed although their upstreams live. */
-    readonly isDoubtful: () => boolean;
+    /**
+     * Milliseconds for which removals are doubtful, because the platform was away
+     * just now and entries may have lapsed although their upstreams live; 0 when they are certain.
+     */
+    readonly doubtfulMs: () => number;
     /** Told of each change. */
     readonly onChange: (change: DirectoryChange) => void;
     /** Told of a listing that cannot be read; the last good one stays. */
@@ -52,16 +55,13 @@
     readonly upstream: ListedUpstream | undefined;
 }
 
-/**
- * Time for which upstreams that a whole read lacks are still used: entries that
- * lapsed while the platform was away are back about two seconds after its return.
- */
-const lapseGraceMs = 2_300;
-
 /** Upstreams gone at once without a word that are taken for lapsed entries at first: at least so many, and this share of all. */
 const minimumLapsed = 3;
 const lapsedShare = 0.2;
 
+/** Time for which such removals are doubted: well below the two seconds after which an upstream that left gets no new work. */
+const suddenGraceMs = 1_400;
+
 /** Changes that were taken away are remembered for this many revisions, so that they can be passed on. */
 const rememberedRevisions = 2_000;
 
@@ -88,9 +88,9 @@
     /** Takes in news from any source. */
     takeIn(news: DirectoryNews): void {
         const removals = [...news.listings.filter(listing => this.isRemoval(listing)), ...this.missingFrom(news)];
-        const doubtful = removals.length > 0 && (this.options.isDoubtful() || this.areTooMany(removals));
+        const doubtMs = Math.max(this.options.doubtfulMs(), this.areTooMany(removals) ? suddenGraceMs : 0);
         news.listings.filter(listing => !removals.includes(listing)).forEach(listing => this.put(listing));
-        removals.forEach(removal => doubtful ? this.doubt(removal) : this.put(removal));
+        removals.forEach(removal => doubtMs > 0 ? this.doubt(removal, doubtMs) : this.put(removal));
         this.known = Math.max(this.known, news.revision);
         this.forgetOldRemovals();
     }
@@ -152,9 +152,9 @@
         return sudden >= minimumLapsed && sudden > this.upstreams.length * lapsedShare;
     }
 
-    private doubt(removal: Listing): void {
+    private doubt(removal: Listing, doubtMs: number): void {
         this.doubted.set(removal.upstream, removal);
-        this.options.clock.after(lapseGraceMs, () => {
+        this.options.clock.after(doubtMs, () => {
             if (this.doubted.get(removal.upstream) === removal) {
                 this.doubted.delete(removal.upstream);
                 this.put(removal);
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -94,7 +94,7 @@
         const directory = new UpstreamDirectory({
             clock: this.clock,
             read: (upstream, text) => ({ value: listedUpstream(upstream, text), findings: [] }),
-            isDoubtful: () => false,
+            doubtfulMs: () => 0,
             onChange: () => undefined,
             onInvalid: () => undefined,
         });
