--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,7 +54,7 @@
         },
     },
     {
-        files: ["packages/*/test/**/*.ts"],
+        files: ["packages/*/test/**/*.ts", "platform/test/**/*.ts"],
         rules: {
             "max-lines-per-function": "off",
             "@typescript-eslint/no-floating-promises": "off",
--- a/packages/command/src/check-command.ts
+++ b/packages/command/src/check-command.ts
@@ -23,8 +23,7 @@
 export const checkCommand = defineCommand({
     meta: {
         name: "check",
-        description:
-            "Check a settings file, a configuration or a file of policies. References: docs/reference/",
+        description: "Check a settings file, a configuration or a file of policies. References: docs/reference/",
     },
     args: {
         file: { type: "positional", required: true, description: "The file" },
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -11,77 +11,21 @@
     choiceKey,
     integerKey,
     nameKey,
-    namePattern,
     numberKey,
     optionalSection,
     optionalTextKey,
     textKey,
 } from "./key.js";
-
-/** Names of the choosers that a policy can pick. */
-export const chooserNames = [
-    "adaptive",
-    "expected-time",
-    "lowest-rank",
-    "two-choices",
-    "least-outstanding",
-    "latency-average",
-    "round-robin",
-    "random",
-] as const;
-
-/** Name of a chooser. */
-export type ChooserName = typeof chooserNames[number];
+import { namedSections, policySectionsSchema } from "./policy-schema.js";
 
 /** The method of a route that takes requests of every method. */
 export const anyMethod = "ANY";
 
 const methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", anyMethod] as const;
 
-const named = <Section extends z.ZodObject>(section: Section) =>
-    z.record(z.string().regex(namePattern, "expected a name of lower-case letters, digits and hyphens"), section);
-
 const headerKey = (description: string, defaultValue: string) =>
     textKey({ description, defaultValue, expected: "a header name in lower case", pattern: /^[a-z0-9-]+$/ });
 
-/** Schema of the policies of a document. */
-export const policySectionsSchema = named(z.strictObject({
-    refuse: optionalTextKey({
-        description: "Text expression; a text that is not empty refuses the request with that reason.",
-    }),
-    refuseRetryAfterMs: integerKey({
-        description: "When a caller that was refused should come back.",
-        unit: "ms",
-        minimum: 0,
-        maximum: 3_600_000,
-        defaultValue: 1000,
-    }),
-    hold: optionalTextKey({ description: "True or false expression; while true the request is held back." }),
-    filter: optionalTextKey({ description: "True or false expression for one candidate; false leaves it out." }),
-    rank: optionalTextKey({ description: "Number expression for one candidate; lower is better." }),
-    chooser: choiceKey(chooserNames, { description: "How one of the candidates is picked.", defaultValue: "adaptive" }),
-    probeCandidates: integerKey({
-        description: "How many of the best candidates are asked for their load just before the choice; 0 asks none.",
-        minimum: 0,
-        maximum: 16,
-        defaultValue: 0,
-    }),
-    probeTimeoutMs: integerKey({
-        description: "Longest time for which a choice waits for answers to its probes.",
-        unit: "ms",
-        minimum: 1,
-        maximum: 1000,
-        defaultValue: 12,
-    }),
-    hedgePercent: integerKey({
-        description: "When a second attempt of a repeatable request begins, as a share of its target latency; 0 begins none.",
-        unit: "%",
-        minimum: 0,
-        maximum: 1000,
-        defaultValue: 0,
-    }),
-}));
-
 /** Schema of the published configuration. */
 export const configurationSchema = z.strictObject({
     generation: integerKey({
@@ -143,7 +87,7 @@
             defaultValue: 0,
         }),
     }),
-    kind: named(z.strictObject({
+    kind: namedSections(z.strictObject({
         repeatable: booleanKey({ description: "Whether a request of this kind may run more than once." }),
         weight: numberKey({
             description: "Worth of one correct answer, for fairness and for refusing under overload.",
@@ -177,9 +121,12 @@
             maximum: 1000,
             defaultValue: 0,
         }),
-        policy: optionalTextKey({ description: "Policy that decides for this kind, in place of the service's.", expected: "a policy" }),
+        policy: optionalTextKey({
+            description: "Policy that decides for this kind, in place of the service's.",
+            expected: "a policy",
+        }),
     })),
-    service: named(z.strictObject({
+    service: namedSections(z.strictObject({
         policy: nameKey({ description: "Policy that decides for this service." }),
         maximumQueued: integerKey({
             description: "Most requests held back at one instance.",
@@ -224,7 +171,7 @@
             expected: "a path that begins with /",
         }),
     })),
-    upstream: named(z.strictObject({
+    upstream: namedSections(z.strictObject({
         service: nameKey({ description: "Service to which this upstream belongs." }),
         address: addressKey({ description: "IP number of the upstream." }),
         port: integerKey({ description: "Port of the upstream.", minimum: 1, maximum: 65535 }),
@@ -236,7 +183,7 @@
             defaultValue: 3,
         }),
     })),
-    route: named(z.strictObject({
+    route: namedSections(z.strictObject({
         method: choiceKey(methods, { description: "HTTP method, or ANY." }),
         host: textKey({
             description: "Host that the request names; a route without one takes every host.",
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -111,7 +111,9 @@
         return { file: document.file, section, key, line: document.lineOf(section, key), message };
     };
     const reference = (section: string, key: string, target: "policy" | "service" | "kind", name: string) =>
-        Object.hasOwn(values[target], name) || target === "policy" && policies?.has(name) === true ? [] : [finding(section, key, `there is no section [${target}.${name}]`)];
+        Object.hasOwn(values[target], name) || target === "policy" && policies?.has(name) === true
+            ? []
+            : [finding(section, key, `there is no section [${target}.${name}]`)];
     const upstreams = Object.entries(values.upstream);
     const routes = Object.entries(values.route);
     const sameUpstream = duplicatesIn(upstreams, other => `${other.address}:${other.port}`);
@@ -125,7 +127,9 @@
         ]),
         ...upstreams.flatMap(([name, upstream]) => [
             ...reference(`upstream.${name}`, "service", "service", upstream.service),
-            ...sameUpstream(name).map(first => finding(`upstream.${name}`, "port", `same address and port as [upstream.${first}]`)),
+            ...sameUpstream(name).map(first =>
+                finding(`upstream.${name}`, "port", `same address and port as [upstream.${first}]`)
+            ),
         ]),
         ...routes.flatMap(([name, route]) => [
             ...parseDestinations(route.service).flatMap(({ service }) =>
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -6,7 +6,7 @@
  */
 
 export { checkDocument, type Checked } from "./check.js";
-export { type ChooserName, chooserNames, configurationSchema, policySectionsSchema } from "./configuration-schema.js";
+export { configurationSchema } from "./configuration-schema.js";
 export {
     checkConfiguration,
     checkSections,
@@ -31,10 +31,12 @@
     textKey,
 } from "./key.js";
 export { type IniValue, LocatedIni } from "./located-ini.js";
+export { type ChooserName, chooserNames, policySectionsSchema } from "./policy-schema.js";
 export { referenceMarkdown } from "./reference.js";
 export { type Kind, pickRoute, type Route, type RouteGroup, type WeightedRoute } from "./route.js";
 export { Router } from "./router.js";
 export { checkPolicies, checkPolicyFile, policyFileSchema, type ServicePolicy } from "./service-policy.js";
 export { type Service } from "./service.js";
-export { checkSettings, isLoopback, type Settings, settingsSchema } from "./settings.js";
+export { type Settings, settingsSchema } from "./settings-schema.js";
+export { checkSettings, isLoopback } from "./settings.js";
 export { type ListedUpstream, type Upstream } from "./upstream.js";
--- a/packages/configuration/src/router.ts
+++ b/packages/configuration/src/router.ts
@@ -26,7 +26,7 @@
             return this.addPrefix(route);
         }
         try {
-            this.patternsOf(route.host).on(route.method as HTTPMethod, route.path, unusedHandler, route);
+            this.patternsOf(route.host).on(route.method, route.path, unusedHandler, route);
             return undefined;
         }
         catch (thrown) {
--- a/packages/configuration/src/service-policy.ts
+++ b/packages/configuration/src/service-policy.ts
@@ -7,9 +7,10 @@
 import { clauseNames, Policy, type PolicyCheckError, type PolicySource } from "@harrierhitch/policy";
 import { z } from "zod";
 import { checkDocument, type Checked } from "./check.js";
-import { type ChooserName, type ConfigurationValues, policySectionsSchema } from "./configuration-schema.js";
+import type { ConfigurationValues } from "./configuration-schema.js";
 import type { Finding } from "./finding.js";
 import { LocatedIni } from "./located-ini.js";
+import { type ChooserName, policySectionsSchema } from "./policy-schema.js";
 
 /** A policy in force, with the chooser it picks. */
 export interface ServicePolicy {
@@ -31,8 +32,8 @@
     const findings = Object.entries(values).flatMap(([name, section]): readonly Finding[] => {
         const result = Policy.check(policySource(document, name, section));
         if (result instanceof Policy) {
-            const { refuse: _, hold: _hold, filter: _filter, rank: _rank, ...options } = section;
-            policies.set(name, { policy: result, ...options });
+            const { chooser, refuseRetryAfterMs, probeCandidates, probeTimeoutMs, hedgePercent } = section;
+            policies.set(name, { policy: result, chooser, refuseRetryAfterMs, probeCandidates, probeTimeoutMs, hedgePercent });
             return [];
         }
         return result.map(error => policyFinding(document, error));
--- a/packages/daemon/src/arrival.ts
+++ b/packages/daemon/src/arrival.ts
@@ -28,8 +28,7 @@
 };
 
 /** The host that a request names, in lower case and without the port; empty when it names none. */
-export const hostOf = (request: IncomingMessage): string =>
-    (request.headers.host ?? "").toLowerCase().replace(/:\d*$/, "");
+export const hostOf = (request: IncomingMessage): string => (request.headers.host ?? "").toLowerCase().replace(/:\d*$/, "");
 
 /** A header's text; `undefined` when it is missing, empty or repeated. */
 export const textHeader = (request: IncomingMessage, name: string): string | undefined => {
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -39,6 +39,8 @@
     readonly outcome: Outcome;
     /** What the head of the answer said; `undefined` without one. */
     readonly reading: AnswerReading | undefined;
+    /** Whether the whole answer arrived. */
+    readonly isWhole: boolean;
     /** The whole answer, where it was kept back. */
     readonly answer: WholeAnswer | undefined;
     /** Whether the head of the answer was passed on to the caller. */
@@ -159,7 +161,7 @@
         services.onAttempt(progress, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
-        return { task: this, result: this.record.result, outcome, reading, answer, passedOn: this.passedOn };
+        return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
 
     private outcomeOf(result: AttemptResult): Outcome {
--- a/packages/daemon/src/caller-answer.ts
+++ b/packages/daemon/src/caller-answer.ts
@@ -116,9 +116,21 @@
         this.response.end(body);
     }
 
-    /** Cuts the answer off, because it cannot become whole. */
+    /** Cuts the answer off, because it cannot become whole. What was passed on still arrives, but never its end. */
     cutOff(): void {
-        this.response.destroy();
+        const { socket } = this.response;
+        if (socket !== null && this.response.headersSent && !this.isUnframed) {
+            this.response.flushHeaders();
+            socket.destroySoon();
+        }
+        else {
+            this.response.destroy();
+        }
+    }
+
+    /** Whether only the end of the connection would tell where the answer ends. */
+    private get isUnframed(): boolean {
+        return !this.response.hasHeader("content-length") && !this.response.chunkedEncoding;
     }
 
     /**
--- a/packages/daemon/src/callers-server.ts
+++ b/packages/daemon/src/callers-server.ts
@@ -72,11 +72,6 @@
         this.server.headersTimeout = headersTimeoutMs === 0 ? settings.headersTimeoutMs : headersTimeoutMs;
     }
 
-    /** Closes the connections on which no request is being served. */
-    closeIdle(): void {
-        this.server.closeIdleConnections();
-    }
-
     /**
      * Takes no more connections and waits for the requests in flight.
      *
--- a/packages/daemon/src/event.ts
+++ b/packages/daemon/src/event.ts
@@ -44,6 +44,6 @@
     requestUnrouted: { number: 405, level: "info", message: "no route matches the request" },
     settingsReloaded: { number: 114, level: "info", message: "settings were read again" },
     settingsInvalid: { number: 115, level: "error", message: "changed settings were rejected; the last good ones stay" },
-    linesDropped: { number: 510, level: "warn", message: "log lines were dropped to keep the volume bounded" },
     spansDropped: { number: 500, level: "warn", message: "spans were dropped" },
+    linesDropped: { number: 510, level: "warn", message: "log lines were dropped to keep the volume bounded" },
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/daemon/src/http-attempt.ts
+++ b/packages/daemon/src/http-attempt.ts
@@ -6,9 +6,10 @@
 
 import { asError, HarrierhitchError } from "@harrierhitch/core";
 import type { AttemptEnd, AttemptResult } from "@harrierhitch/decision";
-import { type Agent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import { type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
+import type { UpstreamAgent } from "./upstream-agent.js";
 import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTarget } from "./upstream-transport.js";
 
 /** This side gave up on an attempt. */
@@ -53,7 +54,7 @@
      */
     constructor(
         private readonly target: UpstreamTarget,
-        agent: Agent,
+        private readonly agent: UpstreamAgent,
         outgoing: UpstreamRequest,
         private readonly sink: AnswerSink,
     ) {
@@ -123,6 +124,7 @@
             return;
         }
         this.answer = answer;
+        this.agent.noteIdleTime(answer.socket, answer.headers["keep-alive"] as string | undefined);
         answer.on("error", error => this.onError(error));
         answer.on("data", (chunk: Buffer) => this.onData(chunk));
         answer.on("end", () => this.onEnd());
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,7 +5,8 @@
  */
 
 export { type Arrival, numberHeader, pathOf, textHeader } from "./arrival.js";
-export { Daemon, type DaemonOptions, type DaemonPorts } from "./daemon.js";
+export { type DaemonOptions, type DaemonPorts } from "./daemon-options.js";
+export { Daemon } from "./daemon.js";
 export { type AnswerHead, type AnswerReading, type Dialect, type LoadReport, type OutgoingAttempt } from "./dialect.js";
 export { EventLog, type EventLogOptions } from "./event-log.js";
 export { type EventKind, events } from "./event.js";
--- /dev/null
+++ b/packages/daemon/src/instance-parts.ts
@@ -0,0 +1,33 @@
+/**
+ * What an instance is made of.
+ *
+ * @packageDocumentation
+ */
+
+import type { Settings } from "@harrierhitch/configuration";
+import type { Clock, RandomSource } from "@harrierhitch/core";
+import type { DecisionRecord } from "./decision-record.js";
+import type { Dialect } from "./dialect.js";
+import type { EventLog } from "./event-log.js";
+import type { Metrics } from "./metrics.js";
+import type { PublishedSyntax } from "./platform.js";
+import type { RegistryUpdate } from "./service-registry.js";
+import type { UpstreamTransport } from "./upstream-transport.js";
+
+/** Parts that an instance is made of; each can be replaced in tests. */
+export interface InstanceParts {
+    readonly settings: Settings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly transport: UpstreamTransport;
+    readonly dialect: Dialect;
+    readonly syntax: PublishedSyntax;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    /** Milliseconds for which removals that the platform tells are doubtful. */
+    readonly doubtfulMs: () => number;
+    /** Told when another configuration came into force. */
+    readonly onConfigured?: (update: RegistryUpdate) => void;
+    /** Takes the record of each request that is traced. */
+    readonly onTraced?: (record: DecisionRecord) => void;
+}
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,22 +4,18 @@
  * @packageDocumentation
  */
 
-import { formatFinding, type Route, type RouteGroup, pickRoute, type Settings } from "@harrierhitch/configuration";
-import { type Clock, type Generation, type InstanceId, instanceId, type RandomSource, upstreamId } from "@harrierhitch/core";
+import { formatFinding, pickRoute, type Route, type RouteGroup } from "@harrierhitch/configuration";
+import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
 import { AcceptedConfiguration, type Fleet, type HeardRumor, type OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
 import { hostOf, pathOf } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
-import type { DecisionRecord } from "./decision-record.js";
-import type { Dialect } from "./dialect.js";
-import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import { ExplanationStore } from "./explanation-store.js";
-import type { Metrics } from "./metrics.js";
-import type { Publication, PublishedSyntax } from "./platform.js";
+import type { InstanceParts } from "./instance-parts.js";
+import { makeRequestServices } from "./make-request-services.js";
+import type { Publication } from "./platform.js";
 import { ProbeBudget } from "./probe-budget.js";
-import { Prober } from "./prober.js";
-import { RequestIds } from "./request-id.js";
 import { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import { RequestTask } from "./request-task.js";
@@ -27,25 +23,6 @@
 import { sharesOf } from "./shares.js";
 import { SpreadDraws } from "./spread-draws.js";
 import { Telemetry } from "./telemetry.js";
-import type { UpstreamTransport } from "./upstream-transport.js";
-
-/** Parts that an instance is made of; each can be replaced in tests. */
-export interface InstanceParts {
-    readonly settings: Settings;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly transport: UpstreamTransport;
-    readonly dialect: Dialect;
-    readonly syntax: PublishedSyntax;
-    readonly log: EventLog;
-    readonly metrics: Metrics;
-    /** Milliseconds for which removals that the platform tells are doubtful. */
-    readonly doubtfulMs: () => number;
-    /** Told when another configuration came into force. */
-    readonly onConfigured?: (update: RegistryUpdate) => void;
-    /** Takes the record of each request that is traced. */
-    readonly onTraced?: (record: DecisionRecord) => void;
-}
 
 /** Stage of an instance's life. */
 export type InstanceStage = "starting" | "serving" | "stopping";
@@ -109,7 +86,14 @@
             },
         });
         this.probeBudget = new ProbeBudget(clock);
-        this.requestServices = this.createRequestServices();
+        this.requestServices = makeRequestServices({
+            parts,
+            instance: this.id,
+            incarnation: this.incarnation,
+            explanations: this.explanations,
+            probeBudget: this.probeBudget,
+            telemetry: this.telemetry,
+        });
     }
 
     /** Stage of the instance's life. */
@@ -232,39 +216,6 @@
         this.parts.onConfigured?.(update);
     }
 
-    private createRequestServices(): RequestServices {
-        const { settings, clock, random, transport, dialect, log, metrics, onTraced } = this.parts;
-        return {
-            clock,
-            random,
-            dialect,
-            transport,
-            prober: new Prober({
-                clock,
-                transport,
-                dialect,
-                budget: this.probeBudget,
-                onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
-            }),
-            explanations: this.explanations,
-            requestIds: new RequestIds(this.id, this.incarnation),
-            bodyLimits: {
-                maximumBytes: settings.callers.maximumBodyBytes,
-                replayBytes: settings.limits.replayBodyBytes,
-            },
-            answerBufferBytes: settings.limits.answerBufferBytes,
-            log,
-            sampleTrace: () => settings.traces.otlpUrl !== undefined && random.next() < settings.traces.sampleShare,
-            onAttempt: (progress, attempt) => this.telemetry.attempted(progress, attempt),
-            onServed: (progress, sampled) => {
-                this.telemetry.served(progress);
-                if (sampled) {
-                    onTraced?.(progress.record);
-                }
-            },
-        };
-    }
-
     private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         const { inForce } = this.accepted;
         if (inForce === undefined || !this.hasHeardOthers) {
--- a/packages/daemon/src/join-fleet.ts
+++ b/packages/daemon/src/join-fleet.ts
@@ -6,7 +6,14 @@
 
 import type { Settings } from "@harrierhitch/configuration";
 import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
-import { type AcceptedConfiguration, Fleet, type HeardRumor, type PeerAddress, type PeerClients, type UpstreamDirectory } from "@harrierhitch/fleet";
+import {
+    type AcceptedConfiguration,
+    Fleet,
+    type HeardRumor,
+    type PeerAddress,
+    type PeerClients,
+    type UpstreamDirectory,
+} from "@harrierhitch/fleet";
 import type { Metrics } from "./metrics.js";
 
 /** What an instance joins its fleet with. */
@@ -24,6 +31,8 @@
     readonly directory: UpstreamDirectory;
     /** Offers a configuration document of another instance. */
     readonly onConfiguration: (source: string, text: string) => void;
+    /** Told when the listed upstreams changed by what another instance told. */
+    readonly onDirectory: () => void;
     /** Told of an observation of another instance. */
     readonly onRumor: (rumor: HeardRumor) => void;
 }
--- /dev/null
+++ b/packages/daemon/src/make-request-services.ts
@@ -0,0 +1,57 @@
+/**
+ * Making what an instance provides to its requests.
+ *
+ * @packageDocumentation
+ */
+
+import type { InstanceId } from "@harrierhitch/core";
+import type { ExplanationStore } from "./explanation-store.js";
+import type { InstanceParts } from "./instance-parts.js";
+import type { ProbeBudget } from "./probe-budget.js";
+import { Prober } from "./prober.js";
+import { RequestIds } from "./request-id.js";
+import type { RequestServices } from "./request-services.js";
+import type { Telemetry } from "./telemetry.js";
+
+/** What they are made of. */
+export interface RequestServicesOptions {
+    readonly parts: InstanceParts;
+    readonly instance: InstanceId;
+    readonly incarnation: number;
+    readonly explanations: ExplanationStore;
+    readonly probeBudget: ProbeBudget;
+    readonly telemetry: Telemetry;
+}
+
+/** Makes the parts that the requests of an instance share. */
+export const makeRequestServices = (options: RequestServicesOptions): RequestServices => {
+    const { parts, instance, incarnation, explanations, probeBudget, telemetry } = options;
+    const { settings, clock, random, transport, dialect, log, metrics, onTraced } = parts;
+    const { limits, callers, traces } = settings;
+    return {
+        clock,
+        random,
+        dialect,
+        transport,
+        prober: new Prober({
+            clock,
+            transport,
+            dialect,
+            budget: probeBudget,
+            onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
+        }),
+        explanations,
+        requestIds: new RequestIds(instance, incarnation),
+        bodyLimits: { maximumBytes: callers.maximumBodyBytes, replayBytes: limits.replayBodyBytes },
+        answerBufferBytes: limits.answerBufferBytes,
+        log,
+        sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
+        onAttempt: (progress, attempt) => telemetry.attempted(progress, attempt),
+        onServed: (progress, sampled) => {
+            telemetry.served(progress);
+            if (sampled) {
+                onTraced?.(progress.record);
+            }
+        },
+    };
+};
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -49,7 +49,11 @@
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
     /** Exchanges with other instances that failed. */
-    readonly peersUnreachable = this.counter("harrierhitch_peers_unreachable_total", "Exchanges with other instances that failed", []);
+    readonly peersUnreachable = this.counter(
+        "harrierhitch_peers_unreachable_total",
+        "Exchanges with other instances that failed",
+        [],
+    );
 
     /** Log lines that were dropped. */
     readonly linesDropped = this.counter("harrierhitch_log_lines_dropped_total", "Log lines dropped to bound the volume", []);
--- a/packages/daemon/src/operators-server.ts
+++ b/packages/daemon/src/operators-server.ts
@@ -36,14 +36,15 @@
     };
 
 /** Answers the balancer in front: 200 while callers may be sent here. */
-export const readyHandler = (path: string, isReady: () => boolean) => (request: IncomingMessage, response: ServerResponse): void => {
-    if (request.url === path) {
-        answerText(response, isReady() ? 200 : 503, isReady() ? "ready\n" : "not ready\n");
-    }
-    else {
-        answerNotFound(request, response);
-    }
-};
+export const readyHandler =
+    (path: string, isReady: () => boolean) => (request: IncomingMessage, response: ServerResponse): void => {
+        if (request.url === path) {
+            answerText(response, isReady() ? 200 : 503, isReady() ? "ready\n" : "not ready\n");
+        }
+        else {
+            answerNotFound(request, response);
+        }
+    };
 
 /** Answers 404. */
 export const answerNotFound = (_: IncomingMessage, response: ServerResponse): void => {
--- /dev/null
+++ b/packages/daemon/src/peer-side.ts
@@ -0,0 +1,99 @@
+/**
+ * The side of a daemon that talks to other instances. This module is loaded only
+ * where the settings name such a side.
+ *
+ * @packageDocumentation
+ */
+
+import { parseEndpoint, type Settings } from "@harrierhitch/configuration";
+import type { Clock, RandomSource } from "@harrierhitch/core";
+import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
+import { ConnectClients } from "./connect-clients.js";
+import type { Instance } from "./instance.js";
+import { joinFleet } from "./join-fleet.js";
+import type { Metrics } from "./metrics.js";
+import type { OperatorServiceOptions } from "./operator-service.js";
+import { answerNotFound } from "./operators-server.js";
+import { RpcServer } from "./rpc-server.js";
+
+/** Settings of the side between instances. */
+export type PeerSettings = NonNullable<Settings["peers"]>;
+
+/** Options of {@link PeerSide}. */
+export interface PeerSideOptions {
+    readonly settings: PeerSettings;
+    readonly availabilityZone: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly metrics: Metrics;
+    readonly instance: Instance;
+    readonly serviceOptions: () => OperatorServiceOptions;
+    /** Told of a call or connection that was refused. */
+    readonly onRefused: (reason: string) => void;
+}
+
+/** Serves other instances and joins this one to their fleet. */
+export class PeerSide {
+    /** Clients of the other instances. */
+    readonly clients: PeerClients;
+    private readonly server: RpcServer;
+
+    /** @param options - Settings and the instance. */
+    constructor(private readonly options: PeerSideOptions) {
+        const { settings, instance, onRefused } = options;
+        this.clients = new ConnectClients(settings);
+        this.server = new RpcServer({
+            settings,
+            rpcPrefix: "/harrierhitch.fleet.",
+            openRpc: async () => {
+                const { peersListener } = await import("./rpc-listeners.js");
+                return instance.fleet === undefined ? answerNotFound : peersListener({
+                    fleetName: settings.fleet,
+                    fleet: instance.fleet,
+                    operators: options.serviceOptions(),
+                    onRefused,
+                });
+            },
+            fallback: answerNotFound,
+            onRefused,
+        });
+    }
+
+    /** Begins to serve other instances and to talk to them; gives the port. */
+    async start(): Promise<number> {
+        const { settings, instance, availabilityZone, clock, random, metrics } = this.options;
+        const port = await this.server.listen();
+        instance.fleet = joinFleet({
+            settings: { ...settings, port },
+            seeds: seedsOf(settings),
+            availabilityZone,
+            clock,
+            random,
+            metrics,
+            clients: this.clients,
+            instance: instance.id,
+            incarnation: instance.incarnation,
+            accepted: instance.accepted,
+            directory: instance.directory,
+            onConfiguration: (source, text) => void instance.offerConfiguration(source, text),
+            onDirectory: () => instance.apply(),
+            onRumor: rumor => instance.takeRumor(rumor),
+        });
+        instance.fleet.start();
+        return port;
+    }
+
+    /** Takes over changed settings. */
+    reload(settings: Settings["peers"]): void {
+        this.options.instance.fleet?.seedsAre(seedsOf(settings));
+    }
+
+    /** Ends all talk at once. */
+    async close(): Promise<void> {
+        this.options.instance.fleet?.stop();
+        await this.server.close();
+    }
+}
+
+const seedsOf = (settings: Settings["peers"]): readonly PeerAddress[] =>
+    (settings?.seeds ?? "").split(",").flatMap(text => parseEndpoint(text) ?? []);
--- a/packages/daemon/src/prober.ts
+++ b/packages/daemon/src/prober.ts
@@ -89,7 +89,7 @@
 
     private async send({ service, runtime }: ProbeQuestion, upstream: Upstream): Promise<void> {
         const { clock, transport, onProbe } = this.options;
-        let told = false;
+        const probe = { told: false };
         const request = {
             method: "GET",
             path: service.probePath ?? "/",
@@ -98,7 +98,7 @@
         };
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
-                told = this.learn(service, runtime, upstream, status, headers);
+                probe.told = this.learn(service, runtime, upstream, status, headers);
                 return true;
             },
             onData: () => true,
@@ -106,7 +106,7 @@
         const timer = clock.after(abandonMs, () => attempt.cancel("timed-out"));
         const { end } = await attempt.result;
         timer.cancel();
-        onProbe(service, told ? "told" : end === "answered" ? "silent" : "failed");
+        onProbe(service, probe.told ? "told" : end === "answered" ? "silent" : "failed");
     }
 
     private learn(
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -4,7 +4,14 @@
  * @packageDocumentation
  */
 
-import { type Checked, checkPolicyFile, checkSettings, InvalidDocumentError, type ServicePolicy, type Settings } from "@harrierhitch/configuration";
+import {
+    type Checked,
+    checkPolicyFile,
+    checkSettings,
+    InvalidDocumentError,
+    type ServicePolicy,
+    type Settings,
+} from "@harrierhitch/configuration";
 import { asError } from "@harrierhitch/core";
 import { defineCommand, runMain } from "citty";
 import { readFile } from "node:fs/promises";
@@ -30,7 +37,12 @@
                 + "Exit codes: 0 stopped as planned, 1 failed, 2 settings rejected.",
         },
         args: {
-            settings: { type: "string", required: true, valueHint: "FILE", description: "INI file with this instance's settings" },
+            settings: {
+                type: "string",
+                required: true,
+                valueHint: "FILE",
+                description: "INI file with this instance's settings",
+            },
         },
         run: ({ args }) => runDaemon(args.settings, options),
     });
--- /dev/null
+++ b/packages/daemon/src/request-choice.ts
@@ -0,0 +1,96 @@
+/**
+ * The choice of an upstream for one request, from what is true just now.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamId } from "@harrierhitch/core";
+import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
+import { events } from "./event.js";
+import type { RequestProgress } from "./request-progress.js";
+import type { RequestServices } from "./request-services.js";
+import type { ServiceRuntime } from "./service-runtime.js";
+
+/** Upstreams that are asked for their load at the same time. */
+const probesAtOnce = 2;
+
+/** Takes the decisions of one request, and records them. */
+export class RequestChoice {
+    /**
+     * @param services - What the daemon provides to requests.
+     * @param runtime - The state of the route's service.
+     * @param progress - The request.
+     */
+    constructor(
+        private readonly services: RequestServices,
+        private readonly runtime: ServiceRuntime,
+        private readonly progress: RequestProgress,
+    ) {}
+
+    /**
+     * Decides, after asking the likeliest upstreams where the policy wants it.
+     *
+     * @param tried - Upstreams that the request has tried already.
+     */
+    async decide(tried: readonly UpstreamId[]): Promise<Decision> {
+        await this.probe(tried);
+        const { progress, runtime, services } = this;
+        const atMs = progress.ageMs;
+        const input = this.input(tried);
+        const decision = decide(progress.route.policy, input);
+        runtime.nextTurn();
+        progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision });
+        if (decision.policyFailure !== undefined) {
+            services.log.write(events.policyFailed, { request: progress.record.id, ...decision.policyFailure });
+        }
+        return decision;
+    }
+
+    private input(tried: readonly UpstreamId[]): DecisionInput {
+        const { progress, runtime, services } = this;
+        const upstreams = runtime.beliefs.facts();
+        return {
+            request: progress.facts(),
+            service: runtime.facts(upstreams),
+            upstreams,
+            tried: [...tried],
+            draws: drawNumbers(services.random),
+            turn: runtime.turn,
+        };
+    }
+
+    /** Asks the likeliest upstreams for their load, two at a time, until one is good or the patience ends. */
+    private async probe(tried: readonly UpstreamId[]): Promise<void> {
+        const { progress, runtime, services } = this;
+        const { policy, service } = progress.route;
+        if (policy.probeCandidates === 0 || service.probePath === undefined) {
+            return;
+        }
+        const endAtMs = services.clock.nowMs() + Math.min(policy.probeTimeoutMs, progress.remainingMs);
+        const asked: string[] = [...tried];
+        const isEnough = (): boolean =>
+            runtime.beliefs.facts().some(facts => !tried.some(id => id === facts.id) && isGoodNow(facts));
+        while (asked.length - tried.length < policy.probeCandidates && !isEnough()) {
+            const timeoutMs = endAtMs - services.clock.nowMs();
+            const ids = probeTargets(
+                { upstreams: runtime.beliefs.facts(), tried: asked },
+                probesAtOnce,
+                () => services.random.next(),
+            );
+            if (timeoutMs <= 0 || ids.length === 0) {
+                return;
+            }
+            const upstreams = runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
+            await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough });
+            asked.push(...ids);
+        }
+    }
+
+    /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
+    isHopeless(upstream: UpstreamId, tried: readonly UpstreamId[]): boolean {
+        const { progress } = this;
+        const isFirst = progress.heldMs === 0 && tried.length === 0;
+        const facts = progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
+        return !isFirst && progress.remainingMs < (facts?.latencyMs ?? 0);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/request-hold.ts
@@ -0,0 +1,56 @@
+/**
+ * Holding a request back until something finishes.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock } from "@harrierhitch/core";
+import type { RequestProgress } from "./request-progress.js";
+import type { ServiceRuntime } from "./service-runtime.js";
+
+/**
+ * Holds a request back, within the limits of its service.
+ *
+ * @param progress - The request; it is given up here when it cannot be held any longer.
+ * @param runtime - The state of its service.
+ * @param clock - The clock.
+ * @returns Whether the request is settled; otherwise it is time to decide again.
+ */
+export const holdBack = async (progress: RequestProgress, runtime: ServiceRuntime, clock: Clock): Promise<boolean> => {
+    const { service, kind } = progress.route;
+    const holdLeftMs = service.maximumHoldMs - progress.heldMs;
+    if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
+        progress.giveUpUnderLoad(holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
+        return true;
+    }
+    const heldSinceMs = clock.nowMs();
+    const result = await runtime.queue.wait({
+        hall: progress.arrival.hall,
+        weight: kind.weight,
+        untilMs: Math.min(heldSinceMs + holdLeftMs, progress.deadlineAtMs),
+        onGone: listener => progress.answer.onCallerLeft(listener),
+    });
+    progress.heldMs += clock.nowMs() - heldSinceMs;
+    switch (result) {
+        case "decide-again":
+            return false;
+        case "gone":
+            progress.record.outcome = progress.outcomeSoFar();
+            break;
+        case "displaced":
+            progress.giveUpUnderLoad("displaced by a request of more weight");
+            break;
+        case "expired":
+            giveUpAfterHold(progress);
+    }
+    return true;
+};
+
+const giveUpAfterHold = (progress: RequestProgress): void => {
+    if (progress.isLate) {
+        progress.giveUpAtDeadline();
+    }
+    else {
+        progress.giveUpUnderLoad("held back for too long");
+    }
+};
--- a/packages/daemon/src/request-services.ts
+++ b/packages/daemon/src/request-services.ts
@@ -35,4 +35,3 @@
     /** Told when a request was answered. */
     onServed(progress: RequestProgress, sampled: boolean): void;
 }
-
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -5,35 +5,29 @@
  */
 
 import type { UpstreamId } from "@harrierhitch/core";
-import { type ChooseDecision, decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
+import type { ChooseDecision, Decision } from "@harrierhitch/decision";
+import { acceptBody } from "./accept-body.js";
 import { type AttemptReport, AttemptTask } from "./attempt-task.js";
+import { deliver, endStream, giveUpAfterAttempt } from "./deliver.js";
 import type { AnswerReading } from "./dialect.js";
-import { events } from "./event.js";
 import { Mailbox } from "./mailbox.js";
-import { BodyCutShortError, BodyTooLargeError, type RequestBody, takeBody } from "./request-body.js";
-import { overloadRetryAfterMs, type RequestProgress } from "./request-progress.js";
+import type { RequestBody } from "./request-body.js";
+import { RequestChoice } from "./request-choice.js";
+import type { RequestEvent } from "./request-event.js";
+import { holdBack } from "./request-hold.js";
+import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 
-/** What a request that waits for its attempts can be told. */
-type RequestEvent =
-    | { readonly type: "ended"; readonly report: AttemptReport; }
-    /** The first attempt takes long: a second one may begin. */
-    | { readonly type: "slow"; }
-    | { readonly type: "expired"; }
-    | { readonly type: "caller-left"; };
-
 /** Attempts that reached no upstream and do not count against the kind's limit. */
 const maximumUnsentAttempts = 3;
 
-/** Upstreams that are asked for their load at the same time. */
-const probesAtOnce = 2;
-
 /** Serves one request. */
 export class RequestTask {
     private readonly tried: UpstreamId[] = [];
     private readonly running = new Set<AttemptTask>();
     private readonly mailbox = new Mailbox<RequestEvent>();
+    private readonly choice: RequestChoice;
     /** The attempt whose answer is being passed on to the caller as it arrives. */
     private streaming: AttemptTask | undefined;
 
@@ -46,14 +40,16 @@
         private readonly services: RequestServices,
         private readonly runtime: ServiceRuntime,
         private readonly progress: RequestProgress,
-    ) {}
+    ) {
+        this.choice = new RequestChoice(services, runtime, progress);
+    }
 
     /** Serves the request to its end. */
     async run(): Promise<void> {
         const { progress, services } = this;
         services.explanations.begin(progress.record);
         this.runtime.retryBudget.earn();
-        const body = await this.takeBody();
+        const body = await acceptBody(progress, services.bodyLimits);
         if (body !== undefined) {
             await this.serve(body);
         }
@@ -62,30 +58,6 @@
         services.onServed(progress, progress.trace.sampled);
     }
 
-    private async takeBody(): Promise<RequestBody | undefined> {
-        const { progress } = this;
-        const { maximumDepth } = progress.record.configuration.fleet;
-        if (progress.arrival.depth >= maximumDepth) {
-            progress.giveUp({ kind: "too-deep", detail: `more than ${maximumDepth} hops`, outcome: "not-run" });
-            return undefined;
-        }
-        try {
-            return await takeBody(progress.request, this.services.bodyLimits);
-        }
-        catch (thrown) {
-            if (thrown instanceof BodyTooLargeError) {
-                progress.giveUp({ kind: "body-too-large", detail: thrown.message, outcome: "not-run" });
-            }
-            else if (thrown instanceof BodyCutShortError) {
-                progress.record.outcome = "not-run";
-            }
-            else {
-                throw thrown;
-            }
-            return undefined;
-        }
-    }
-
     private async serve(body: RequestBody): Promise<void> {
         const { clock } = this.services;
         const { progress } = this;
@@ -93,7 +65,7 @@
         const forgetLeaving = progress.answer.onCallerLeft(() => this.mailbox.post({ type: "caller-left" }));
         for (let settled = false; !settled;) {
             settled = this.running.size === 0
-                ? await this.follow(await this.decide(), body)
+                ? await this.follow(await this.choice.decide(this.tried), body)
                 : await this.handle(await this.mailbox.take(), body);
         }
         expiry.cancel();
@@ -106,7 +78,7 @@
             case "choose":
                 return this.beginAttempt(decision, body);
             case "hold":
-                return await this.hold();
+                return await holdBack(this.progress, this.runtime, this.services.clock);
             case "refuse": {
                 const kind = decision.cause === "policy" ? "refused" : "no-upstream";
                 const { reason, retryAfterMs } = decision;
@@ -132,97 +104,6 @@
         }
     }
 
-    /** Decides, after asking the likeliest upstreams where the policy wants it. */
-    private async decide(): Promise<Decision> {
-        await this.probe();
-        const { progress, runtime, services } = this;
-        const atMs = progress.ageMs;
-        const input = this.decisionInput();
-        const decision = decide(progress.route.policy, input);
-        runtime.nextTurn();
-        progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision });
-        if (decision.policyFailure !== undefined) {
-            services.log.write(events.policyFailed, { request: progress.record.id, ...decision.policyFailure });
-        }
-        return decision;
-    }
-
-    private decisionInput(): DecisionInput {
-        const { progress, runtime, services } = this;
-        const upstreams = runtime.beliefs.facts();
-        return {
-            request: progress.facts(),
-            service: runtime.facts(upstreams),
-            upstreams,
-            tried: [...this.tried],
-            draws: drawNumbers(services.random),
-            turn: runtime.turn,
-        };
-    }
-
-    /** Asks the likeliest upstreams for their load, two at a time, until one is good or the patience ends. */
-    private async probe(): Promise<void> {
-        const { progress, runtime, services } = this;
-        const { policy, service } = progress.route;
-        if (policy.probeCandidates === 0 || service.probePath === undefined) {
-            return;
-        }
-        const endAtMs = services.clock.nowMs() + Math.min(policy.probeTimeoutMs, progress.remainingMs);
-        const asked: string[] = [...this.tried];
-        const isEnough = (): boolean =>
-            runtime.beliefs.facts().some(facts => !this.tried.some(id => id === facts.id) && isGoodNow(facts));
-        while (asked.length - this.tried.length < policy.probeCandidates && !isEnough()) {
-            const timeoutMs = endAtMs - services.clock.nowMs();
-            const ids = probeTargets({ upstreams: runtime.beliefs.facts(), tried: asked }, probesAtOnce, () => services.random.next());
-            if (timeoutMs <= 0 || ids.length === 0) {
-                return;
-            }
-            const upstreams = runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
-            await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough });
-            asked.push(...ids);
-        }
-    }
-
-    private async hold(): Promise<boolean> {
-        const { progress, runtime, services } = this;
-        const { service, kind } = progress.route;
-        const holdLeftMs = service.maximumHoldMs - progress.heldMs;
-        if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
-            progress.giveUpUnderLoad(holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
-            return true;
-        }
-        const heldSinceMs = services.clock.nowMs();
-        const result = await runtime.queue.wait({
-            hall: progress.arrival.hall,
-            weight: kind.weight,
-            untilMs: Math.min(heldSinceMs + holdLeftMs, progress.deadlineAtMs),
-            onGone: listener => progress.answer.onCallerLeft(listener),
-        });
-        progress.heldMs += services.clock.nowMs() - heldSinceMs;
-        switch (result) {
-            case "decide-again":
-                return false;
-            case "gone":
-                progress.record.outcome = progress.outcomeSoFar();
-                break;
-            case "displaced":
-                progress.giveUpUnderLoad("displaced by a request of more weight");
-                break;
-            case "expired":
-                this.giveUpAfterHold();
-        }
-        return true;
-    }
-
-    private giveUpAfterHold(): void {
-        if (this.progress.isLate) {
-            this.progress.giveUpAtDeadline();
-        }
-        else {
-            this.progress.giveUpUnderLoad("held back for too long");
-        }
-    }
-
     /** Begins the attempt that was decided, or gives up where it makes no sense any more. */
     private beginAttempt(decision: ChooseDecision, body: RequestBody): boolean {
         const { progress } = this;
@@ -233,7 +114,7 @@
         if (progress.isLate) {
             return this.giveUpAtDeadline();
         }
-        if (this.isHopeless(decision.upstream)) {
+        if (this.choice.isHopeless(decision.upstream, this.tried)) {
             progress.giveUpUnderLoad("too little time is left for an answer");
             return true;
         }
@@ -263,14 +144,6 @@
         }
     }
 
-    /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
-    private isHopeless(upstream: UpstreamId): boolean {
-        const { progress } = this;
-        const isFirst = progress.heldMs === 0 && this.tried.length === 0;
-        const facts = progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
-        return !isFirst && progress.remainingMs < (facts?.latencyMs ?? 0);
-    }
-
     private async beginSecondAttempt(body: RequestBody): Promise<void> {
         const { kind } = this.progress.route;
         const mayBegin = (): boolean =>
@@ -279,7 +152,7 @@
         if (!mayBegin() || !this.runtime.retryBudget.canTake()) {
             return;
         }
-        const decision = await this.decide();
+        const decision = await this.choice.decide(this.tried);
         const isElsewhere = decision.action === "choose" && !this.tried.includes(decision.upstream);
         if (isElsewhere && mayBegin() && this.runtime.retryBudget.take()) {
             this.start(decision.upstream, body);
@@ -301,7 +174,8 @@
     private afterAttempt(report: AttemptReport, body: RequestBody): boolean {
         const { progress } = this;
         if (report.passedOn) {
-            return this.endStream(report);
+            endStream(progress, report, this.services.log);
+            return true;
         }
         if (this.streaming !== undefined) {
             return false;
@@ -311,7 +185,9 @@
             return this.running.size === 0;
         }
         if (report.answer !== undefined && report.reading?.retryable === false && report.reading.mayPassOn) {
-            return this.deliver(report);
+            this.cancelAll("cancelled");
+            deliver(progress, report);
+            return true;
         }
         if (this.running.size > 0) {
             return false;
@@ -319,32 +195,6 @@
         return this.afterFailure(report, body);
     }
 
-    private deliver({ answer, outcome }: AttemptReport): boolean {
-        const { progress } = this;
-        this.cancelAll("cancelled");
-        progress.record.outcome = outcome;
-        progress.record.status = answer?.status;
-        if (answer !== undefined) {
-            progress.answer.whole(answer, progress.ownHeaders(outcome));
-        }
-        return true;
-    }
-
-    private endStream(report: AttemptReport): boolean {
-        const { record, answer } = this.progress;
-        record.outcome = report.outcome;
-        record.status = report.result.status;
-        if (report.result.end === "answered") {
-            answer.end();
-            return true;
-        }
-        if (!answer.callerLeft) {
-            this.services.log.write(events.answerCutOff, { request: record.id, detail: report.result.detail });
-        }
-        answer.cutOff();
-        return true;
-    }
-
     private afterFailure(report: AttemptReport, body: RequestBody): boolean {
         const { progress, runtime } = this;
         const { result, outcome } = report;
@@ -357,15 +207,11 @@
             return false;
         }
         if (report.answer !== undefined && report.reading?.mayPassOn === true) {
-            return this.deliver(report);
+            this.cancelAll("cancelled");
+            deliver(progress, report);
+            return true;
         }
-        const detail = `${result.end} after ${progress.record.attempts.length} attempts: ${result.detail}`;
-        const soFar = progress.outcomeSoFar();
-        progress.giveUp(
-            soFar === "not-run"
-                ? { kind: "no-upstream", detail, outcome: soFar, retryAfterMs: overloadRetryAfterMs }
-                : { kind: "upstream-failed", detail, outcome: soFar },
-        );
+        giveUpAfterAttempt(progress, result);
         return true;
     }
 
--- a/packages/daemon/src/rpc-listeners.ts
+++ b/packages/daemon/src/rpc-listeners.ts
@@ -18,7 +18,7 @@
     connectNodeAdapter({
         routes: router => router.service(OperatorService, operatorService(options)),
         readMaxBytes: maximumMessageBytes,
-    }) as Listener;
+    });
 
 /** Options of {@link peersListener}. */
 export interface PeersListenerOptions extends Omit<PeerServiceOptions, "explain" | "status"> {
@@ -35,5 +35,5 @@
     return connectNodeAdapter({
         routes: router => router.service(PeerService, service),
         readMaxBytes: maximumMessageBytes,
-    }) as Listener;
+    });
 };
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/service-registry.ts
@@ -50,9 +50,7 @@
             runtime.beliefs.configure(service, maximumInstances, knownUpstreams(service, own));
             runtime.retryBudget.configure(shares.retryShare, shares.retriesSaved);
             const atMs = this.options.clock.nowMs();
-            own.filter(upstream => upstream.leaving).forEach(({ id }) =>
-                runtime.beliefs.observe(id, { type: "draining", atMs })
-            );
+            own.filter(upstream => upstream.leaving).forEach(({ id }) => runtime.beliefs.observe(id, { type: "draining", atMs }));
             return [service.name, runtime];
         }));
     }
--- a/packages/daemon/src/upstream-agent.ts
+++ b/packages/daemon/src/upstream-agent.ts
@@ -18,19 +18,29 @@
 /** Share of the idle time named by the upstream after which a connection is no longer used, against crossing its close. */
 const keepAliveShare = 0.7;
 
-const endIdle = function (this: Socket): void {
+const endIdle = function(this: Socket): void {
     this.destroy();
 };
 
 /** A `node:http` agent that closes an idle connection as soon as it is in doubt. */
 export class UpstreamAgent extends Agent {
     private retired = false;
+    /** Idle times that the upstream named, by connection. */
+    private readonly namedMs = new WeakMap<Socket, number>();
 
     /** @param settings - Limits. */
     constructor(private readonly settings: UpstreamAgentOptions) {
         super({ keepAlive: true, maxSockets: settings.connections, scheduling: "lifo", timeout: settings.keepAliveMs });
     }
 
+    /** Notes the idle time that an answer names in its header `Keep-Alive`. */
+    noteIdleTime(socket: Socket, header: string | undefined): void {
+        const seconds = /timeout=(\d+)/.exec(header ?? "")?.[1];
+        if (seconds !== undefined) {
+            this.namedMs.set(socket, Number(seconds) * 1000 * keepAliveShare);
+        }
+    }
+
     /** Keeps no connection any longer; requests in flight go on. */
     retire(): void {
         this.retired = true;
@@ -42,13 +52,9 @@
         if (this.retired || socket.destroyed) {
             return false;
         }
-        const request = (socket as { readonly _httpMessage?: ClientRequest & { readonly res?: import("node:http").IncomingMessage; }; })
-            ._httpMessage;
-        const seconds = /timeout=(\d+)/.exec(String(request?.res?.headers["keep-alive"]))?.[1];
-        const namedMs = seconds === undefined ? Infinity : Number(seconds) * 1000 * keepAliveShare;
         socket.setKeepAlive(true);
         socket.unref();
-        socket.setTimeout(Math.max(1, Math.min(this.settings.keepAliveMs, namedMs)));
+        socket.setTimeout(Math.max(1, Math.min(this.settings.keepAliveMs, this.namedMs.get(socket) ?? Infinity)));
         // Bytes that arrive now belong to no request.
         socket.once("data", endIdle);
         return true;
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -31,6 +31,7 @@
     readonly directory: UpstreamDirectory;
     readonly accepted: AcceptedConfiguration;
     readonly onConfiguration: (source: string, text: string) => void;
+    readonly onDirectory: () => void;
     readonly onRumor: (rumor: HeardRumor) => void;
     /** Told when an exchange brought something that others should hear at once. */
     readonly onNews: () => void;
@@ -106,6 +107,7 @@
                 toListing(upstream, Number(revision), removed ? undefined : text)
             );
             this.options.directory.takeIn({ revision: Number(news.revision), whole: news.whole, listings });
+            this.options.onDirectory();
         }
     }
 
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -36,6 +36,8 @@
     readonly times?: Partial<FleetTimes>;
     /** Offers a configuration document that another instance passed on. */
     readonly onConfiguration: (source: string, text: string) => void;
+    /** Told when the listed upstreams changed by what another instance told. */
+    readonly onDirectory: () => void;
     /** Told of an observation of another instance. */
     readonly onRumor: (rumor: HeardRumor) => void;
     /** Told of an exchange that failed. */
@@ -95,6 +97,7 @@
             directory,
             accepted,
             onConfiguration: options.onConfiguration,
+            onDirectory: options.onDirectory,
             onRumor: options.onRumor,
             onNews: () => this.links.wake(),
         });
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -122,6 +122,7 @@
             directory,
             seeds: seeds.map(seed => ({ address: "127.0.0.1", port: portOf(seed) })),
             onConfiguration: (_, text) => void offer(text),
+            onDirectory: () => undefined,
             onRumor: rumor => heard.push(rumor),
             onUnreachable: () => undefined,
         });
--- a/packages/standin/src/loopback-settings.ts
+++ b/packages/standin/src/loopback-settings.ts
@@ -14,6 +14,8 @@
     readonly callersPort?: number;
     readonly operatorsPort?: number;
     readonly peersPort?: number;
+    /** Ports between instances of those that are asked first. */
+    readonly seedPorts?: readonly number[];
 }
 
 /** Writes the settings. */
@@ -31,6 +33,7 @@
 address = 127.0.0.1
 port = ${options.peersPort ?? 0}
 fleet = ${options.fleet}
+seeds = ${(options.seedPorts ?? []).map(port => `127.0.0.1:${port}`).join(", ")}
 [platform]
 addresses = 127.0.0.1:${options.platformPort}
 [limits]
