--- a/packages/command/src/replay.ts
+++ b/packages/command/src/replay.ts
@@ -52,6 +52,7 @@
         policy: checkedPolicy(toSource(message)),
         chooser: chooser satisfies ChooserName,
         refuseRetryAfterMs: message.refuseRetryAfterMs,
+        refuseRetryAfterPercent: message.refuseRetryAfterPercent,
     };
 };
 
--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -16,7 +16,7 @@
     textKey,
 } from "@harrierhitch/configuration";
 import { SeededRandom } from "@harrierhitch/core";
-import { type DecisionInput, drawNumbers } from "@harrierhitch/decision";
+import { bestTime, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
 import { z } from "zod";
 
 const text = (description: string, defaultValue: string) => textKey({ description, defaultValue });
@@ -37,6 +37,8 @@
         depth: number("Hops before this one.", 0),
         remainingMs: number("Time until the deadline.", 1000, "ms"),
         heldMs: number("Time held back so far.", 0, "ms"),
+        ageMs: number("Time since the request arrived.", 0, "ms"),
+        targetMs: number("Time within which an answer is worth most; 0 for none.", 0, "ms"),
     }),
     service: optionalSection({
         name: text("Name of the service.", "service"),
@@ -86,7 +88,12 @@
         upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
     return {
         request,
-        service: { ...service, candidates: upstreams.filter(isCandidate).length, upstreams: upstreams.length },
+        service: {
+            ...service,
+            candidates: upstreams.filter(isCandidate).length,
+            bestTime: bestTime(upstreams, []),
+            upstreams: upstreams.length,
+        },
         upstreams,
         tried: [],
         draws: drawNumbers(new SeededRandom(seed)),
--- a/packages/configuration/src/service-policy.ts
+++ b/packages/configuration/src/service-policy.ts
@@ -18,6 +18,10 @@
     readonly chooser: ChooserName;
     /** When a caller that was refused should come back, in milliseconds. */
     readonly refuseRetryAfterMs: number;
+    /** The same as a share of the request's target latency, in hundredths; 0 for the fixed time. */
+    readonly refuseRetryAfterPercent: number;
+    /** Longest time for which a request is held back, in hundredths of its target latency; 0 for the service's limit. */
+    readonly maximumHoldPercent: number;
     /** Candidates that are asked for their load before the choice. */
     readonly probeCandidates: number;
     /** Longest time for which the choice waits for them, in milliseconds. */
@@ -32,8 +36,7 @@
     const findings = Object.entries(values).flatMap(([name, section]): readonly Finding[] => {
         const result = Policy.check(policySource(document, name, section));
         if (result instanceof Policy) {
-            const { chooser, refuseRetryAfterMs, probeCandidates, probeTimeoutMs, hedgePercent } = section;
-            policies.set(name, { policy: result, chooser, refuseRetryAfterMs, probeCandidates, probeTimeoutMs, hedgePercent });
+            policies.set(name, { ...section, policy: result });
             return [];
         }
         return result.map(error => policyFinding(document, error));
--- a/packages/daemon/src/deliver.ts
+++ b/packages/daemon/src/deliver.ts
@@ -8,7 +8,7 @@
 import type { AttemptReport } from "./attempt-task.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
-import { overloadRetryAfterMs, type RequestProgress } from "./request-progress.js";
+import type { RequestProgress } from "./request-progress.js";
 
 /** Gives the caller an answer that was kept back until it was whole. */
 export const deliver = (progress: RequestProgress, { answer, outcome }: AttemptReport): void => {
@@ -39,7 +39,7 @@
     const soFar = progress.outcomeSoFar();
     progress.giveUp(
         soFar === "not-run"
-            ? { kind: "no-upstream", detail, outcome: soFar, retryAfterMs: overloadRetryAfterMs }
+            ? { kind: "no-upstream", detail, outcome: soFar, retryAfterMs: progress.retryAfterMs }
             : { kind: "upstream-failed", detail, outcome: soFar },
     );
 };
--- a/packages/daemon/src/explanation-message.ts
+++ b/packages/daemon/src/explanation-message.ts
@@ -52,12 +52,13 @@
     });
 
 const toPolicy = ({ route }: DecisionRecord): Policy => {
-    const { policy, chooser, refuseRetryAfterMs } = route.policy;
+    const { policy, chooser, refuseRetryAfterMs, refuseRetryAfterPercent } = route.policy;
     const { name, clauses, lines } = policy.source;
     return create(PolicySchema, {
         name,
         chooser,
         refuseRetryAfterMs,
+        refuseRetryAfterPercent,
         clauses: clauseNames.flatMap(clause => {
             const expression = clauses[clause];
             return expression === undefined
--- a/packages/daemon/src/hold-queue.ts
+++ b/packages/daemon/src/hold-queue.ts
@@ -27,7 +27,7 @@
 }
 
 /** Time after which a request is decided again although nothing finished. */
-const reviewMs = 10;
+const reviewMs = 20;
 
 /**
  * Holds requests back until something finishes. Halls take turns; within a
--- a/packages/daemon/src/probe-budget.ts
+++ b/packages/daemon/src/probe-budget.ts
@@ -7,11 +7,11 @@
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 
 /** Seconds for which unspent probes are saved up, so that a burst of requests can still be probed for. */
-const savedSeconds = 1;
+const savedSeconds = 2;
 
 /** Allows each upstream a number of probes a second; what is not spent is saved for a moment only. */
 export class ProbeBudget {
-    private readonly buckets = new Map<UpstreamId, { tokens: number; atMs: number; }>();
+    private readonly buckets = new Map<UpstreamId, { readonly tokens: number; readonly atMs: number; }>();
     private perSecond = 0;
 
     /** @param clock - The clock. */
@@ -22,17 +22,27 @@
         this.perSecond = perSecond;
     }
 
+    /** Whether there is a probe of an upstream to take. */
+    canTake(upstream: UpstreamId): boolean {
+        return this.perSecond > 0 && this.tokensOf(upstream) >= 1;
+    }
+
     /** Takes one probe of an upstream out of the budget; tells whether there was one. */
     take(upstream: UpstreamId): boolean {
-        const nowMs = this.clock.nowMs();
-        const maximum = Math.max(1, this.perSecond * savedSeconds);
-        const bucket = this.buckets.get(upstream) ?? { tokens: maximum, atMs: nowMs };
-        const tokens = Math.min(maximum, bucket.tokens + (nowMs - bucket.atMs) / 1000 * this.perSecond);
-        const isAllowed = this.perSecond > 0 && tokens >= 1;
-        this.buckets.set(upstream, { tokens: isAllowed ? tokens - 1 : tokens, atMs: nowMs });
+        const tokens = this.tokensOf(upstream);
+        const isAllowed = this.canTake(upstream);
+        this.buckets.set(upstream, { tokens: isAllowed ? tokens - 1 : tokens, atMs: this.clock.nowMs() });
         return isAllowed;
     }
 
+    private tokensOf(upstream: UpstreamId): number {
+        const maximum = Math.max(1, this.perSecond * savedSeconds);
+        const bucket = this.buckets.get(upstream);
+        return bucket === undefined
+            ? maximum
+            : Math.min(maximum, bucket.tokens + (this.clock.nowMs() - bucket.atMs) / 1000 * this.perSecond);
+    }
+
     /** Forgets upstreams that are gone. */
     retain(known: ReadonlySet<UpstreamId>): void {
         [...this.buckets.keys()].filter(id => !known.has(id)).forEach(id => this.buckets.delete(id));
--- a/packages/daemon/src/prober.ts
+++ b/packages/daemon/src/prober.ts
@@ -49,6 +49,11 @@
     /** @param options - Transport, budget and dialect. */
     constructor(private readonly options: ProberOptions) {}
 
+    /** Whether an upstream may be asked now: the budget allows it, or others are asking it already. */
+    mayAsk(upstream: UpstreamId): boolean {
+        return this.asking.has(upstream) || this.options.budget.canTake(upstream);
+    }
+
     /**
      * Brings the beliefs about some upstreams up to date, as far as they answer in
      * time. Answers that come later are still learned from.
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 
-import type { UpstreamId } from "@harrierhitch/core";
+import type { Upstream } from "@harrierhitch/configuration";
+import { type UpstreamId, upstreamId } from "@harrierhitch/core";
 import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
 import { events } from "./event.js";
 import type { RequestProgress } from "./request-progress.js";
@@ -51,7 +52,7 @@
         const upstreams = runtime.beliefs.facts();
         return {
             request: progress.facts(),
-            service: runtime.facts(upstreams),
+            service: runtime.facts(upstreams, tried),
             upstreams,
             tried: [...tried],
             draws: drawNumbers(services.random),
@@ -67,25 +68,28 @@
             return;
         }
         const endAtMs = services.clock.nowMs() + Math.min(policy.probeTimeoutMs, progress.remainingMs);
-        const asked: string[] = [...tried];
-        const isEnough = (): boolean =>
+        const asked = new Set<string>(tried);
+        const hasGood = (): boolean =>
             runtime.beliefs.facts().some(facts => !tried.some(id => id === facts.id) && isGoodNow(facts));
-        while (asked.length - tried.length < policy.probeCandidates && !isEnough()) {
+        for (let left = policy.probeCandidates; left > 0 && !hasGood(); left -= probesAtOnce) {
             const timeoutMs = endAtMs - services.clock.nowMs();
-            const ids = probeTargets(
-                { upstreams: runtime.beliefs.facts(), tried: asked },
-                probesAtOnce,
-                () => services.random.next(),
-            );
-            if (timeoutMs <= 0 || ids.length === 0) {
+            const upstreams = this.likeliest(asked);
+            if (timeoutMs <= 0 || upstreams.length === 0) {
                 return;
             }
-            const upstreams = runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
-            await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough });
-            asked.push(...ids);
+            await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough: hasGood });
+            upstreams.forEach(({ id }) => asked.add(id));
         }
     }
 
+    /** The likeliest upstreams that were not asked yet and that the budget allows to ask. */
+    private likeliest(asked: ReadonlySet<string>): readonly Upstream[] {
+        const { runtime, services } = this;
+        const facts = runtime.beliefs.facts().filter(({ id }) => !asked.has(id) && services.prober.mayAsk(upstreamId(id)));
+        const ids = probeTargets({ upstreams: facts, tried: [] }, probesAtOnce, () => services.random.next());
+        return runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
+    }
+
     /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
     isHopeless(upstream: UpstreamId, tried: readonly UpstreamId[]): boolean {
         const { progress } = this;
--- a/packages/daemon/src/request-hold.ts
+++ b/packages/daemon/src/request-hold.ts
@@ -18,7 +18,7 @@
  */
 export const holdBack = async (progress: RequestProgress, runtime: ServiceRuntime, clock: Clock): Promise<boolean> => {
     const { service, kind } = progress.route;
-    const holdLeftMs = service.maximumHoldMs - progress.heldMs;
+    const holdLeftMs = maximumHoldMs(progress) - progress.heldMs;
     if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
         progress.giveUpUnderLoad(holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
         return true;
@@ -54,3 +54,10 @@
         progress.giveUpUnderLoad("held back for too long");
     }
 };
+
+const maximumHoldMs = ({ route }: RequestProgress): number => {
+    const { policy, kind, service } = route;
+    return policy.maximumHoldPercent > 0 && kind.targetLatencyMs > 0
+        ? Math.min(service.maximumHoldMs, kind.targetLatencyMs * policy.maximumHoldPercent / 100)
+        : service.maximumHoldMs;
+};
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -6,6 +6,7 @@
 
 import type { Configuration, Route } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
+import { retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
 import type { Arrival } from "./arrival.js";
@@ -22,9 +23,6 @@
 /** Header with the decision in short. */
 export const decisionHeader = "x-harrierhitch-decision";
 
-/** When a caller should come back after its request was given up under load. */
-export const overloadRetryAfterMs = 1000;
-
 /** An attempt is begun only when this much time is left. */
 const minimumAttemptMs = 1;
 
@@ -118,6 +116,8 @@
             depth: this.arrival.depth,
             remainingMs: this.remainingMs,
             heldMs: this.heldMs,
+            ageMs: this.ageMs,
+            targetMs: kind.targetLatencyMs,
         };
     }
 
@@ -141,6 +141,11 @@
         return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
     }
 
+    /** When the caller should come back if it is refused. */
+    get retryAfterMs(): number {
+        return retryAfterOf(this.route.policy, { targetMs: this.route.kind.targetLatencyMs });
+    }
+
     /** Gives the request its final answer at once. */
     giveUp(problem: Problem): void {
         this.record.outcome = problem.outcome;
@@ -160,7 +165,7 @@
     /** Gives up because the request cannot be served in time. */
     giveUpUnderLoad(detail: string): void {
         const outcome = this.outcomeSoFar();
-        this.giveUp({ kind: "overloaded", detail, outcome, retryAfterMs: overloadRetryAfterMs });
+        this.giveUp({ kind: "overloaded", detail, outcome, retryAfterMs: this.retryAfterMs });
     }
 
     /** Gives up because the deadline has passed. */
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -154,7 +154,7 @@
         }
         const decision = await this.choice.decide(this.tried);
         const isElsewhere = decision.action === "choose" && !this.tried.includes(decision.upstream);
-        if (isElsewhere && mayBegin() && this.runtime.retryBudget.take()) {
+        if (isElsewhere && isPromising(decision) && mayBegin() && this.runtime.retryBudget.take()) {
             this.start(decision.upstream, body);
         }
     }
@@ -244,3 +244,9 @@
             && !progress.isLate;
     }
 }
+
+/** Expected time, in times of usual work, above which a second attempt would only add to the load that made the first one slow. */
+const promisingTime = 1.6;
+
+const isPromising = ({ scores }: Decision): boolean =>
+    scores.every(score => score === undefined) || scores.some(score => score !== undefined && score < promisingTime);
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -5,7 +5,7 @@
  */
 
 import type { ServiceName } from "@harrierhitch/core";
-import type { RetryBudget, ServiceBeliefs } from "@harrierhitch/decision";
+import { bestTime, type RetryBudget, type ServiceBeliefs } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
 
@@ -37,12 +37,13 @@
     }
 
     /** The service as policies see it. */
-    facts(upstreams: readonly UpstreamFacts[]): ServiceFacts {
+    facts(upstreams: readonly UpstreamFacts[], tried: readonly string[]): ServiceFacts {
         return {
             name: this.name,
             inFlight: upstreams.reduce((sum, upstream) => sum + upstream.inFlight, 0),
             queued: this.queue.length,
             candidates: upstreams.filter(isCandidate).length,
+            bestTime: bestTime(upstreams, tried),
             upstreams: upstreams.length,
         };
     }
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -6,14 +6,14 @@
 
 import type { ServicePolicy } from "@harrierhitch/configuration";
 import { upstreamId } from "@harrierhitch/core";
-import { PolicyRunError, type UpstreamFacts } from "@harrierhitch/policy";
+import { PolicyRunError, type RequestFacts, type UpstreamFacts } from "@harrierhitch/policy";
 import type { ChooserInput } from "./chooser.js";
 import { choosers } from "./choosers.js";
 import type { DecisionInput } from "./decision-input.js";
 import type { Decision, Exclusion, PolicyFailure } from "./decision.js";
 
 /** What a decision needs of a policy. */
-export type DecisionPolicy = Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs">;
+export type DecisionPolicy = Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs"> & Partial<Pick<ServicePolicy, "refuseRetryAfterPercent">>;
 
 /** When a caller should come back after a refusal for lack of upstreams. */
 const noUpstreamRetryAfterMs = 1000;
@@ -46,7 +46,7 @@
     const { request, service } = input;
     const reason = policy.refuse(request, service);
     if (reason !== undefined) {
-        const retryAfterMs = servicePolicy.refuseRetryAfterMs;
+        const retryAfterMs = retryAfterOf(servicePolicy, request);
         return { action: "refuse", cause: "policy", reason, retryAfterMs, exclusions: [], scores: [], policyFailure: undefined };
     }
     if (policy.hold(request, service)) {
@@ -65,6 +65,10 @@
     return chooseAmong(chooser, input, exclusions, candidates, rankBy(servicePolicy, input), undefined);
 };
 
+/** When a caller that was refused should come back, in milliseconds. */
+export const retryAfterOf = ({ refuseRetryAfterMs, refuseRetryAfterPercent = 0 }: DecisionPolicy, request: Pick<RequestFacts, "targetMs">): number =>
+    refuseRetryAfterPercent > 0 && request.targetMs > 0 ? request.targetMs * refuseRetryAfterPercent / 100 : refuseRetryAfterMs;
+
 const rankBy = ({ policy }: DecisionPolicy, { request, service }: DecisionInput): ChooserInput["rank"] =>
     policy.source.clauses.rank === undefined ? undefined : upstream => policy.rank(request, service, upstream) ?? 0;
 
--- a/packages/decision/src/expected-time-chooser.ts
+++ b/packages/decision/src/expected-time-chooser.ts
@@ -68,6 +68,7 @@
     unknownSlowness + (candidate.slowness - unknownSlowness) * freshnessOf(candidate);
 
 const busyRequests = (candidate: UpstreamFacts): number => {
-    const reported = Math.max(0, candidate.reportedInFlight) * freshnessOf(candidate);
-    return Math.max(candidate.inFlight, reported + Math.max(0, candidate.sentSinceReport));
+    // What was sent long before the report faded has most likely ended.
+    const reported = Math.max(0, candidate.reportedInFlight) + Math.max(0, candidate.sentSinceReport);
+    return Math.max(candidate.inFlight, reported * freshnessOf(candidate));
 };
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -8,7 +8,7 @@
 export { type Belief, type BeliefOptions, defaultBeliefOptions } from "./belief.js";
 export { type Choice, type Chooser, type ChooserInput } from "./chooser.js";
 export { choosers, drawNumbers } from "./choosers.js";
-export { decide, type DecisionPolicy } from "./decide.js";
+export { decide, type DecisionPolicy, retryAfterOf } from "./decide.js";
 export { type DecisionInput } from "./decision-input.js";
 export {
     type ChooseDecision,
@@ -19,6 +19,6 @@
     type RefuseDecision,
 } from "./decision.js";
 export { type LoadFigures, type Observation } from "./observation.js";
-export { isGoodNow, probeTargets } from "./probe-targets.js";
+export { bestTime, isGoodNow, probeTargets } from "./probe-targets.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { type Flight, type KnownUpstream, ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -41,5 +41,17 @@
         .slice(0, count)
         .map(({ id }) => id);
 
+/**
+ * Time until the best of some upstreams is expected to answer, in times of usual work.
+ *
+ * @param upstreams - What is believed of them.
+ * @param tried - Ids of those that are left out, because the request has tried them.
+ * @returns The time; -1 when none may be chosen.
+ */
+export const bestTime = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): number => {
+    const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
+    return candidates.length === 0 ? -1 : Math.min(...candidates.map(expectedTime));
+};
+
 const mayBeChosen = (upstream: UpstreamFacts): boolean =>
     upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -26,9 +26,11 @@
     depth: "double",
     remainingMs: "double",
     heldMs: "double",
+    ageMs: "double",
+    targetMs: "double",
 };
 
-const serviceFields = { name: "string", inFlight: "double", queued: "double", candidates: "double", upstreams: "double" };
+const serviceFields = { name: "string", inFlight: "double", queued: "double", candidates: "double", bestTime: "double", upstreams: "double" };
 
 const upstreamFields = {
     id: "string",
--- a/packages/policy/src/request-facts.ts
+++ b/packages/policy/src/request-facts.ts
@@ -26,4 +26,8 @@
     readonly remainingMs: number;
     /** Milliseconds for which the request has been held back so far. */
     readonly heldMs: number;
+    /** Milliseconds since the request arrived. */
+    readonly ageMs: number;
+    /** Milliseconds within which an answer is worth most; 0 when there is no such time. */
+    readonly targetMs: number;
 }
--- a/packages/policy/src/service-facts.ts
+++ b/packages/policy/src/service-facts.ts
@@ -14,6 +14,11 @@
     readonly queued: number;
     /** Upstreams that may be chosen now. */
     readonly candidates: number;
+    /**
+     * Time until the best of them is expected to answer, in times of usual work
+     * there; -1 when none may be chosen.
+     */
+    readonly bestTime: number;
     /** All upstreams of the service. */
     readonly upstreams: number;
 }
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -65,8 +65,10 @@
         depth: 0,
         remainingMs: 900,
         heldMs: 0,
+        ageMs: 0,
+        targetMs: 0,
     },
-    service: { name: "main", inFlight: 5, queued: 0, candidates: count, upstreams: count },
+    service: { name: "main", inFlight: 5, queued: 0, candidates: count, bestTime: 1, upstreams: count },
     upstreams: Array.from({ length: count }, (_, index) => ({
         id: `main-${index}`,
         availabilityZone: "hall-a",
