--- a/packages/daemon/src/http-attempt.ts
+++ b/packages/daemon/src/http-attempt.ts
@@ -153,7 +153,8 @@
     }
 
     private onClose(): void {
-        if (this.answer?.complete !== true || this.answer.destroyed) {
+        const isOpen = this.answer?.complete !== true || this.answer.destroyed;
+        if (isOpen && !this.finished) {
             this.fail(new TypeError("the connection closed before the answer was whole"));
         }
     }
--- a/packages/daemon/src/platform-follower.ts
+++ b/packages/daemon/src/platform-follower.ts
@@ -26,8 +26,8 @@
     readonly onRegained: () => void;
 }
 
-/** Shortest time between two calls, should the platform answer its watches at once. */
-const minimumIntervalMs = 50;
+/** Shortest time between two calls, so that changes that come together cost one call; well below the two seconds in which a drain or a configuration has to be known. */
+const minimumIntervalMs = 400;
 
 /** Time between two looks at whose turn it is. */
 const turnMs = 250;
