--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -38,6 +38,7 @@
         remainingMs: number("Time until the deadline.", 1000, "ms"),
         heldMs: number("Time held back so far.", 0, "ms"),
         ageMs: number("Time since the request arrived.", 0, "ms"),
+        usualMs: number("Time that work for this kind usually takes; 0 when unknown.", 0, "ms"),
         targetMs: number("Time within which an answer is worth most; 0 for none.", 0, "ms"),
     }),
     service: optionalSection({
--- a/packages/configuration/src/policy-schema.ts
+++ b/packages/configuration/src/policy-schema.ts
@@ -47,7 +47,8 @@
     }),
     hold: optionalTextKey({ description: "True or false expression; while true the request is held back." }),
     maximumHoldPercent: integerKey({
-        description: "Longest time for which a request is held back, as a share of its target latency; 0 for the service's limit.",
+        description:
+            "Longest time for which a request is held back, as a share of its target latency; 0 for the service's limit.",
         unit: "%",
         minimum: 0,
         maximum: 1000,
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -160,6 +160,9 @@
         this.record.outcome = outcome;
         services.onAttempt(progress, this.record);
         const isWhole = result.end === "answered" && !isForeign;
+        if (isWhole && outcome === "ran") {
+            runtime.usualTimes.observe(progress.route.kind.name, atMs - this.startedAtMs);
+        }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -51,7 +51,7 @@
         const { progress, runtime, services } = this;
         const upstreams = runtime.beliefs.facts();
         return {
-            request: progress.facts(),
+            request: progress.facts(runtime.usualTimes.of(progress.route.kind.name) ?? 0),
             service: runtime.facts(upstreams, tried),
             upstreams,
             tried: [...tried],
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -102,8 +102,12 @@
         return counts;
     }
 
-    /** The request as policies see it. */
-    facts(): RequestFacts {
+    /**
+     * The request as policies see it.
+     *
+     * @param usualMs - How long work for its kind usually takes; 0 when that is not known.
+     */
+    facts(usualMs: number): RequestFacts {
         const { kind } = this.route;
         return {
             kind: kind.name,
@@ -118,6 +122,7 @@
             heldMs: this.heldMs,
             ageMs: this.ageMs,
             targetMs: kind.targetLatencyMs,
+            usualMs,
         };
     }
 
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -5,12 +5,14 @@
  */
 
 import type { ServiceName } from "@harrierhitch/core";
-import { bestTime, type RetryBudget, type ServiceBeliefs } from "@harrierhitch/decision";
+import { bestTime, type RetryBudget, type ServiceBeliefs, UsualTimes } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
 
 /** Beliefs, queue and turn of one service; it outlives configurations. */
 export class ServiceRuntime {
+    /** How long work usually takes, by kind. */
+    readonly usualTimes = new UsualTimes();
     private turns = 0;
 
     /**
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -13,7 +13,9 @@
 import type { Decision, Exclusion, PolicyFailure } from "./decision.js";
 
 /** What a decision needs of a policy. */
-export type DecisionPolicy = Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs"> & Partial<Pick<ServicePolicy, "refuseRetryAfterPercent">>;
+export type DecisionPolicy =
+    & Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs">
+    & Partial<Pick<ServicePolicy, "refuseRetryAfterPercent">>;
 
 /** When a caller should come back after a refusal for lack of upstreams. */
 const noUpstreamRetryAfterMs = 1000;
@@ -66,7 +68,10 @@
 };
 
 /** When a caller that was refused should come back, in milliseconds. */
-export const retryAfterOf = ({ refuseRetryAfterMs, refuseRetryAfterPercent = 0 }: DecisionPolicy, request: Pick<RequestFacts, "targetMs">): number =>
+export const retryAfterOf = (
+    { refuseRetryAfterMs, refuseRetryAfterPercent = 0 }: DecisionPolicy,
+    request: Pick<RequestFacts, "targetMs">,
+): number =>
     refuseRetryAfterPercent > 0 && request.targetMs > 0 ? request.targetMs * refuseRetryAfterPercent / 100 : refuseRetryAfterMs;
 
 const rankBy = ({ policy }: DecisionPolicy, { request, service }: DecisionInput): ChooserInput["rank"] =>
--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -39,6 +39,7 @@
         heldMs: 0,
         ageMs: 0,
         targetMs: 0,
+        usualMs: 0,
     },
     service: { name: "main", inFlight: 0, queued: 0, candidates: upstreams.length, bestTime: 1, upstreams: upstreams.length },
     upstreams,
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -28,9 +28,17 @@
     heldMs: "double",
     ageMs: "double",
     targetMs: "double",
+    usualMs: "double",
 };
 
-const serviceFields = { name: "string", inFlight: "double", queued: "double", candidates: "double", bestTime: "double", upstreams: "double" };
+const serviceFields = {
+    name: "string",
+    inFlight: "double",
+    queued: "double",
+    candidates: "double",
+    bestTime: "double",
+    upstreams: "double",
+};
 
 const upstreamFields = {
     id: "string",
--- a/packages/policy/src/request-facts.ts
+++ b/packages/policy/src/request-facts.ts
@@ -30,4 +30,6 @@
     readonly ageMs: number;
     /** Milliseconds within which an answer is worth most; 0 when there is no such time. */
     readonly targetMs: number;
+    /** Milliseconds that work for this kind usually takes, as answers showed; 0 before enough is known. */
+    readonly usualMs: number;
 }
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -67,6 +67,7 @@
         heldMs: 0,
         ageMs: 0,
         targetMs: 0,
+        usualMs: 0,
     },
     service: { name: "main", inFlight: 5, queued: 0, candidates: count, bestTime: 1, upstreams: count },
     upstreams: Array.from({ length: count }, (_, index) => ({
