--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,7 +12,9 @@
     rules: {
         "no-restricted-imports": ["error", {
             patterns: [{
-                group: [...order.slice(index), ...(extraForbidden[name] ?? [])].map(other => `@harrierhitch/${other}`),
+                group: [...order.slice(index), ...(extraForbidden[name] ?? []), "platform"].map(other =>
+                    `@harrierhitch/${other}`
+                ),
                 message: "Packages import only packages before them; see eslint.config.mjs.",
             }, {
                 group: ["@harrierhitch/*/*", "../../*/src/*"],
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -98,3 +98,10 @@
         return !isFirst && progress.remainingMs < (facts?.latencyMs ?? 0);
     }
 }
+
+/** Expected time, in times of usual work, above which a second attempt would only add to the load that made the first one slow. */
+const promisingTime = 1.6;
+
+/** Whether a second attempt where this decision leads is likely to help. */
+export const isPromising = ({ scores }: Decision): boolean =>
+    scores.every(score => score === undefined) || scores.some(score => score !== undefined && score < promisingTime);
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -12,7 +12,7 @@
 import type { AnswerReading } from "./dialect.js";
 import { Mailbox } from "./mailbox.js";
 import type { RequestBody } from "./request-body.js";
-import { RequestChoice } from "./request-choice.js";
+import { isPromising, RequestChoice } from "./request-choice.js";
 import type { RequestEvent } from "./request-event.js";
 import { holdBack } from "./request-hold.js";
 import type { RequestProgress } from "./request-progress.js";
@@ -244,9 +244,3 @@
             && !progress.isLate;
     }
 }
-
-/** Expected time, in times of usual work, above which a second attempt would only add to the load that made the first one slow. */
-const promisingTime = 1.6;
-
-const isPromising = ({ scores }: Decision): boolean =>
-    scores.every(score => score === undefined) || scores.some(score => score !== undefined && score < promisingTime);
