--- a/packages/daemon/src/probe-budget.ts
+++ b/packages/daemon/src/probe-budget.ts
@@ -6,10 +6,10 @@
 
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 
-/** Seconds for which unspent probes are saved up, so that a burst of requests can still be probed for. */
-const savedSeconds = 2;
+/** Seconds for which unspent probes are saved up: bursts of some seconds are the usual ones, and the budget counts over a day. */
+const savedSeconds = 6;
 
-/** Allows each upstream a number of probes a second; what is not spent is saved for a moment only. */
+/** Allows each upstream a number of probes a second; what is not spent is saved for some seconds only. */
 export class ProbeBudget {
     private readonly buckets = new Map<UpstreamId, { readonly tokens: number; readonly atMs: number; }>();
     private perSecond = 0;
