A request given up at its deadline is unknown while an attempt runs; refusals tell what decided

Cause: outcomeSoFar took attempts that had not ended for not run: a 504 told not-run of what a server was working on.

--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -126,9 +126,9 @@
         };
     }
 
-    /** What is known after all attempts so far: unknown as soon as one of them is. */
+    /** What is known after all attempts so far: unknown as soon as one of them is, or still runs. */
     outcomeSoFar(): Outcome {
-        const outcomes = this.record.attempts.map(attempt => attempt.outcome);
+        const outcomes = this.record.attempts.map(attempt => attempt.outcome ?? "unknown");
         return outcomes.find(outcome => outcome === "ran") ?? outcomes.find(outcome => outcome === "unknown") ?? "not-run";
     }
 
@@ -162,9 +162,11 @@
         const { generation } = this.record.configuration;
         const ageMs = Math.round(this.ageMs);
         const decision = steps.at(-1)?.decision.action;
+        const { request, service } = steps.at(-1)?.input ?? {};
+        const decidedBy = { bestTime: service?.bestTime, usualMs: request?.usualMs, targetMs: request?.targetMs };
         const { upstreamsOut } = this;
         const fields = { request: id, route: this.route.name, problem: kind, detail, outcome, status, retryAfterMs };
-        this.services.log.write(events.requestProblem, { ...fields, ageMs, decision, generation, upstreamsOut });
+        this.services.log.write(events.requestProblem, { ...fields, ageMs, decision, decidedBy, generation, upstreamsOut });
     }
 
     /** Gives up because the request cannot be served in time. */
