Failures keep requests away from an upstream, they do not make the service look busy

Ruled out: probes of the instance used up (saving more changed nothing). Change: the time alone for policies; a failure rate counts 8 instead of 20.

--- a/packages/decision/src/expected-time-chooser.ts
+++ b/packages/decision/src/expected-time-chooser.ts
@@ -27,8 +27,11 @@
 /** What another availability zone counts, in times of usual work: its delay, and the price of its bytes. */
 const zoneWeight = 0.15;
 
+/** What full slots count, in times of usual work: enough to prefer the emptier of two that are as fast. */
+const busyWeight = 0.1;
+
 /** What a failure rate of one counts, in times of usual work. */
-const failureWeight = 20;
+const failureWeight = 8;
 
 /** What a `suspect` upstream counts, in times of usual work: it is tried, but rarely. */
 const suspectWeight = 2;
@@ -47,19 +50,22 @@
     }
 }
 
-/** Time until an answer is expected, in times of usual work. */
-export const expectedTime = (candidate: UpstreamFacts): number => {
+/** What a candidate is compared by: the time until its answer, and what speaks against it besides. */
+export const expectedTime = (candidate: UpstreamFacts): number =>
+    workTime(candidate)
+    + busyRequests(candidate) / Math.max(1, candidate.slots) * busyWeight
+    + (candidate.sameZone ? 0 : zoneWeight)
+    + failureWeight * candidate.failureRate
+    + (candidate.state === "suspect" ? suspectWeight : 0);
+
+/** Time until an answer is expected, in times of usual work, whatever else speaks against the candidate. */
+export const workTime = (candidate: UpstreamFacts): number => {
     const slots = Math.max(1, candidate.slots);
     const busy = busyRequests(candidate);
     const queued = Math.max(0, busy + 1 - slots);
     const crowding = (busy + 1) / slots > crowdedShare ? crowdedSlowness : 1;
     const cold = candidate.state === "cold" ? coldSlowness : 1;
-    const work = slownessOf(candidate) * crowding * cold * (1 + queued / slots);
-    return work
-        + busy / slots / 10
-        + (candidate.sameZone ? 0 : zoneWeight)
-        + failureWeight * candidate.failureRate
-        + (candidate.state === "suspect" ? suspectWeight : 0);
+    return slownessOf(candidate) * crowding * cold * (1 + queued / slots);
 };
 
 const freshnessOf = ({ reportAgeMs }: UpstreamFacts): number => reportAgeMs < 0 ? 0 : Math.exp(-reportAgeMs / reportDecayMs);
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -6,7 +6,7 @@
 
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { DecisionInput } from "./decision-input.js";
-import { expectedTime } from "./expected-time-chooser.js";
+import { expectedTime, workTime } from "./expected-time-chooser.js";
 
 /** Share of a random draw in the order, in times of usual work, so that instances do not all ask the same upstreams. */
 const drawWeight = 0.3;
@@ -50,7 +50,7 @@
  */
 export const bestTime = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): number => {
     const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
-    return candidates.length === 0 ? -1 : Math.min(...candidates.map(expectedTime));
+    return candidates.length === 0 ? -1 : Math.min(...candidates.map(workTime));
 };
 
 const mayBeChosen = (upstream: UpstreamFacts): boolean =>
--- /dev/null
+++ b/packages/decision/test/expected-time.test.ts
@@ -0,0 +1,106 @@
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { bestTime, choosers, isGoodNow, probeTargets } from "../src/index.js";
+
+const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => ({
+    id,
+    availabilityZone: "hall-a",
+    sameZone: true,
+    state: "ready",
+    inFlight: 0,
+    limit: 10,
+    oldestInFlightMs: 0,
+    latencyMs: 10,
+    latencyAgeMs: 5,
+    reportedInFlight: 0,
+    reportAgeMs: 1,
+    sentSinceReport: 0,
+    slowness: 1,
+    failureRate: 0,
+    slots: 3,
+    ...change,
+});
+
+const choose = (candidates: readonly UpstreamFacts[]): string => {
+    const choice = choosers["expected-time"].choose({ candidates, rank: undefined, draws: [0, 0, 0, 0], turn: 1 });
+    return candidates[choice.index]!.id;
+};
+
+interface Case {
+    readonly name: string;
+    readonly candidates: readonly UpstreamFacts[];
+    readonly chosen: string;
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "not the one that is slow now",
+        candidates: [upstream("a", { slowness: 5 }), upstream("b", { reportedInFlight: 2 })],
+        chosen: "b",
+    },
+    {
+        name: "not the one that queues",
+        candidates: [upstream("a", { reportedInFlight: 5 }), upstream("b", { slowness: 1.5 })],
+        chosen: "b",
+    },
+    {
+        name: "the one known to be idle rather than one of which nothing is known",
+        candidates: [upstream("a", { reportAgeMs: -1, reportedInFlight: -1 }), upstream("b", { reportedInFlight: 1 })],
+        chosen: "b",
+    },
+    {
+        name: "one of which nothing is known rather than one known to be slow",
+        candidates: [upstream("a", { slowness: 5 }), upstream("b", { reportAgeMs: 5000 })],
+        chosen: "b",
+    },
+    {
+        name: "the own availability zone among equals",
+        candidates: [upstream("a", { sameZone: false }), upstream("b")],
+        chosen: "b",
+    },
+    {
+        name: "not the one that fails",
+        candidates: [upstream("a", { failureRate: 0.4 }), upstream("b", { reportedInFlight: 3 })],
+        chosen: "b",
+    },
+    {
+        name: "not the cold one",
+        candidates: [upstream("a", { state: "cold" }), upstream("b", { reportedInFlight: 1 })],
+        chosen: "b",
+    },
+    {
+        name: "what this instance itself has sent counts, although the report is old",
+        candidates: [upstream("a", { inFlight: 4, reportAgeMs: 2000 }), upstream("b", { reportAgeMs: 2000 })],
+        chosen: "b",
+    },
+];
+
+describe("by expected time", () => {
+    cases.forEach(({ name, candidates, chosen }) => {
+        test(name, () => assert.equal(choose(candidates), chosen));
+    });
+});
+
+test("a few failures do not make an idle service look busy to policies", () => {
+    const failing = ["a", "b"].map(id => upstream(id, { failureRate: 0.2, sameZone: false, state: "suspect" }));
+    assert.equal(bestTime(failing, []), 1);
+});
+
+test("the best time is that of upstreams that may be chosen and were not tried", () => {
+    const upstreams = [upstream("a"), upstream("b", { state: "draining" }), upstream("c", { slowness: 3 })];
+    assert.ok(bestTime(upstreams, ["a"]) > 2.5);
+    assert.equal(bestTime(upstreams, ["a", "c"]), -1);
+});
+
+test("what is stale, busy or slow is not good enough to stop asking", () => {
+    const changes: readonly Partial<UpstreamFacts>[] = [{}, { reportAgeMs: 60 }, { reportedInFlight: 3 }, { slowness: 2 }, {
+        reportAgeMs: -1,
+    }];
+    assert.deepEqual(changes.map(change => isGoodNow(upstream("a", change))), [true, false, false, false, false]);
+});
+
+test("the likeliest are asked, never those that may not be chosen", () => {
+    const upstreams = [upstream("a", { slowness: 5 }), upstream("b"), upstream("c", { state: "ejected" }), upstream("d")];
+    assert.deepEqual(probeTargets({ upstreams, tried: ["d"] }, 2, () => 0), ["b", "a"]);
+});
