--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -63,7 +63,8 @@
 const serviceText = ({ service }: Step): string =>
     service === undefined
         ? ""
-        : `${service.inFlight} in flight, ${service.queued} held back, ${service.candidates} of ${service.upstreams} upstreams free`;
+        : `${service.inFlight} in flight, ${service.queued} held back, ${service.candidates} of ${service.upstreams} upstreams free, `
+            + `the best in ${service.bestTime.toFixed(2)} times usual work`;
 
 const candidateTitles = [
     "",
@@ -77,6 +78,7 @@
     "(age)",
     "reported",
     "(age)",
+    "slowness",
     "failures",
     "score",
     "left out",
--- a/packages/standin/src/quickstart.ts
+++ b/packages/standin/src/quickstart.ts
@@ -90,6 +90,7 @@
         callersPort: 9000 + number,
         operatorsPort: 9010 + number,
         peersPort: 9020 + number,
+        seedPorts: [9021],
     });
 
 const untilReady = async (url: string): Promise<void> => {
