--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -5,25 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { decide, type DecisionInput, drawNumbers } from "../src/index.js";
-
-const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => ({
-    id,
-    availabilityZone: "hall-a",
-    sameZone: true,
-    state: "ready",
-    inFlight: 0,
-    limit: 10,
-    oldestInFlightMs: 0,
-    latencyMs: 10,
-    latencyAgeMs: 50,
-    reportedInFlight: 0,
-    reportAgeMs: 50,
-    sentSinceReport: 0,
-    slowness: 1,
-    failureRate: 0,
-    slots: 3,
-    ...change,
-});
+import { upstream } from "./upstream.js";
 
 const input = (upstreams: readonly UpstreamFacts[], change: Partial<DecisionInput> = {}): DecisionInput => ({
     request: {
--- a/packages/decision/test/expected-time.test.ts
+++ b/packages/decision/test/expected-time.test.ts
@@ -2,25 +2,10 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { bestTime, choosers, isGoodNow, probeTargets } from "../src/index.js";
+import { upstream as idle } from "./upstream.js";
 
-const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => ({
-    id,
-    availabilityZone: "hall-a",
-    sameZone: true,
-    state: "ready",
-    inFlight: 0,
-    limit: 10,
-    oldestInFlightMs: 0,
-    latencyMs: 10,
-    latencyAgeMs: 5,
-    reportedInFlight: 0,
-    reportAgeMs: 1,
-    sentSinceReport: 0,
-    slowness: 1,
-    failureRate: 0,
-    slots: 3,
-    ...change,
-});
+/** An upstream of which a fresh report is known. */
+const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => idle(id, { reportAgeMs: 1, ...change });
 
 const choose = (candidates: readonly UpstreamFacts[]): string => {
     const choice = choosers["expected-time"].choose({ candidates, rank: undefined, draws: [0, 0, 0, 0], turn: 1 });
--- /dev/null
+++ b/packages/decision/test/upstream.ts
@@ -0,0 +1,25 @@
+/**
+ * Facts of upstreams for tests.
+ */
+
+import type { UpstreamFacts } from "@harrierhitch/policy";
+
+/** An idle upstream in the instance's own availability zone; what differs is given. */
+export const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => ({
+    id,
+    availabilityZone: "hall-a",
+    sameZone: true,
+    state: "ready",
+    inFlight: 0,
+    limit: 10,
+    oldestInFlightMs: 0,
+    latencyMs: 10,
+    latencyAgeMs: 50,
+    reportedInFlight: 0,
+    reportAgeMs: 50,
+    sentSinceReport: 0,
+    slowness: 1,
+    failureRate: 0,
+    slots: 3,
+    ...change,
+});
--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -1,19 +1,8 @@
-import type { ListedUpstream } from "@harrierhitch/configuration";
-import { FakeClock, serviceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { FakeClock, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { type Listing, UpstreamDirectory } from "../src/index.js";
-
-const upstream = (id: UpstreamId, text: string): ListedUpstream => ({
-    id,
-    service: serviceName("main"),
-    address: "127.0.0.1",
-    port: 9000,
-    availabilityZone: "zone-0",
-    slots: 3,
-    leaving: text === "leaving",
-    coldMs: 0,
-});
+import { listedUpstream } from "./listed-upstream.js";
 
 const listing = (id: string, revision: number, text?: string): Listing => ({ upstream: upstreamId(id), revision, text });
 
@@ -28,7 +17,7 @@
         read: (id, text) =>
             text === "bad"
                 ? { value: undefined, findings: [{ file: id, section: "", key: "", line: undefined, message: "bad" }] }
-                : { value: upstream(id, text), findings: [] },
+                : { value: listedUpstream(id, text), findings: [] },
         doubtfulMs: () => doubt.doubtfulMs,
         onChange: () => undefined,
         onInvalid: id => invalid.push(id),
@@ -121,7 +110,7 @@
     assert.deepEqual([second.listed(), second.directory.revision], [first.listed(), 7]);
     const third = new UpstreamDirectory({
         clock: first.clock,
-        read: (id, text) => ({ value: upstream(id, text), findings: [] }),
+        read: (id, text) => ({ value: listedUpstream(id, text), findings: [] }),
         doubtfulMs: () => 0,
         onChange: () => undefined,
         onInvalid: () => undefined,
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -5,8 +5,7 @@
 
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
-import type { ListedUpstream } from "@harrierhitch/configuration";
-import { FakeClock, instanceId, SeededRandom, serviceName, type UpstreamId } from "@harrierhitch/core";
+import { FakeClock, instanceId, SeededRandom } from "@harrierhitch/core";
 import { PeerService } from "@harrierhitch/protocol";
 import {
     AcceptedConfiguration,
@@ -17,6 +16,7 @@
     peerService,
     UpstreamDirectory,
 } from "../src/index.js";
+import { listedUpstream } from "./listed-upstream.js";
 
 /** Faults of the network. */
 export interface NetworkFaults {
@@ -44,18 +44,6 @@
 
 const portOf = (id: string): number => basePort + Number(id.slice(1));
 
-/** A listed upstream; its text is `ready` or `leaving`. */
-const listedUpstream = (id: UpstreamId, text: string): ListedUpstream => ({
-    id,
-    service: serviceName("main"),
-    address: "127.0.0.1",
-    port: 9000,
-    availabilityZone: "zone-0",
-    slots: 3,
-    leaving: text === "leaving",
-    coldMs: 0,
-});
-
 /** Several instances and their network. */
 export class FakeFleet {
     readonly clock = new FakeClock();
--- /dev/null
+++ b/packages/fleet/test/listed-upstream.ts
@@ -0,0 +1,18 @@
+/**
+ * Listed upstreams for tests.
+ */
+
+import type { ListedUpstream } from "@harrierhitch/configuration";
+import { serviceName, type UpstreamId } from "@harrierhitch/core";
+
+/** A listed upstream; its text is `ready` or `leaving`. */
+export const listedUpstream = (id: UpstreamId, text: string): ListedUpstream => ({
+    id,
+    service: serviceName("main"),
+    address: "127.0.0.1",
+    port: 9000,
+    availabilityZone: "zone-0",
+    slots: 3,
+    leaving: text === "leaving",
+    coldMs: 0,
+});
