--- a/packages/daemon/src/dialect.ts
+++ b/packages/daemon/src/dialect.ts
@@ -41,7 +41,7 @@
 export interface AnswerReading {
     /** Why this is not the upstream's answer to this request; `undefined` when it is. */
     readonly foreign: string | undefined;
-    /** What the head tells of the request; `undefined` when only the end of the answer will. */
+    /** What the head tells of whether the request ran. */
     readonly outcome: Outcome;
     /** Whether the upstream was too busy for the request. */
     readonly shed: boolean;
