Leave services alone whose upstreams tell no load when they are asked

Cause: by reading: a service without reported load would cost every request two rounds of probes and their patience.

--- a/packages/daemon/src/prober.ts
+++ b/packages/daemon/src/prober.ts
@@ -10,6 +10,7 @@
 import type { Dialect } from "./dialect.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { ServiceRuntime } from "./service-runtime.js";
+import { SilentServices } from "./silent-services.js";
 import type { UpstreamTransport } from "./upstream-transport.js";
 
 /** Options of {@link Prober}. */
@@ -45,9 +46,12 @@
 /** Probes a few upstreams in parallel; requests that want to know the same share the answer. */
 export class Prober {
     private readonly asking = new Map<UpstreamId, Promise<void>>();
+    private readonly silence: SilentServices;
 
     /** @param options - Transport, budget and dialect. */
-    constructor(private readonly options: ProberOptions) {}
+    constructor(private readonly options: ProberOptions) {
+        this.silence = new SilentServices(options.clock);
+    }
 
     /** Whether an upstream may be asked now: the budget allows it, or others are asking it already. */
     mayAsk(upstream: UpstreamId): boolean {
@@ -59,6 +63,9 @@
      * time. Answers that come later are still learned from.
      */
     async ask(question: ProbeQuestion): Promise<void> {
+        if (this.silence.includes(question.service.name)) {
+            return;
+        }
         const probes = question.upstreams.flatMap(upstream => this.probe(question, upstream) ?? []);
         if (probes.length === 0) {
             return;
@@ -111,7 +118,9 @@
         const timer = clock.after(abandonMs, () => attempt.cancel("timed-out"));
         const { end } = await attempt.result;
         timer.cancel();
-        onProbe(service, probe.told ? "told" : end === "answered" ? "silent" : "failed");
+        const result = probe.told ? "told" : end === "answered" ? "silent" : "failed";
+        this.silence.note(service.name, result);
+        onProbe(service, result);
     }
 
     private learn(
