Doubt removals for 1.3 s after the platform's return

Price: after a real lapse entries may be missing for some tenths of a second; requests are then refused as not run.

--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform-link.ts
@@ -28,11 +28,11 @@
 
 /**
  * Time after the platform's return for which entries that lapsed meanwhile may
- * still be missing although their upstreams live. They are back about two seconds
- * after the return, which is noticed some tenths of a second late; and where this
- * instance alone was cut off, it has to know what left within three seconds.
+ * still be missing although their upstreams live. Such entries may take two
+ * seconds, but an instance that alone was cut off notices the return up to 1.4 s
+ * late (seen) and has to know within three seconds what left meanwhile.
  */
-const lapseGraceMs = 1900;
+const lapseGraceMs = 1300;
 
 /** Follows the platform on behalf of an instance. */
 export class PlatformLink {
