--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -68,6 +68,7 @@
             read: (id, text) => syntax.upstream(id, text),
             doubtfulMs: () => parts.doubtfulMs(),
             onChange: change => this.telemetry.listingChanged(change),
+            onDoubtEnded: () => this.apply(),
             onInvalid: (id, findings) =>
                 parts.log.write(events.listingInvalid, { upstream: id, findings: findings.map(formatFinding) }),
         });
--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform-link.ts
@@ -29,8 +29,8 @@
 /**
  * Time after the platform's return for which entries that lapsed meanwhile may
  * still be missing although their upstreams live. Such entries may take two
- * seconds, but an instance that alone was cut off notices the return up to 1.4 s
- * late (seen) and has to know within three seconds what left meanwhile.
+ * seconds, but an instance that alone was cut off notices the return up to a
+ * second late (seen) and has to know within three seconds what left meanwhile.
  */
 const lapseGraceMs = 1300;
 
--- a/packages/fleet/src/upstream-directory.ts
+++ b/packages/fleet/src/upstream-directory.ts
@@ -45,6 +45,8 @@
     readonly doubtfulMs: () => number;
     /** Told of each change. */
     readonly onChange: (change: DirectoryChange) => void;
+    /** Told when a removal that was doubted has turned out to be true. */
+    readonly onDoubtEnded: () => void;
     /** Told of a listing that cannot be read; the last good one stays. */
     readonly onInvalid: (id: UpstreamId, findings: readonly Finding[]) => void;
 }
@@ -158,6 +160,7 @@
             if (this.doubted.get(removal.upstream) === removal) {
                 this.doubted.delete(removal.upstream);
                 this.put(removal);
+                this.options.onDoubtEnded();
             }
         });
     }
--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -20,6 +20,7 @@
                 : { value: listedUpstream(id, text), findings: [] },
         doubtfulMs: () => doubt.doubtfulMs,
         onChange: () => undefined,
+        onDoubtEnded: () => undefined,
         onInvalid: id => invalid.push(id),
     });
     directory.takeIn({ revision: 5, whole: true, listings: names.map((name, index) => listing(name, index + 1, "ready")) });
@@ -113,6 +114,7 @@
         read: (id, text) => ({ value: listedUpstream(id, text), findings: [] }),
         doubtfulMs: () => 0,
         onChange: () => undefined,
+        onDoubtEnded: () => undefined,
         onInvalid: () => undefined,
     });
     third.takeIn(first.directory.newsAfter(0));
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -84,6 +84,7 @@
             read: (upstream, text) => ({ value: listedUpstream(upstream, text), findings: [] }),
             doubtfulMs: () => 0,
             onChange: () => undefined,
+            onDoubtEnded: () => undefined,
             onInvalid: () => undefined,
         });
         const generations: number[] = [];
