--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -161,16 +161,16 @@
 
     private createPlatformLink(platform: Platform): PlatformLink {
         const { clock, random, instance, log } = this;
-        return new PlatformLink({ platform, clock, random, instance, log, retryMs: this.settings.platform.retryMs });
+        const { retryMs, watchMs } = this.settings.platform;
+        return new PlatformLink({ platform, clock, random, instance, log, retryMs, watchMs });
     }
 
     private platformOptions(): PlatformOptions {
-        const { addresses, configurationKey, readTimeoutMs, watchMs } = this.settings.platform;
+        const { addresses, configurationKey, readTimeoutMs } = this.settings.platform;
         return {
             addresses: addresses.split(",").map(address => address.trim()),
             configurationKey,
             readTimeoutMs,
-            watchMs,
             onCall: kind => this.metrics.platformCalls.inc({ kind }),
         };
     }
--- a/packages/daemon/src/http-platform.ts
+++ b/packages/daemon/src/http-platform.ts
@@ -31,11 +31,10 @@
         return this.toPublication(result);
     }
 
-    async watch(_: number, signal: AbortSignal, waits: boolean): Promise<Publication> {
+    async watch(_: number, signal: AbortSignal, waitMs: number): Promise<Publication> {
         this.options.onCall("watch");
-        const watchMs = waits ? this.options.watchMs : 0;
-        const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(watchMs / 1000)}` };
-        const result = await this.get(headers, watchMs + watchGraceMs, signal);
+        const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(waitMs / 1000)}` };
+        const result = await this.get(headers, waitMs + watchGraceMs, signal);
         return result.status === notModified
             ? { revision: this.revision, configuration: undefined, listings: [] }
             : this.toPublication(result);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -210,13 +210,21 @@
         const update: RegistryUpdate = { configuration, listed: this.directory.upstreams };
         const targets = toTargets(update);
         this.parts.transport.configure(targets);
-        const shares = sharesOf(configuration, this.parts.settings.budgets, this.fleet?.members.alive.length);
-        this.services.configure(update, shares);
-        this.probeBudget.configure(shares.probesPerSecond);
+        this.services.configure(update);
+        this.applyShares();
         this.probeBudget.retain(new Set(targets.map(target => target.upstream.id)));
         this.parts.onConfigured?.(update);
     }
 
+    /** Brings this instance's shares of the fleet's budgets up to date. */
+    applyShares(): void {
+        if (this.configuration !== undefined) {
+            const shares = sharesOf(this.configuration, this.parts.settings.budgets, this.fleet?.members.possible);
+            this.services.applyShares(shares);
+            this.probeBudget.configure(shares.probesPerSecond);
+        }
+    }
+
     private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         const { inForce } = this.accepted;
         if (inForce === undefined || !this.hasHeardOthers) {
--- a/packages/daemon/src/join-fleet.ts
+++ b/packages/daemon/src/join-fleet.ts
@@ -33,6 +33,8 @@
     readonly onConfiguration: (source: string, text: string) => void;
     /** Told when the listed upstreams changed by what another instance told. */
     readonly onDirectory: () => void;
+    /** Told when the number of instances that may be running has changed. */
+    readonly onSizeChange: () => void;
     /** Told of an observation of another instance. */
     readonly onRumor: (rumor: HeardRumor) => void;
 }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -9,6 +9,9 @@
 
 const latencyBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
+/** Time between two samples of the event loop's delay: each is a wake-up of the process, which small instances feel. */
+const eventLoopPrecisionMs = 500;
+
 /** Every metric of a daemon, in a registry of its own. */
 export class Metrics {
     /** The registry that operators scrape. */
@@ -92,7 +95,7 @@
     /** @param processMetrics - Whether to add the process's own metrics. */
     constructor(processMetrics = true) {
         if (processMetrics) {
-            collectDefaultMetrics({ register: this.registry });
+            collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopPrecisionMs });
         }
     }
 
--- a/packages/daemon/src/peer-side.ts
+++ b/packages/daemon/src/peer-side.ts
@@ -77,6 +77,7 @@
             directory: instance.directory,
             onConfiguration: (source, text) => void instance.offerConfiguration(source, text),
             onDirectory: () => instance.apply(),
+            onSizeChange: () => instance.applyShares(),
             onRumor: rumor => instance.takeRumor(rumor),
         });
         instance.fleet.start();
--- a/packages/daemon/src/platform-follower.ts
+++ b/packages/daemon/src/platform-follower.ts
@@ -7,6 +7,9 @@
 import { asError, type Clock, type RandomSource, sleep } from "@harrierhitch/core";
 import { HistoryLostError, type Platform, type Publication } from "./platform.js";
 
+/** What a publication is: everything, perhaps from a few seconds ago; everything as of now; or what changed until now. */
+export type PublicationKind = "stale" | "whole" | "changes";
+
 /** Options of {@link PlatformFollower}. */
 export interface PlatformFollowerOptions {
     readonly platform: Platform;
@@ -14,12 +17,14 @@
     readonly random: RandomSource;
     /** Time between two tries while the platform is down. */
     readonly retryMs: () => number;
-    /** Whether it is this instance's turn to watch. */
-    readonly isReader: () => boolean;
+    /** Milliseconds until the platform has to be asked; 0 for now. */
+    readonly dueInMs: () => number;
+    /** Longest time to wait for a change in one call. */
+    readonly watchMs: () => number;
     /** The revision up to which this instance knows everything, from whatever source. */
     readonly knownRevision: () => number;
     /** Takes what a read or a watch told. */
-    readonly onPublication: (publication: Publication, isWhole: boolean) => void;
+    readonly onPublication: (publication: Publication, kind: PublicationKind) => void;
     /** Told when the platform failed after it had answered, or at the first call. */
     readonly onLost: (error: Error) => void;
     /** Told when the platform answers again. */
@@ -29,7 +34,7 @@
 /** Shortest time between two calls, so that changes that come together cost one call; well below the two seconds in which a drain or a configuration has to be known. */
 const minimumIntervalMs = 400;
 
-/** Time between two looks at whose turn it is. */
+/** Longest time between two looks at whose turn it is. */
 const turnMs = 250;
 
 /**
@@ -63,11 +68,12 @@
     }
 
     private async follow(): Promise<void> {
-        const { clock, isReader, knownRevision } = this.options;
+        const { clock, dueInMs } = this.options;
         const { signal } = this.ending;
         while (!isAborted(signal)) {
-            if (knownRevision() > 0 && !isReader()) {
-                await sleep(clock, turnMs, signal);
+            const waitMs = dueInMs();
+            if (waitMs > 0) {
+                await sleep(clock, Math.min(waitMs, turnMs), signal);
                 continue;
             }
             const nextCallAtMs = clock.nowMs() + minimumIntervalMs;
@@ -78,13 +84,13 @@
 
     private async callOnce(signal: AbortSignal): Promise<void> {
         const { clock, random, retryMs, onPublication } = this.options;
-        const isWhole = !this.hasRead || this.mustBeFresh;
+        const kind = this.nextKind();
         try {
-            const publication = await this.call(isWhole, signal);
+            const publication = await this.call(kind, signal);
             this.hasRead = true;
             this.mustBeFresh = false;
             this.onAnswer();
-            onPublication(publication, isWhole);
+            onPublication(publication, kind);
         }
         catch (thrown) {
             if (isAborted(signal)) {
@@ -99,11 +105,24 @@
         }
     }
 
-    private call(isWhole: boolean, signal: AbortSignal): Promise<Publication> {
-        const { platform, knownRevision } = this.options;
+    private nextKind(): PublicationKind {
+        if (this.mustBeFresh) {
+            return "whole";
+        }
+        return this.hasRead || this.options.knownRevision() > 0 ? "changes" : "stale";
+    }
+
+    private async call(kind: PublicationKind, signal: AbortSignal): Promise<Publication> {
+        const { platform, knownRevision, watchMs } = this.options;
+        if (kind !== "changes") {
+            return platform.read(signal, kind === "stale");
+        }
+        const revision = knownRevision();
         // While the platform fails, short calls notice its return at once.
-        const waits = this.failuresInRow === 0;
-        return isWhole ? platform.read(signal, !this.mustBeFresh) : platform.watch(knownRevision(), signal, waits);
+        const publication = await platform.watch(revision, signal, this.failuresInRow === 0 ? watchMs() : 0);
+        const isEmpty = publication.listings.length === 0 && publication.configuration === undefined;
+        // A platform that loses its history may be deaf for a moment before: what it did not tell is asked for again.
+        return isEmpty ? { ...publication, revision } : publication;
     }
 
     private onAnswer(): void {
--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform-link.ts
@@ -9,8 +9,8 @@
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import type { Instance } from "./instance.js";
-import { PlatformFollower } from "./platform-follower.js";
-import type { Platform } from "./platform.js";
+import { PlatformFollower, type PublicationKind } from "./platform-follower.js";
+import type { Platform, Publication } from "./platform.js";
 
 /** Options of {@link PlatformLink}. */
 export interface PlatformLinkOptions {
@@ -21,8 +21,19 @@
     readonly log: EventLog;
     /** Shortest time between two tries while the platform is down. */
     readonly retryMs: number;
+    /** Longest time of a watch of an instance that reads for itself alone. */
+    readonly watchMs: number;
 }
 
+/** Time of a watch of a reader that others rely on: they ask the platform themselves when it tells nothing for 1.5 s. */
+const readerWatchMs = 1000;
+
+/** Time between two tries of an instance that is no reader, while the platform is down. */
+const followerRetryMs = 2000;
+
+/** Time after the first read in which an instance may hear from a reader that nothing is missing. */
+const firstAskMs = 1500;
+
 /** The whole fleet together tries at most so often a second while the platform is down. */
 const fleetTriesPerSecond = 100;
 
@@ -38,6 +49,7 @@
 export class PlatformLink {
     private readonly follower: PlatformFollower;
     private regainedAtMs = -Infinity;
+    private readAtMs = -Infinity;
     private isLost = false;
 
     /** @param options - The platform and the instance. */
@@ -47,11 +59,11 @@
             platform,
             clock,
             random,
-            retryMs: () => Math.max(retryMs, (instance.fleet?.members.alive.length ?? 1) * 1000 / fleetTriesPerSecond),
-            // An instance that cannot reach the platform goes on trying, so that it notices when it can again.
-            isReader: () => instance.fleet === undefined || instance.fleet.isReader || this.isLost,
+            retryMs: () => this.isReader ? Math.max(retryMs, this.fleetShareMs) : followerRetryMs,
+            dueInMs: () => this.dueInMs(),
+            watchMs: () => this.watchMs,
             knownRevision: () => instance.directory.revision,
-            onPublication: (publication, isWhole) => instance.takePublication(publication, isWhole),
+            onPublication: (publication, kind) => this.take(publication, kind),
             onLost: error => this.onLost(error),
             onRegained: () => this.onRegained(),
         });
@@ -78,6 +90,45 @@
         this.follower.stop();
     }
 
+    private get isReader(): boolean {
+        const { fleet } = this.options.instance;
+        return fleet === undefined || fleet.isReader;
+    }
+
+    private get fleetShareMs(): number {
+        return (this.options.instance.fleet?.members.alive.length ?? 1) * 1000 / fleetTriesPerSecond;
+    }
+
+    /** A reader waits for changes; whoever is no reader asks only what it has missed. */
+    private get watchMs(): number {
+        const { fleet } = this.options.instance;
+        if (!this.isReader) {
+            return 0;
+        }
+        return fleet?.hasFollowers === true ? Math.min(readerWatchMs, this.options.watchMs) : this.options.watchMs;
+    }
+
+    private dueInMs(): number {
+        const { instance, clock } = this.options;
+        const { fleet } = instance;
+        if (fleet === undefined || this.isReader || instance.directory.revision === 0) {
+            return 0;
+        }
+        const staleInMs = fleet.times.staleMs - fleet.freshness.ageMs;
+        return Math.max(0, staleInMs, this.readAtMs + firstAskMs - clock.nowMs());
+    }
+
+    private take(publication: Publication, kind: PublicationKind): void {
+        const { instance, clock } = this.options;
+        instance.takePublication(publication, kind !== "changes");
+        if (kind === "stale") {
+            this.readAtMs = clock.nowMs();
+        }
+        else {
+            instance.fleet?.freshness.confirm(0);
+        }
+    }
+
     private onLost(error: Error): void {
         const { fleet, directory } = this.options.instance;
         this.isLost = true;
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -35,12 +35,12 @@
      *
      * @param revision - The revision that is already known.
      * @param signal - Ends the watch.
-     * @param waits - Whether to wait for a change; otherwise it only tells what has changed.
-     * @returns What changed; nothing when nothing changed for the time of a watch.
+     * @param waitMs - Longest time to wait for a change; 0 only tells what has changed.
+     * @returns What changed; nothing when nothing changed in that time.
      * @throws {@link HistoryLostError} when the changes since that revision are no longer known.
      * @throws {@link PlatformError} when the platform does not answer properly.
      */
-    watch(revision: number, signal: AbortSignal, waits: boolean): Promise<Publication>;
+    watch(revision: number, signal: AbortSignal, waitMs: number): Promise<Publication>;
 }
 
 /** The platform did not answer, or not as agreed. */
@@ -59,7 +59,6 @@
     readonly addresses: readonly string[];
     readonly configurationKey: string;
     readonly readTimeoutMs: number;
-    readonly watchMs: number;
     /** Called once for each call to the platform, for counting. */
     readonly onCall: (kind: "read" | "watch") => void;
 }
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/service-registry.ts
@@ -20,6 +20,9 @@
     readonly after: Belief;
 }
 
+/** Attempts beyond the first that a start grants: few, because each of many instances that are restarted together gets them. */
+const retriesSavedAtStart = 2;
+
 /** Options of {@link ServiceRegistry}. */
 export interface ServiceRegistryOptions {
     readonly clock: Clock;
@@ -42,19 +45,23 @@
     constructor(private readonly options: ServiceRegistryOptions) {}
 
     /** Takes over an accepted configuration or a changed listing; states of what stays are kept. */
-    configure({ configuration, listed }: RegistryUpdate, shares: Shares): void {
+    configure({ configuration, listed }: RegistryUpdate): void {
         const { maximumInstances } = configuration.fleet;
         this.runtimes = new Map([...configuration.services.values()].map(service => {
             const runtime = this.runtimes.get(service.name) ?? this.create(service.name);
             const own = listed.filter(upstream => upstream.service === service.name);
             runtime.beliefs.configure(service, maximumInstances, knownUpstreams(service, own));
-            runtime.retryBudget.configure(shares.retryShare, shares.retriesSaved);
             const atMs = this.options.clock.nowMs();
             own.filter(upstream => upstream.leaving).forEach(({ id }) => runtime.beliefs.observe(id, { type: "draining", atMs }));
             return [service.name, runtime];
         }));
     }
 
+    /** Sets this instance's shares of the fleet's budgets. */
+    applyShares({ retryShare, retriesSaved }: Shares): void {
+        this.runtimes.forEach(({ retryBudget }) => retryBudget.configure(retryShare, retriesSaved));
+    }
+
     /** Takes in an observation of an upstream, whichever service it belongs to. */
     observe(upstream: UpstreamId, observation: Observation): void {
         this.runtimes.forEach(runtime => runtime.beliefs.observe(upstream, observation));
@@ -77,7 +84,7 @@
             availabilityZone,
             onStateChange: (upstream, before, after) => onStateChange({ service: name, upstream, before, after }),
         });
-        return new ServiceRuntime(name, beliefs, new HoldQueue(clock), new RetryBudget({ share: 0 }));
+        return new ServiceRuntime(name, beliefs, new HoldQueue(clock), new RetryBudget({ share: 0, maximumSaved: retriesSavedAtStart }));
     }
 }
 
--- a/packages/daemon/src/shares.ts
+++ b/packages/daemon/src/shares.ts
@@ -32,11 +32,12 @@
  *
  * @param configuration - The configuration in force.
  * @param budgets - Budgets of the whole fleet by the settings, which go before the configuration's.
- * @param members - Instances believed present; `undefined` for one that works alone.
+ * @param members - Instances that may be running as far as is known; `undefined` for one that works alone. Fewer than
+ *   the configured number count as that number, since whoever has just started knows few.
  */
 export const sharesOf = (configuration: Configuration, budgets: Settings["budgets"], members: number | undefined): Shares => {
     const { fleet } = configuration;
-    const instances = Math.max(1, members ?? fleet.maximumInstances);
+    const instances = Math.max(1, fleet.maximumInstances, members ?? 0);
     if (budgets === undefined) {
         return {
             retryShare: fleet.retryPercent / 100,
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -5,6 +5,7 @@
  */
 
 import { create } from "@bufbuild/protobuf";
+import type { Clock } from "@harrierhitch/core";
 import {
     type Directory,
     DirectorySchema,
@@ -19,12 +20,16 @@
     VersionSchema,
 } from "@harrierhitch/protocol";
 import type { AcceptedConfiguration } from "./accepted-configuration.js";
+import type { Freshness } from "./freshness.js";
 import type { Members } from "./members.js";
 import type { HeardRumor, Rumors } from "./rumors.js";
 import { toListing, type UpstreamDirectory } from "./upstream-directory.js";
 
 /** Options of {@link Exchange}. */
 export interface ExchangeOptions {
+    readonly clock: Clock;
+    /** How old what is told is; brought up to date by what is heard. */
+    readonly freshness: Freshness;
     readonly fleet: string;
     readonly members: Members;
     readonly rumors: Rumors;
@@ -47,8 +52,11 @@
 
     /** Exchanges news with one instance; documents that it lacks follow in a second request. */
     async with(send: SendExchange): Promise<void> {
+        const { clock } = this.options;
+        const askedAtMs = clock.nowMs();
         const response = await send(this.request([], this.directoryFor(Infinity)));
         this.takeIn(response.sender?.instance ?? "", response);
+        this.takeInAge(response, clock.nowMs() - askedAtMs);
         const documents = this.documentsFor(response.configuration);
         const directory = this.directoryFor(Number(response.directory?.revision ?? 0n));
         if (documents.length > 0 || directory.listings.length > 0) {
@@ -101,28 +109,54 @@
     }
 
     private takeInDirectory(news: Directory | undefined): void {
-        // Without listings it only tells how far the other instance knows.
-        if (news !== undefined && news.listings.length > 0) {
-            const listings = news.listings.map(({ upstream, revision, text, removed }) =>
-                toListing(upstream, Number(revision), removed ? undefined : text)
-            );
-            this.options.directory.takeIn({ revision: Number(news.revision), whole: news.whole, listings });
-            this.options.onDirectory();
+        const { directory, onDirectory } = this.options;
+        if (news?.complete !== true || news.listings.length === 0 && Number(news.revision) <= directory.revision) {
+            return;
+        }
+        const listings = news.listings.map(({ upstream, revision, text, removed, doubtedMs }) =>
+            toListing(upstream, Number(revision), removed ? undefined : text, doubtedMs)
+        );
+        directory.takeIn({ revision: Number(news.revision), whole: news.whole, listings });
+        if (listings.length > 0) {
+            onDirectory();
+        }
+    }
+
+    /**
+     * Takes over how old another instance's knowledge is, if this one lacks nothing of it. Only answers
+     * count, whose way here took at most the time since the question; a request may have been held up on its way.
+     */
+    private takeInAge({ directory, configuration }: ExchangeResponse, wayMs: number): void {
+        const { accepted, directory: own, freshness } = this.options;
+        const generation = accepted.inForce?.configuration.generation ?? 0;
+        const lacksNothing = Number(directory?.revision ?? 0n) <= own.revision
+            && Number(configuration?.number ?? 0n) <= generation;
+        if (directory !== undefined && directory.ageMs >= 0 && lacksNothing) {
+            freshness.confirm(directory.ageMs + wayMs);
         }
     }
 
     /** What is known of the directory, with the changes that an instance lacks that knows it up to a revision. */
     private directoryFor(revision: number): Directory {
-        const { directory } = this.options;
+        const { directory, freshness } = this.options;
+        const { ageMs } = freshness;
+        const known = { revision: BigInt(directory.revision), ageMs: Number.isFinite(ageMs) ? ageMs : -1 };
         if (directory.revision <= revision) {
-            return create(DirectorySchema, { revision: BigInt(directory.revision) });
+            return create(DirectorySchema, { ...known, complete: revision < Infinity });
         }
         const { whole, listings } = directory.newsAfter(revision);
         return create(DirectorySchema, {
-            revision: BigInt(directory.revision),
+            ...known,
             whole,
-            listings: listings.map(({ upstream, revision: at, text }) =>
-                create(ListingSchema, { upstream, revision: BigInt(at), text: text ?? "", removed: text === undefined })
+            complete: true,
+            listings: listings.map(({ upstream, revision: at, text, doubtedMs = 0 }) =>
+                create(ListingSchema, {
+                    upstream,
+                    revision: BigInt(at),
+                    text: text ?? "",
+                    removed: text === undefined,
+                    doubtedMs,
+                })
             ),
         });
     }
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -6,14 +6,16 @@
 
 import { create } from "@bufbuild/protobuf";
 import { asError, type Clock, type InstanceId, type RandomSource, sleep } from "@harrierhitch/core";
-import { MemberSchema } from "@harrierhitch/protocol";
+import { type Member, MemberSchema } from "@harrierhitch/protocol";
 import type { AcceptedConfiguration } from "./accepted-configuration.js";
 import { Exchange } from "./exchange.js";
 import { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
+import { Freshness } from "./freshness.js";
+import { chooseLinks, isFullMesh } from "./links.js";
 import { Members } from "./members.js";
 import { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
 import { PeerLinks } from "./peer-links.js";
-import { isReader } from "./readers.js";
+import { readersOf } from "./readers.js";
 import { type HeardRumor, Rumors, type RumorType } from "./rumors.js";
 import type { UpstreamDirectory } from "./upstream-directory.js";
 
@@ -40,6 +42,8 @@
     readonly onDirectory: () => void;
     /** Told of an observation of another instance. */
     readonly onRumor: (rumor: HeardRumor) => void;
+    /** Told when the number of instances that may be running has changed. */
+    readonly onSizeChange: () => void;
     /** Told of an exchange that failed. */
     readonly onUnreachable: (peer: PeerAddress, error: Error) => void;
 }
@@ -53,19 +57,27 @@
 /** Pause between two rounds of asking at the start. */
 const hearRetryMs = 50;
 
-/** A seed is asked again every so many beats, so that halves that were cut apart find each other. */
+/** A reader asks a seed again every so many beats, so that parts that were cut apart find each other: each has a reader. */
 const beatsBetweenSeeds = 10;
 
+/** Failed members of other availability zones are tried every so many beats only. */
+const beatsBetweenOutsideRetries = 4;
+
 /** Joins membership, documents, listed upstreams and observations of one instance. */
 export class Fleet {
     readonly members: Members;
     readonly rumors: Rumors;
     readonly exchange: Exchange;
-    private readonly times: FleetTimes;
+    /** How old the knowledge of what the platform publishes is, from whatever source. */
+    readonly freshness: Freshness;
+    readonly times: FleetTimes;
     private readonly ending = new AbortController();
     private readonly links: PeerLinks;
     private seeds: readonly PeerAddress[] = [];
     private beats = 0;
+    private knownSize = 1;
+    /** Members that did not answer lately, with the time until which they are passed over as readers. */
+    private readonly avoided = new Map<string, number>();
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
@@ -80,18 +92,22 @@
             port,
             platformReachable: true,
         });
-        const { suspectMs, failMs, exchangeMs } = this.times;
+        const { suspectMs, failMs } = this.times;
+        this.freshness = new Freshness(clock);
         this.members = new Members({ clock, self, suspectMs, failMs });
         this.rumors = new Rumors({ clock, instance, incarnation });
         this.links = new PeerLinks({
             clock,
             random,
             members: this.members,
-            exchangeMs,
+            choose: members => chooseLinks({ self: this.members.self, members, readers: this.readers, times: this.times }),
+            mayRetry: member => this.mayRetry(member),
             exchangeWith: member => this.exchangeWith(member),
         });
         this.exchange = new Exchange({
+            clock,
             fleet,
+            freshness: this.freshness,
             members: this.members,
             rumors: this.rumors,
             directory,
@@ -114,10 +130,13 @@
         void this.beatWhileRunning();
     }
 
-    /** Announces to every member that this instance leaves. */
+    /** Announces to the members of its availability zone, and to its links, that this instance leaves. */
     async announceLeaving(): Promise<void> {
+        const { self, alive } = this.members;
         this.members.tell({ leaving: true });
-        const others = this.members.alive.filter(member => member !== this.members.self);
+        const others = alive.filter(member =>
+            member !== self && (member.availabilityZone === self.availabilityZone || this.links.includes(member.instance))
+        );
         await Promise.all(others.map(member => this.exchangeWith(member)));
     }
 
@@ -139,9 +158,32 @@
         this.links.wake();
     }
 
-    /** Whether this instance reads the platform now. */
+    /** Whether this instance reads the platform now, for itself and for others. */
     get isReader(): boolean {
-        return isReader(this.members.self, this.members.alive);
+        return this.readers.some(member => member.instance === this.members.self.instance);
+    }
+
+    /** Whether others of its availability zone may rely on what this instance reads. */
+    get hasFollowers(): boolean {
+        const { self, alive } = this.members;
+        return alive.some(member => member !== self && member.availabilityZone === self.availabilityZone);
+    }
+
+    /** The readers of this instance's availability zone, as far as it knows. */
+    private get readers(): readonly Member[] {
+        const { self, alive } = this.members;
+        const nowMs = this.options.clock.nowMs();
+        const able = alive.filter(({ instance, platformReachable, leaving }) =>
+            instance === self.instance || platformReachable && !leaving && (this.avoided.get(instance) ?? 0) <= nowMs
+        );
+        return readersOf(self.availabilityZone, able);
+    }
+
+    private mayRetry({ availabilityZone }: Member): boolean {
+        const { self, others } = this.members;
+        return isFullMesh(others)
+            || availabilityZone === self.availabilityZone
+            || this.isReader && this.beats % beatsBetweenOutsideRetries === 0;
     }
 
     /** Forgets what time alone made doubtful, after this process slept. */
@@ -181,16 +223,25 @@
             this.members.prune(forgetMs);
             this.links.refresh();
             this.askSeed();
+            this.tellSize();
             await sleep(clock, this.times.exchangeMs, this.ending.signal);
         }
     }
 
+    private tellSize(): void {
+        const { possible } = this.members;
+        if (possible !== this.knownSize) {
+            this.knownSize = possible;
+            this.options.onSizeChange();
+        }
+    }
+
     private askSeed(): void {
         const { random } = this.options;
         const isAlone = this.members.alive.length === 1;
         const seed = this.seeds[Math.floor(random.next() * this.seeds.length)];
         this.beats += 1;
-        if (seed !== undefined && (isAlone || this.beats % beatsBetweenSeeds === 0)) {
+        if (seed !== undefined && (isAlone || this.isReader && this.beats % beatsBetweenSeeds === 0)) {
             void this.exchangeWith(seed).then(heard => heard && isAlone ? this.links.refresh() : undefined);
         }
     }
@@ -206,7 +257,21 @@
         }
         catch (thrown) {
             onUnreachable(peer, asError(thrown));
+            this.avoid(peer);
             return false;
         }
     }
+
+    /** Passes over a member that did not answer; if it was the reader, another one is found at once. */
+    private avoid(peer: PeerAddress): void {
+        const member = this.members.others.find(({ address, port }) => address === peer.address && port === peer.port);
+        if (member === undefined || this.ending.signal.aborted) {
+            return;
+        }
+        const wasReader = this.readers.includes(member);
+        this.avoided.set(member.instance, this.options.clock.nowMs() + this.times.avoidMs);
+        if (wasReader) {
+            this.links.refresh();
+        }
+    }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,12 +8,12 @@
 export { AcceptedConfiguration, type ConfigurationInForce } from "./accepted-configuration.js";
 export { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
 export { Fleet, type FleetOptions } from "./fleet.js";
-export { chooseLinks } from "./links.js";
+export { Freshness } from "./freshness.js";
 export { type MemberState } from "./member.js";
 export { type OfferResult } from "./offer-result.js";
 export { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
 export { peerService, type PeerServiceOptions } from "./peer-service.js";
-export { isReader, readerCount } from "./readers.js";
+export { readersOf } from "./readers.js";
 export { type HeardRumor, type RumorType } from "./rumors.js";
 export {
     type DirectoryChange,
--- a/packages/fleet/src/links.ts
+++ b/packages/fleet/src/links.ts
@@ -1,35 +1,64 @@
 /**
- * Which few members an instance talks to.
+ * Which few members an instance talks to, and how often.
  *
  * @packageDocumentation
  */
 
 import type { Member } from "@harrierhitch/protocol";
+import type { FleetTimes } from "./fleet-times.js";
 import { rendezvous } from "./rendezvous.js";
 
-/** Links into the own availability zone, and links out of it. */
-const linksInside = 2;
+/** A member that this instance talks to. */
+export interface Link {
+    readonly member: Member;
+    /** Time between two exchanges without news. */
+    readonly intervalMs: number;
+}
+
+/** What links are chosen by. */
+export interface LinkOptions {
+    readonly self: Member;
+    /** The other members that may be talked to. */
+    readonly members: readonly Member[];
+    /** The readers of this instance's availability zone. */
+    readonly readers: readonly Member[];
+    readonly times: FleetTimes;
+}
+
+/** Links into the own availability zone besides the reader, so that membership does not hang on the reader alone. */
+const linksInside = 1;
+
+/** Links out of the own availability zone, kept by readers only, because bytes between zones are dear. */
 const linksOutside = 2;
 
 /** Members below which everyone talks to everyone: a link less would save nothing worth having. */
 const fullMeshSize = 5;
 
+/** Whether a fleet is so small that everyone talks to everyone. */
+export const isFullMesh = (others: readonly Member[]): boolean => others.length <= fullMeshSize;
+
 /**
- * Chooses the members that an instance talks to: a few in its own availability
- * zone and a few in others. The choice is stable while they live, and differs
- * between instances, so that the links of all join the whole fleet.
- *
- * @param self - This instance.
- * @param members - The other members that may be talked to.
+ * Chooses the members that an instance talks to: its reader, one more of its own
+ * availability zone, and for a reader two of other zones. The choice is stable
+ * while they live, and differs between instances, so that the links of all join the whole fleet.
  */
-export const chooseLinks = (self: Member, members: readonly Member[]): readonly Member[] => {
-    if (members.length <= fullMeshSize) {
-        return members;
-    }
+export const chooseLinks = ({ self, members, readers, times }: LinkOptions): readonly Link[] => {
+    const isSelf = (member: Member): boolean => member.instance === self.instance;
     const order = rendezvous(`links ${self.instance}`, members, member => member.instance);
-    const inside = order.filter(member => member.availabilityZone === self.availabilityZone).slice(0, linksInside);
-    const outside = order.filter(member => member.availabilityZone !== self.availabilityZone).slice(0, linksOutside);
-    const chosen = [...inside, ...outside];
-    const filled = order.filter(member => !chosen.includes(member)).slice(0, linksInside + linksOutside - chosen.length);
-    return [...chosen, ...filled];
+    const reader = readers.some(isSelf)
+        ? undefined
+        : order.find(member => readers.some(({ instance }) => instance === member.instance));
+    const others = order.filter(member => member !== reader);
+    const isInside = (member: Member): boolean => member.availabilityZone === self.availabilityZone;
+    const isMesh = isFullMesh(members);
+    const inside = others.filter(isInside).slice(0, isMesh ? fullMeshSize : linksInside);
+    const outside = isMesh || reader === undefined ? others.filter(member => !isInside(member)) : [];
+    return [
+        ...(reader === undefined ? [] : [{ member: reader, intervalMs: times.askReaderMs }]),
+        ...inside.map(member => ({ member, intervalMs: times.exchangeMs })),
+        ...outside.slice(0, isMesh ? fullMeshSize : linksOutside).map(member => ({
+            member,
+            intervalMs: isMesh ? times.exchangeMs : times.outsideMs,
+        })),
+    ];
 };
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -99,6 +99,14 @@
         return [this.own, ...this.others.filter(member => this.stateOf(member.instance) === "alive")];
     }
 
+    /**
+     * How many instances may be running, this one included: all that were heard of and have not said that they
+     * leave, also the silent ones, which may be running behind a cut.
+     */
+    get possible(): number {
+        return 1 + this.others.filter(member => !member.leaving).length;
+    }
+
     /** All members but this instance. */
     get others(): readonly Member[] {
         return [...this.known.values()].map(known => known.member);
--- a/packages/fleet/src/peer-links.ts
+++ b/packages/fleet/src/peer-links.ts
@@ -6,7 +6,7 @@
 
 import { type Clock, type RandomSource, sleep } from "@harrierhitch/core";
 import type { Member } from "@harrierhitch/protocol";
-import { chooseLinks } from "./links.js";
+import type { Link } from "./links.js";
 import type { Members } from "./members.js";
 
 /** Options of {@link PeerLinks}. */
@@ -14,8 +14,10 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly members: Members;
-    /** Time between two exchanges over one link without news. */
-    readonly exchangeMs: number;
+    /** Chooses the links among members that may be talked to. */
+    readonly choose: (members: readonly Member[]) => readonly Link[];
+    /** Whether a member that failed is tried now and then. */
+    readonly mayRetry: (member: Member) => boolean;
     /** Exchanges news with one member; tells whether it answered. */
     readonly exchangeWith: (member: Member) => Promise<boolean>;
 }
@@ -26,6 +28,7 @@
 /** Runs a task for each link. */
 export class PeerLinks {
     private readonly tasks = new Map<string, AbortController>();
+    private links = new Map<string, Link>();
     private readonly wakeUps = new Set<() => void>();
 
     /** @param options - Members and the way to talk to them. */
@@ -36,6 +39,11 @@
         [...this.wakeUps].forEach(wake => wake());
     }
 
+    /** Whether a member is one of the links. */
+    includes(instance: string): boolean {
+        return this.links.has(instance);
+    }
+
     /** Ends all tasks. */
     stop(): void {
         this.tasks.forEach(task => task.abort());
@@ -49,9 +57,10 @@
         );
         const reachable = candidates.filter(member => this.options.members.stateOf(member.instance) !== "failed");
         // A failed member is tried now and then, so that halves that were cut apart find each other again.
-        const failed = candidates.filter(member => !reachable.includes(member));
+        const failed = candidates.filter(member => !reachable.includes(member) && this.options.mayRetry(member));
         const retried = failed[Math.floor(this.options.random.next() * failed.length)];
-        const links = new Map(chooseLinks(this.options.members.self, reachable).map(member => [member.instance, member]));
+        const links = new Map(this.options.choose(reachable).map(link => [link.member.instance, link]));
+        this.links = links;
         if (retried !== undefined) {
             void this.options.exchangeWith(retried);
         }
@@ -61,7 +70,7 @@
                 this.tasks.delete(id);
             }
         });
-        links.forEach((member, id) => {
+        links.forEach(({ member }, id) => {
             if (!this.tasks.has(id)) {
                 const task = new AbortController();
                 this.tasks.set(id, task);
@@ -75,7 +84,8 @@
         const { clock, random } = this.options;
         while (!signal.aborted) {
             await this.options.exchangeWith(this.options.members.others.find(member => member.instance === id) ?? first);
-            await this.newsOr(this.options.exchangeMs * (0.75 + 0.5 * random.next()), signal);
+            const intervalMs = this.links.get(id)?.intervalMs ?? 0;
+            await this.newsOr(intervalMs * (0.75 + 0.5 * random.next()), signal);
             await sleep(clock, minimumPauseMs, signal);
         }
     }
--- a/packages/fleet/src/readers.ts
+++ b/packages/fleet/src/readers.ts
@@ -7,21 +7,20 @@
 import type { Member } from "@harrierhitch/protocol";
 import { rendezvous } from "./rendezvous.js";
 
-/** Readers of a fleet: the square root of its size, at least two. */
-export const readerCount = (members: number): number => Math.max(2, Math.ceil(Math.sqrt(members)));
+/** Instances of one availability zone that one reader serves: a few requests a second from each are a few percent of a small core. */
+const instancesPerReader = 48;
 
 /**
- * Whether an instance reads the platform. Every instance finds the readers on
- * its own from the members it believes alive; those that cannot reach the
- * platform say so and are passed over. When the believed members differ, a few
- * more instances read for a while, never none: whoever believes itself alone reads.
+ * The readers of an availability zone. Every instance finds them on its own from
+ * the members it believes able. When the believed members differ, a few more
+ * instances read for a while, never none: whoever believes itself alone reads.
+ * Readers stand in each zone, so that what they tell crosses none.
  *
- * @param self - This instance.
- * @param alive - Members believed alive, this instance included.
+ * @param zone - The availability zone.
+ * @param able - Members that live, answer and reach the platform.
  */
-export const isReader = (self: Member, alive: readonly Member[]): boolean => {
-    const able = alive.filter(member => member.platformReachable || member.instance === self.instance);
-    return rendezvous("readers", able, member => member.instance)
-        .slice(0, readerCount(alive.length))
-        .some(member => member.instance === self.instance);
+export const readersOf = (zone: string, able: readonly Member[]): readonly Member[] => {
+    const inside = able.filter(member => member.availabilityZone === zone);
+    const count = Math.ceil(inside.length / instancesPerReader);
+    return rendezvous("readers", inside, member => member.instance).slice(0, count);
 };
--- a/packages/fleet/src/upstream-directory.ts
+++ b/packages/fleet/src/upstream-directory.ts
@@ -14,6 +14,11 @@
     readonly revision: number;
     /** Published text; `undefined` when the upstream was taken away. */
     readonly text: string | undefined;
+    /**
+     * Milliseconds for which the instance that passes a removal on still doubts it;
+     * `undefined` for one that the platform told, which this instance judges itself.
+     */
+    readonly doubtedMs?: number;
 }
 
 /** Listings of a read or a watch, or as another instance passes them on. */
@@ -51,6 +56,11 @@
     readonly onInvalid: (id: UpstreamId, findings: readonly Finding[]) => void;
 }
 
+interface DoubtedRemoval {
+    readonly removal: Listing;
+    readonly untilMs: number;
+}
+
 interface Entry {
     readonly revision: number;
     readonly text: string | undefined;
@@ -72,7 +82,7 @@
     private readonly entries = new Map<UpstreamId, Entry>();
     private known = 0;
     /** Removals that are not believed yet, until it is clear that the entries did not just lapse. */
-    private readonly doubted = new Map<UpstreamId, Listing>();
+    private readonly doubted = new Map<UpstreamId, DoubtedRemoval>();
 
     /** @param options - Clock, reader and listeners. */
     constructor(private readonly options: UpstreamDirectoryOptions) {}
@@ -90,9 +100,11 @@
     /** Takes in news from any source. */
     takeIn(news: DirectoryNews): void {
         const removals = [...news.listings.filter(listing => this.isRemoval(listing)), ...this.missingFrom(news)];
-        const doubtMs = Math.max(this.options.doubtfulMs(), this.areTooMany(removals) ? suddenGraceMs : 0);
+        const ownDoubtMs = Math.max(this.options.doubtfulMs(), this.areTooMany(removals) ? suddenGraceMs : 0);
         news.listings.filter(listing => !removals.includes(listing)).forEach(listing => this.put(listing));
-        removals.forEach(removal => doubtMs > 0 ? this.doubt(removal, doubtMs) : this.put(removal));
+        removals.forEach(removal => {
+            this.doubt(removal, removal.doubtedMs ?? ownDoubtMs);
+        });
         this.known = Math.max(this.known, news.revision);
         this.forgetOldRemovals();
     }
@@ -106,8 +118,11 @@
         const isWhole = revision === 0 || revision < this.known - rememberedRevisions;
         const kept = [...this.entries]
             .filter(([, entry]) => isWhole ? entry.text !== undefined : entry.revision > revision)
-            .map(([upstream, entry]) => ({ upstream, revision: entry.revision, text: entry.text }));
-        const doubted = [...this.doubted.values()].filter(listing => listing.revision > revision);
+            .map(([upstream, entry]) => ({ upstream, revision: entry.revision, text: entry.text, doubtedMs: 0 }));
+        const nowMs = this.options.clock.nowMs();
+        const doubted = [...this.doubted.values()]
+            .filter(({ removal }) => removal.revision > revision)
+            .map(({ removal, untilMs }) => ({ ...removal, doubtedMs: Math.max(1, untilMs - nowMs) }));
         return { revision: this.known, whole: isWhole, listings: [...kept, ...doubted] };
     }
 
@@ -155,9 +170,14 @@
     }
 
     private doubt(removal: Listing, doubtMs: number): void {
-        this.doubted.set(removal.upstream, removal);
-        this.options.clock.after(doubtMs, () => {
-            if (this.doubted.get(removal.upstream) === removal) {
+        if (doubtMs <= 0) {
+            this.put(removal);
+            return;
+        }
+        const { clock } = this.options;
+        this.doubted.set(removal.upstream, { removal, untilMs: clock.nowMs() + doubtMs });
+        clock.after(doubtMs, () => {
+            if (this.doubted.get(removal.upstream)?.removal === removal) {
                 this.doubted.delete(removal.upstream);
                 this.put(removal);
                 this.options.onDoubtEnded();
@@ -181,8 +201,9 @@
 }
 
 /** Brands the listings that another instance passed on. */
-export const toListing = (upstream: string, revision: number, text: string | undefined): Listing => ({
+export const toListing = (upstream: string, revision: number, text: string | undefined, doubtedMs: number): Listing => ({
     upstream: upstreamId(upstream),
     revision,
     text,
+    doubtedMs,
 });
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -113,6 +113,7 @@
             onConfiguration: (_, text) => void offer(text),
             onDirectory: () => undefined,
             onRumor: rumor => heard.push(rumor),
+            onSizeChange: () => undefined,
             onUnreachable: () => undefined,
         });
         const node: FakeNode = { id, incarnation, fleet, accepted, directory, generations, heard, offer };
