--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/generated/**", "**/node_modules/**", "**/*.mjs", "**/bin/*.js"] },
+    { ignores: ["**/dist/**", "target/**", "scripts/*.cjs", "**/generated/**", "**/node_modules/**", "**/*.mjs", "**/bin/*.js"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -17,7 +17,7 @@
 } from "@harrierhitch/configuration";
 import { SeededRandom } from "@harrierhitch/core";
 import { bestTime, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
-import { z } from "zod";
+import * as z from "zod";
 
 const text = (description: string, defaultValue: string) => textKey({ description, defaultValue });
 
--- a/packages/command/src/try-command.ts
+++ b/packages/command/src/try-command.ts
@@ -17,7 +17,7 @@
 import { type ClauseName, clauseNames } from "@harrierhitch/policy";
 import { defineCommand } from "citty";
 import { readFile } from "node:fs/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { jsonArg } from "./common-args.js";
 import { exitCodes, InvalidInputError, reportingFailure } from "./failure.js";
 import { paint, table, writeJson, writeLine } from "./output.js";
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import {
     addressKey,
     booleanKey,
--- a/packages/configuration/src/key.ts
+++ b/packages/configuration/src/key.ts
@@ -6,7 +6,7 @@
  */
 
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 
 /** What the reference says of a key. */
 export interface KeyDescription {
--- a/packages/configuration/src/policy-schema.ts
+++ b/packages/configuration/src/policy-schema.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { choiceKey, integerKey, namePattern, optionalTextKey } from "./key.js";
 
 /** Names of the choosers that a policy can pick. */
--- a/packages/configuration/src/service-policy.ts
+++ b/packages/configuration/src/service-policy.ts
@@ -5,7 +5,7 @@
  */
 
 import { clauseNames, Policy, type PolicyCheckError, type PolicySource } from "@harrierhitch/policy";
-import { z } from "zod";
+import * as z from "zod";
 import { checkDocument, type Checked } from "./check.js";
 import type { ConfigurationValues } from "./configuration-schema.js";
 import type { Finding } from "./finding.js";
--- a/packages/configuration/src/settings-schema.ts
+++ b/packages/configuration/src/settings-schema.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { choiceKey, endpointKey, integerKey, nameKey, numberKey, optionalSection, optionalTextKey, textKey } from "./key.js";
 import { endpointsKey, portKey, tlsKeys, trustsNetworkKey } from "./settings-keys.js";
 
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -28,6 +28,8 @@
     readonly progress: RequestProgress;
     readonly body: RequestBody;
     readonly upstream: Upstream;
+    /** Time until its answer that the choice expected, in times of usual work. */
+    readonly expectedTime: number;
     /** Asked before an answer is passed on as it arrives: whether it is this attempt's turn to answer the caller. */
     readonly mayStream: (reading: AnswerReading) => boolean;
 }
@@ -161,7 +163,7 @@
         services.onAttempt(progress, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         if (isWhole && outcome === "ran") {
-            runtime.usualTimes.observe(progress.route.kind.name, atMs - this.startedAtMs);
+            runtime.usualTimes.observe(progress.route.kind.name, atMs - this.startedAtMs, this.options.expectedTime);
         }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -147,9 +147,7 @@
     /** Serves one request; never rejects. */
     async serve(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         try {
-            if (this.refreshing !== undefined) {
-                await this.refreshing;
-            }
+            await this.refreshing;
             await this.route(request, answer);
         }
         catch (thrown) {
@@ -218,8 +216,9 @@
 
     /** Brings this instance's shares of the fleet's budgets up to date. */
     applyShares(): void {
-        if (this.configuration !== undefined) {
-            const shares = sharesOf(this.configuration, this.parts.settings.budgets, this.fleet?.members.possible);
+        const { configuration, fleet } = this;
+        if (configuration !== undefined) {
+            const shares = sharesOf(configuration, this.parts.settings.budgets, fleet?.members.possible);
             this.services.applyShares(shares);
             this.probeBudget.configure(shares.probesPerSecond);
         }
@@ -228,9 +227,7 @@
     private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         const { inForce } = this.accepted;
         if (inForce === undefined || !this.hasHeardOthers) {
-            const detail = inForce === undefined
-                ? "no configuration has been accepted yet"
-                : "other instances have not been heard yet";
+            const detail = inForce === undefined ? "no configuration has been accepted yet" : "others have not been heard yet";
             answer.problem({ kind: "not-ready", detail, outcome: "not-run", retryAfterMs: notReadyRetryAfterMs }, undefined);
             return;
         }
--- a/packages/daemon/src/operators-side.ts
+++ b/packages/daemon/src/operators-side.ts
@@ -71,6 +71,6 @@
         metrics.recordBytes.set(explanations.bytes);
         metrics.members.set(fleet?.members.alive.length ?? 1);
         metrics.listed.set(directory.upstreams.length);
-        metrics.reader.set(fleet === undefined || fleet.isReader ? 1 : 0);
+        metrics.reader.set(fleet === undefined || fleet.readers.isSelf ? 1 : 0);
     }
 }
--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform-link.ts
@@ -92,7 +92,7 @@
 
     private get isReader(): boolean {
         const { fleet } = this.options.instance;
-        return fleet === undefined || fleet.isReader;
+        return fleet === undefined || fleet.readers.isSelf;
     }
 
     private get fleetShareMs(): number {
@@ -105,7 +105,7 @@
         if (!this.isReader) {
             return 0;
         }
-        return fleet?.hasFollowers === true ? Math.min(readerWatchMs, this.options.watchMs) : this.options.watchMs;
+        return fleet?.readers.hasFollowers === true ? Math.min(readerWatchMs, this.options.watchMs) : this.options.watchMs;
     }
 
     private dueInMs(): number {
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -6,13 +6,22 @@
 
 import type { Upstream } from "@harrierhitch/configuration";
 import { type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
+import {
+    decide,
+    type Decision,
+    type DecisionInput,
+    drawNumbers,
+    isGoodNow,
+    probeTargets,
+    workTime,
+} from "@harrierhitch/decision";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import { events } from "./event.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 
-/** Upstreams that are asked for their load at the same time. */
+/** Upstreams that are asked for their load at the same time; a request that is decided on again asks no more than these. */
 const probesAtOnce = 2;
 
 /** Takes the decisions of one request, and records them. */
@@ -71,7 +80,8 @@
         const asked = new Set<string>(tried);
         const hasGood = (): boolean =>
             runtime.beliefs.facts().some(facts => !tried.some(id => id === facts.id) && isGoodNow(facts));
-        for (let left = policy.probeCandidates; left > 0 && !hasGood(); left -= probesAtOnce) {
+        const most = progress.heldMs > 0 ? probesAtOnce : policy.probeCandidates;
+        for (let left = most; left > 0 && !hasGood(); left -= probesAtOnce) {
             const timeoutMs = endAtMs - services.clock.nowMs();
             const upstreams = this.likeliest(asked);
             if (timeoutMs <= 0 || upstreams.length === 0) {
@@ -94,8 +104,17 @@
     isHopeless(upstream: UpstreamId, tried: readonly UpstreamId[]): boolean {
         const { progress } = this;
         const isFirst = progress.heldMs === 0 && tried.length === 0;
-        const facts = progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
-        return !isFirst && progress.remainingMs < (facts?.latencyMs ?? 0);
+        return !isFirst && progress.remainingMs < (this.factsOf(upstream)?.latencyMs ?? 0);
+    }
+
+    /** Time until the answer of an upstream that the last decision expected, in times of usual work. */
+    expectedTimeOf(upstream: UpstreamId): number {
+        const facts = this.factsOf(upstream);
+        return facts === undefined ? 1 : workTime(facts);
+    }
+
+    private factsOf(upstream: UpstreamId): UpstreamFacts | undefined {
+        return this.progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
     }
 }
 
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -129,7 +129,8 @@
             throw new RangeError(`the service has no upstream ${id}`);
         }
         const mayStream = (reading: AnswerReading): boolean => this.mayStream(reading, task, body);
-        const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, mayStream });
+        const expectedTime = this.choice.expectedTimeOf(id);
+        const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, expectedTime, mayStream });
         this.tried.push(id);
         this.running.add(task);
         void task.ended.then(report => this.mailbox.post({ type: "ended", report }));
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/service-registry.ts
@@ -84,7 +84,8 @@
             availabilityZone,
             onStateChange: (upstream, before, after) => onStateChange({ service: name, upstream, before, after }),
         });
-        return new ServiceRuntime(name, beliefs, new HoldQueue(clock), new RetryBudget({ share: 0, maximumSaved: retriesSavedAtStart }));
+        const retryBudget = new RetryBudget({ share: 0, maximumSaved: retriesSavedAtStart });
+        return new ServiceRuntime(name, beliefs, new HoldQueue(clock), retryBudget, clock);
     }
 }
 
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { ServiceName } from "@harrierhitch/core";
+import type { Clock, ServiceName } from "@harrierhitch/core";
 import { bestTime, type RetryBudget, type ServiceBeliefs, UsualTimes } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
@@ -12,7 +12,7 @@
 /** Beliefs, queue and turn of one service; it outlives configurations. */
 export class ServiceRuntime {
     /** How long work usually takes, by kind. */
-    readonly usualTimes = new UsualTimes();
+    readonly usualTimes: UsualTimes;
     private turns = 0;
 
     /**
@@ -20,13 +20,17 @@
      * @param beliefs - What is believed of its upstreams.
      * @param queue - Its requests that are held back.
      * @param retryBudget - Its attempts beyond the first of each request.
+     * @param clock - The clock.
      */
     constructor(
         readonly name: ServiceName,
         readonly beliefs: ServiceBeliefs,
         readonly queue: HoldQueue,
         readonly retryBudget: RetryBudget,
-    ) {}
+        clock: Clock,
+    ) {
+        this.usualTimes = new UsualTimes(clock);
+    }
 
     /** Running number of the next decision. */
     get turn(): number {
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -18,6 +18,7 @@
     type PolicyFailure,
     type RefuseDecision,
 } from "./decision.js";
+export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
 export { bestTime, isGoodNow, probeTargets } from "./probe-targets.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
--- a/packages/decision/test/usual-time.test.ts
+++ b/packages/decision/test/usual-time.test.ts
@@ -1,9 +1,10 @@
+import { FakeClock } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { UsualTimes } from "../src/index.js";
 
 test("nothing is known before a few answers", () => {
-    const times = new UsualTimes();
+    const times = new UsualTimes(new FakeClock());
     Array.from({ length: 7 }, () => times.observe("read", 50));
     assert.equal(times.of("read"), undefined);
     times.observe("read", 50);
@@ -12,14 +13,37 @@
 });
 
 test("queueing of most answers does not pass for usual work", () => {
-    const times = new UsualTimes();
+    const times = new UsualTimes(new FakeClock());
     Array.from({ length: 64 }, (_, index) => times.observe("read", index % 8 === 0 ? 60 : 900));
     assert.equal(times.of("read"), 84);
 });
 
 test("what took long ago is forgotten", () => {
-    const times = new UsualTimes();
+    const times = new UsualTimes(new FakeClock());
     Array.from({ length: 64 }, () => times.observe("read", 10));
     Array.from({ length: 64 }, () => times.observe("read", 100));
     assert.equal(times.of("read"), 140);
 });
+
+test("answers of upstreams that were expected to be slow tell of usual work by what was expected", () => {
+    const times = new UsualTimes(new FakeClock());
+    Array.from({ length: 64 }, () => times.observe("read", 300, 3));
+    assert.equal(times.of("read"), 140);
+});
+
+test("an instance that refuses everything forgets the busy moment that it learned from", async () => {
+    const clock = new FakeClock();
+    const times = new UsualTimes(clock);
+    Array.from({ length: 64 }, () => times.observe("read", 900, 2));
+    await clock.advance(9000);
+    assert.equal(times.of("read"), undefined);
+});
+
+test("answers of a busy moment do not replace what idle upstreams showed", async () => {
+    const clock = new FakeClock();
+    const times = new UsualTimes(clock);
+    Array.from({ length: 8 }, () => times.observe("read", 100));
+    await clock.advance(20_000);
+    Array.from({ length: 200 }, () => times.observe("read", 900, 2));
+    assert.equal(times.of("read"), 140);
+});
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -42,6 +42,9 @@
     readonly onNews: () => void;
 }
 
+/** Longest time for which an answer is kept back, whatever is asked for. */
+const maximumWaitMs = 5000;
+
 /** Sends a request to one instance. */
 export type SendExchange = (request: ExchangeRequest) => Promise<ExchangeResponse>;
 
@@ -50,13 +53,18 @@
     /** @param options - What is told and taken in. */
     constructor(private readonly options: ExchangeOptions) {}
 
-    /** Exchanges news with one instance; documents that it lacks follow in a second request. */
-    async with(send: SendExchange): Promise<void> {
+    /**
+     * Exchanges news with one instance; documents that it lacks follow in a second request.
+     *
+     * @param send - Sends a request to it.
+     * @param waitMs - Longest time for which it may wait for something new to tell.
+     */
+    async with(send: SendExchange, waitMs = 0): Promise<void> {
         const { clock } = this.options;
         const askedAtMs = clock.nowMs();
-        const response = await send(this.request([], this.directoryFor(Infinity)));
+        const response = await send(this.request([], this.directoryFor(Infinity), waitMs));
         this.takeIn(response.sender?.instance ?? "", response);
-        this.takeInAge(response, clock.nowMs() - askedAtMs);
+        this.takeInAge(response, Math.max(0, clock.nowMs() - askedAtMs - response.heldMs));
         const documents = this.documentsFor(response.configuration);
         const directory = this.directoryFor(Number(response.directory?.revision ?? 0n));
         if (documents.length > 0 || directory.listings.length > 0) {
@@ -64,10 +72,12 @@
         }
     }
 
-    /** Answers the exchange of another instance. */
-    answer(request: ExchangeRequest): ExchangeResponse {
+    /** Answers the exchange of another instance, at once where it lacks something. */
+    async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
         this.takeIn(request.sender?.instance ?? "", request);
-        const { members, rumors } = this.options;
+        const { members, rumors, freshness } = this.options;
+        const waits = request.waitMs > 0 && !this.isBehind(request);
+        const heldMs = waits ? await freshness.next(Math.min(request.waitMs, maximumWaitMs)) : 0;
         return create(ExchangeResponseSchema, {
             sender: members.self,
             members: [...members.news()],
@@ -75,10 +85,15 @@
             configurationDocuments: this.documentsFor(request.configuration),
             observations: [...rumors.news()],
             directory: this.directoryFor(Number(request.directory?.revision ?? 0n)),
+            heldMs,
         });
     }
 
-    private request(configurationDocuments: Document[], directory: Directory): ExchangeRequest {
+    private isBehind({ directory, configuration }: ExchangeRequest): boolean {
+        return Number(directory?.revision ?? 0n) < this.options.directory.revision || this.documentsFor(configuration).length > 0;
+    }
+
+    private request(configurationDocuments: Document[], directory: Directory, waitMs = 0): ExchangeRequest {
         const { fleet, members, rumors } = this.options;
         return create(ExchangeRequestSchema, {
             fleet,
@@ -88,6 +103,7 @@
             configurationDocuments,
             observations: [...rumors.news()],
             directory,
+            waitMs,
         });
     }
 
--- /dev/null
+++ b/packages/fleet/src/fleet-options.ts
@@ -0,0 +1,41 @@
+/**
+ * What a fleet is made of.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
+import type { AcceptedConfiguration } from "./accepted-configuration.js";
+import type { FleetTimes } from "./fleet-times.js";
+import type { PeerAddress, PeerClients } from "./peer-clients.js";
+import type { HeardRumor } from "./rumors.js";
+import type { UpstreamDirectory } from "./upstream-directory.js";
+
+/** Options of a fleet. */
+export interface FleetOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly instance: InstanceId;
+    readonly incarnation: number;
+    /** Name of the fleet; instances of another fleet are refused. */
+    readonly fleet: string;
+    readonly availabilityZone: string;
+    readonly address: string;
+    readonly port: number;
+    /** Instances that are asked first; they may be gone, and this one may be among them. */
+    readonly seeds: readonly PeerAddress[];
+    readonly clients: PeerClients;
+    readonly accepted: AcceptedConfiguration;
+    readonly directory: UpstreamDirectory;
+    readonly times?: Partial<FleetTimes>;
+    /** Offers a configuration document that another instance passed on. */
+    readonly onConfiguration: (source: string, text: string) => void;
+    /** Told when the listed upstreams changed by what another instance told. */
+    readonly onDirectory: () => void;
+    /** Told of an observation of another instance. */
+    readonly onRumor: (rumor: HeardRumor) => void;
+    /** Told when the number of instances that may be running has changed. */
+    readonly onSizeChange: () => void;
+    /** Told of an exchange that failed. */
+    readonly onUnreachable: (peer: PeerAddress, error: Error) => void;
+}
--- a/packages/fleet/src/fleet-times.ts
+++ b/packages/fleet/src/fleet-times.ts
@@ -8,9 +8,9 @@
 export interface FleetTimes {
     /** Time between two exchanges over one link without news. */
     readonly exchangeMs: number;
-    /** The same for a link to another availability zone in a fleet that is not small. */
-    readonly outsideMs: number;
-    /** Time between two questions to the reader. */
+    /** The same for a link to no reader in a fleet that is not small: it serves news, and finding parts that were cut apart. */
+    readonly quietMs: number;
+    /** Longest time for which a reader keeps its answer back; it has something new to tell once a second. */
     readonly askReaderMs: number;
     /** Longest time for one call. */
     readonly callTimeoutMs: number;
@@ -28,8 +28,8 @@
 /** Times that suit fleets of today's size. */
 export const defaultFleetTimes: FleetTimes = {
     exchangeMs: 1000,
-    outsideMs: 4000,
-    askReaderMs: 400,
+    quietMs: 4000,
+    askReaderMs: 1200,
     callTimeoutMs: 300,
     suspectMs: 4000,
     failMs: 8000,
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -5,48 +5,19 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import { asError, type Clock, type InstanceId, type RandomSource, sleep } from "@harrierhitch/core";
+import { asError, sleep } from "@harrierhitch/core";
 import { type Member, MemberSchema } from "@harrierhitch/protocol";
-import type { AcceptedConfiguration } from "./accepted-configuration.js";
 import { Exchange } from "./exchange.js";
+import type { FleetOptions } from "./fleet-options.js";
 import { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
 import { Freshness } from "./freshness.js";
-import { chooseLinks, isFullMesh } from "./links.js";
+import { chooseLinks, isFullMesh, type Link } from "./links.js";
 import { Members } from "./members.js";
-import { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
+import { callWithin, type PeerAddress } from "./peer-clients.js";
 import { PeerLinks } from "./peer-links.js";
-import { readersOf } from "./readers.js";
-import { type HeardRumor, Rumors, type RumorType } from "./rumors.js";
-import type { UpstreamDirectory } from "./upstream-directory.js";
-
-/** Options of {@link Fleet}. */
-export interface FleetOptions {
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly instance: InstanceId;
-    readonly incarnation: number;
-    /** Name of the fleet; instances of another fleet are refused. */
-    readonly fleet: string;
-    readonly availabilityZone: string;
-    readonly address: string;
-    readonly port: number;
-    /** Instances that are asked first; they may be gone, and this one may be among them. */
-    readonly seeds: readonly PeerAddress[];
-    readonly clients: PeerClients;
-    readonly accepted: AcceptedConfiguration;
-    readonly directory: UpstreamDirectory;
-    readonly times?: Partial<FleetTimes>;
-    /** Offers a configuration document that another instance passed on. */
-    readonly onConfiguration: (source: string, text: string) => void;
-    /** Told when the listed upstreams changed by what another instance told. */
-    readonly onDirectory: () => void;
-    /** Told of an observation of another instance. */
-    readonly onRumor: (rumor: HeardRumor) => void;
-    /** Told when the number of instances that may be running has changed. */
-    readonly onSizeChange: () => void;
-    /** Told of an exchange that failed. */
-    readonly onUnreachable: (peer: PeerAddress, error: Error) => void;
-}
+import { ReaderChoice } from "./reader-choice.js";
+import { Rumors, type RumorType } from "./rumors.js";
+import { Seeds } from "./seeds.js";
 
 /** Failed and departed members are forgotten after this time. */
 const forgetMs = 600_000;
@@ -58,7 +29,7 @@
 const hearRetryMs = 50;
 
 /** A reader asks a seed again every so many beats, so that parts that were cut apart find each other: each has a reader. */
-const beatsBetweenSeeds = 10;
+const beatsBetweenSeeds = 5;
 
 /** Failed members of other availability zones are tried every so many beats only. */
 const beatsBetweenOutsideRetries = 4;
@@ -68,22 +39,22 @@
     readonly members: Members;
     readonly rumors: Rumors;
     readonly exchange: Exchange;
+    /** Who reads the platform. */
+    readonly readers: ReaderChoice;
     /** How old the knowledge of what the platform publishes is, from whatever source. */
     readonly freshness: Freshness;
     readonly times: FleetTimes;
     private readonly ending = new AbortController();
     private readonly links: PeerLinks;
-    private seeds: readonly PeerAddress[] = [];
+    private readonly seeds: Seeds;
     private beats = 0;
     private knownSize = 1;
-    /** Members that did not answer lately, with the time until which they are passed over as readers. */
-    private readonly avoided = new Map<string, number>();
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
         const { clock, random, instance, incarnation, fleet, accepted, directory, address, port } = options;
         this.times = { ...defaultFleetTimes, ...options.times };
-        this.seedsAre(options.seeds);
+        this.seeds = new Seeds({ random, self: { address, port }, addresses: options.seeds });
         const self = create(MemberSchema, {
             instance,
             incarnation: BigInt(incarnation),
@@ -92,17 +63,18 @@
             port,
             platformReachable: true,
         });
-        const { suspectMs, failMs } = this.times;
+        const { suspectMs, failMs, avoidMs } = this.times;
         this.freshness = new Freshness(clock);
         this.members = new Members({ clock, self, suspectMs, failMs });
+        this.readers = new ReaderChoice({ clock, members: this.members, avoidMs });
         this.rumors = new Rumors({ clock, instance, incarnation });
         this.links = new PeerLinks({
             clock,
             random,
             members: this.members,
-            choose: members => chooseLinks({ self: this.members.self, members, readers: this.readers, times: this.times }),
+            choose: members => this.chooseLinks(members),
             mayRetry: member => this.mayRetry(member),
-            exchangeWith: member => this.exchangeWith(member),
+            exchangeWith: (member, waitMs) => this.exchangeWith(member, waitMs),
         });
         this.exchange = new Exchange({
             clock,
@@ -115,14 +87,13 @@
             onConfiguration: options.onConfiguration,
             onDirectory: options.onDirectory,
             onRumor: options.onRumor,
-            onNews: () => this.links.wake(),
+            onNews: () => this.wakeLinks(),
         });
     }
 
     /** Takes over other seeds. */
     seedsAre(seeds: readonly PeerAddress[]): void {
-        const { address, port } = this.options;
-        this.seeds = seeds.filter(seed => seed.address !== address || seed.port !== port);
+        this.seeds.replace(seeds);
     }
 
     /** Begins to talk to other instances. */
@@ -150,40 +121,20 @@
     /** Tells others what this instance learned of an upstream. */
     tellRumor(upstream: string, type: RumorType): void {
         this.rumors.learn(upstream, type);
-        this.links.wake();
+        this.wakeLinks();
     }
 
     /** Tells others that there is news, without waiting for the next exchange. */
     wakeLinks(): void {
+        this.freshness.tell();
         this.links.wake();
     }
 
-    /** Whether this instance reads the platform now, for itself and for others. */
-    get isReader(): boolean {
-        return this.readers.some(member => member.instance === this.members.self.instance);
-    }
-
-    /** Whether others of its availability zone may rely on what this instance reads. */
-    get hasFollowers(): boolean {
-        const { self, alive } = this.members;
-        return alive.some(member => member !== self && member.availabilityZone === self.availabilityZone);
-    }
-
-    /** The readers of this instance's availability zone, as far as it knows. */
-    private get readers(): readonly Member[] {
-        const { self, alive } = this.members;
-        const nowMs = this.options.clock.nowMs();
-        const able = alive.filter(({ instance, platformReachable, leaving }) =>
-            instance === self.instance || platformReachable && !leaving && (this.avoided.get(instance) ?? 0) <= nowMs
-        );
-        return readersOf(self.availabilityZone, able);
-    }
-
     private mayRetry({ availabilityZone }: Member): boolean {
         const { self, others } = this.members;
         return isFullMesh(others)
             || availabilityZone === self.availabilityZone
-            || this.isReader && this.beats % beatsBetweenOutsideRetries === 0;
+            || this.readers.isSelf && this.beats % beatsBetweenOutsideRetries === 0;
     }
 
     /** Forgets what time alone made doubtful, after this process slept. */
@@ -203,7 +154,7 @@
         const untilMs = this.options.clock.nowMs() + timeoutMs;
         while (this.options.clock.nowMs() < untilMs && !this.ending.signal.aborted) {
             const others: readonly PeerAddress[] = this.members.others.filter(member => !member.leaving);
-            const peers = others.length > 0 ? others : this.seeds;
+            const peers = others.length > 0 ? others : this.seeds.all;
             if (peers.length === 0) {
                 return true;
             }
@@ -236,22 +187,27 @@
         }
     }
 
+    /** Asks a seed that is not among the living members: it, or whoever it knows, may be a part of the fleet cut off from here. */
     private askSeed(): void {
-        const { random } = this.options;
-        const isAlone = this.members.alive.length === 1;
-        const seed = this.seeds[Math.floor(random.next() * this.seeds.length)];
+        const { alive } = this.members;
+        const isAlone = alive.length === 1;
         this.beats += 1;
-        if (seed !== undefined && (isAlone || this.isReader && this.beats % beatsBetweenSeeds === 0)) {
-            void this.exchangeWith(seed).then(heard => heard && isAlone ? this.links.refresh() : undefined);
+        const seed = isAlone || this.readers.isSelf && this.beats % beatsBetweenSeeds === 0
+            ? this.seeds.pickUnlike(alive)
+            : undefined;
+        if (seed !== undefined) {
+            void this.exchangeWith(seed).then(heard => heard ? this.links.refresh() : undefined);
         }
     }
 
-    private async exchangeWith(peer: PeerAddress): Promise<boolean> {
+    private async exchangeWith(peer: PeerAddress, waitMs = 0): Promise<boolean> {
         const { clock, clients, onUnreachable } = this.options;
         try {
             const client = clients.to(peer);
-            await this.exchange.with(request =>
-                callWithin(clock, this.times.callTimeoutMs, signal => client.exchange(request, { signal }))
+            const timeoutMs = this.times.callTimeoutMs + waitMs;
+            await this.exchange.with(
+                request => callWithin(clock, timeoutMs, signal => client.exchange(request, { signal })),
+                waitMs,
             );
             return true;
         }
@@ -262,15 +218,14 @@
         }
     }
 
+    private chooseLinks(members: readonly Member[]): readonly Link[] {
+        return chooseLinks({ self: this.members.self, members, readers: this.readers.readers, times: this.times });
+    }
+
     /** Passes over a member that did not answer; if it was the reader, another one is found at once. */
     private avoid(peer: PeerAddress): void {
         const member = this.members.others.find(({ address, port }) => address === peer.address && port === peer.port);
-        if (member === undefined || this.ending.signal.aborted) {
-            return;
-        }
-        const wasReader = this.readers.includes(member);
-        this.avoided.set(member.instance, this.options.clock.nowMs() + this.times.avoidMs);
-        if (wasReader) {
+        if (member !== undefined && !this.ending.signal.aborted && this.readers.avoid(member)) {
             this.links.refresh();
         }
     }
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
-import type { Clock } from "@harrierhitch/core";
+import { type Clock, sleep } from "@harrierhitch/core";
 
 /** Keeps the latest moment as of which nothing published is known to be missing here. */
 export class Freshness {
     private confirmedAtMs = -Infinity;
+    private readonly waiting = new Set<AbortController>();
 
     /** @param clock - The clock. */
     constructor(private readonly clock: Clock) {}
@@ -24,6 +25,30 @@
      * @param ageMs - Milliseconds since then.
      */
     confirm(ageMs: number): void {
-        this.confirmedAtMs = Math.max(this.confirmedAtMs, this.clock.nowMs() - ageMs);
+        const confirmedAtMs = this.clock.nowMs() - ageMs;
+        if (confirmedAtMs > this.confirmedAtMs) {
+            this.confirmedAtMs = confirmedAtMs;
+            this.tell();
+        }
+    }
+
+    /** Ends the wait of everyone, because there is something new. */
+    tell(): void {
+        this.waiting.forEach(waiting => waiting.abort());
+    }
+
+    /**
+     * Waits until there is something new.
+     *
+     * @param timeoutMs - Longest wait.
+     * @returns Milliseconds that it took.
+     */
+    async next(timeoutMs: number): Promise<number> {
+        const sinceMs = this.clock.nowMs();
+        const waiting = new AbortController();
+        this.waiting.add(waiting);
+        await sleep(this.clock, timeoutMs, waiting.signal);
+        this.waiting.delete(waiting);
+        return this.clock.nowMs() - sinceMs;
     }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -6,8 +6,9 @@
  */
 
 export { AcceptedConfiguration, type ConfigurationInForce } from "./accepted-configuration.js";
+export { type FleetOptions } from "./fleet-options.js";
 export { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
-export { Fleet, type FleetOptions } from "./fleet.js";
+export { Fleet } from "./fleet.js";
 export { Freshness } from "./freshness.js";
 export { type MemberState } from "./member.js";
 export { type OfferResult } from "./offer-result.js";
--- a/packages/fleet/src/links.ts
+++ b/packages/fleet/src/links.ts
@@ -13,6 +13,8 @@
     readonly member: Member;
     /** Time between two exchanges without news. */
     readonly intervalMs: number;
+    /** Longest time for which the member keeps its answer back until there is something new; 0 for none. */
+    readonly waitMs: number;
 }
 
 /** What links are chosen by. */
@@ -25,7 +27,7 @@
     readonly times: FleetTimes;
 }
 
-/** Links into the own availability zone besides the reader, so that membership does not hang on the reader alone. */
+/** Links into the own availability zone besides the reader, so that news do not hang on the reader alone. */
 const linksInside = 1;
 
 /** Links out of the own availability zone, kept by readers only, because bytes between zones are dear. */
@@ -38,27 +40,22 @@
 export const isFullMesh = (others: readonly Member[]): boolean => others.length <= fullMeshSize;
 
 /**
- * Chooses the members that an instance talks to: its reader, one more of its own
- * availability zone, and for a reader two of other zones. The choice is stable
+ * Chooses the members that an instance talks to: its reader and one more of its
+ * availability zone, and for a reader the other readers and two of other zones. The choice is stable
  * while they live, and differs between instances, so that the links of all join the whole fleet.
  */
 export const chooseLinks = ({ self, members, readers, times }: LinkOptions): readonly Link[] => {
-    const isSelf = (member: Member): boolean => member.instance === self.instance;
     const order = rendezvous(`links ${self.instance}`, members, member => member.instance);
-    const reader = readers.some(isSelf)
-        ? undefined
-        : order.find(member => readers.some(({ instance }) => instance === member.instance));
+    const isReader = (member: Member): boolean => readers.some(({ instance }) => instance === member.instance);
+    const reader = isReader(self) ? undefined : order.find(isReader);
     const others = order.filter(member => member !== reader);
+    const toReader = reader === undefined ? [] : [{ member: reader, intervalMs: times.exchangeMs, waitMs: times.askReaderMs }];
+    if (isFullMesh(members)) {
+        return [...toReader, ...others.map(member => ({ member, intervalMs: times.exchangeMs, waitMs: 0 }))];
+    }
     const isInside = (member: Member): boolean => member.availabilityZone === self.availabilityZone;
-    const isMesh = isFullMesh(members);
-    const inside = others.filter(isInside).slice(0, isMesh ? fullMeshSize : linksInside);
-    const outside = isMesh || reader === undefined ? others.filter(member => !isInside(member)) : [];
-    return [
-        ...(reader === undefined ? [] : [{ member: reader, intervalMs: times.askReaderMs }]),
-        ...inside.map(member => ({ member, intervalMs: times.exchangeMs })),
-        ...outside.slice(0, isMesh ? fullMeshSize : linksOutside).map(member => ({
-            member,
-            intervalMs: isMesh ? times.exchangeMs : times.outsideMs,
-        })),
-    ];
+    const inside = others.filter(isInside).slice(0, linksInside);
+    const outside = others.filter(member => !isInside(member)).slice(0, linksOutside);
+    const toOthers = reader === undefined ? [...others.filter(isReader), ...inside, ...outside] : inside;
+    return [...toReader, ...toOthers.map(member => ({ member, intervalMs: times.quietMs, waitMs: 0 }))];
 };
--- a/packages/fleet/src/peer-links.ts
+++ b/packages/fleet/src/peer-links.ts
@@ -18,8 +18,8 @@
     readonly choose: (members: readonly Member[]) => readonly Link[];
     /** Whether a member that failed is tried now and then. */
     readonly mayRetry: (member: Member) => boolean;
-    /** Exchanges news with one member; tells whether it answered. */
-    readonly exchangeWith: (member: Member) => Promise<boolean>;
+    /** Exchanges news with one member, which may keep its answer back for a time; tells whether it answered. */
+    readonly exchangeWith: (member: Member, waitMs: number) => Promise<boolean>;
 }
 
 /** Shortest pause between two exchanges over one link, so that news are gathered. */
@@ -62,7 +62,7 @@
         const links = new Map(this.options.choose(reachable).map(link => [link.member.instance, link]));
         this.links = links;
         if (retried !== undefined) {
-            void this.options.exchangeWith(retried);
+            void this.options.exchangeWith(retried, 0);
         }
         this.tasks.forEach((task, id) => {
             if (!links.has(id)) {
@@ -81,15 +81,29 @@
 
     /** The task of one peer: exchanges on news and at intervals. */
     private async talkTo(id: string, first: Member, signal: AbortSignal): Promise<void> {
-        const { clock, random } = this.options;
+        const { clock, random, members } = this.options;
         while (!signal.aborted) {
-            await this.options.exchangeWith(this.options.members.others.find(member => member.instance === id) ?? first);
-            const intervalMs = this.links.get(id)?.intervalMs ?? 0;
-            await this.newsOr(intervalMs * (0.75 + 0.5 * random.next()), signal);
+            const member = members.others.find(({ instance }) => instance === id) ?? first;
+            const { intervalMs, waitMs } = this.links.get(id) ?? { intervalMs: 0, waitMs: 0 };
+            const answered = await this.exchange(member, waitMs);
+            // Whoever waits for the answer needs no pause between two questions.
+            if (waitMs === 0 || !answered) {
+                await this.newsOr(intervalMs * (0.75 + 0.5 * random.next()), signal);
+            }
             await sleep(clock, minimumPauseMs, signal);
         }
     }
 
+    /** Exchanges news; what comes up while the member keeps its answer back is told to it apart. */
+    private async exchange(member: Member, waitMs: number): Promise<boolean> {
+        const { exchangeWith } = this.options;
+        const tellNow = () => void exchangeWith(member, 0);
+        if (waitMs > 0) {
+            this.wakeUps.add(tellNow);
+        }
+        return exchangeWith(member, waitMs).finally(() => this.wakeUps.delete(tellNow));
+    }
+
     private newsOr(waitMs: number, signal: AbortSignal): Promise<void> {
         const waking = new AbortController();
         const wake = () => waking.abort();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,22 +1,26 @@
-/** Bundles the daemon for the users' platform into target/, so that a start reads few files. */
+/**
+ * Bundles the daemon for the users' platform into target/: one file, the compiled
+ * code that V8 keeps of it, and a loader that uses both, so that a start neither
+ * reads many files nor compiles them again.
+ */
 
 import { build } from "esbuild";
-import { rm } from "node:fs/promises";
+import { copyFile, rm } from "node:fs/promises";
 
 await rm("target", { recursive: true, force: true });
 await build({
-    entryPoints: { harrierhitchd: "platform/src/harrierhitchd.ts" },
+    entryPoints: { daemon: "platform/src/harrierhitchd.ts" },
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
+    outExtension: { ".js": ".cjs" },
     bundle: true,
-    splitting: true,
-    format: "esm",
+    format: "cjs",
     platform: "node",
     target: "node20",
     minifySyntax: true,
     minifyWhitespace: true,
+    // Modules leave out what nobody uses; most libraries also ship them.
+    mainFields: ["module", "main"],
     legalComments: "none",
     sourcemap: false,
-    // Libraries in CommonJS call require, which an ES module has to make for itself.
-    banner: { js: "import { createRequire as makeRequire } from \"node:module\"; const require = makeRequire(import.meta.url);" },
 });
+await copyFile("scripts/loader.cjs", "target/harrierhitchd.cjs");
--- /dev/null
+++ b/scripts/loader.cjs
@@ -0,0 +1,23 @@
+/**
+ * Starts the bundled daemon from the code that V8 compiled at the build. Code of
+ * another version of V8 is ignored, and compiled again.
+ */
+
+"use strict";
+
+const { existsSync, readFileSync, writeFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+
+const bundle = join(__dirname, "daemon.cjs");
+const cache = join(__dirname, "daemon.cache");
+const writesCache = process.env.HARRIERHITCH_WRITE_CODE_CACHE === "1";
+
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, "utf8")}\n})`;
+const cachedData = !writesCache && existsSync(cache) ? readFileSync(cache) : undefined;
+const script = new Script(source, { filename: bundle, cachedData });
+script.runInThisContext()(module.exports, require, module, bundle, __dirname);
+
+if (writesCache) {
+    process.once("exit", () => writeFileSync(cache, script.createCachedData()));
+}
