Let one reader a zone follow the platform, and tell the others how old its news are

Ages pass only through answers, removals that are doubted are passed on with their doubt, an empty watch moves no revision on. A link that becomes the one to the reader starts anew (found by its test: it slept on for 4 s).

--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform-link.ts
@@ -17,7 +17,7 @@
     readonly platform: Platform;
     readonly clock: Clock;
     readonly random: RandomSource;
-    readonly instance: Instance;
+    readonly instance: Pick<Instance, "fleet" | "directory" | "takePublication">;
     readonly log: EventLog;
     /** Shortest time between two tries while the platform is down. */
     readonly retryMs: number;
--- /dev/null
+++ b/packages/daemon/test/platform-link.test.ts
@@ -0,0 +1,171 @@
+import { create } from "@bufbuild/protobuf";
+import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
+import { AcceptedConfiguration, Fleet, readersOf, UpstreamDirectory } from "@harrierhitch/fleet";
+import { MemberSchema } from "@harrierhitch/protocol";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { EventLog } from "../src/event-log.js";
+import { PlatformLink } from "../src/platform-link.js";
+import { type Platform, PlatformError, type Publication } from "../src/platform.js";
+
+const watchMs = 4000;
+
+/** A platform that notes its calls, with a revision that a watch tells at once when it is behind. */
+class FakePlatform implements Platform {
+    readonly calls: string[] = [];
+    revision = 1;
+    isDown = false;
+
+    constructor(private readonly clock: FakeClock) {}
+
+    read(): Promise<Publication> {
+        this.calls.push("read");
+        return this.answer(0);
+    }
+
+    async watch(revision: number, _: AbortSignal, waitMs: number): Promise<Publication> {
+        this.calls.push(`watch ${waitMs}`);
+        if (!this.isDown && revision === this.revision && waitMs > 0) {
+            await new Promise<void>(resolve => this.clock.after(waitMs, resolve));
+        }
+        return this.answer(revision);
+    }
+
+    private answer(after: number): Promise<Publication> {
+        const { revision } = this;
+        return this.isDown
+            ? Promise.reject(new PlatformError("the platform is down"))
+            : Promise.resolve({
+                revision,
+                configuration: undefined,
+                listings: after < revision ? [{ upstream: upstreamId("a"), revision, text: "ready" }] : [],
+            });
+    }
+}
+
+const member = (name: string, heartbeat: number) =>
+    create(MemberSchema, {
+        instance: name,
+        incarnation: 1n,
+        heartbeat: BigInt(heartbeat),
+        availabilityZone: "zone-0",
+        address: "127.0.0.1",
+        port: 1,
+        platformReachable: true,
+    });
+
+/** A link of instance `self`, with other members that it believes alive. */
+const open = async (others: readonly string[]) => {
+    const clock = new FakeClock();
+    const platform = new FakePlatform(clock);
+    const directory = new UpstreamDirectory({
+        clock,
+        read: () => ({ value: undefined, findings: [] }),
+        doubtfulMs: () => 0,
+        onChange: () => undefined,
+        onDoubtEnded: () => undefined,
+        onInvalid: () => undefined,
+    });
+    const random = new SeededRandom(1);
+    const never = (): never => {
+        throw new TypeError("not used");
+    };
+    const fleet = new Fleet({
+        clock,
+        random,
+        instance: instanceId("self"),
+        incarnation: 1,
+        fleet: "test",
+        availabilityZone: "zone-0",
+        address: "127.0.0.1",
+        port: 2,
+        seeds: [],
+        clients: { to: never, close: () => undefined },
+        accepted: new AcceptedConfiguration(),
+        directory,
+        onConfiguration: () => undefined,
+        onDirectory: () => undefined,
+        onSizeChange: () => undefined,
+        onRumor: () => undefined,
+        onUnreachable: () => undefined,
+    });
+    const beat = (): void => {
+        fleet.members.merge(others.map(name => member(name, clock.nowMs())));
+        clock.after(500, beat);
+    };
+    beat();
+    const link = new PlatformLink({
+        platform,
+        clock,
+        random,
+        instance: {
+            fleet,
+            directory,
+            takePublication: ({ revision, listings }, isWhole) => directory.takeIn({ revision, whole: isWhole, listings }),
+        },
+        log: new EventLog({ level: "silent" }),
+        retryMs: 250,
+        watchMs,
+    });
+    link.start();
+    await clock.advance(0);
+    return { clock, platform, directory, fleet, link };
+};
+
+/** The name of a member that is the reader beside `self`, or is not. */
+const nameThat = (isReader: boolean): string => {
+    const names = Array.from({ length: 50 }, (_, index) => `other-${index}`);
+    return names.find(name => {
+        const members = [member("self", 1), member(name, 1)];
+        return (readersOf("zone-0", members)[0]?.instance === name) === isReader;
+    }) ?? "";
+};
+
+describe("an instance", () => {
+    test("that is alone watches for as long as its settings say", async () => {
+        const { clock, platform, link } = await open([]);
+        await clock.advance(9000);
+        link.stop();
+        assert.deepEqual(platform.calls, ["read", `watch ${watchMs}`, `watch ${watchMs}`, `watch ${watchMs}`]);
+    });
+
+    test("that reads for others confirms what it knows once a second", async () => {
+        const { clock, platform, link, fleet } = await open([nameThat(false)]);
+        await clock.advance(3100);
+        link.stop();
+        assert.deepEqual(platform.calls.slice(1), ["watch 1000", "watch 1000", "watch 1000"]);
+        assert.ok(fleet.freshness.ageMs < 1100);
+    });
+
+    test("that hears from a reader does not ask the platform, and does so at once when that has told nothing for 1.5 s", async () => {
+        const { clock, platform, link, fleet } = await open([nameThat(true)]);
+        for (let told = 0; told < 3; told += 1) {
+            await clock.advance(1000);
+            fleet.freshness.confirm(0);
+        }
+        assert.deepEqual(platform.calls, ["read"]);
+        platform.revision = 2;
+        await clock.advance(1600);
+        link.stop();
+        assert.deepEqual(platform.calls, ["read", "watch 0"]);
+    });
+
+    test("that is no reader tries every two seconds or so while the platform is down", async () => {
+        const { clock, platform, link } = await open([nameThat(true)]);
+        await clock.advance(100);
+        platform.isDown = true;
+        await clock.advance(3900);
+        link.stop();
+        const tries = platform.calls.length - 1;
+        assert.ok(tries >= 1 && tries <= 3, `${tries} tries`);
+    });
+});
+
+test("a watch that tells nothing moves no revision on, since the platform may be deaf", async () => {
+    const { clock, platform, link, directory } = await open([]);
+    await clock.advance(100);
+    platform.watch = () => Promise.resolve({ revision: 9, configuration: undefined, listings: [] });
+    await clock.advance(9000);
+    link.stop();
+    assert.equal(directory.revision, 1);
+});
--- a/packages/fleet/src/peer-links.ts
+++ b/packages/fleet/src/peer-links.ts
@@ -60,16 +60,17 @@
         const failed = candidates.filter(member => !reachable.includes(member) && this.options.mayRetry(member));
         const retried = failed[Math.floor(this.options.random.next() * failed.length)];
         const links = new Map(this.options.choose(reachable).map(link => [link.member.instance, link]));
-        this.links = links;
         if (retried !== undefined) {
             void this.options.exchangeWith(retried, 0);
         }
         this.tasks.forEach((task, id) => {
-            if (!links.has(id)) {
+            // A link that becomes the one to the reader must not sleep on as the quiet one that it was.
+            if (links.get(id)?.waitMs !== this.links.get(id)?.waitMs) {
                 task.abort();
                 this.tasks.delete(id);
             }
         });
+        this.links = links;
         links.forEach(({ member }, id) => {
             if (!this.tasks.has(id)) {
                 const task = new AbortController();
--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -120,3 +120,17 @@
     third.takeIn(first.directory.newsAfter(0));
     assert.equal(third.upstreams.length, 5);
 });
+
+test("a removal that one directory doubts is doubted for as long by whoever hears of it", async () => {
+    const doubt = { doubtfulMs: 700 };
+    const first = open(doubt);
+    const second = open({ doubtfulMs: 0 });
+    first.directory.takeIn({ revision: 6, whole: false, listings: [listing("a", 6)] });
+    await first.clock.advance(500);
+    second.directory.takeIn(first.directory.newsAfter(second.directory.revision));
+    assert.equal(second.listed(), "a, b, c, d, e");
+    await second.clock.advance(150);
+    assert.equal(second.listed(), "a, b, c, d, e");
+    await second.clock.advance(100);
+    assert.equal(second.listed(), "b, c, d, e");
+});
