Tell no rumours of drains that the platform lists

Change: what the directory tells raises no rumour; news that readers tell anyway is not pushed to a reader that keeps its answer back; questions to the reader carry members only every third time. Ruled out: fewer refusals (few were refused in those seconds).

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -208,7 +208,10 @@
         const update: RegistryUpdate = { configuration, listed: this.directory.upstreams };
         const targets = toTargets(update);
         this.parts.transport.configure(targets);
+        // Everyone reads of a listed upstream's leaving itself: told by each, it would go round the fleet many times.
+        this.hearing = true;
         this.services.configure(update);
+        this.hearing = false;
         this.applyShares();
         this.probeBudget.retain(new Set(targets.map(target => target.upstream.id)));
         this.parts.onConfigured?.(update);
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -38,13 +38,21 @@
     readonly onConfiguration: (source: string, text: string) => void;
     readonly onDirectory: () => void;
     readonly onRumor: (rumor: HeardRumor) => void;
-    /** Told when an exchange brought something that others should hear at once. */
-    readonly onNews: () => void;
+    /** Told when an exchange brought something that others should hear at once; what no reader tells is urgent. */
+    readonly onNews: (isUrgent: boolean) => void;
 }
 
 /** Longest time for which an answer is kept back, whatever is asked for. */
 const maximumWaitMs = 5000;
 
+/** How an exchange is done. */
+export interface ExchangeManner {
+    /** Longest time for which the other instance may wait for something new to tell. */
+    readonly waitMs?: number;
+    /** Whether members and observations are left out, which are most of the work of an exchange. */
+    readonly isBrief?: boolean;
+}
+
 /** Sends a request to one instance. */
 export type SendExchange = (request: ExchangeRequest) => Promise<ExchangeResponse>;
 
@@ -57,12 +65,12 @@
      * Exchanges news with one instance; documents that it lacks follow in a second request.
      *
      * @param send - Sends a request to it.
-     * @param waitMs - Longest time for which it may wait for something new to tell.
+     * @param manner - How it is done.
      */
-    async with(send: SendExchange, waitMs = 0): Promise<void> {
+    async with(send: SendExchange, { waitMs = 0, isBrief = false }: ExchangeManner = {}): Promise<void> {
         const { clock } = this.options;
         const askedAtMs = clock.nowMs();
-        const response = await send(this.request([], this.directoryFor(Infinity), waitMs));
+        const response = await send(this.request([], this.directoryFor(Infinity), { waitMs, isBrief }));
         this.takeIn(response.sender?.instance ?? "", response);
         this.takeInAge(response, Math.max(0, clock.nowMs() - askedAtMs - response.heldMs));
         const documents = this.documentsFor(response.configuration);
@@ -80,10 +88,10 @@
         const heldMs = waits ? await freshness.next(Math.min(request.waitMs, maximumWaitMs)) : 0;
         return create(ExchangeResponseSchema, {
             sender: members.self,
-            members: [...members.news()],
+            members: request.brief ? [] : [...members.news()],
             configuration: this.version(),
             configurationDocuments: this.documentsFor(request.configuration),
-            observations: [...rumors.news()],
+            observations: request.brief ? [] : [...rumors.news()],
             directory: this.directoryFor(Number(request.directory?.revision ?? 0n)),
             heldMs,
         });
@@ -93,17 +101,22 @@
         return Number(directory?.revision ?? 0n) < this.options.directory.revision || this.documentsFor(configuration).length > 0;
     }
 
-    private request(configurationDocuments: Document[], directory: Directory, waitMs = 0): ExchangeRequest {
+    private request(
+        configurationDocuments: Document[],
+        directory: Directory,
+        { waitMs = 0, isBrief = false }: ExchangeManner = {},
+    ): ExchangeRequest {
         const { fleet, members, rumors } = this.options;
         return create(ExchangeRequestSchema, {
             fleet,
             sender: members.self,
-            members: [...members.news()],
+            members: isBrief ? [] : [...members.news()],
             configuration: this.version(),
             configurationDocuments,
-            observations: [...rumors.news()],
+            observations: isBrief ? [] : [...rumors.news()],
             directory,
             waitMs,
+            brief: isBrief,
         });
     }
 
@@ -120,7 +133,7 @@
         heard.forEach(onRumor);
         const isNewer = generationBefore !== accepted.inForce?.configuration.generation || revisionBefore !== directory.revision;
         if (heard.length > 0 || leaving.length > 0 || isNewer) {
-            onNews();
+            onNews(heard.length > 0);
         }
     }
 
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -22,6 +22,9 @@
 /** Failed and departed members are forgotten after this time. */
 const forgetMs = 600_000;
 
+/** Every so many questions to the reader tell members: often enough to hear of each within the time after which it is suspect. */
+const questionsBetweenMembers = 3;
+
 /** Members that are asked at the start. */
 const linksAtStart = 4;
 
@@ -49,6 +52,7 @@
     private readonly seeds: Seeds;
     private beats = 0;
     private knownSize = 1;
+    private questions = 0;
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
@@ -87,7 +91,7 @@
             onConfiguration: options.onConfiguration,
             onDirectory: options.onDirectory,
             onRumor: options.onRumor,
-            onNews: () => this.wakeLinks(),
+            onNews: isUrgent => this.wakeLinks(isUrgent),
         });
     }
 
@@ -124,10 +128,14 @@
         this.wakeLinks();
     }
 
-    /** Tells others that there is news, without waiting for the next exchange. */
-    wakeLinks(): void {
+    /**
+     * Tells others that there is news, without waiting for the next exchange.
+     *
+     * @param isUrgent - Whether the reader that keeps an answer back has to hear it, too, before its answer is due.
+     */
+    wakeLinks(isUrgent = true): void {
         this.freshness.tell();
-        this.links.wake();
+        this.links.wake(isUrgent);
     }
 
     private mayRetry({ availabilityZone }: Member): boolean {
@@ -140,7 +148,7 @@
     /** Forgets what time alone made doubtful, after this process slept. */
     wakeLate(): void {
         this.members.forgive();
-        this.links.wake();
+        this.links.wake(true);
     }
 
     /**
@@ -207,7 +215,7 @@
             const timeoutMs = this.times.callTimeoutMs + waitMs;
             await this.exchange.with(
                 request => callWithin(clock, timeoutMs, signal => client.exchange(request, { signal })),
-                waitMs,
+                { waitMs, isBrief: waitMs > 0 && this.isBriefTurn() },
             );
             return true;
         }
@@ -218,6 +226,12 @@
         }
     }
 
+    /** Questions to the reader come once a second or so; members are told less often. */
+    private isBriefTurn(): boolean {
+        this.questions += 1;
+        return this.questions % questionsBetweenMembers !== 0;
+    }
+
     private chooseLinks(members: readonly Member[]): readonly Link[] {
         return chooseLinks({ self: this.members.self, members, readers: this.readers.readers, times: this.times });
     }
--- a/packages/fleet/src/peer-links.ts
+++ b/packages/fleet/src/peer-links.ts
@@ -30,13 +30,19 @@
     private readonly tasks = new Map<string, AbortController>();
     private links = new Map<string, Link>();
     private readonly wakeUps = new Set<() => void>();
+    /** Ways to tell members that keep their answers back. */
+    private readonly tellers = new Set<() => void>();
 
     /** @param options - Members and the way to talk to them. */
     constructor(private readonly options: PeerLinksOptions) {}
 
-    /** Lets every link exchange now, because there is news. */
-    wake(): void {
-        [...this.wakeUps].forEach(wake => wake());
+    /**
+     * Lets links exchange now, because there is news.
+     *
+     * @param isUrgent - Whether members that keep their answers back have to hear it, too, before those are due.
+     */
+    wake(isUrgent: boolean): void {
+        [...this.wakeUps, ...isUrgent ? this.tellers : []].forEach(wake => wake());
     }
 
     /** Whether a member is one of the links. */
@@ -100,9 +106,9 @@
         const { exchangeWith } = this.options;
         const tellNow = () => void exchangeWith(member, 0);
         if (waitMs > 0) {
-            this.wakeUps.add(tellNow);
+            this.tellers.add(tellNow);
         }
-        return exchangeWith(member, waitMs).finally(() => this.wakeUps.delete(tellNow));
+        return exchangeWith(member, waitMs).finally(() => this.tellers.delete(tellNow));
     }
 
     private newsOr(waitMs: number, signal: AbortSignal): Promise<void> {
