--- a/packages/daemon/src/event-log.ts
+++ b/packages/daemon/src/event-log.ts
@@ -34,6 +34,12 @@
 /** Most bytes that wait to be written: a reader of standard output that stalls costs lines, not time. */
 const maximumWaitingBytes = 1_048_576;
 
+/** Bytes that are gathered before they are written: each write costs a small instance as much as several lines. */
+const gatheredBytes = 4096;
+
+/** Longest time for which lines are gathered; so much of the log is lost with a process that is killed. */
+const gatheredMs = 500;
+
 /** Writes events as JSON, one object a line; it never blocks and drops lines rather than growing. */
 export class EventLog {
     private readonly logger: Logger;
@@ -89,7 +95,13 @@
     }
 
     private openStandardOutput(): DestinationStream {
-        const output = pino.destination({ dest: 1, sync: false, maxLength: maximumWaitingBytes });
+        const output = pino.destination({
+            dest: 1,
+            sync: false,
+            maxLength: maximumWaitingBytes,
+            minLength: gatheredBytes,
+            periodicFlush: gatheredMs,
+        });
         output.on("drop", () => this.drop(1));
         return output;
     }
