Ask no more upstreams for one request than its policy allows, however often it is decided again

Change: probes are counted over the life of a request; a further attempt may ask two more. Test: platform/test/path.test.ts, failed first (31 probes, 4 allowed).

--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -21,11 +21,14 @@
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 
-/** Upstreams that are asked for their load at the same time; a request that is decided on again asks no more than these. */
+/** Upstreams that are asked for their load at the same time, and once more before a further attempt. */
 const probesAtOnce = 2;
 
 /** Takes the decisions of one request, and records them. */
 export class RequestChoice {
+    /** Upstreams that were asked for this request: one that is held asks no more than its share, since probes are load. */
+    private asked = 0;
+
     /**
      * @param services - What the daemon provides to requests.
      * @param runtime - The state of the route's service.
@@ -80,23 +83,24 @@
         const asked = new Set<string>(tried);
         const hasGood = (): boolean =>
             runtime.beliefs.facts().some(facts => !tried.some(id => id === facts.id) && isGoodNow(facts));
-        const most = progress.heldMs > 0 ? probesAtOnce : policy.probeCandidates;
+        const most = tried.length > 0 ? probesAtOnce : policy.probeCandidates - this.asked;
         for (let left = most; left > 0 && !hasGood(); left -= probesAtOnce) {
             const timeoutMs = endAtMs - services.clock.nowMs();
-            const upstreams = this.likeliest(asked);
+            const upstreams = this.likeliest(asked, Math.min(probesAtOnce, left));
             if (timeoutMs <= 0 || upstreams.length === 0) {
                 return;
             }
             await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough: hasGood });
             upstreams.forEach(({ id }) => asked.add(id));
+            this.asked += upstreams.length;
         }
     }
 
     /** The likeliest upstreams that were not asked yet and that the budget allows to ask. */
-    private likeliest(asked: ReadonlySet<string>): readonly Upstream[] {
+    private likeliest(asked: ReadonlySet<string>, count: number): readonly Upstream[] {
         const { runtime, services } = this;
         const facts = runtime.beliefs.facts().filter(({ id }) => !asked.has(id) && services.prober.mayAsk(upstreamId(id)));
-        const ids = probeTargets({ upstreams: facts, tried: [] }, probesAtOnce, () => services.random.next());
+        const ids = probeTargets({ upstreams: facts, tried: [] }, count, () => services.random.next());
         return runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
     }
 
