--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -13,6 +13,7 @@
 import { events } from "./event.js";
 import { ExplanationStore } from "./explanation-store.js";
 import type { InstanceParts } from "./instance-parts.js";
+import { minimumRefreshSleepMs, notReadyRetryAfterMs, refreshTimeoutMs } from "./instance-times.js";
 import { makeRequestServices } from "./make-request-services.js";
 import type { Publication } from "./platform.js";
 import { ProbeBudget } from "./probe-budget.js";
@@ -27,15 +28,6 @@
 /** Stage of an instance's life. */
 export type InstanceStage = "starting" | "serving" | "stopping";
 
-/** When a caller should come back that met an instance without a configuration. */
-const notReadyRetryAfterMs = 1000;
-
-/** Sleep after which the configuration is asked for again before the next request. */
-const minimumRefreshSleepMs = 1000;
-
-/** Longest time for which requests wait for that. */
-const refreshTimeoutMs = 300;
-
 /** Serves requests by the configuration in force. */
 export class Instance {
     readonly id: InstanceId;
