--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -208,6 +208,7 @@
             clock: this.clock,
             random: this.random,
             metrics: this.metrics,
+            log: this.log,
             instance: this.instance,
             serviceOptions: () => this.serviceOptions(),
             onRefused: reason => this.onRefused(reason),
--- a/packages/daemon/src/event.ts
+++ b/packages/daemon/src/event.ts
@@ -29,6 +29,7 @@
     configurationOlder: { number: 202, level: "warn", message: "older configuration was offered and left aside" },
     configurationConflict: { number: 203, level: "error", message: "two configurations share one generation" },
     platformFailed: { number: 210, level: "warn", message: "platform did not answer" },
+    readerLost: { number: 212, level: "warn", message: "reader of the availability zone did not answer, another one is asked" },
     platformRecovered: { number: 211, level: "info", message: "platform answers again" },
     listingInvalid: { number: 220, level: "error", message: "listed upstream was rejected; its last good listing stays" },
     listingChanged: { number: 221, level: "info", message: "listed upstream came, changed or went" },
--- a/packages/daemon/src/join-fleet.ts
+++ b/packages/daemon/src/join-fleet.ts
@@ -35,6 +35,8 @@
     readonly onDirectory: () => void;
     /** Told when the number of instances that may be running has changed. */
     readonly onSizeChange: () => void;
+    /** Told that the reader of the availability zone did not answer. */
+    readonly onReaderLost: (reader: string, error: Error) => void;
     /** Told of an observation of another instance. */
     readonly onRumor: (rumor: HeardRumor) => void;
 }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -83,6 +83,12 @@
     /** Whether this instance reads the platform now. */
     readonly reader = this.gauge("harrierhitch_platform_reader", "Whether this instance reads the platform now");
 
+    /** Age of what is known of the platform; 0 while that is unknown. */
+    readonly knowledgeAge = this.gauge(
+        "harrierhitch_platform_knowledge_age_seconds",
+        "Seconds since a moment as of which nothing that the platform told is missing",
+    );
+
     /** Requests in flight. */
     readonly inFlight = this.gauge("harrierhitch_requests_in_flight", "Requests being served");
 
--- a/packages/daemon/src/operators-side.ts
+++ b/packages/daemon/src/operators-side.ts
@@ -71,6 +71,7 @@
         metrics.recordBytes.set(explanations.bytes);
         metrics.members.set(fleet?.members.alive.length ?? 1);
         metrics.listed.set(directory.upstreams.length);
+        metrics.knowledgeAge.set((fleet?.freshness.knownAgeMs ?? 0) / 1000);
         metrics.reader.set(fleet === undefined || fleet.readers.isSelf ? 1 : 0);
     }
 }
--- a/packages/daemon/src/peer-side.ts
+++ b/packages/daemon/src/peer-side.ts
@@ -9,6 +9,8 @@
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
 import { ConnectClients } from "./connect-clients.js";
+import type { EventLog } from "./event-log.js";
+import { events } from "./event.js";
 import type { Instance } from "./instance.js";
 import { joinFleet } from "./join-fleet.js";
 import type { Metrics } from "./metrics.js";
@@ -26,6 +28,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly metrics: Metrics;
+    readonly log: EventLog;
     readonly instance: Instance;
     readonly serviceOptions: () => OperatorServiceOptions;
     /** Told of a call or connection that was refused. */
@@ -61,7 +64,7 @@
 
     /** Begins to serve other instances and to talk to them; gives the port. */
     async start(): Promise<number> {
-        const { settings, instance, availabilityZone, clock, random, metrics } = this.options;
+        const { settings, instance, availabilityZone, clock, random, metrics, log } = this.options;
         const port = await this.server.listen();
         instance.fleet = joinFleet({
             settings: { ...settings, port },
@@ -78,6 +81,8 @@
             onConfiguration: (source, text) => void instance.offerConfiguration(source, text),
             onDirectory: () => instance.apply(),
             onSizeChange: () => instance.applyShares(),
+            onReaderLost: (reader, error) =>
+                log.write(events.readerLost, { reader, ageMs: instance.fleet?.freshness.knownAgeMs, error }),
             onRumor: rumor => instance.takeRumor(rumor),
         });
         instance.fleet.start();
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -87,6 +87,7 @@
         onDirectory: () => undefined,
         onSizeChange: () => undefined,
         onRumor: () => undefined,
+        onReaderLost: () => undefined,
         onUnreachable: () => undefined,
     });
     const beat = (): void => {
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -168,8 +168,7 @@
     /** What is known of the directory, with the changes that an instance lacks that knows it up to a revision. */
     private directoryFor(revision: number): Directory {
         const { directory, freshness } = this.options;
-        const { ageMs } = freshness;
-        const known = { revision: BigInt(directory.revision), ageMs: Number.isFinite(ageMs) ? ageMs : -1 };
+        const known = { revision: BigInt(directory.revision), ageMs: freshness.knownAgeMs ?? -1 };
         if (directory.revision <= revision) {
             return create(DirectorySchema, { ...known, complete: revision < Infinity });
         }
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -221,7 +221,7 @@
         }
         catch (thrown) {
             onUnreachable(peer, asError(thrown));
-            this.avoid(peer);
+            this.avoid(peer, asError(thrown));
             return false;
         }
     }
@@ -237,9 +237,10 @@
     }
 
     /** Passes over a member that did not answer; if it was the reader, another one is found at once. */
-    private avoid(peer: PeerAddress): void {
+    private avoid(peer: PeerAddress, error: Error): void {
         const member = this.members.others.find(({ address, port }) => address === peer.address && port === peer.port);
         if (member !== undefined && !this.ending.signal.aborted && this.readers.avoid(member)) {
+            this.options.onReaderLost(member.instance, error);
             this.links.refresh();
         }
     }
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -19,6 +19,11 @@
         return this.clock.nowMs() - this.confirmedAtMs;
     }
 
+    /** The same; `undefined` before the first confirmation. */
+    get knownAgeMs(): number | undefined {
+        return Number.isFinite(this.ageMs) ? this.ageMs : undefined;
+    }
+
     /**
      * Notes that nothing is missing as of some time ago; older news never undoes later news.
      *
