Join the other instances some seconds after the start

An instance that comes back after a loss of power loads and runs half a second of code before it serves, and waits up to 300 ms for others. Events 103 and 104.

--- a/packages/configuration/src/settings-schema.ts
+++ b/packages/configuration/src/settings-schema.ts
@@ -76,6 +76,13 @@
         port: portKey("Port on which other instances are served; 0 takes a free one."),
         trustsNetwork: trustsNetworkKey,
         seeds: endpointsKey({ description: "Instances that are asked first for the others.", defaultValue: "" }),
+        joinDelayMs: integerKey({
+            description: "Time for which an instance that starts serves alone before it talks to the others.",
+            unit: "ms",
+            minimum: 0,
+            maximum: 600_000,
+            defaultValue: 0,
+        }),
         fleet: nameKey({ description: "Name of the fleet; instances of another fleet are refused." }),
         hearTimeoutMs: integerKey({
             description:
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,7 +16,7 @@
 import type { OperatorServiceOptions } from "./operator-service.js";
 import { OperatorsSide } from "./operators-side.js";
 import { ownPlatform } from "./own-platform.js";
-import type { PeerSide } from "./peer-side.js";
+import { PeerJoiner } from "./peer-joiner.js";
 import { PlatformLink } from "./platform-link.js";
 import type { Platform, PlatformAdapter, PlatformOptions } from "./platform.js";
 import { SleepDetector } from "./sleep-detector.js";
@@ -40,7 +40,7 @@
     private readonly sleepDetector: SleepDetector;
     private readonly callers: CallersServer;
     private readonly operators: OperatorsSide;
-    private peers: PeerSide | undefined;
+    private readonly peers: PeerJoiner;
     private tracing: Tracing | undefined;
     private announceStopped: () => void = () => undefined;
     private stopped: Promise<void> | undefined;
@@ -63,13 +63,14 @@
         this.sleepDetector = new SleepDetector({ clock: this.clock, onWake: sleptMs => this.instance.wakeLate(sleptMs) });
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsSide();
+        this.peers = this.createPeerJoiner();
     }
 
     /** Begins to listen, to talk to other instances and to follow the platform. */
     async start(): Promise<DaemonPorts> {
         const ports = {
             operators: await this.operators.listen(),
-            peers: await this.joinPeers(),
+            peers: await this.peers.start(),
             callers: await this.callers.listen(),
             ready: await this.operators.listenForReadiness(),
         };
@@ -87,7 +88,7 @@
 
     /** Takes over changed settings: seeds of the fleet now, everything else at the next start. */
     reload(settings: Settings): void {
-        this.peers?.reload(settings.peers);
+        this.peers.reload(settings.peers);
         this.log.write(events.settingsReloaded, { seeds: settings.peers?.seeds });
     }
 
@@ -125,7 +126,7 @@
         this.platform.stop();
         await this.transport.close();
         await this.tracing?.close();
-        await Promise.all([this.operators.close(), this.peers?.close()]);
+        await Promise.all([this.operators.close(), this.peers.close()]);
         this.log.write(events.stopped);
         this.announceStopped();
     }
@@ -195,25 +196,18 @@
         });
     }
 
-    /** Joins the other instances, where the settings name a side for them; gives its port. */
-    private async joinPeers(): Promise<number> {
-        const { peers, instance } = this.settings;
-        if (peers === undefined) {
-            return 0;
-        }
-        const { PeerSide: Side } = await import("./peer-side.js");
-        this.peers = new Side({
-            settings: peers,
-            availabilityZone: instance.availabilityZone,
-            clock: this.clock,
-            random: this.random,
-            metrics: this.metrics,
-            log: this.log,
-            instance: this.instance,
+    private createPeerJoiner(): PeerJoiner {
+        const { settings, clock, random, metrics, log, instance } = this;
+        return new PeerJoiner({
+            settings,
+            clock,
+            random,
+            metrics,
+            log,
+            instance,
             serviceOptions: () => this.serviceOptions(),
             onRefused: reason => this.onRefused(reason),
         });
-        return await this.peers.start();
     }
 
     private async openTracing(): Promise<void> {
@@ -227,7 +221,7 @@
         return {
             instance: this.instance,
             clock: this.clock,
-            clients: this.peers?.clients,
+            clients: this.peers.clients,
             availabilityZone: this.settings.instance.availabilityZone,
             requestsInFlight: () => this.callers.inFlight,
             platformAgeMs: () => this.platform.ageMs,
--- a/packages/daemon/src/event.ts
+++ b/packages/daemon/src/event.ts
@@ -29,6 +29,8 @@
     configurationOlder: { number: 202, level: "warn", message: "older configuration was offered and left aside" },
     configurationConflict: { number: 203, level: "error", message: "two configurations share one generation" },
     platformFailed: { number: 210, level: "warn", message: "platform did not answer" },
+    joining: { number: 103, level: "info", message: "other instances are talked to" },
+    joinFailed: { number: 104, level: "error", message: "other instances cannot be talked to, this one works alone" },
     readerLost: { number: 212, level: "warn", message: "reader of the availability zone did not answer, another one is asked" },
     platformRecovered: { number: 211, level: "info", message: "platform answers again" },
     listingInvalid: { number: 220, level: "error", message: "listed upstream was rejected; its last good listing stays" },
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -103,7 +103,7 @@
      */
     async hearOthers(): Promise<void> {
         const hearTimeoutMs = this.parts.settings.peers?.hearTimeoutMs ?? 0;
-        if (await this.fleet?.hearOthers(hearTimeoutMs) === false) {
+        if (hearTimeoutMs > 0 && await this.fleet?.hearOthers(hearTimeoutMs) === false) {
             this.parts.log.write(events.heardNobody, { hearTimeoutMs });
         }
         this.hasHeardOthers = true;
