--- a/packages/fleet/src/rendezvous.ts
+++ b/packages/fleet/src/rendezvous.ts
@@ -20,4 +20,21 @@
         .sort((a, b) => Buffer.compare(a.weight, b.weight))
         .map(({ node }) => node);
 
-const weightOf = (key: string, id: string): Buffer => createHash("sha1").update(`${id}\n${key}`).digest();
+/** Weights that are remembered: instances look for their readers several times a second, and hashing hundreds of names is dear. */
+const rememberedWeights = 8192;
+
+const weights = new Map<string, Buffer>();
+
+const weightOf = (key: string, id: string): Buffer => {
+    const name = `${id}\n${key}`;
+    const known = weights.get(name);
+    if (known !== undefined) {
+        return known;
+    }
+    if (weights.size >= rememberedWeights) {
+        weights.clear();
+    }
+    const weight = createHash("sha1").update(name).digest();
+    weights.set(name, weight);
+    return weight;
+};
