--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -233,7 +233,7 @@
     }
 
     private chooseLinks(members: readonly Member[]): readonly Link[] {
-        return chooseLinks({ self: this.members.self, members, readers: this.readers.readers, times: this.times });
+        return chooseLinks({ self: this.members.self, members, readers: this.readers.all, times: this.times });
     }
 
     /** Passes over a member that did not answer; if it was the reader, another one is found at once. */
--- a/packages/fleet/src/reader-choice.ts
+++ b/packages/fleet/src/reader-choice.ts
@@ -26,7 +26,7 @@
     constructor(private readonly options: ReaderChoiceOptions) {}
 
     /** The readers of this instance's availability zone. */
-    get readers(): readonly Member[] {
+    get all(): readonly Member[] {
         const { clock, members } = this.options;
         const { self, alive } = members;
         const nowMs = clock.nowMs();
@@ -39,7 +39,7 @@
     /** Whether this instance is one of them. */
     get isSelf(): boolean {
         const { self } = this.options.members;
-        return this.readers.some(member => member.instance === self.instance);
+        return this.all.some(member => member.instance === self.instance);
     }
 
     /** Whether others of the availability zone may rely on what this instance reads. */
@@ -54,7 +54,7 @@
      * @returns Whether it was one of the readers, so that another one has to be found.
      */
     avoid(member: Member): boolean {
-        const wasReader = this.readers.some(({ instance }) => instance === member.instance);
+        const wasReader = this.all.some(({ instance }) => instance === member.instance);
         this.avoided.set(member.instance, this.options.clock.nowMs() + this.options.avoidMs);
         return wasReader;
     }
