Keep settings that change before the others are joined

Cause, found by reading: a SIGHUP within joinDelayMs of the start was lost for the seeds, since the side between instances did not exist yet.

--- a/packages/daemon/src/peer-joiner.ts
+++ b/packages/daemon/src/peer-joiner.ts
@@ -18,10 +18,13 @@
 /** Opens the side between instances where the settings name one: at the start, or some time after it. */
 export class PeerJoiner {
     private side: PeerSide | undefined;
+    private settings: Settings["peers"];
     private readonly ending = new AbortController();
 
     /** @param options - Settings and the instance. */
-    constructor(private readonly options: PeerJoinerOptions) {}
+    constructor(private readonly options: PeerJoinerOptions) {
+        this.settings = options.settings.peers;
+    }
 
     /** Clients of the other instances; `undefined` while this one works alone. */
     get clients(): PeerClients | undefined {
@@ -30,19 +33,17 @@
 
     /** Joins the others now, or later where the settings say so; gives the port, 0 while there is none. */
     async start(): Promise<number> {
-        const { peers } = this.options.settings;
-        if (peers === undefined) {
-            return 0;
-        }
-        if (peers.joinDelayMs === 0) {
-            return this.join(peers);
+        const joinDelayMs = this.settings?.joinDelayMs ?? 0;
+        if (joinDelayMs === 0) {
+            return this.join();
         }
-        void this.joinLate(peers);
+        void this.joinLate(joinDelayMs);
         return 0;
     }
 
-    /** Takes over changed settings. */
+    /** Takes over changed settings, also before the others are joined. */
     reload(settings: Settings["peers"]): void {
+        this.settings = settings;
         this.side?.reload(settings);
     }
 
@@ -52,21 +53,25 @@
         await this.side?.close();
     }
 
-    private async joinLate(settings: NonNullable<Settings["peers"]>): Promise<void> {
+    private async joinLate(joinDelayMs: number): Promise<void> {
         const { clock, log } = this.options;
-        await sleep(clock, settings.joinDelayMs, this.ending.signal);
+        await sleep(clock, joinDelayMs, this.ending.signal);
         if (this.ending.signal.aborted) {
             return;
         }
         try {
-            log.write(events.joining, { port: await this.join(settings) });
+            log.write(events.joining, { port: await this.join() });
         }
         catch (thrown) {
             log.write(events.joinFailed, { error: asError(thrown) });
         }
     }
 
-    private async join(settings: NonNullable<Settings["peers"]>): Promise<number> {
+    private async join(): Promise<number> {
+        const { settings } = this;
+        if (settings === undefined) {
+            return 0;
+        }
         // Loaded only here: an instance that works alone, or has just started, does not pay for it.
         const { PeerSide: Side } = await import("./peer-side.js");
         this.side = new Side({ ...this.options, settings, availabilityZone: this.options.settings.instance.availabilityZone });
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -49,7 +49,8 @@
     readonly times: FleetTimes;
     private readonly ending = new AbortController();
     private readonly links: PeerLinks;
-    private readonly seeds: Seeds;
+    /** Instances that are asked first for the others. */
+    readonly seeds: Seeds;
     private beats = 0;
     private knownSize = 1;
     private questions = 0;
