--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock, ServiceName } from "@harrierhitch/core";
-import { bestTime, type RetryBudget, type ServiceBeliefs, UsualTimes } from "@harrierhitch/decision";
+import { bestTime, mayBeChosen, type RetryBudget, type ServiceBeliefs, UsualTimes } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
 
@@ -48,12 +48,9 @@
             name: this.name,
             inFlight: upstreams.reduce((sum, upstream) => sum + upstream.inFlight, 0),
             queued: this.queue.length,
-            candidates: upstreams.filter(isCandidate).length,
+            candidates: upstreams.filter(mayBeChosen).length,
             bestTime: bestTime(upstreams, tried),
             upstreams: upstreams.length,
         };
     }
 }
-
-const isCandidate = (upstream: UpstreamFacts): boolean =>
-    upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -20,7 +20,7 @@
 } from "./decision.js";
 export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
-export { bestTime, isGoodNow, probeTargets } from "./probe-targets.js";
+export { bestTime, isGoodNow, mayBeChosen, probeTargets } from "./probe-targets.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { type Flight, type KnownUpstream, ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
 export { UsualTimes } from "./usual-time.js";
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -53,5 +53,6 @@
     return candidates.length === 0 ? -1 : Math.min(...candidates.map(workTime));
 };
 
-const mayBeChosen = (upstream: UpstreamFacts): boolean =>
+/** Whether an upstream takes requests now, and has room for one more of this instance. */
+export const mayBeChosen = (upstream: UpstreamFacts): boolean =>
     upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
