Fade a report by what its service shows, instead of within 150 ms

Change: the load fades in the mean time that requests stay at the service, towards the mean load reported; slowness as fast as pairs of reports show it to change; the slowdown by the share of slots in use is learned from answers (rising by construction). Policies see expectedInFlight, expectedSlowness and crowding. Ruled out: that the start of work does not decide its pace.

--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -6,7 +6,8 @@
 
 import type { Upstream } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
-import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
+import { type AttemptResult, type Flight, outcomeOf, workTime } from "@harrierhitch/decision";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AttemptRecord } from "./decision-record.js";
 import type { AnswerReading } from "./dialect.js";
@@ -28,8 +29,8 @@
     readonly progress: RequestProgress;
     readonly body: RequestBody;
     readonly upstream: Upstream;
-    /** Time until its answer that the choice expected, in times of usual work. */
-    readonly expectedTime: number;
+    /** What the choice knew of it. */
+    readonly chosenBy: UpstreamFacts | undefined;
     /** Asked before an answer is passed on as it arrives: whether it is this attempt's turn to answer the caller. */
     readonly mayStream: (reading: AnswerReading) => boolean;
 }
@@ -163,12 +164,25 @@
         services.onAttempt(progress, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         if (isWhole && outcome === "ran") {
-            runtime.usualTimes.observe(progress.route.kind.name, atMs - this.startedAtMs, this.options.expectedTime);
+            this.learnWork(atMs - this.startedAtMs);
         }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
 
+    /** Learns how long work usually takes, and how much longer as slots fill. */
+    private learnWork(latencyMs: number): void {
+        const { chosenBy, progress, runtime } = this.options;
+        const kind = progress.route.kind.name;
+        if (chosenBy === undefined) {
+            return;
+        }
+        const fill = (chosenBy.expectedInFlight + 1) / Math.max(1, chosenBy.slots);
+        const { reportAgeMs, expectedSlowness: slowness } = chosenBy;
+        runtime.beliefs.observeWork({ latencyMs, usualMs: runtime.usualTimes.of(kind), fill, slowness, reportAgeMs });
+        runtime.usualTimes.observe(kind, latencyMs, workTime(chosenBy));
+    }
+
     private outcomeOf(result: AttemptResult): Outcome {
         if (this.reading === undefined) {
             return outcomeOf(result);
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -6,15 +6,7 @@
 
 import type { Upstream } from "@harrierhitch/configuration";
 import { type UpstreamId, upstreamId } from "@harrierhitch/core";
-import {
-    decide,
-    type Decision,
-    type DecisionInput,
-    drawNumbers,
-    isGoodNow,
-    probeTargets,
-    workTime,
-} from "@harrierhitch/decision";
+import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { events } from "./event.js";
 import type { RequestProgress } from "./request-progress.js";
@@ -111,13 +103,8 @@
         return !isFirst && progress.remainingMs < (this.factsOf(upstream)?.latencyMs ?? 0);
     }
 
-    /** Time until the answer of an upstream that the last decision expected, in times of usual work. */
-    expectedTimeOf(upstream: UpstreamId): number {
-        const facts = this.factsOf(upstream);
-        return facts === undefined ? 1 : workTime(facts);
-    }
-
-    private factsOf(upstream: UpstreamId): UpstreamFacts | undefined {
+    /** What the last decision knew of an upstream. */
+    factsOf(upstream: UpstreamId): UpstreamFacts | undefined {
         return this.progress.record.steps.at(-1)?.input.upstreams.find(candidate => candidate.id === upstream);
     }
 }
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -129,8 +129,8 @@
             throw new RangeError(`the service has no upstream ${id}`);
         }
         const mayStream = (reading: AnswerReading): boolean => this.mayStream(reading, task, body);
-        const expectedTime = this.choice.expectedTimeOf(id);
-        const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, expectedTime, mayStream });
+        const chosenBy = this.choice.factsOf(id);
+        const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, chosenBy, mayStream });
         this.tried.push(id);
         this.running.add(task);
         void task.ended.then(report => this.mailbox.post({ type: "ended", report }));
--- /dev/null
+++ b/packages/decision/src/expectation.ts
@@ -0,0 +1,49 @@
+/**
+ * What is expected of an upstream now, from its last report and from what is usual in its service.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import { expectedCrowding, keptShare, loadKeptMs, type ServiceTempo, slownessKeptMs } from "./service-tempo.js";
+
+/** What the expectation rests on. */
+export type KnownLoad = Pick<
+    UpstreamFacts,
+    "inFlight" | "reportedInFlight" | "reportAgeMs" | "sentSinceReport" | "slowness" | "slots"
+>;
+
+/** What is expected. */
+export type Expectation = Pick<UpstreamFacts, "expectedInFlight" | "expectedSlowness" | "crowding">;
+
+/**
+ * Works out what is expected of an upstream now.
+ *
+ * A report fades towards what is usual in the service: its slowness as fast as slownesses were seen to change, its
+ * requests in flight as fast as requests end there. A service that was full a moment ago is so taken for full until
+ * something newer is known; fading towards an idle one instead, it was filled far beyond its slots by requests that
+ * had only waited until it was forgotten.
+ *
+ * @param known - The last report, and this instance's own requests there.
+ * @param tempo - What is usual in the service.
+ */
+export const expect = (known: KnownLoad, tempo: ServiceTempo): Expectation => {
+    const expectedInFlight = Math.max(known.inFlight, expectedLoad(known, tempo));
+    return {
+        expectedInFlight,
+        expectedSlowness: expectedSlowness(known, tempo),
+        crowding: expectedCrowding(tempo, expectedInFlight, known.slots),
+    };
+};
+
+const expectedLoad = ({ reportAgeMs, reportedInFlight, sentSinceReport, slots }: KnownLoad, tempo: ServiceTempo): number => {
+    const usual = tempo.meanLoad * slots;
+    return reportAgeMs < 0
+        ? usual
+        : usual + (reportedInFlight + sentSinceReport - usual) * keptShare(reportAgeMs, loadKeptMs(tempo));
+};
+
+const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, tempo: ServiceTempo): number =>
+    reportAgeMs < 0
+        ? tempo.meanSlowness
+        : tempo.meanSlowness + (slowness - tempo.meanSlowness) * keptShare(reportAgeMs, slownessKeptMs(tempo));
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -8,7 +8,16 @@
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
+import { expect } from "./expectation.js";
 import type { Observation } from "./observation.js";
+import {
+    afterAnswer,
+    afterReport,
+    initialTempo,
+    type LoadReading,
+    type ServiceTempo,
+    type WorkReading,
+} from "./service-tempo.js";
 
 /** One request in flight to an upstream. */
 export interface Flight {
@@ -45,6 +54,7 @@
     private readonly options: Required<Omit<ServiceBeliefsOptions, "belief">>;
     private belief: BeliefOptions;
     private tracked = new Map<UpstreamId, Tracked>();
+    private tempo: ServiceTempo = initialTempo;
 
     /** @param options - Clock, place and limits. */
     constructor(options: ServiceBeliefsOptions) {
@@ -106,16 +116,26 @@
         if (tracked !== undefined) {
             // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
             const belief = atTime(tracked.belief, this.options.clock.nowMs());
-            this.replace(tracked, update(belief, observation, this.belief, () => this.mayEject()));
+            const next = update(belief, observation, this.belief, () => this.mayEject());
+            const report = readingOf(tracked.upstream, next);
+            if (report !== undefined && report.atMs !== belief.reportedAtMs) {
+                this.tempo = afterReport(this.tempo, report, readingOf(tracked.upstream, belief));
+            }
+            this.replace(tracked, next);
         }
     }
 
+    /** Takes in how long the work of an answered request took, against what was expected when it was sent. */
+    observeWork(work: WorkReading): void {
+        this.tempo = afterAnswer(this.tempo, work);
+    }
+
     /** The facts of all upstreams, in the order of the configuration. */
     facts(): readonly UpstreamFacts[] {
         const nowMs = this.options.clock.nowMs();
         return [...this.tracked.values()].map(tracked => {
             this.replace(tracked, atTime(tracked.belief, nowMs));
-            return toFacts(tracked, nowMs, this.options.availabilityZone);
+            return toFacts(tracked, this.tempo, nowMs, this.options.availabilityZone);
         });
     }
 
@@ -158,23 +178,37 @@
     }
 }
 
-const toFacts = ({ upstream, belief, flights }: Tracked, nowMs: number, zone: string): UpstreamFacts => {
+const readingOf = ({ slots }: KnownUpstream, belief: Belief): LoadReading | undefined =>
+    belief.reportedAtMs === undefined
+        ? undefined
+        : {
+            atMs: belief.reportedAtMs,
+            inFlight: belief.reportedInFlight,
+            slowness: belief.slowness,
+            slots: belief.reportedSlots ?? slots,
+        };
+
+const toFacts = ({ upstream, belief, flights }: Tracked, tempo: ServiceTempo, nowMs: number, zone: string): UpstreamFacts => {
     const [oldest] = flights;
+    const known = {
+        inFlight: flights.size,
+        reportedInFlight: belief.reportedAtMs === undefined ? -1 : belief.reportedInFlight,
+        reportAgeMs: belief.reportedAtMs === undefined ? -1 : nowMs - belief.reportedAtMs,
+        sentSinceReport: belief.reportedAtMs === undefined ? -1 : belief.sentSinceReport,
+        slowness: belief.slowness,
+        slots: belief.reportedSlots ?? upstream.slots,
+    };
     return {
         id: upstream.id,
         availabilityZone: upstream.availabilityZone,
         sameZone: upstream.availabilityZone === zone,
         state: belief.state,
-        inFlight: flights.size,
         limit: Math.floor(belief.limit),
         oldestInFlightMs: oldest === undefined ? 0 : nowMs - oldest.startedAtMs,
         latencyMs: belief.latencyMs,
         latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
-        reportedInFlight: belief.reportedAtMs === undefined ? -1 : belief.reportedInFlight,
-        reportAgeMs: belief.reportedAtMs === undefined ? -1 : nowMs - belief.reportedAtMs,
-        sentSinceReport: belief.reportedAtMs === undefined ? -1 : belief.sentSinceReport,
-        slowness: belief.slowness,
         failureRate: belief.failureRate,
-        slots: belief.reportedSlots ?? upstream.slots,
+        ...known,
+        ...expect(known, tempo),
     };
 };
--- /dev/null
+++ b/packages/decision/src/service-tempo.ts
@@ -0,0 +1,142 @@
+/**
+ * What reports and answers of one service teach of how its upstreams behave.
+ *
+ * @packageDocumentation
+ */
+
+import { crowdingAt, type CrowdingCurve, initialCrowding, noteCrowding } from "./crowding.js";
+
+/** How fast things change at the upstreams of a service; an immutable value, changed by {@link afterReport} and {@link afterAnswer}. */
+export interface ServiceTempo {
+    /** Mean of the reported slowness: what is expected where nothing fresh is known. */
+    readonly meanSlowness: number;
+    /** Mean of the requests in flight for each slot, as reported. */
+    readonly meanLoad: number;
+    /** Mean time from sending a request to its answer; `undefined` before the first answer. */
+    readonly residenceMs: number | undefined;
+    /** How often the slowness was seen to change, as sums of squares that fade. */
+    readonly change: SlownessChange;
+    /** How much longer work takes as slots fill. */
+    readonly crowding: CrowdingCurve;
+}
+
+/** Sums over pairs of reports that follow one another at the same upstream. */
+export interface SlownessChange {
+    /** Squared distance from the mean, times the milliseconds between the two. */
+    readonly spread: number;
+    /** Half of the squared difference of the two: equals the variance once the second no longer depends on the first. */
+    readonly difference: number;
+}
+
+/** One report of an upstream, as far as the tempo depends on it. */
+export interface LoadReading {
+    readonly atMs: number;
+    readonly inFlight: number;
+    readonly slowness: number;
+    readonly slots: number;
+}
+
+/** One answer that arrived, with what was expected when its request was sent. */
+export interface WorkReading {
+    readonly latencyMs: number;
+    /** How long work of this kind usually takes; `undefined` while that is not known. */
+    readonly usualMs: number | undefined;
+    /** Share of the slots in use with this request, as expected when it was sent. */
+    readonly fill: number;
+    /** Slowness expected when it was sent. */
+    readonly slowness: number;
+    /** Age of the report that the two come from; -1 without one. */
+    readonly reportAgeMs: number;
+}
+
+/** Share of a new reading in the mean load and residence: the last twenty or so count, so that a rush shows within a second. */
+const readingShare = 0.05;
+
+/** Share of a new reading in the mean slowness: a hundred count, so that it does not follow single upstreams. */
+const slownessShare = 0.01;
+
+/** Slowness that is expected before any report. */
+const priorSlowness = 1.8;
+
+/** Time for which a slowness is taken to last before it was seen to change, in milliseconds. */
+const priorSlownessKeptMs = 150;
+
+/** Weight of that prior, as a squared distance from the mean: a few changes outweigh it. */
+const priorSpread = 4;
+
+/** Share of the sums that each pair of reports leaves. */
+const pairKept = 0.998;
+
+/** Bounds of the learned time, in milliseconds: below, reports would be worth nothing when they arrive; above, none ever fades. */
+const shortestKeptMs = 20;
+const longestKeptMs = 10_000;
+
+/** Time for which requests are taken to stay before any was answered, in milliseconds: a full upstream is not forgotten before. */
+const priorResidenceMs = 1000;
+
+/** Age of a report up to which the answer to a request shows what the report said, in milliseconds. */
+const freshMs = 20;
+
+/** Most requests for each slot that count in the mean: an upstream that sheds may report anything. */
+const maximumLoad = 4;
+
+/** The tempo of a service of which nothing is known. */
+export const initialTempo: ServiceTempo = {
+    meanSlowness: priorSlowness,
+    meanLoad: 0,
+    residenceMs: undefined,
+    change: { spread: priorSpread * priorSlownessKeptMs, difference: priorSpread },
+    crowding: initialCrowding,
+};
+
+/** Time for which a reported slowness stays true, on average. */
+export const slownessKeptMs = ({ change }: ServiceTempo): number =>
+    Math.min(longestKeptMs, Math.max(shortestKeptMs, change.spread / change.difference));
+
+/** Time for which a request stays at an upstream, on average. */
+export const loadKeptMs = ({ residenceMs }: ServiceTempo): number => residenceMs ?? priorResidenceMs;
+
+/**
+ * Makes the tempo that follows from a report.
+ *
+ * @param tempo - The tempo so far.
+ * @param report - The report.
+ * @param before - The report before it of the same upstream; `undefined` without one.
+ */
+export const afterReport = (tempo: ServiceTempo, report: LoadReading, before: LoadReading | undefined): ServiceTempo => ({
+    ...tempo,
+    meanSlowness: tempo.meanSlowness + slownessShare * (report.slowness - tempo.meanSlowness),
+    meanLoad: mean(tempo.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
+    change: before === undefined ? tempo.change : afterPair(tempo, before, report),
+});
+
+/** Makes the tempo that follows from an answer. */
+export const afterAnswer = (tempo: ServiceTempo, answer: WorkReading): ServiceTempo => ({
+    ...tempo,
+    residenceMs: tempo.residenceMs === undefined ? answer.latencyMs : mean(tempo.residenceMs, answer.latencyMs),
+    crowding: answer.usualMs === undefined || answer.reportAgeMs < 0 || answer.reportAgeMs > freshMs || answer.slowness <= 0
+        ? tempo.crowding
+        : noteCrowding(tempo.crowding, answer.fill, answer.latencyMs / (answer.usualMs * answer.slowness)),
+});
+
+/** How much longer one more request is expected to take at an upstream because of those that are there. */
+export const expectedCrowding = (tempo: ServiceTempo, inFlight: number, slots: number): number =>
+    crowdingAt(tempo.crowding, (inFlight + 1) / Math.max(1, slots));
+
+/** Share of what was reported that still holds after some time, against what is usual. */
+export const keptShare = (ageMs: number, keptMs: number): number => Math.exp(-ageMs / keptMs);
+
+const mean = (before: number, reading: number): number => before + readingShare * (reading - before);
+
+const afterPair = (tempo: ServiceTempo, before: LoadReading, after: LoadReading): SlownessChange => {
+    const gapMs = after.atMs - before.atMs;
+    // Reports further apart than the slowness lasts tell only that it has changed, not when.
+    if (gapMs <= 0 || gapMs > slownessKeptMs(tempo)) {
+        return tempo.change;
+    }
+    const { spread, difference } = tempo.change;
+    return {
+        spread: spread * pairKept + (before.slowness - tempo.meanSlowness) ** 2 * gapMs,
+        difference: difference * pairKept + (after.slowness - before.slowness) ** 2 / 2,
+    };
+};
--- a/packages/decision/test/expected-time.test.ts
+++ b/packages/decision/test/expected-time.test.ts
@@ -1,11 +1,16 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { expect } from "../src/expectation.js";
 import { bestTime, choosers, isGoodNow, probeTargets } from "../src/index.js";
+import { initialTempo } from "../src/service-tempo.js";
 import { upstream as idle } from "./upstream.js";
 
-/** An upstream of which a fresh report is known. */
-const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => idle(id, { reportAgeMs: 1, ...change });
+/** An upstream of which a fresh report is known, with what is expected of it in a service of which nothing else is known. */
+const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => {
+    const facts = idle(id, { reportAgeMs: 1, ...change });
+    return { ...facts, ...expect(facts, initialTempo) };
+};
 
 const choose = (candidates: readonly UpstreamFacts[]): string => {
     const choice = choosers["expected-time"].choose({ candidates, rank: undefined, draws: [0, 0, 0, 0], turn: 1 });
--- /dev/null
+++ b/packages/decision/test/service-tempo.test.ts
@@ -0,0 +1,105 @@
+import { SeededRandom } from "@harrierhitch/core";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { expect, type KnownLoad } from "../src/expectation.js";
+import {
+    afterAnswer,
+    afterReport,
+    expectedCrowding,
+    initialTempo,
+    type LoadReading,
+    type ServiceTempo,
+    slownessKeptMs,
+} from "../src/service-tempo.js";
+
+const slots = 6;
+
+const report = (change: Partial<LoadReading>): LoadReading => ({ atMs: 0, inFlight: 1, slowness: 1, slots, ...change });
+
+const known = (change: Partial<KnownLoad>): KnownLoad => ({
+    inFlight: 0,
+    reportedInFlight: 0,
+    reportAgeMs: 1,
+    sentSinceReport: 0,
+    slowness: 1,
+    slots,
+    ...change,
+});
+
+const answers = (
+    count: number,
+    answer: { readonly latencyMs: number; readonly fill: number; },
+    from: ServiceTempo = initialTempo,
+) => Array.from({ length: count }).reduce<ServiceTempo>(
+    tempo => afterAnswer(tempo, { usualMs: 500, slowness: 1, reportAgeMs: 2, ...answer }),
+    from,
+);
+
+describe("the load of an upstream", () => {
+    test("an upstream that was full a moment ago is full while its work takes longer than that", () => {
+        const tempo = answers(20, { latencyMs: 600, fill: 0.5 });
+        assert.ok(expect(known({ reportedInFlight: 9, reportAgeMs: 130 }), tempo).expectedInFlight > slots);
+    });
+
+    test("it is forgotten as soon as its work is short", () => {
+        const tempo = answers(20, { latencyMs: 10, fill: 0.5 });
+        assert.ok(expect(known({ reportedInFlight: 9, reportAgeMs: 130 }), tempo).expectedInFlight < 1);
+    });
+
+    test("one of which nothing is known is as busy as the others of its service", () => {
+        const reports = Array.from({ length: 200 }, (_, index) => report({ atMs: index, inFlight: 9 }));
+        const tempo = reports.reduce<ServiceTempo>((before, reading) => afterReport(before, reading, undefined), initialTempo);
+        assert.ok(expect(known({ reportedInFlight: -1, reportAgeMs: -1 }), tempo).expectedInFlight > 8.9);
+    });
+
+    test("what this instance itself has in flight counts, however old the report", () => {
+        assert.equal(expect(known({ inFlight: 5, reportAgeMs: 60_000 }), initialTempo).expectedInFlight, 5);
+    });
+});
+
+describe("how long a slowness lasts", () => {
+    /** Reports every 20 ms of ten upstreams, whose slowness is drawn anew at fixed times. */
+    const keptMs = (drawnEveryMs: number): number => {
+        const random = new SeededRandom(7);
+        const last: (LoadReading | undefined)[] = Array.from({ length: 10 }, () => undefined);
+        let tempo = initialTempo;
+        for (let atMs = 0; atMs < 20_000; atMs += 20) {
+            last.forEach((before, upstream) => {
+                const isDrawn = before === undefined || (atMs + 20 * upstream) % drawnEveryMs === 0;
+                const reading = report({ atMs, slowness: isDrawn ? random.next() < 0.3 ? 5 : 1 : before.slowness });
+                tempo = afterReport(tempo, reading, before);
+                last[upstream] = reading;
+            });
+        }
+        return slownessKeptMs(tempo);
+    };
+
+    test("is learned where it changes often, and where it changes rarely", () => {
+        assert.ok(keptMs(60) > 30 && keptMs(60) < 90, `${keptMs(60)}`);
+        assert.ok(keptMs(1000) > 500 && keptMs(1000) < 2000, `${keptMs(1000)}`);
+    });
+});
+
+describe("crowding", () => {
+    test("upstreams that do not slow down when they are full are learned to be so", () => {
+        const tempo = answers(60, { latencyMs: 500, fill: 1 }, answers(20, { latencyMs: 500, fill: 0.5 }));
+        assert.ok(expectedCrowding(initialTempo, 5, slots) > 1.6);
+        assert.ok(expectedCrowding(tempo, 5, slots) < 1.15);
+    });
+
+    test("those that slow down from half of their slots on too", () => {
+        const tempo = answers(60, { latencyMs: 1000, fill: 0.7 }, answers(60, { latencyMs: 500, fill: 0.25 }));
+        assert.ok(expectedCrowding(tempo, 3, slots) > 1.8);
+        assert.ok(expectedCrowding(tempo, 0, slots) < 1.05);
+    });
+
+    test("one fuller step is never better than an emptier one, by the scatter of few answers", () => {
+        const tempo = answers(60, { latencyMs: 400, fill: 1 }, answers(60, { latencyMs: 900, fill: 0.5 }));
+        assert.ok(expectedCrowding(tempo, 5, slots) >= expectedCrowding(tempo, 2, slots));
+    });
+
+    test("an answer to a choice by an old report teaches nothing", () => {
+        const tempo = afterAnswer(initialTempo, { latencyMs: 5000, usualMs: 500, slowness: 1, fill: 0.5, reportAgeMs: 400 });
+        assert.deepEqual(tempo.crowding, initialTempo.crowding);
+    });
+});
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -54,6 +54,9 @@
     reportAgeMs: "double",
     sentSinceReport: "double",
     slowness: "double",
+    expectedInFlight: "double",
+    expectedSlowness: "double",
+    crowding: "double",
     failureRate: "double",
     slots: "double",
 };
--- a/packages/policy/src/upstream-facts.ts
+++ b/packages/policy/src/upstream-facts.ts
@@ -43,6 +43,12 @@
     readonly sentSinceReport: number;
     /** Factor by which work takes longer there than usual, by that report; 1 is as usual, and without a report. */
     readonly slowness: number;
+    /** Requests expected in flight there now, of all instances: the report as far as it still holds, and what was sent since. */
+    readonly expectedInFlight: number;
+    /** Slowness expected now: the reported one as far as it still holds. */
+    readonly expectedSlowness: number;
+    /** How much longer one more request is expected to take because of those in flight there, as answers showed; 1 is as usual. */
+    readonly crowding: number;
     /** Decayed share of failed attempts, from 0 to 1. */
     readonly failureRate: number;
     /** Requests that the upstream serves at the same time, by its report or else as configured. */
