--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -16,7 +16,7 @@
     textKey,
 } from "@harrierhitch/configuration";
 import { SeededRandom } from "@harrierhitch/core";
-import { bestTime, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
+import { bestTime, type DecisionInput, drawNumbers, roomAtBest } from "@harrierhitch/decision";
 import * as z from "zod";
 
 const text = (description: string, defaultValue: string) => textKey({ description, defaultValue });
@@ -40,6 +40,11 @@
         ageMs: number("Time since the request arrived.", 0, "ms"),
         usualMs: number("Time that work for this kind usually takes; 0 when unknown.", 0, "ms"),
         targetMs: number("Time within which an answer is worth most; 0 for none.", 0, "ms"),
+        targetLeftMs: number("Time left of it since the caller's first try.", 0, "ms"),
+        slackMs: number("Time for which it can wait and still be answered in time.", 0, "ms"),
+        holdLeftMs: number("Time for which it may still be held back.", 0, "ms"),
+        ahead: number("Held requests that go before it.", 0),
+        waitMs: number("Time for which it would wait at least for room.", 0, "ms"),
     }),
     service: optionalSection({
         name: text("Name of the service.", "service"),
@@ -66,6 +71,7 @@
             slowness: number("Factor by which work takes longer than usual, as reported.", 1),
             expectedInFlight: number("Requests expected in flight now, of all instances.", 0),
             expectedSlowness: number("Slowness expected now.", 1),
+            bestInFlight: number("Requests in flight at which it answers most in a given time.", 3),
             crowding: number("How much longer one more request takes because of those in flight.", 1),
             failureRate: number("Decayed share of failures.", 0),
             slots: number("Slots of the upstream.", 3),
@@ -96,6 +102,8 @@
             ...service,
             candidates: upstreams.filter(isCandidate).length,
             bestTime: bestTime(upstreams, []),
+            room: roomAtBest(upstreams, []),
+            askable: upstreams.length,
             upstreams: upstreams.length,
         },
         upstreams,
--- a/packages/daemon/src/arrival.ts
+++ b/packages/daemon/src/arrival.ts
@@ -10,6 +10,8 @@
 export interface Arrival {
     /** Milliseconds for which the caller will wait, at most the kind's. */
     readonly timeoutMs: number;
+    /** Milliseconds for which the caller itself will wait; `undefined` when it does not say. */
+    readonly patienceMs: number | undefined;
     /** Name of the caller's hall; empty when it names none. */
     readonly hall: string;
     /** Number of harrierhitch hops before this one. */
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/attempt-task.ts
@@ -6,13 +6,13 @@
 
 import type { Upstream } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
-import { type AttemptResult, type Flight, outcomeOf, workTime } from "@harrierhitch/decision";
+import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
 import type { AttemptRecord } from "./decision-record.js";
 import type { AnswerReading } from "./dialect.js";
 import { requestHeaders } from "./headers.js";
-import { learnFromAnswer } from "./learn.js";
+import { learnFromAnswer, learnFromOvertaken, learnFromWork, type Work } from "./learn.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
@@ -163,24 +163,19 @@
         this.record.outcome = outcome;
         services.onAttempt(progress, this.record);
         const isWhole = result.end === "answered" && !isForeign;
+        if (result.end === "cancelled") {
+            learnFromOvertaken(this.work(atMs));
+        }
         if (isWhole && outcome === "ran") {
-            this.learnWork(atMs - this.startedAtMs);
+            learnFromWork(this.work(atMs));
         }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
 
-    /** Learns how long work usually takes, and how much longer as slots fill. */
-    private learnWork(latencyMs: number): void {
+    private work(atMs: number): Work {
         const { chosenBy, progress, runtime } = this.options;
-        const kind = progress.route.kind.name;
-        if (chosenBy === undefined) {
-            return;
-        }
-        const fill = (chosenBy.expectedInFlight + 1) / Math.max(1, chosenBy.slots);
-        const { reportAgeMs, expectedSlowness: slowness } = chosenBy;
-        runtime.beliefs.observeWork({ latencyMs, usualMs: runtime.usualTimes.of(kind), fill, slowness, reportAgeMs });
-        runtime.usualTimes.observe(kind, latencyMs, workTime(chosenBy));
+        return { runtime, kind: progress.route.kind.name, chosenBy, atMs, latencyMs: atMs - this.startedAtMs };
     }
 
     private outcomeOf(result: AttemptResult): Outcome {
--- a/packages/daemon/src/header-dialect.ts
+++ b/packages/daemon/src/header-dialect.ts
@@ -20,6 +20,7 @@
         const asked = numberHeader(request, fleet.timeoutHeader);
         return {
             timeoutMs: asked === undefined ? kind.timeoutMs : Math.min(asked, kind.timeoutMs),
+            patienceMs: asked,
             hall: textHeader(request, fleet.hallHeader) ?? "",
             depth: numberHeader(request, fleet.depthHeader) ?? 0,
             path: pathOf(request.url ?? "/"),
--- a/packages/daemon/src/hold-queue.ts
+++ b/packages/daemon/src/hold-queue.ts
@@ -5,24 +5,31 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
+import { AdmissionPace } from "./admission-pace.js";
 
 /** What became of waiting. */
-export type HoldResult = "decide-again" | "expired" | "displaced" | "gone";
+export type HoldResult = "decide-again" | "displaced" | "gone";
 
-/** One request that waits. */
-export interface Waiting {
+/** Where a request stands among those that wait. */
+export interface QueuePlace {
     /** Hall of the caller, for fairness. */
     readonly hall: string;
     /** Weight of the request's kind. */
     readonly weight: number;
-    /** Time at which waiting ends without success. */
+    /** Time until which an answer is worth most. */
+    readonly dueAtMs: number;
+    readonly arrivedAtMs: number;
+}
+
+/** One request that waits. */
+export interface Waiting extends QueuePlace {
+    /** Time at which it is decided again, whatever has happened. */
     readonly untilMs: number;
     /** Asks to be told when the caller leaves; gives the way to take that back. */
     readonly onGone: (listener: () => void) => () => void;
 }
 
 interface Entry extends Waiting {
-    readonly order: number;
     readonly finish: (result: HoldResult) => void;
 }
 
@@ -30,16 +37,16 @@
 const reviewMs = 20;
 
 /**
- * Holds requests back until something finishes. Halls take turns; within a
- * hall the heaviest request goes first, and among equals the oldest. A full queue gives
- * up its lightest request for a heavier one.
+ * Holds requests back until something finishes. Halls take turns; within a hall those that can still be answered in
+ * time go first, then the heaviest, and among equals whoever is due first, counted from the caller's first try. A full
+ * queue gives up its lightest request for a heavier one.
  */
 export class HoldQueue {
     private readonly entries = new Set<Entry>();
     private readonly turns = new Map<string, number>();
     private virtualTime = 0;
-    private order = 0;
     private reviewing = false;
+    private readonly pace = new AdmissionPace();
 
     /** @param clock - The clock for time limits. */
     constructor(private readonly clock: Clock) {}
@@ -59,7 +66,7 @@
         if (this.entries.size < maximumQueued) {
             return true;
         }
-        const lightest = [...this.entries].sort((a, b) => a.weight - b.weight || b.order - a.order)[0];
+        const lightest = [...this.entries].sort((a, b) => a.weight - b.weight || b.arrivedAtMs - a.arrivedAtMs)[0];
         if (lightest === undefined || lightest.weight >= weight) {
             return false;
         }
@@ -72,7 +79,6 @@
         return new Promise(resolve => {
             const entry: Entry = {
                 ...waiting,
-                order: this.order++,
                 finish: result => {
                     this.entries.delete(entry);
                     timer.cancel();
@@ -80,7 +86,7 @@
                     resolve(result);
                 },
             };
-            const timer = this.clock.after(waiting.untilMs - this.clock.nowMs(), () => entry.finish("expired"));
+            const timer = this.clock.after(waiting.untilMs - this.clock.nowMs(), () => entry.finish("decide-again"));
             const forget = waiting.onGone(() => entry.finish("gone"));
             this.entries.add(entry);
             this.review();
@@ -100,16 +106,37 @@
         }
     }
 
+    /** Number of requests that wait and go before one. */
+    aheadOf(place: QueuePlace): number {
+        return [...this.entries].filter(entry => this.compare(entry, place) < 0).length;
+    }
+
+    /** Notes that a request which had waited was sent to an upstream. */
+    noteAdmitted(): void {
+        this.pace.note(this.clock.nowMs());
+    }
+
+    /** Time for which a request is expected to wait here before it is sent, as fast as those before it were; 0 while nothing waits. */
+    expectedWaitMs(place: QueuePlace): number {
+        const ahead = this.aheadOf(place);
+        return ahead === 0 ? 0 : ahead * this.pace.intervalMs(this.clock.nowMs());
+    }
+
     private next(): Entry | undefined {
         const turnOf = (entry: Entry): number => Math.max(this.turns.get(entry.hall) ?? 0, this.virtualTime);
         return [...this.entries].reduce<Entry | undefined>((best, entry) => {
-            const order = best === undefined
-                ? -1
-                : turnOf(entry) - turnOf(best) || best.weight - entry.weight || entry.order - best.order;
+            const order = best === undefined ? -1 : turnOf(entry) - turnOf(best) || this.compare(entry, best);
             return order < 0 ? entry : best;
         }, undefined);
     }
 
+    /** Those whose answer can still be in time go first; then the heaviest, then whoever is due first. */
+    private compare(a: QueuePlace, b: QueuePlace): number {
+        const nowMs = this.clock.nowMs();
+        const lateness = Number(a.dueAtMs <= nowMs) - Number(b.dueAtMs <= nowMs);
+        return lateness || b.weight - a.weight || a.dueAtMs - b.dueAtMs || a.arrivedAtMs - b.arrivedAtMs;
+    }
+
     private review(): void {
         if (this.reviewing) {
             return;
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -235,7 +235,7 @@
             answer.problem({ kind: "no-route", detail: `${request.method} ${path}`, outcome: "not-run" }, undefined);
             return;
         }
-        const progress = new RequestProgress(this.requestServices, inForce.configuration, route, request, answer);
+        const progress = new RequestProgress(this.requestServices, runtime, inForce.configuration, route, request, answer);
         await new RequestTask(this.requestServices, runtime, progress).run();
     }
 
--- a/packages/daemon/src/learn.ts
+++ b/packages/daemon/src/learn.ts
@@ -5,6 +5,8 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
+import { workTime } from "@harrierhitch/decision";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { AnswerReading } from "./dialect.js";
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
@@ -40,9 +42,14 @@
     }
     const load = reading.load === undefined ? {} : { slots: reading.load.slots, slowness: reading.load.slowness };
     if (reading.shed) {
-        // Whatever it reports, an upstream that sheds is full: it must not look idle.
-        const inFlight = Math.max(reading.load?.inFlight ?? 0, upstream.slots * shedLoadFactor);
         beliefs.observe(upstream.id, { type: "shed", atMs });
+        if (reading.load !== undefined && reading.load.inFlight < (reading.load.slots ?? upstream.slots)) {
+            // It has room by its own word, and sheds for another reason: that says nothing of the service's load.
+            beliefs.observe(upstream.id, { type: "reported", atMs, ...reading.load });
+            return;
+        }
+        // One that tells of no room, or of nothing, is full: it must not look idle.
+        const inFlight = Math.max(reading.load?.inFlight ?? 0, upstream.slots * shedLoadFactor);
         beliefs.observe(upstream.id, { type: "reported", atMs, inFlight, ...load });
         return;
     }
@@ -50,3 +57,38 @@
     const reportedInFlight = reading.load?.inFlight;
     beliefs.observe(upstream.id, { type: "answered", atMs, latencyMs, failed: reading.failed, reportedInFlight, ...load });
 };
+
+/** How long an upstream has worked on a request. */
+export interface Work {
+    readonly runtime: ServiceRuntime;
+    /** Name of the request's kind. */
+    readonly kind: string;
+    /** What the choice of the upstream knew of it. */
+    readonly chosenBy: UpstreamFacts | undefined;
+    readonly atMs: number;
+    readonly latencyMs: number;
+}
+
+/** Learns from a whole answer how long work usually takes, and how much longer as slots fill. */
+export const learnFromWork = (work: Work): void => {
+    const { runtime, kind, chosenBy, latencyMs } = work;
+    if (chosenBy !== undefined) {
+        noteCrowding(work, chosenBy);
+        runtime.usualTimes.observe(kind, latencyMs, workTime(chosenBy));
+    }
+};
+
+/** An attempt that another one overtook took at least so long: without those, crowded upstreams would look faster. */
+export const learnFromOvertaken = (work: Work): void => {
+    const { runtime, kind, chosenBy, latencyMs } = work;
+    const usualMs = runtime.usualTimes.of(kind);
+    if (chosenBy !== undefined && usualMs !== undefined && latencyMs > usualMs * chosenBy.expectedSlowness) {
+        noteCrowding(work, chosenBy);
+    }
+};
+
+const noteCrowding = ({ runtime, kind, atMs, latencyMs }: Work, chosenBy: UpstreamFacts): void => {
+    const fill = (chosenBy.expectedInFlight + 1) / Math.max(1, chosenBy.slots);
+    const { reportAgeMs, expectedSlowness: slowness } = chosenBy;
+    runtime.beliefs.observeWork({ atMs, latencyMs, usualMs: runtime.usualTimes.of(kind), fill, slowness, reportAgeMs });
+};
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request-choice.ts
@@ -13,14 +13,11 @@
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 
-/** Upstreams that are asked for their load at the same time, and once more before a further attempt. */
+/** Upstreams that are asked for their load at the same time, and once more before each further decision on the request. */
 const probesAtOnce = 2;
 
 /** Takes the decisions of one request, and records them. */
 export class RequestChoice {
-    /** Upstreams that were asked for this request: one that is held asks no more than its share, since probes are load. */
-    private asked = 0;
-
     /**
      * @param services - What the daemon provides to requests.
      * @param runtime - The state of the route's service.
@@ -41,8 +38,7 @@
         await this.probe(tried);
         const { progress, runtime, services } = this;
         const atMs = progress.ageMs;
-        const input = this.input(tried);
-        const decision = decide(progress.route.policy, input);
+        const { input, decision } = this.decideNow(tried);
         runtime.nextTurn();
         progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision });
         if (decision.policyFailure !== undefined) {
@@ -51,12 +47,24 @@
         return decision;
     }
 
-    private input(tried: readonly UpstreamId[]): DecisionInput {
+    /** Decides by what is known; what would be refused finds out how fuller upstreams do, where nothing is known of that. */
+    private decideNow(tried: readonly UpstreamId[]): { readonly input: DecisionInput; readonly decision: Decision; } {
+        const { policy } = this.progress.route;
+        const input = this.input(tried, false);
+        const decision = decide(policy, input);
+        if (decision.action !== "refuse" || !this.runtime.beliefs.mayTry) {
+            return { input, decision };
+        }
+        const hopeful = this.input(tried, true);
+        return { input: hopeful, decision: decide(policy, hopeful) };
+    }
+
+    private input(tried: readonly UpstreamId[], isTrial: boolean): DecisionInput {
         const { progress, runtime, services } = this;
-        const upstreams = runtime.beliefs.facts();
+        const upstreams = runtime.beliefs.facts(isTrial);
         return {
-            request: progress.facts(runtime.usualTimes.of(progress.route.kind.name) ?? 0),
-            service: runtime.facts(upstreams, tried),
+            request: progress.facts(runtime.roomInMs(upstreams, tried)),
+            service: runtime.facts(upstreams, tried, this.askable),
             upstreams,
             tried: [...tried],
             draws: drawNumbers(services.random),
@@ -64,6 +72,15 @@
         };
     }
 
+    /** Upstreams that may be asked for their load now. */
+    private get askable(): number {
+        const { progress, runtime, services } = this;
+        const { policy, service } = progress.route;
+        return policy.probeCandidates === 0 || service.probePath === undefined
+            ? 0
+            : runtime.beliefs.upstreams.filter(({ id }) => services.prober.mayAsk(id)).length;
+    }
+
     /** Asks the likeliest upstreams for their load, two at a time, until one is good or the patience ends. */
     private async probe(tried: readonly UpstreamId[]): Promise<void> {
         const { progress, runtime, services } = this;
@@ -75,7 +92,11 @@
         const asked = new Set<string>(tried);
         const hasGood = (): boolean =>
             runtime.beliefs.facts().some(facts => !tried.some(id => id === facts.id) && isGoodNow(facts));
-        const most = tried.length > 0 ? probesAtOnce : policy.probeCandidates - this.asked;
+        if (runtime.queue.aheadOf(progress.urgency.place) > 0) {
+            return;
+        }
+        const isAgain = tried.length > 0 || progress.heldMs > 0;
+        const most = isAgain ? probesAtOnce : policy.probeCandidates;
         for (let left = most; left > 0 && !hasGood(); left -= probesAtOnce) {
             const timeoutMs = endAtMs - services.clock.nowMs();
             const upstreams = this.likeliest(asked, Math.min(probesAtOnce, left));
@@ -84,7 +105,6 @@
             }
             await services.prober.ask({ service, runtime, upstreams, timeoutMs, isEnough: hasGood });
             upstreams.forEach(({ id }) => asked.add(id));
-            this.asked += upstreams.length;
         }
     }
 
--- a/packages/daemon/src/request-hold.ts
+++ b/packages/daemon/src/request-hold.ts
@@ -18,15 +18,14 @@
  */
 export const holdBack = async (progress: RequestProgress, runtime: ServiceRuntime, clock: Clock): Promise<boolean> => {
     const { service, kind } = progress.route;
-    const holdLeftMs = maximumHoldMs(progress) - progress.heldMs;
+    const { holdLeftMs } = progress;
     if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
-        progress.giveUpUnderLoad(holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
+        giveUpHolding(progress, holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
         return true;
     }
     const heldSinceMs = clock.nowMs();
     const result = await runtime.queue.wait({
-        hall: progress.arrival.hall,
-        weight: kind.weight,
+        ...progress.urgency.place,
         untilMs: Math.min(heldSinceMs + holdLeftMs, progress.deadlineAtMs),
         onGone: listener => progress.answer.onCallerLeft(listener),
     });
@@ -39,25 +38,15 @@
             break;
         case "displaced":
             progress.giveUpUnderLoad("displaced by a request of more weight");
-            break;
-        case "expired":
-            giveUpAfterHold(progress);
     }
     return true;
 };
 
-const giveUpAfterHold = (progress: RequestProgress): void => {
+const giveUpHolding = (progress: RequestProgress, detail: string): void => {
     if (progress.isLate) {
         progress.giveUpAtDeadline();
     }
     else {
-        progress.giveUpUnderLoad("held back for too long");
+        progress.giveUpUnderLoad(detail);
     }
 };
-
-const maximumHoldMs = ({ route }: RequestProgress): number => {
-    const { policy, kind, service } = route;
-    return policy.maximumHoldPercent > 0 && kind.targetLatencyMs > 0
-        ? Math.min(service.maximumHoldMs, kind.targetLatencyMs * policy.maximumHoldPercent / 100)
-        : service.maximumHoldMs;
-};
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request-progress.ts
@@ -13,9 +13,11 @@
 import type { CallerAnswer } from "./caller-answer.js";
 import type { DecisionRecord } from "./decision-record.js";
 import { events } from "./event.js";
-import { outcomeHeader, type Problem } from "./problem.js";
+import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import type { RequestServices } from "./request-services.js";
+import type { ServiceRuntime } from "./service-runtime.js";
 import { continueTrace, type TraceContext } from "./trace-context.js";
+import { Urgency } from "./urgency.js";
 
 /** Header that names a request to its caller. */
 export const requestIdHeader = "x-harrierhitch-request-id";
@@ -23,6 +25,9 @@
 /** Header with the decision in short. */
 export const decisionHeader = "x-harrierhitch-decision";
 
+/** Status that promises a caller that its request has not run. */
+const serviceUnavailable = 503;
+
 /** An attempt is begun only when this much time is left. */
 const minimumAttemptMs = 1;
 
@@ -35,9 +40,12 @@
     readonly record: DecisionRecord;
     /** Time for which the request has been held back. */
     heldMs = 0;
+    /** How urgent it is. */
+    readonly urgency: Urgency;
 
     /**
      * @param services - What the daemon provides to requests.
+     * @param runtime - The state of the route's service.
      * @param configuration - The configuration that this request is served under, to its end.
      * @param route - The route that matched.
      * @param request - The caller's request.
@@ -45,6 +53,7 @@
      */
     constructor(
         private readonly services: RequestServices,
+        private readonly runtime: ServiceRuntime,
         configuration: Configuration,
         readonly route: Route,
         readonly request: IncomingMessage,
@@ -53,6 +62,13 @@
         this.arrivedAtMs = services.clock.nowMs();
         this.arrival = services.dialect.readArrival(request, configuration, route.kind);
         this.deadlineAtMs = this.arrivedAtMs + this.arrival.timeoutMs;
+        this.urgency = new Urgency({
+            clock: services.clock,
+            runtime,
+            route,
+            arrival: this.arrival,
+            deadlineAtMs: this.deadlineAtMs,
+        });
         this.trace = continueTrace(request.headers["traceparent"], () => services.sampleTrace());
         this.record = {
             id: services.requestIds.next(),
@@ -102,12 +118,18 @@
         return counts;
     }
 
+    /** Milliseconds for which it may still be held back. */
+    get holdLeftMs(): number {
+        return this.urgency.holdLeftMs(this.heldMs);
+    }
+
     /**
      * The request as policies see it.
      *
-     * @param usualMs - How long work for its kind usually takes; 0 when that is not known.
+     * @param roomInMs - Time until an upstream is expected to have room, if nobody else sends anything.
      */
-    facts(usualMs: number): RequestFacts {
+    facts(roomInMs: number): RequestFacts {
+        const { urgency } = this;
         const { kind } = this.route;
         return {
             kind: kind.name,
@@ -122,7 +144,12 @@
             heldMs: this.heldMs,
             ageMs: this.ageMs,
             targetMs: kind.targetLatencyMs,
-            usualMs,
+            targetLeftMs: urgency.targetLeftMs,
+            slackMs: urgency.slackMs,
+            holdLeftMs: this.holdLeftMs,
+            ahead: this.runtime.queue.aheadOf(urgency.place),
+            waitMs: Math.max(roomInMs, this.runtime.queue.expectedWaitMs(urgency.place)),
+            usualMs: this.runtime.usualTimes.of(kind.name) ?? 0,
         };
     }
 
@@ -146,18 +173,29 @@
         return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
     }
 
-    /** When the caller should come back if it is refused. */
+    /**
+     * When the caller should come back if it is refused: at once where the upstreams have room, so that it was not load
+     * that kept it from being served.
+     */
     get retryAfterMs(): number {
+        const { service } = this.record.steps.at(-1)?.input ?? {};
+        if (service !== undefined && service.room >= 1) {
+            return 0;
+        }
         return retryAfterOf(this.route.policy, { targetMs: this.route.kind.targetLatencyMs });
     }
 
     /** Gives the request its final answer at once. */
     giveUp(problem: Problem): void {
-        this.record.outcome = problem.outcome;
-        this.record.problem = problem.kind;
-        const { retryAfterMs, kind, detail, outcome } = problem;
+        const { retryAfterMs, detail, outcome } = problem;
+        const kind = truthfulKind(problem);
+        this.record.outcome = outcome;
+        this.record.problem = kind;
         const retryAfter = retryAfterMs === undefined ? {} : { "retry-after": this.services.dialect.retryAfter(retryAfterMs) };
-        this.record.status = this.answer.problem(problem, this.record.id, { ...this.ownHeaders(outcome), ...retryAfter });
+        this.record.status = this.answer.problem({ ...problem, kind }, this.record.id, {
+            ...this.ownHeaders(outcome),
+            ...retryAfter,
+        });
         const { id, status, steps } = this.record;
         const { generation } = this.record.configuration;
         const ageMs = Math.round(this.ageMs);
@@ -181,3 +219,7 @@
         this.giveUp({ kind: "deadline", detail, outcome: this.outcomeSoFar() });
     }
 }
+
+/** A status that promises that the request has not run is given only where that is known. */
+const truthfulKind = ({ kind, outcome }: Problem): ProblemKind =>
+    outcome !== "not-run" && problemKinds[kind].status === serviceUnavailable ? "upstream-failed" : kind;
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request-task.ts
@@ -11,6 +11,7 @@
 import { deliver, endStream, giveUpAfterAttempt } from "./deliver.js";
 import type { AnswerReading } from "./dialect.js";
 import { Mailbox } from "./mailbox.js";
+import { mayRetry } from "./may-retry.js";
 import type { RequestBody } from "./request-body.js";
 import { isPromising, RequestChoice } from "./request-choice.js";
 import type { RequestEvent } from "./request-event.js";
@@ -19,9 +20,6 @@
 import type { RequestServices } from "./request-services.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 
-/** Attempts that reached no upstream and do not count against the kind's limit. */
-const maximumUnsentAttempts = 3;
-
 /** Serves one request. */
 export class RequestTask {
     private readonly tried: UpstreamId[] = [];
@@ -119,6 +117,11 @@
             return true;
         }
         this.start(decision.upstream, body);
+        if (progress.heldMs > 0) {
+            // Where there was room for one there may be room for the next.
+            this.runtime.queue.noteAdmitted();
+            this.runtime.queue.wake();
+        }
         return false;
     }
 
@@ -150,7 +153,8 @@
         const mayBegin = (): boolean =>
             this.running.size === 1 && this.streaming === undefined && this.progress.sentAttempts < kind.maximumAttempts
             && body.canReplay && !this.progress.answer.callerLeft;
-        if (!mayBegin() || !this.runtime.retryBudget.canTake()) {
+        // While others wait for room, a second attempt would take it from their first.
+        if (!mayBegin() || this.runtime.queue.length > 0 || !this.runtime.retryBudget.canTake()) {
             return;
         }
         const decision = await this.choice.decide(this.tried);
@@ -163,7 +167,7 @@
     /** Whether an attempt may pass its answer on as it arrives; the first that may ends the others. */
     private mayStream(reading: AnswerReading, task: AttemptTask, body: RequestBody): boolean {
         const isOthersTurn = this.streaming !== undefined && this.streaming !== task;
-        const willRetry = reading.retryable && this.mayRetry(reading.outcome !== "not-run", body);
+        const willRetry = reading.retryable && mayRetry(this.progress, body, reading.outcome !== "not-run");
         if (isOthersTurn || willRetry || !reading.mayPassOn) {
             return false;
         }
@@ -204,7 +208,7 @@
         }
         // An attempt that never reached its upstream is no further load on the service.
         const isFree = result.end === "connect-failed";
-        if (this.mayRetry(outcome !== "not-run", body) && (isFree || runtime.retryBudget.take())) {
+        if (mayRetry(progress, body, outcome !== "not-run") && (isFree || runtime.retryBudget.take())) {
             return false;
         }
         if (report.answer !== undefined && report.reading?.mayPassOn === true) {
@@ -233,15 +237,4 @@
     private cancelAll(end: "timed-out" | "cancelled"): void {
         this.running.forEach(task => task.cancel(end));
     }
-
-    /** What may not be repeated is sent again only on evidence that it has not run. */
-    private mayRetry(mayHaveRun: boolean, body: RequestBody): boolean {
-        const { progress } = this;
-        const { kind } = progress.route;
-        return (!mayHaveRun || kind.repeatable)
-            && body.canReplay
-            && progress.sentAttempts < kind.maximumAttempts
-            && progress.record.attempts.length < kind.maximumAttempts + maximumUnsentAttempts
-            && !progress.isLate;
-    }
 }
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/service-runtime.ts
@@ -5,7 +5,16 @@
  */
 
 import type { Clock, ServiceName } from "@harrierhitch/core";
-import { bestTime, mayBeChosen, type RetryBudget, type ServiceBeliefs, UsualTimes } from "@harrierhitch/decision";
+import {
+    bestTime,
+    mayBeChosen,
+    type RetryBudget,
+    roomAtBest,
+    roomInMs,
+    type ServiceBeliefs,
+    UsualPatience,
+    UsualTimes,
+} from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "./hold-queue.js";
 
@@ -13,6 +22,8 @@
 export class ServiceRuntime {
     /** How long work usually takes, by kind. */
     readonly usualTimes: UsualTimes;
+    /** How long callers usually wait, by kind. */
+    readonly usualPatience = new UsualPatience();
     private turns = 0;
 
     /**
@@ -32,6 +43,11 @@
         this.usualTimes = new UsualTimes(clock);
     }
 
+    /** Time until an upstream is expected to have room, if nobody else sends anything, in milliseconds. */
+    roomInMs(upstreams: readonly UpstreamFacts[], tried: readonly string[]): number {
+        return roomInMs(upstreams, tried, this.beliefs.residenceMs);
+    }
+
     /** Running number of the next decision. */
     get turn(): number {
         return this.turns + 1;
@@ -42,14 +58,22 @@
         this.turns += 1;
     }
 
-    /** The service as policies see it. */
-    facts(upstreams: readonly UpstreamFacts[], tried: readonly string[]): ServiceFacts {
+    /**
+     * The service as policies see it.
+     *
+     * @param upstreams - What is believed of its upstreams.
+     * @param tried - Those that the request has tried.
+     * @param askable - How many may be asked for their load now.
+     */
+    facts(upstreams: readonly UpstreamFacts[], tried: readonly string[], askable: number): ServiceFacts {
         return {
             name: this.name,
             inFlight: upstreams.reduce((sum, upstream) => sum + upstream.inFlight, 0),
             queued: this.queue.length,
             candidates: upstreams.filter(mayBeChosen).length,
             bestTime: bestTime(upstreams, tried),
+            room: roomAtBest(upstreams, tried),
+            askable,
             upstreams: upstreams.length,
         };
     }
--- /dev/null
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -0,0 +1,43 @@
+/**
+ * How callers and modelled upstreams say things.
+ */
+
+import type { Configuration, Kind } from "@harrierhitch/configuration";
+import type { IncomingMessage } from "node:http";
+import { type Arrival, numberHeader, pathOf } from "../../src/arrival.js";
+import type { AnswerHead, AnswerReading, Dialect } from "../../src/dialect.js";
+import { modelLoadHeader } from "./model-transport.js";
+
+/** Header with the milliseconds for which a caller will wait. */
+export const modelPatienceHeader = "patience-ms";
+
+/** The {@link Dialect} of the model. */
+export const modelDialect: Dialect = {
+    readArrival: (request: IncomingMessage, _: Configuration, kind: Kind): Arrival => {
+        const patienceMs = numberHeader(request, modelPatienceHeader);
+        return {
+            timeoutMs: Math.min(patienceMs ?? kind.timeoutMs, kind.timeoutMs),
+            patienceMs,
+            hall: "",
+            depth: 0,
+            path: pathOf(request.url ?? "/"),
+        };
+    },
+    attemptHeaders: () => ({}),
+    retryAfter: delayMs => String(delayMs / 1000),
+    readAnswer: ({ status, headers }: AnswerHead): AnswerReading => {
+        const [running = 0, waiting = 0, slots = 1, slowness = 1] = String(headers[modelLoadHeader]).split(",").map(Number);
+        const shed = status === 503;
+        return {
+            foreign: undefined,
+            outcome: shed ? "not-run" : "ran",
+            shed,
+            misdirected: false,
+            failed: false,
+            retryable: shed,
+            mayPassOn: !shed,
+            leaving: false,
+            load: { inFlight: running + waiting, slots, slowness },
+        };
+    },
+};
--- /dev/null
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -0,0 +1,217 @@
+/**
+ * Several instances, modelled upstreams and callers on one fake clock: the decisions are the real ones.
+ */
+
+import { checkConfiguration, checkSettings } from "@harrierhitch/configuration";
+import { FakeClock, SeededRandom, sleep, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { EventEmitter } from "node:events";
+import { readFileSync } from "node:fs";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerAnswer } from "../../src/caller-answer.js";
+import { EventLog } from "../../src/event-log.js";
+import { Instance } from "../../src/instance.js";
+import { Metrics } from "../../src/metrics.js";
+import { modelDialect, modelPatienceHeader } from "./model-dialect.js";
+import { modelProbePath, ModelTransport } from "./model-transport.js";
+import { ModelUpstream, type ModelUpstreamOptions } from "./model-upstream.js";
+
+/** What a fleet is made of. */
+export interface ModelFleetOptions {
+    readonly instances: number;
+    readonly upstreams: number;
+    readonly upstream: Omit<ModelUpstreamOptions, "clock" | "random">;
+    readonly targetMs: number;
+    readonly patienceMs: number;
+    /** Policies in place of those that are deployed. */
+    readonly policies?: string;
+    readonly seed?: number;
+}
+
+/** What became of one caller. */
+export interface CallerResult {
+    readonly firstAtMs: number;
+    /** Time from the first try to the answer; `undefined` without a good one. */
+    readonly servedMs: number | undefined;
+    readonly tries: number;
+}
+
+/** Tries of a caller that is refused, the first included. */
+const maximumTries = 3;
+
+/** Share of its remaining time for which a caller waits at most when it is told to come back. */
+const comeBackShare = 1 / 3;
+
+const deployedPolicies = new URL("../../../../../deploy/policies.ini", import.meta.url);
+
+/** Runs callers against real decisions and modelled upstreams. */
+export class ModelFleet {
+    readonly clock = new FakeClock();
+    readonly results: CallerResult[] = [];
+    readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
+    private readonly random: SeededRandom;
+    private readonly instances: readonly Instance[];
+
+    constructor(private readonly options: ModelFleetOptions) {
+        const { clock } = this;
+        this.random = new SeededRandom(options.seed ?? 1);
+        this.upstreams = new Map(Array.from({ length: options.upstreams }, (_, index) => [
+            upstreamId(`main-${index}`),
+            new ModelUpstream({ clock, random: this.random, ...options.upstream }),
+        ]));
+        this.instances = Array.from({ length: options.instances }, (_, index) => this.createInstance(index));
+    }
+
+    /** Sends requests at a rate for a time; each caller comes back as it is told. */
+    async load(perSecond: number, forMs: number): Promise<void> {
+        const endAtMs = this.clock.nowMs() + forMs;
+        while (this.clock.nowMs() < endAtMs) {
+            await this.clock.advance(-Math.log(1 - this.random.next()) / perSecond * 1000);
+            void this.call();
+        }
+    }
+
+    /** Some callers at the same moment. */
+    callers(count: number): Promise<void> {
+        Array.from({ length: count }, () => void this.call());
+        return this.clock.advance(0);
+    }
+
+    /** Share of the callers between two times that were answered within the target. */
+    inTime(fromMs: number, untilMs: number): number {
+        const callers = this.results.filter(({ firstAtMs }) => firstAtMs >= fromMs && firstAtMs < untilMs);
+        return callers.filter(({ servedMs = Infinity }) => servedMs <= this.options.targetMs).length / callers.length;
+    }
+
+    private async call(): Promise<void> {
+        const firstAtMs = this.clock.nowMs();
+        for (let tries = 1; tries <= maximumTries; tries += 1) {
+            const leftMs = this.options.patienceMs - (this.clock.nowMs() - firstAtMs);
+            const { status, retryAfterMs } = await this.ask(Math.round(leftMs));
+            if (status === 200) {
+                this.results.push({ firstAtMs, servedMs: this.clock.nowMs() - firstAtMs, tries });
+                return;
+            }
+            await sleep(this.clock, Math.min(retryAfterMs, leftMs * comeBackShare));
+        }
+        this.results.push({ firstAtMs, servedMs: undefined, tries: maximumTries });
+    }
+
+    /** One try of a caller. */
+    async ask(patienceMs: number): Promise<{ readonly status: number; readonly retryAfterMs: number; }> {
+        const instance = this.instances[Math.floor(this.random.next() * this.instances.length)];
+        const request = modelRequest(patienceMs);
+        const response = new ModelResponse();
+        await instance?.serve(request, new CallerAnswer(request, response as unknown as ServerResponse));
+        return { status: response.status, retryAfterMs: Number(response.headers["retry-after"] ?? 0) * 1000 };
+    }
+
+    private createInstance(index: number): Instance {
+        const { clock } = this;
+        const settings = checkSettings("settings.ini", settingsText(`entry-${index}`)).value;
+        if (settings === undefined) {
+            throw new RangeError("the settings of the model are not valid");
+        }
+        const instance = new Instance({
+            settings,
+            clock,
+            random: new SeededRandom(index + 1),
+            transport: new ModelTransport(clock, this.upstreams),
+            dialect: modelDialect,
+            syntax: {
+                configuration: checkConfiguration,
+                upstream: () => ({ value: undefined, findings: [] }),
+            },
+            log: new EventLog({ level: "silent", clock }),
+            metrics: new Metrics(false),
+            doubtfulMs: () => 0,
+        });
+        const { type } = instance.offerConfiguration("model", this.configurationText());
+        if (type !== "accepted") {
+            throw new RangeError("the configuration of the model is not valid");
+        }
+        void instance.hearOthers();
+        return instance;
+    }
+
+    private configurationText(): string {
+        const { instances, targetMs, patienceMs, upstream } = this.options;
+        const sections = [...this.upstreams.keys()].map((id, index) =>
+            [
+                `[upstream.${id}]`,
+                "service = main",
+                "address = 127.0.0.1",
+                `port = ${9000 + index}`,
+                "availabilityZone = zone",
+                `slots = ${upstream.slots}`,
+            ].join("\n")
+        );
+        return [
+            "generation = 1",
+            "[fleet]",
+            `maximumInstances = ${instances}`,
+            "[kind.read]",
+            "repeatable = true",
+            `targetLatencyMs = ${targetMs}`,
+            `timeoutMs = ${patienceMs}`,
+            "policy = repeatable",
+            "[service.main]",
+            "policy = repeatable",
+            "maximumConnections = 1000",
+            `probePath = ${modelProbePath}`,
+            ...sections,
+            "[route.read]",
+            "method = GET",
+            "path = /",
+            "service = main",
+            "kind = read",
+            this.options.policies ?? readFileSync(deployedPolicies, "utf8"),
+        ].join("\n");
+    }
+}
+
+const settingsText = (id: string): string => `
+[instance]
+id = ${id}
+availabilityZone = zone
+[callers]
+address = 127.0.0.1
+[operators]
+address = 127.0.0.1
+[platform]
+addresses = 127.0.0.1:1
+[budgets]
+retryShare = 0.2
+retrySlack = 60
+probesPerSecond = 60
+`;
+
+const modelRequest = (patienceMs: number): IncomingMessage =>
+    ({
+        method: "GET",
+        url: "/",
+        httpVersion: "1.1",
+        headers: { host: "model", [modelPatienceHeader]: String(patienceMs) },
+        rawHeaders: ["host", "model"],
+        complete: true,
+    }) as unknown as IncomingMessage;
+
+/** Takes an answer; as much of a response as an instance uses. */
+class ModelResponse extends EventEmitter {
+    status = 0;
+    headers: Readonly<Record<string, unknown>> = {};
+    writableFinished = false;
+
+    get headersSent(): boolean {
+        return this.status !== 0;
+    }
+
+    writeHead(status: number, headers: Readonly<Record<string, unknown>>): void {
+        this.status = status;
+        this.headers = headers;
+    }
+
+    end(): void {
+        this.writableFinished = true;
+        this.emit("close");
+    }
+}
--- /dev/null
+++ b/packages/daemon/test/model/model-transport.ts
@@ -0,0 +1,65 @@
+/**
+ * A transport to modelled upstreams.
+ */
+
+import type { Upstream } from "@harrierhitch/configuration";
+import { type Clock, sleep, type UpstreamId } from "@harrierhitch/core";
+import type { AttemptResult } from "@harrierhitch/decision";
+import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTransport } from "../../src/upstream-transport.js";
+import type { ModelUpstream } from "./model-upstream.js";
+
+/** Path at which modelled upstreams are asked for their load. */
+export const modelProbePath = "/load";
+
+/** Header with their load. */
+export const modelLoadHeader = "load";
+
+/** Time from an instance to an upstream. */
+const wayMs = 1;
+
+/** Sends to modelled upstreams. */
+export class ModelTransport implements UpstreamTransport {
+    constructor(private readonly clock: Clock, private readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>) {}
+
+    send(upstream: Upstream, request: UpstreamRequest, sink: AnswerSink): Attempt {
+        const model = this.upstreams.get(upstream.id);
+        if (model === undefined) {
+            throw new RangeError(`there is no model of ${upstream.id}`);
+        }
+        let leave: (() => void) | undefined;
+        let settle: (result: AttemptResult) => void = () => undefined;
+        const result = new Promise<AttemptResult>(resolve => {
+            settle = resolve;
+        });
+        const answer = async (status: number): Promise<void> => {
+            const headers = { [modelLoadHeader]: model.load, "content-length": "0" };
+            await sleep(this.clock, wayMs);
+            sink.onHead(status, headers);
+            settle({ end: "answered", status, detail: "", sent: true });
+        };
+        const arrive = async (): Promise<void> => {
+            await sleep(this.clock, wayMs);
+            if (request.path === modelProbePath) {
+                model.probes += 1;
+                await answer(200);
+                return;
+            }
+            leave = model.take(() => void answer(200));
+            if (leave === undefined) {
+                await answer(503);
+            }
+        };
+        void arrive();
+        const cancel = (end: "timed-out" | "cancelled"): void => {
+            leave?.();
+            settle({ end, status: undefined, detail: "given up", sent: true });
+        };
+        return { result, cancel, resume: () => undefined };
+    }
+
+    configure(): void {}
+
+    close(): Promise<void> {
+        return Promise.resolve();
+    }
+}
--- /dev/null
+++ b/packages/daemon/test/model/model-upstream.ts
@@ -0,0 +1,101 @@
+/**
+ * A modelled upstream on a clock of its own.
+ */
+
+import type { Clock, RandomSource, Timer } from "@harrierhitch/core";
+
+/** How a modelled upstream behaves. */
+export interface ModelUpstreamOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly slots: number;
+    /** Requests that wait in its own queue before it sheds. */
+    readonly queue: number;
+    readonly workMs: number;
+    /** Share of the slots in use above which work takes longer, and how much. */
+    readonly knee?: number;
+    readonly kneeFactor?: number;
+    /** Share of the time in which work takes `slowFactor` as long, drawn anew every `drawnEveryMs`. */
+    readonly slowShare?: number;
+    readonly slowFactor?: number;
+    readonly drawnEveryMs?: number;
+}
+
+/** One request at a modelled upstream. */
+interface Job {
+    readonly onEnd: () => void;
+}
+
+/** Serves as many requests as it has slots, keeps some waiting, and sheds the rest. */
+export class ModelUpstream {
+    arrivals = 0;
+    probes = 0;
+    sheds = 0;
+    mostInFlight = 0;
+    private readonly running = new Map<Job, Timer>();
+    private readonly waiting: Job[] = [];
+    private slownessNow = 1;
+    private drawnAtMs = -Infinity;
+
+    constructor(private readonly options: ModelUpstreamOptions) {}
+
+    /** Its load, as it tells it. */
+    get load(): string {
+        return [this.running.size, this.waiting.length, this.options.slots, this.slowness].join(",");
+    }
+
+    /**
+     * Takes a request.
+     *
+     * @returns Leaves it again; `undefined` when it was shed.
+     */
+    take(onEnd: () => void): (() => void) | undefined {
+        this.arrivals += 1;
+        const job: Job = { onEnd };
+        if (this.running.size < this.options.slots) {
+            this.begin(job);
+        }
+        else if (this.waiting.length < this.options.queue) {
+            this.waiting.push(job);
+        }
+        else {
+            this.sheds += 1;
+            return undefined;
+        }
+        this.mostInFlight = Math.max(this.mostInFlight, this.running.size + this.waiting.length);
+        return () => this.leave(job);
+    }
+
+    private get slowness(): number {
+        const { clock, random, slowShare = 0, slowFactor = 1, drawnEveryMs = 150 } = this.options;
+        if (clock.nowMs() - this.drawnAtMs >= drawnEveryMs) {
+            this.drawnAtMs = clock.nowMs() - clock.nowMs() % drawnEveryMs;
+            this.slownessNow = random.next() < slowShare ? slowFactor : 1;
+        }
+        return this.slownessNow;
+    }
+
+    private begin(job: Job): void {
+        const { clock, random, slots, workMs, knee = 1, kneeFactor = 1 } = this.options;
+        const crowding = (this.running.size + 1) / slots > knee ? kneeFactor : 1;
+        const scatter = 0.6 + 0.8 * random.next();
+        const timer = clock.after(workMs * scatter * crowding * this.slowness, () => {
+            this.leave(job);
+            job.onEnd();
+        });
+        this.running.set(job, timer);
+    }
+
+    private leave(job: Job): void {
+        this.running.get(job)?.cancel();
+        const wasRunning = this.running.delete(job);
+        const next = wasRunning ? this.waiting.shift() : undefined;
+        if (next !== undefined) {
+            this.begin(next);
+        }
+        const index = this.waiting.indexOf(job);
+        if (index >= 0) {
+            this.waiting.splice(index, 1);
+        }
+    }
+}
--- a/packages/decision/src/crowding.ts
+++ b/packages/decision/src/crowding.ts
@@ -4,42 +4,45 @@
  * @packageDocumentation
  */
 
-/** One step of the curve: shares of the slots in use up to `fill`. */
-interface CrowdingStep {
-    readonly fill: number;
-    /** Time that work took there, in times of usual work. */
+/** Time that the work of one answer took, in times of usual work. */
+interface WorkFactor {
     readonly factor: number;
-    /** Answers that it rests on, up to {@link maximumAnswers}. */
-    readonly answers: number;
+    readonly atMs: number;
 }
 
+/** How much longer work takes at each step of {@link fills} than at an idle upstream; never falling. */
+export type CrowdingFactors = readonly number[];
+
 /** A learned curve, from an idle upstream to one whose slots are all in use. */
-export type CrowdingCurve = readonly CrowdingStep[];
+export interface CrowdingCurve {
+    /** Answers by step. */
+    readonly answers: readonly (readonly WorkFactor[])[];
+    /** What is known, or feared where too few answers tell. */
+    readonly known: CrowdingFactors;
+    /** What is known, or hoped where too few answers tell: what a trial goes by. */
+    readonly hoped: CrowdingFactors;
+}
 
 /** Shares of the slots in use at which the steps end. */
-const fills = [0.25, 0.5, 0.7, 0.8, 0.9, 1];
+const fills = [0.5, 0.7, 0.8, 1];
 
-/** Share of the slots in use above which an upstream is taken to slow down until answers tell. */
-const priorKnee = 0.8;
+/** Share of the slots in use above which an upstream is feared to slow down. */
+const fearedFill = 0.8;
 
-/** How much longer work is taken to take above it until then. */
-const priorFactor = 1.7;
+/** How much longer work is feared to take above it. */
+const fearedFactor = 1.7;
 
-/** Answers that the prior counts for: a dozen answers outweigh it. */
-const priorAnswers = 6;
+/** Answers by which a step is known. */
+const enoughAnswers = 3;
 
-/** Most answers that a step rests on: older ones fade, since a release may change how upstreams behave. */
-const maximumAnswers = 60;
+/** Answers that are remembered for each step. */
+const remembered = 30;
 
-/** Longest time that one answer counts for, in times of usual work: single outliers must not move the curve. */
-const maximumFactor = 4;
+/** Time for which they are remembered, in milliseconds: a release may change how upstreams behave. */
+const rememberedMs = 60_000;
 
-/** The curve before any answer. */
-export const initialCrowding: CrowdingCurve = fills.map(fill => ({
-    fill,
-    factor: fill > priorKnee ? priorFactor : 1,
-    answers: priorAnswers,
-}));
+/** Thirds of slots add up to a little more or less than one. */
+const roundingError = 1e-9;
 
 /**
  * Makes the curve that follows from an answer.
@@ -47,32 +50,73 @@
  * @param curve - The curve so far.
  * @param fill - Share of the slots in use with the request; above 1 it waited first, which tells nothing of crowding.
  * @param factor - Time that its work took, in times of usual work.
+ * @param atMs - Time of the answer.
  */
-export const noteCrowding = (curve: CrowdingCurve, fill: number, factor: number): CrowdingCurve => {
+export const noteCrowding = (curve: CrowdingCurve, fill: number, factor: number, atMs: number): CrowdingCurve => {
     if (fill > 1) {
         return curve;
     }
-    const index = stepOf(curve, fill);
-    return curve.map((step, at) => at === index ? afterFactor(step, Math.min(maximumFactor, factor)) : step);
+    const index = stepOf(fill);
+    const noted = curve.answers.map((step, at) => at === index ? [...step, { factor, atMs }] : step);
+    return toCurve(noted.map(step => stillRemembered(step, atMs)));
 };
 
+/** How much longer work takes at a share of the slots in use; beyond all slots, as long as at all of them. */
+export const crowdingAt = (factors: CrowdingFactors, fill: number): number => factors[stepOf(fill)] ?? 1;
+
 /**
- * How much longer work takes at a share of the slots in use; beyond all slots, as long as at all of them. It never falls
- * with the share: steps whose order the scatter of few answers has turned are taken together.
+ * Requests in flight at which an upstream answers most in a given time: one more makes all that start then so slow
+ * that fewer are answered.
  */
-export const crowdingAt = (curve: CrowdingCurve, fill: number): number => {
-    const rising = curve.reduce<readonly Pool[]>((pools, step) => joinFalling([...pools, { ...step, steps: 1 }]), []);
+export const bestInFlight = (factors: CrowdingFactors, slots: number): number => {
+    const known = bestCounts.get(factors) ?? new Map<number, number>();
+    bestCounts.set(factors, known);
+    const best = known.get(slots) ?? findBest(factors, slots);
+    known.set(slots, best);
+    return best;
+};
+
+/** What was found before: decisions ask for every upstream, and the curve changes only with answers. */
+const bestCounts = new WeakMap<CrowdingFactors, Map<number, number>>();
+
+const findBest = (factors: CrowdingFactors, slots: number): number => {
+    const counts = fills.map(fill => Math.floor(fill * slots + roundingError)).filter(count => count > 0);
+    const answered = (count: number): number => count / crowdingAt(factors, count / slots);
+    return counts.reduce((best, count) => answered(count) >= answered(best) ? count : best, 1);
+};
+
+const toCurve = (answers: CrowdingCurve["answers"]): CrowdingCurve => ({
+    answers,
+    known: toFactors(answers, fill => fill > fearedFill ? fearedFactor : 1),
+    hoped: toFactors(answers, () => 1),
+});
+
+/** Steps whose order the scatter of few answers has turned are taken together. */
+const toFactors = (answers: CrowdingCurve["answers"], unknown: (fill: number) => number): CrowdingFactors => {
+    const pools = answers.map((step, index) => toPool(step, unknown(fills[index] ?? 1)));
+    const rising = pools.reduce<readonly Pool[]>((joined, pool) => joinFalling([...joined, pool]), []);
     const factors = rising.flatMap(({ factor, steps }) => Array.from({ length: steps }, () => factor));
-    return Math.max(1, (factors[stepOf(curve, fill)] ?? 1) / (factors[0] ?? 1));
+    const idle = factors[0] ?? 1;
+    return factors.map(factor => factor / idle);
 };
 
 /** Steps that are taken together. */
 interface Pool {
     readonly factor: number;
-    readonly answers: number;
+    /** How much the factor counts. */
+    readonly weight: number;
     readonly steps: number;
 }
 
+/** Takes the median: requests that met others on their way, and so waited first, are few but far out. */
+const toPool = (answers: readonly WorkFactor[], unknown: number): Pool => {
+    if (answers.length < enoughAnswers) {
+        return { factor: unknown, weight: 1, steps: 1 };
+    }
+    const sorted = answers.map(({ factor }) => factor).sort((a, b) => a - b);
+    return { factor: sorted[Math.floor(sorted.length / 2)] ?? unknown, weight: sorted.length, steps: 1 };
+};
+
 const joinFalling = (pools: readonly Pool[]): readonly Pool[] => {
     const [before, last] = pools.slice(-2);
     return before === undefined || last === undefined || before.factor <= last.factor
@@ -81,19 +125,17 @@
 };
 
 const join = (a: Pool, b: Pool): Pool => {
-    const answers = a.answers + b.answers;
-    return { factor: (a.factor * a.answers + b.factor * b.answers) / answers, answers, steps: a.steps + b.steps };
-};
-
-const stepOf = (curve: CrowdingCurve, fill: number): number => {
-    const index = curve.findIndex(step => fill <= step.fill + roundingError);
-    return index < 0 ? curve.length - 1 : index;
+    const weight = a.weight + b.weight;
+    return { factor: (a.factor * a.weight + b.factor * b.weight) / weight, weight, steps: a.steps + b.steps };
 };
 
-/** Thirds of slots add up to a little more or less than one. */
-const roundingError = 1e-9;
+const stillRemembered = (answers: readonly WorkFactor[], nowMs: number): readonly WorkFactor[] =>
+    answers.filter(({ atMs }) => nowMs - atMs <= rememberedMs).slice(-remembered);
 
-const afterFactor = (step: CrowdingStep, factor: number): CrowdingStep => {
-    const answers = Math.min(maximumAnswers, step.answers + 1);
-    return { ...step, answers, factor: step.factor + (factor - step.factor) / answers };
+const stepOf = (fill: number): number => {
+    const index = fills.findIndex(end => fill <= end + roundingError);
+    return index < 0 ? fills.length - 1 : index;
 };
+
+/** The curve before any answer. */
+export const initialCrowding: CrowdingCurve = toCurve(fills.map(() => []));
--- a/packages/decision/src/expectation.ts
+++ b/packages/decision/src/expectation.ts
@@ -5,7 +5,8 @@
  */
 
 import type { UpstreamFacts } from "@harrierhitch/policy";
-import { expectedCrowding, keptShare, loadKeptMs, type ServiceTempo, slownessKeptMs } from "./service-tempo.js";
+import { bestInFlight, crowdingAt } from "./crowding.js";
+import { keptShare, loadKeptMs, type ServiceTempo, slownessKeptMs } from "./service-tempo.js";
 
 /** What the expectation rests on. */
 export type KnownLoad = Pick<
@@ -14,7 +15,7 @@
 >;
 
 /** What is expected. */
-export type Expectation = Pick<UpstreamFacts, "expectedInFlight" | "expectedSlowness" | "crowding">;
+export type Expectation = Pick<UpstreamFacts, "expectedInFlight" | "expectedSlowness" | "crowding" | "bestInFlight">;
 
 /**
  * Works out what is expected of an upstream now.
@@ -26,13 +27,16 @@
  *
  * @param known - The last report, and this instance's own requests there.
  * @param tempo - What is usual in the service.
+ * @param isTrial - Whether to hope for the best of fuller upstreams where too little is known of them.
  */
-export const expect = (known: KnownLoad, tempo: ServiceTempo): Expectation => {
+export const expect = (known: KnownLoad, tempo: ServiceTempo, isTrial = false): Expectation => {
+    const factors = isTrial ? tempo.crowding.hoped : tempo.crowding.known;
     const expectedInFlight = Math.max(known.inFlight, expectedLoad(known, tempo));
     return {
         expectedInFlight,
         expectedSlowness: expectedSlowness(known, tempo),
-        crowding: expectedCrowding(tempo, expectedInFlight, known.slots),
+        crowding: crowdingAt(factors, (expectedInFlight + 1) / Math.max(1, known.slots)),
+        bestInFlight: bestInFlight(factors, known.slots),
     };
 };
 
@@ -43,7 +47,9 @@
         : usual + (reportedInFlight + sentSinceReport - usual) * keptShare(reportAgeMs, loadKeptMs(tempo));
 };
 
-const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, tempo: ServiceTempo): number =>
-    reportAgeMs < 0
-        ? tempo.meanSlowness
-        : tempo.meanSlowness + (slowness - tempo.meanSlowness) * keptShare(reportAgeMs, slownessKeptMs(tempo));
+/** The slowness against what is usual: where all upstreams are slow, waiting for a faster one is no use. */
+const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, tempo: ServiceTempo): number => {
+    const { meanSlowness, usualSlowness } = tempo;
+    const kept = reportAgeMs < 0 ? 0 : keptShare(reportAgeMs, slownessKeptMs(tempo));
+    return (meanSlowness + (slowness - meanSlowness) * kept) / usualSlowness;
+};
--- a/packages/decision/src/expected-time-chooser.ts
+++ b/packages/decision/src/expected-time-chooser.ts
@@ -47,8 +47,8 @@
 
 /** Time until an answer is expected, in times of usual work, whatever else speaks against the candidate. */
 export const workTime = (candidate: UpstreamFacts): number => {
-    const slots = Math.max(1, candidate.slots);
-    const queued = Math.max(0, candidate.expectedInFlight + 1 - slots);
+    // What is in flight beyond the best number costs the requests of others too: they start slower, or wait.
+    const over = Math.max(0, candidate.expectedInFlight + 1 - candidate.bestInFlight);
     const cold = candidate.state === "cold" ? coldSlowness : 1;
-    return candidate.expectedSlowness * candidate.crowding * cold * (1 + queued / slots);
+    return candidate.expectedSlowness * candidate.crowding * cold * (1 + over / Math.max(1, candidate.bestInFlight));
 };
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -53,6 +53,36 @@
     return candidates.length === 0 ? -1 : Math.min(...candidates.map(workTime));
 };
 
+/**
+ * Requests that the best of some upstreams is expected to take before it answers fewer in a given time.
+ *
+ * @param upstreams - What is believed of them.
+ * @param tried - Ids of those that are left out, because the request has tried them.
+ * @returns The number, with a fraction; 0 when none may be chosen.
+ */
+export const roomAtBest = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): number => {
+    const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
+    const [best] = candidates.sort((a, b) => workTime(a) - workTime(b));
+    return best === undefined ? 0 : best.bestInFlight - best.expectedInFlight;
+};
+
+/**
+ * Time until one of some upstreams is expected to have room, if nobody else sends anything.
+ *
+ * @param upstreams - What is believed of them.
+ * @param tried - Ids of those that are left out, because the request has tried them.
+ * @param residenceMs - How long a request stays at an upstream, on average.
+ * @returns Milliseconds; -1 when none may be chosen.
+ */
+export const roomInMs = (upstreams: readonly UpstreamFacts[], tried: readonly string[], residenceMs: number): number => {
+    const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
+    const waits = candidates.map(({ bestInFlight, expectedInFlight }) => {
+        const over = Math.max(0, expectedInFlight + 1 - bestInFlight);
+        return over * residenceMs / Math.max(1, expectedInFlight);
+    });
+    return waits.length === 0 ? -1 : Math.min(...waits);
+};
+
 /** Whether an upstream takes requests now, and has room for one more of this instance. */
 export const mayBeChosen = (upstream: UpstreamFacts): boolean =>
     upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- a/packages/decision/src/service-tempo.ts
+++ b/packages/decision/src/service-tempo.ts
@@ -4,12 +4,14 @@
  * @packageDocumentation
  */
 
-import { crowdingAt, type CrowdingCurve, initialCrowding, noteCrowding } from "./crowding.js";
+import { type CrowdingCurve, initialCrowding, noteCrowding } from "./crowding.js";
 
 /** How fast things change at the upstreams of a service; an immutable value, changed by {@link afterReport} and {@link afterAnswer}. */
 export interface ServiceTempo {
     /** Mean of the reported slowness: what is expected where nothing fresh is known. */
     readonly meanSlowness: number;
+    /** Slowness that a quarter of the reports are below: what counts as usual, where all upstreams have become slow too. */
+    readonly usualSlowness: number;
     /** Mean of the requests in flight for each slot, as reported. */
     readonly meanLoad: number;
     /** Mean time from sending a request to its answer; `undefined` before the first answer. */
@@ -38,6 +40,7 @@
 
 /** One answer that arrived, with what was expected when its request was sent. */
 export interface WorkReading {
+    readonly atMs: number;
     readonly latencyMs: number;
     /** How long work of this kind usually takes; `undefined` while that is not known. */
     readonly usualMs: number | undefined;
@@ -64,6 +67,12 @@
 /** Weight of that prior, as a squared distance from the mean: a few changes outweigh it. */
 const priorSpread = 4;
 
+/** Share of the reports that tell of less than the usual slowness. */
+const usualShare = 0.25;
+
+/** Share by which the usual slowness moves at most with a report: services that become slow as a whole are known in some seconds. */
+const usualStep = 0.05;
+
 /** Share of the sums that each pair of reports leaves. */
 const pairKept = 0.998;
 
@@ -83,6 +92,7 @@
 /** The tempo of a service of which nothing is known. */
 export const initialTempo: ServiceTempo = {
     meanSlowness: priorSlowness,
+    usualSlowness: 1,
     meanLoad: 0,
     residenceMs: undefined,
     change: { spread: priorSpread * priorSlownessKeptMs, difference: priorSpread },
@@ -106,6 +116,7 @@
 export const afterReport = (tempo: ServiceTempo, report: LoadReading, before: LoadReading | undefined): ServiceTempo => ({
     ...tempo,
     meanSlowness: tempo.meanSlowness + slownessShare * (report.slowness - tempo.meanSlowness),
+    usualSlowness: tempo.usualSlowness * (1 + usualStep * (usualShare - (report.slowness < tempo.usualSlowness ? 1 : 0))),
     meanLoad: mean(tempo.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
     change: before === undefined ? tempo.change : afterPair(tempo, before, report),
 });
@@ -116,13 +127,9 @@
     residenceMs: tempo.residenceMs === undefined ? answer.latencyMs : mean(tempo.residenceMs, answer.latencyMs),
     crowding: answer.usualMs === undefined || answer.reportAgeMs < 0 || answer.reportAgeMs > freshMs || answer.slowness <= 0
         ? tempo.crowding
-        : noteCrowding(tempo.crowding, answer.fill, answer.latencyMs / (answer.usualMs * answer.slowness)),
+        : noteCrowding(tempo.crowding, answer.fill, answer.latencyMs / (answer.usualMs * answer.slowness), answer.atMs),
 });
 
-/** How much longer one more request is expected to take at an upstream because of those that are there. */
-export const expectedCrowding = (tempo: ServiceTempo, inFlight: number, slots: number): number =>
-    crowdingAt(tempo.crowding, (inFlight + 1) / Math.max(1, slots));
-
 /** Share of what was reported that still holds after some time, against what is usual. */
 export const keptShare = (ageMs: number, keptMs: number): number => Math.exp(-ageMs / keptMs);
 
--- /dev/null
+++ b/packages/decision/src/tracked-upstream.ts
@@ -0,0 +1,84 @@
+/**
+ * One upstream as a service's beliefs keep it, and the facts that policies see of it.
+ *
+ * @packageDocumentation
+ */
+
+import type { Upstream } from "@harrierhitch/configuration";
+import type { UpstreamId } from "@harrierhitch/core";
+import type { UpstreamFacts } from "@harrierhitch/policy";
+import type { Belief } from "./belief.js";
+import { expect } from "./expectation.js";
+import type { LoadReading, ServiceTempo } from "./service-tempo.js";
+
+/** One request in flight to an upstream. */
+export interface Flight {
+    readonly upstream: UpstreamId;
+    readonly startedAtMs: number;
+}
+
+/** An upstream, with the time for which it will answer slowly where that is known. */
+export type KnownUpstream = Upstream & { readonly coldMs?: number; };
+
+/** An upstream with what is believed of it and what is in flight there. */
+export interface Tracked {
+    readonly upstream: KnownUpstream;
+    belief: Belief;
+    /** Requests in flight, oldest first. */
+    readonly flights: Set<Flight>;
+}
+
+/** What the facts of an upstream depend on besides itself. */
+export interface FactsContext {
+    readonly tempo: ServiceTempo;
+    readonly nowMs: number;
+    /** Availability zone of this instance. */
+    readonly availabilityZone: string;
+    /** Whether to hope for the best of fuller upstreams where too little is known of them. */
+    readonly isTrial: boolean;
+}
+
+/** The last report of an upstream; `undefined` without one. */
+export const readingOf = ({ slots }: KnownUpstream, belief: Belief): LoadReading | undefined =>
+    belief.reportedAtMs === undefined
+        ? undefined
+        : {
+            atMs: belief.reportedAtMs,
+            inFlight: belief.reportedInFlight,
+            slowness: belief.slowness,
+            slots: belief.reportedSlots ?? slots,
+        };
+
+/**
+ * The facts of an upstream as policies see them.
+ *
+ * @param tracked - The upstream.
+ * @param context - What its service and its instance add.
+ */
+export const toFacts = (
+    { upstream, belief, flights }: Tracked,
+    { tempo, nowMs, availabilityZone, isTrial }: FactsContext,
+): UpstreamFacts => {
+    const [oldest] = flights;
+    const known = {
+        inFlight: flights.size,
+        reportedInFlight: belief.reportedAtMs === undefined ? -1 : belief.reportedInFlight,
+        reportAgeMs: belief.reportedAtMs === undefined ? -1 : nowMs - belief.reportedAtMs,
+        sentSinceReport: belief.reportedAtMs === undefined ? -1 : belief.sentSinceReport,
+        slowness: belief.slowness,
+        slots: belief.reportedSlots ?? upstream.slots,
+    };
+    return {
+        id: upstream.id,
+        availabilityZone: upstream.availabilityZone,
+        sameZone: upstream.availabilityZone === availabilityZone,
+        state: belief.state,
+        limit: Math.floor(belief.limit),
+        oldestInFlightMs: oldest === undefined ? 0 : nowMs - oldest.startedAtMs,
+        latencyMs: belief.latencyMs,
+        latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
+        failureRate: belief.failureRate,
+        ...known,
+        ...expect(known, tempo, isTrial),
+    };
+};
--- a/packages/decision/src/usual-time.ts
+++ b/packages/decision/src/usual-time.ts
@@ -27,6 +27,9 @@
  */
 const undisturbedShare = 0.1;
 
+/** The answer, in order of time, that most are no later than. */
+const mostShare = 0.9;
+
 /** What usual work takes against that answer: work scatters by about a third by itself. */
 const scatter = 1.4;
 
@@ -41,9 +44,21 @@
     readonly disturbed: Answer[];
 }
 
+/** What the remembered answers come to. */
+interface Summary {
+    readonly usualMs: number | undefined;
+    readonly mostMs: number | undefined;
+    /** When it was worked out. */
+    readonly atMs: number;
+}
+
+/** Time for which a summary holds without new answers, in milliseconds: only forgetting changes it. */
+const summaryMs = 500;
+
 /** Learns the usual time of work from the answers to one instance's own requests. */
 export class UsualTimes {
     private readonly recent = new Map<string, Answers>();
+    private readonly summaries = new Map<string, Summary>();
 
     /** @param clock - The clock. */
     constructor(private readonly clock: Clock) {}
@@ -65,21 +80,47 @@
             sort.shift();
         }
         this.recent.set(kind, answers);
+        this.summaries.delete(kind);
     }
 
     /** Milliseconds that work usually takes; `undefined` while not enough is known. */
     of(kind: string): number | undefined {
+        return this.summaryOf(kind).usualMs;
+    }
+
+    /** Milliseconds within which nine in ten are answered where nothing is in the way; `undefined` while not enough is known. */
+    mostOf(kind: string): number | undefined {
+        return this.summaryOf(kind).mostMs;
+    }
+
+    /** Decisions ask far more often than answers come, so what they ask for is worked out once in between. */
+    private summaryOf(kind: string): Summary {
+        const known = this.summaries.get(kind);
+        const nowMs = this.clock.nowMs();
+        if (known !== undefined && nowMs - known.atMs < summaryMs) {
+            return known;
+        }
+        const summary = { ...this.summarize(kind), atMs: nowMs };
+        this.summaries.set(kind, summary);
+        return summary;
+    }
+
+    private summarize(kind: string): Omit<Summary, "atMs"> {
         const { undisturbed = [], disturbed = [] } = this.recent.get(kind) ?? {};
-        return this.usualOf(undisturbed, undisturbedMs) ?? this.usualOf(disturbed, disturbedMs);
+        const times = this.usualOf(undisturbed, undisturbedMs) ?? this.usualOf(disturbed, disturbedMs);
+        if (times === undefined) {
+            return { usualMs: undefined, mostMs: undefined };
+        }
+        const usualMs = at(times, undisturbedShare) * scatter;
+        // Disturbed answers say little about the slow end: most of them are slow because of the disturbance.
+        return { usualMs, mostMs: Math.min(at(times, mostShare), usualMs * scatter) };
     }
 
-    private usualOf(answers: readonly Answer[], rememberedMs: number): number | undefined {
+    private usualOf(answers: readonly Answer[], rememberedMs: number): readonly number[] | undefined {
         const oldestMs = this.clock.nowMs() - rememberedMs;
         const times = answers.filter(({ atMs }) => atMs >= oldestMs).map(({ usualMs }) => usualMs);
-        if (times.length < minimumKnown) {
-            return undefined;
-        }
-        const sorted = times.sort((a, b) => a - b);
-        return (sorted[Math.floor(sorted.length * undisturbedShare)] ?? 0) * scatter;
+        return times.length < minimumKnown ? undefined : times.sort((a, b) => a - b);
     }
 }
+
+const at = (sorted: readonly number[], share: number): number => sorted[Math.floor(sorted.length * share)] ?? 0;
--- a/packages/decision/test/upstream.ts
+++ b/packages/decision/test/upstream.ts
@@ -22,6 +22,7 @@
     expectedInFlight: 0,
     expectedSlowness: 1,
     crowding: 1,
+    bestInFlight: 3,
     failureRate: 0,
     slots: 3,
     ...change,
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -28,6 +28,11 @@
     heldMs: "double",
     ageMs: "double",
     targetMs: "double",
+    targetLeftMs: "double",
+    slackMs: "double",
+    holdLeftMs: "double",
+    ahead: "double",
+    waitMs: "double",
     usualMs: "double",
 };
 
@@ -37,6 +42,8 @@
     queued: "double",
     candidates: "double",
     bestTime: "double",
+    room: "double",
+    askable: "double",
     upstreams: "double",
 };
 
@@ -57,6 +64,7 @@
     expectedInFlight: "double",
     expectedSlowness: "double",
     crowding: "double",
+    bestInFlight: "double",
     failureRate: "double",
     slots: "double",
 };
--- a/packages/policy/src/request-facts.ts
+++ b/packages/policy/src/request-facts.ts
@@ -30,6 +30,25 @@
     readonly ageMs: number;
     /** Milliseconds within which an answer is worth most; 0 when there is no such time. */
     readonly targetMs: number;
+    /**
+     * Milliseconds until that time, counted from the caller's first try as far as its deadline shows it; negative
+     * when it has passed, 0 when there is no such time.
+     */
+    readonly targetLeftMs: number;
+    /**
+     * Milliseconds for which it can wait and still be answered by that time, if work takes no longer than for nine in
+     * ten; negative when it most likely cannot, 0 when there is no such time.
+     */
+    readonly slackMs: number;
+    /** Milliseconds for which it may still be held back. */
+    readonly holdLeftMs: number;
+    /** Requests held back at this instance that go before this one. */
+    readonly ahead: number;
+    /**
+     * Milliseconds for which it would wait at least: behind them, as fast as those before were sent on, and until an
+     * upstream has room if nobody else sends anything. What cannot wait for so long is not served in time.
+     */
+    readonly waitMs: number;
     /** Milliseconds that work for this kind usually takes, as answers showed; 0 before enough is known. */
     readonly usualMs: number;
 }
--- a/packages/policy/src/service-facts.ts
+++ b/packages/policy/src/service-facts.ts
@@ -19,6 +19,13 @@
      * there; -1 when none may be chosen.
      */
     readonly bestTime: number;
+    /**
+     * Requests that the best of them is expected to take before it answers fewer in a given time; 0 or less when one
+     * more would add to a backlog, and without a candidate.
+     */
+    readonly room: number;
+    /** Upstreams that may be asked for their load now: while it is 0, waiting brings no news but by answers. */
+    readonly askable: number;
     /** All upstreams of the service. */
     readonly upstreams: number;
 }
--- a/packages/policy/src/upstream-facts.ts
+++ b/packages/policy/src/upstream-facts.ts
@@ -45,10 +45,12 @@
     readonly slowness: number;
     /** Requests expected in flight there now, of all instances: the report as far as it still holds, and what was sent since. */
     readonly expectedInFlight: number;
-    /** Slowness expected now: the reported one as far as it still holds. */
+    /** Slowness expected now, against what is usual in the service: the reported one as far as it still holds. */
     readonly expectedSlowness: number;
     /** How much longer one more request is expected to take because of those in flight there, as answers showed; 1 is as usual. */
     readonly crowding: number;
+    /** Requests in flight, of all instances, at which it answers most in a given time, as answers showed. */
+    readonly bestInFlight: number;
     /** Decayed share of failed attempts, from 0 to 1. */
     readonly failureRate: number;
     /** Requests that the upstream serves at the same time, by its report or else as configured. */
