Give the daemon's files rooms by subject, and open the circle between a request's progress and its services

Callbacks take the record of a request instead of its progress, which needed the services in turn. No behaviour changes.

--- a/packages/daemon/src/daemon-options.ts
+++ b/packages/daemon/src/daemon-options.ts
@@ -6,10 +6,10 @@
 
 import type { ServicePolicy, Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { EventLog } from "./event-log.js";
-import type { Metrics } from "./metrics.js";
-import type { Platform, PlatformAdapter } from "./platform.js";
-import type { UpstreamTransport } from "./upstream-transport.js";
+import type { Platform, PlatformAdapter } from "./platform/platform.js";
+import type { EventLog } from "./telemetry/event-log.js";
+import type { Metrics } from "./telemetry/metrics.js";
+import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 
 /** Parts of a daemon that can be replaced. */
 export interface DaemonOptions {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,22 +6,22 @@
 
 import type { ServicePolicy, Settings } from "@harrierhitch/configuration";
 import { type Clock, type RandomSource, sleep, SystemClock, SystemRandom } from "@harrierhitch/core";
-import { CallersServer } from "./callers-server.js";
 import type { DaemonOptions, DaemonPorts } from "./daemon-options.js";
-import { EventLog } from "./event-log.js";
-import { events } from "./event.js";
-import { HttpTransport } from "./http-transport.js";
 import { Instance } from "./instance.js";
-import { Metrics } from "./metrics.js";
-import type { OperatorServiceOptions } from "./operator-service.js";
-import { OperatorsSide } from "./operators-side.js";
-import { ownPlatform } from "./own-platform.js";
-import { PeerJoiner } from "./peer-joiner.js";
-import { PlatformLink } from "./platform-link.js";
-import type { Platform, PlatformAdapter, PlatformOptions } from "./platform.js";
+import type { OperatorServiceOptions } from "./operators/operator-service.js";
+import { OperatorsSide } from "./operators/operators-side.js";
+import { PeerJoiner } from "./peers/peer-joiner.js";
+import { ownPlatform } from "./platform/own-platform.js";
+import { PlatformLink } from "./platform/platform-link.js";
+import type { Platform, PlatformAdapter, PlatformOptions } from "./platform/platform.js";
+import { CallersServer } from "./request/callers-server.js";
 import { SleepDetector } from "./sleep-detector.js";
-import type { Tracing } from "./tracing.js";
-import type { UpstreamTransport } from "./upstream-transport.js";
+import { EventLog } from "./telemetry/event-log.js";
+import { events } from "./telemetry/event.js";
+import { Metrics } from "./telemetry/metrics.js";
+import type { Tracing } from "./telemetry/tracing.js";
+import { HttpTransport } from "./upstream/http-transport.js";
+import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 import { version } from "./version.js";
 
 /** One running daemon. */
@@ -212,7 +212,7 @@
 
     private async openTracing(): Promise<void> {
         if (this.settings.traces.otlpUrl !== undefined) {
-            const { openTracing } = await import("./tracing.js");
+            const { openTracing } = await import("./telemetry/tracing.js");
             this.tracing = openTracing(this.settings, this.clock, spans => this.onSpansDropped(spans));
         }
     }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,14 +4,9 @@
  * @packageDocumentation
  */
 
-export { type Arrival, numberHeader, pathOf, textHeader } from "./arrival.js";
 export { type DaemonOptions, type DaemonPorts } from "./daemon-options.js";
 export { Daemon } from "./daemon.js";
-export { type AnswerHead, type AnswerReading, type Dialect, type LoadReport, type OutgoingAttempt } from "./dialect.js";
-export { EventLog, type EventLogOptions } from "./event-log.js";
-export { type EventKind, events } from "./event.js";
-export { type HttpCall, httpGet, HttpGetter, type HttpResult } from "./http-get.js";
-export { Metrics } from "./metrics.js";
+export { type HttpCall, httpGet, HttpGetter, type HttpResult } from "./platform/http-get.js";
 export {
     HistoryLostError,
     type Platform,
@@ -21,6 +16,11 @@
     type Publication,
     type PublishedSyntax,
     type SyntaxOptions,
-} from "./platform.js";
+} from "./platform/platform.js";
 export { type DaemonProgramOptions, exitCodes, runDaemonProgram } from "./program.js";
+export { type Arrival, numberHeader, pathOf, textHeader } from "./request/arrival.js";
+export { type AnswerHead, type AnswerReading, type Dialect, type LoadReport, type OutgoingAttempt } from "./request/dialect.js";
+export { EventLog, type EventLogOptions } from "./telemetry/event-log.js";
+export { type EventKind, events } from "./telemetry/event.js";
+export { Metrics } from "./telemetry/metrics.js";
 export { version } from "./version.js";
--- a/packages/daemon/src/instance-parts.ts
+++ b/packages/daemon/src/instance-parts.ts
@@ -6,13 +6,13 @@
 
 import type { Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { DecisionRecord } from "./decision-record.js";
-import type { Dialect } from "./dialect.js";
-import type { EventLog } from "./event-log.js";
-import type { Metrics } from "./metrics.js";
-import type { PublishedSyntax } from "./platform.js";
-import type { RegistryUpdate } from "./service-registry.js";
-import type { UpstreamTransport } from "./upstream-transport.js";
+import type { PublishedSyntax } from "./platform/platform.js";
+import type { DecisionRecord } from "./request/decision-record.js";
+import type { Dialect } from "./request/dialect.js";
+import type { EventLog } from "./telemetry/event-log.js";
+import type { Metrics } from "./telemetry/metrics.js";
+import type { RegistryUpdate } from "./upstream/service-registry.js";
+import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 
 /** Parts that an instance is made of; each can be replaced in tests. */
 export interface InstanceParts {
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -8,22 +8,22 @@
 import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
 import { AcceptedConfiguration, type Fleet, type HeardRumor, type OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
-import { hostOf, pathOf } from "./arrival.js";
-import type { CallerAnswer } from "./caller-answer.js";
-import { events } from "./event.js";
-import { ExplanationStore } from "./explanation-store.js";
 import type { InstanceParts } from "./instance-parts.js";
 import { minimumRefreshSleepMs, notReadyRetryAfterMs, refreshTimeoutMs } from "./instance-times.js";
-import { makeRequestServices } from "./make-request-services.js";
-import type { Publication } from "./platform.js";
-import { ProbeBudget } from "./probe-budget.js";
-import { RequestProgress } from "./request-progress.js";
-import type { RequestServices } from "./request-services.js";
-import { RequestTask } from "./request-task.js";
-import { type RegistryUpdate, ServiceRegistry, toTargets } from "./service-registry.js";
-import { sharesOf } from "./shares.js";
+import { ExplanationStore } from "./operators/explanation-store.js";
+import type { Publication } from "./platform/platform.js";
+import { hostOf, pathOf } from "./request/arrival.js";
+import type { CallerAnswer } from "./request/caller-answer.js";
+import { makeRequestServices } from "./request/make-request-services.js";
+import { RequestProgress } from "./request/request-progress.js";
+import type { RequestServices } from "./request/request-services.js";
+import { RequestTask } from "./request/request-task.js";
 import { SpreadDraws } from "./spread-draws.js";
-import { Telemetry } from "./telemetry.js";
+import { events } from "./telemetry/event.js";
+import { Telemetry } from "./telemetry/telemetry.js";
+import { ProbeBudget } from "./upstream/probe-budget.js";
+import { type RegistryUpdate, ServiceRegistry, toTargets } from "./upstream/service-registry.js";
+import { sharesOf } from "./upstream/shares.js";
 
 /** Stage of an instance's life. */
 export type InstanceStage = "starting" | "serving" | "stopping";
--- a/packages/daemon/src/explanation-message.ts
+++ b/packages/daemon/src/operators/explanation-message.ts
@@ -22,7 +22,7 @@
     type Step,
     StepSchema,
 } from "@harrierhitch/protocol";
-import type { AttemptRecord, DecisionRecord, DecisionStep } from "./decision-record.js";
+import type { AttemptRecord, DecisionRecord, DecisionStep } from "../request/decision-record.js";
 
 /** Explains a record. */
 export const toExplanation = (record: DecisionRecord): Explanation =>
--- a/packages/daemon/src/explanation-store.ts
+++ b/packages/daemon/src/operators/explanation-store.ts
@@ -5,7 +5,7 @@
  */
 
 import type { RequestId } from "@harrierhitch/core";
-import type { DecisionRecord } from "./decision-record.js";
+import type { DecisionRecord } from "../request/decision-record.js";
 
 /** Options of {@link ExplanationStore}. */
 export interface ExplanationStoreOptions {
--- a/packages/daemon/src/operator-service.ts
+++ b/packages/daemon/src/operators/operator-service.ts
@@ -20,11 +20,11 @@
     type UpstreamStatus,
     UpstreamStatusSchema,
 } from "@harrierhitch/protocol";
+import type { Instance } from "../instance.js";
+import { instanceOf } from "../request/request-id.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
+import { version } from "../version.js";
 import { toCandidate, toExplanation } from "./explanation-message.js";
-import type { Instance } from "./instance.js";
-import { instanceOf } from "./request-id.js";
-import type { ServiceRuntime } from "./service-runtime.js";
-import { version } from "./version.js";
 
 /** Options of {@link operatorService}. */
 export interface OperatorServiceOptions {
--- a/packages/daemon/src/operators-side.ts
+++ b/packages/daemon/src/operators/operators-side.ts
@@ -5,12 +5,12 @@
  */
 
 import type { Settings } from "@harrierhitch/configuration";
-import type { Instance } from "./instance.js";
-import type { Metrics } from "./metrics.js";
+import type { Instance } from "../instance.js";
+import { RpcServer } from "../peers/rpc-server.js";
+import type { Metrics } from "../telemetry/metrics.js";
 import type { OperatorServiceOptions } from "./operator-service.js";
 import { plainOperatorsHandler, readyHandler } from "./operators-server.js";
 import { PlainServer } from "./plain-server.js";
-import { RpcServer } from "./rpc-server.js";
 
 /** Options of {@link OperatorsSide}. */
 export interface OperatorsSideOptions {
@@ -34,7 +34,7 @@
         this.server = new RpcServer({
             settings: settings.operators,
             rpcPrefix: "/harrierhitch.operator.",
-            openRpc: async () => (await import("./rpc-listeners.js")).operatorsListener(serviceOptions()),
+            openRpc: async () => (await import("../peers/rpc-listeners.js")).operatorsListener(serviceOptions()),
             fallback: plainOperatorsHandler({ registry: metrics.registry, isReady, refresh: () => this.refreshGauges() }),
             onRefused,
         });
--- a/packages/daemon/src/plain-server.ts
+++ b/packages/daemon/src/operators/plain-server.ts
@@ -5,7 +5,7 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { listenOn } from "./listen.js";
+import { listenOn } from "../listen.js";
 
 /** Options of {@link PlainServer}. */
 export interface PlainServerOptions {
--- a/packages/daemon/src/join-fleet.ts
+++ b/packages/daemon/src/peers/join-fleet.ts
@@ -14,7 +14,7 @@
     type PeerClients,
     type UpstreamDirectory,
 } from "@harrierhitch/fleet";
-import type { Metrics } from "./metrics.js";
+import type { Metrics } from "../telemetry/metrics.js";
 
 /** What an instance joins its fleet with. */
 export interface JoinFleetOptions {
--- a/packages/daemon/src/peer-joiner.ts
+++ b/packages/daemon/src/peers/peer-joiner.ts
@@ -7,7 +7,7 @@
 import type { Settings } from "@harrierhitch/configuration";
 import { asError, sleep } from "@harrierhitch/core";
 import type { PeerClients } from "@harrierhitch/fleet";
-import { events } from "./event.js";
+import { events } from "../telemetry/event.js";
 import type { PeerSide, PeerSideOptions } from "./peer-side.js";
 
 /** Options of {@link PeerJoiner}. */
--- a/packages/daemon/src/peer-side.ts
+++ b/packages/daemon/src/peers/peer-side.ts
@@ -8,14 +8,14 @@
 import { parseEndpoint, type Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
+import type { Instance } from "../instance.js";
+import type { OperatorServiceOptions } from "../operators/operator-service.js";
+import { answerNotFound } from "../operators/operators-server.js";
+import type { EventLog } from "../telemetry/event-log.js";
+import { events } from "../telemetry/event.js";
+import type { Metrics } from "../telemetry/metrics.js";
 import { ConnectClients } from "./connect-clients.js";
-import type { EventLog } from "./event-log.js";
-import { events } from "./event.js";
-import type { Instance } from "./instance.js";
 import { joinFleet } from "./join-fleet.js";
-import type { Metrics } from "./metrics.js";
-import type { OperatorServiceOptions } from "./operator-service.js";
-import { answerNotFound } from "./operators-server.js";
 import { RpcServer } from "./rpc-server.js";
 
 /** Settings of the side between instances. */
--- a/packages/daemon/src/rpc-listeners.ts
+++ b/packages/daemon/src/peers/rpc-listeners.ts
@@ -7,7 +7,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { peerService, type PeerServiceOptions } from "@harrierhitch/fleet";
 import { OperatorService, PeerService } from "@harrierhitch/protocol";
-import { explainHere, operatorService, type OperatorServiceOptions, toStatus } from "./operator-service.js";
+import { explainHere, operatorService, type OperatorServiceOptions, toStatus } from "../operators/operator-service.js";
 import type { Listener } from "./rpc-server.js";
 
 /** Largest message that is read: a document of a megabyte and what goes with it. */
--- a/packages/daemon/src/rpc-server.ts
+++ b/packages/daemon/src/peers/rpc-server.ts
@@ -7,7 +7,7 @@
 import { asError } from "@harrierhitch/core";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
-import { listenOn } from "./listen.js";
+import { listenOn } from "../listen.js";
 import { readTlsFiles, type TlsFileNames, watchTlsFiles } from "./tls-files.js";
 
 /** Handles one request. */
--- a/packages/daemon/src/own-platform.ts
+++ b/packages/daemon/src/platform/own-platform.ts
@@ -5,7 +5,7 @@
  */
 
 import { checkConfiguration } from "@harrierhitch/configuration";
-import { HeaderDialect } from "./header-dialect.js";
+import { HeaderDialect } from "../request/header-dialect.js";
 import { HttpPlatform } from "./http-platform.js";
 import type { PlatformAdapter } from "./platform.js";
 
--- a/packages/daemon/src/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -6,9 +6,9 @@
  */
 
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { EventLog } from "./event-log.js";
-import { events } from "./event.js";
-import type { Instance } from "./instance.js";
+import type { Instance } from "../instance.js";
+import type { EventLog } from "../telemetry/event-log.js";
+import { events } from "../telemetry/event.js";
 import { PlatformFollower, type PublicationKind } from "./platform-follower.js";
 import type { Platform, Publication } from "./platform.js";
 
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -16,7 +16,7 @@
 import { defineCommand, runMain } from "citty";
 import { readFile } from "node:fs/promises";
 import { Daemon } from "./daemon.js";
-import type { PlatformAdapter } from "./platform.js";
+import type { PlatformAdapter } from "./platform/platform.js";
 import { version } from "./version.js";
 
 /** Exit codes of the daemon. */
--- a/packages/daemon/src/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -9,6 +9,9 @@
 import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
+import { newSpanId, toTraceparent } from "../telemetry/trace-context.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
+import type { AnswerSink, Attempt } from "../upstream/upstream-transport.js";
 import type { AttemptRecord } from "./decision-record.js";
 import type { AnswerReading } from "./dialect.js";
 import { requestHeaders } from "./headers.js";
@@ -16,9 +19,6 @@
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-import type { ServiceRuntime } from "./service-runtime.js";
-import { newSpanId, toTraceparent } from "./trace-context.js";
-import type { AnswerSink, Attempt } from "./upstream-transport.js";
 import { AnswerBuffer, type WholeAnswer } from "./whole-answer.js";
 
 /** Everything that one attempt needs. */
@@ -161,7 +161,7 @@
             ? { ...result, end: "garbled", detail: reading.foreign }
             : { ...result, end: reading?.shed === true ? "shed" : result.end };
         this.record.outcome = outcome;
-        services.onAttempt(progress, this.record);
+        services.onAttempt(progress.record, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         if (result.end === "cancelled") {
             learnFromOvertaken(this.work(atMs));
--- a/packages/daemon/src/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -9,8 +9,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Duplex } from "node:stream";
+import { listenOn } from "../listen.js";
 import { CallerAnswer } from "./caller-answer.js";
-import { listenOn } from "./listen.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
 
--- a/packages/daemon/src/deliver.ts
+++ b/packages/daemon/src/request/deliver.ts
@@ -5,9 +5,9 @@
  */
 
 import type { AttemptResult } from "@harrierhitch/decision";
+import type { EventLog } from "../telemetry/event-log.js";
+import { events } from "../telemetry/event.js";
 import type { AttemptReport } from "./attempt-task.js";
-import type { EventLog } from "./event-log.js";
-import { events } from "./event.js";
 import type { RequestProgress } from "./request-progress.js";
 
 /** Gives the caller an answer that was kept back until it was whole. */
--- a/packages/daemon/src/learn.ts
+++ b/packages/daemon/src/request/learn.ts
@@ -7,9 +7,9 @@
 import type { Upstream } from "@harrierhitch/configuration";
 import { workTime } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { AnswerReading } from "./dialect.js";
 import type { RequestServices } from "./request-services.js";
-import type { ServiceRuntime } from "./service-runtime.js";
 
 /** Least load of an upstream that sheds, in its slots. */
 const shedLoadFactor = 4;
--- a/packages/daemon/src/make-request-services.ts
+++ b/packages/daemon/src/request/make-request-services.ts
@@ -5,13 +5,13 @@
  */
 
 import type { InstanceId } from "@harrierhitch/core";
-import type { ExplanationStore } from "./explanation-store.js";
-import type { InstanceParts } from "./instance-parts.js";
-import type { ProbeBudget } from "./probe-budget.js";
-import { Prober } from "./prober.js";
+import type { InstanceParts } from "../instance-parts.js";
+import type { ExplanationStore } from "../operators/explanation-store.js";
+import type { Telemetry } from "../telemetry/telemetry.js";
+import type { ProbeBudget } from "../upstream/probe-budget.js";
+import { Prober } from "../upstream/prober.js";
 import { RequestIds } from "./request-id.js";
 import type { RequestServices } from "./request-services.js";
-import type { Telemetry } from "./telemetry.js";
 
 /** What they are made of. */
 export interface RequestServicesOptions {
@@ -46,11 +46,11 @@
         answerBufferBytes: limits.answerBufferBytes,
         log,
         sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
-        onAttempt: (progress, attempt) => telemetry.attempted(progress, attempt),
-        onServed: (progress, sampled) => {
-            telemetry.served(progress);
+        onAttempt: (record, attempt) => telemetry.attempted(record, attempt),
+        onServed: (record, sampled) => {
+            telemetry.served(record);
             if (sampled) {
-                onTraced?.(progress.record);
+                onTraced?.(record);
             }
         },
     };
--- a/packages/daemon/src/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -8,10 +8,10 @@
 import { type UpstreamId, upstreamId } from "@harrierhitch/core";
 import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
-import { events } from "./event.js";
+import { events } from "../telemetry/event.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-import type { ServiceRuntime } from "./service-runtime.js";
 
 /** Upstreams that are asked for their load at the same time, and once more before each further decision on the request. */
 const probesAtOnce = 2;
--- a/packages/daemon/src/request-hold.ts
+++ b/packages/daemon/src/request/request-hold.ts
@@ -5,8 +5,8 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { RequestProgress } from "./request-progress.js";
-import type { ServiceRuntime } from "./service-runtime.js";
 
 /**
  * Holds a request back, within the limits of its service.
--- a/packages/daemon/src/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -9,14 +9,14 @@
 import { retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
+import { events } from "../telemetry/event.js";
+import { continueTrace, type TraceContext } from "../telemetry/trace-context.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Arrival } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
 import type { DecisionRecord } from "./decision-record.js";
-import { events } from "./event.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import type { RequestServices } from "./request-services.js";
-import type { ServiceRuntime } from "./service-runtime.js";
-import { continueTrace, type TraceContext } from "./trace-context.js";
 import { Urgency } from "./urgency.js";
 
 /** Header that names a request to its caller. */
--- a/packages/daemon/src/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -5,15 +5,14 @@
  */
 
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { AttemptRecord } from "./decision-record.js";
+import type { ExplanationStore } from "../operators/explanation-store.js";
+import type { EventLog } from "../telemetry/event-log.js";
+import type { Prober } from "../upstream/prober.js";
+import type { UpstreamTransport } from "../upstream/upstream-transport.js";
+import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { Dialect } from "./dialect.js";
-import type { EventLog } from "./event-log.js";
-import type { ExplanationStore } from "./explanation-store.js";
-import type { Prober } from "./prober.js";
 import type { BodyLimits } from "./request-body.js";
 import type { RequestIds } from "./request-id.js";
-import type { RequestProgress } from "./request-progress.js";
-import type { UpstreamTransport } from "./upstream-transport.js";
 
 /** Shared parts that requests use. */
 export interface RequestServices {
@@ -31,7 +30,7 @@
     /** Decides whether a trace that begins here is recorded. */
     sampleTrace(): boolean;
     /** Told when an attempt has ended. */
-    onAttempt(progress: RequestProgress, attempt: AttemptRecord): void;
+    onAttempt(record: DecisionRecord, attempt: AttemptRecord): void;
     /** Told when a request was answered. */
-    onServed(progress: RequestProgress, sampled: boolean): void;
+    onServed(record: DecisionRecord, sampled: boolean): void;
 }
--- a/packages/daemon/src/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -6,6 +6,7 @@
 
 import type { UpstreamId } from "@harrierhitch/core";
 import type { ChooseDecision, Decision } from "@harrierhitch/decision";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import { acceptBody } from "./accept-body.js";
 import { type AttemptReport, AttemptTask } from "./attempt-task.js";
 import { deliver, endStream, giveUpAfterAttempt } from "./deliver.js";
@@ -18,7 +19,6 @@
 import { holdBack } from "./request-hold.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-import type { ServiceRuntime } from "./service-runtime.js";
 
 /** Serves one request. */
 export class RequestTask {
@@ -53,7 +53,7 @@
         }
         progress.record.durationMs = progress.ageMs;
         services.explanations.finish(progress.record);
-        services.onServed(progress, progress.trace.sampled);
+        services.onServed(progress.record, progress.trace.sampled);
     }
 
     private async serve(body: RequestBody): Promise<void> {
--- a/packages/daemon/src/urgency.ts
+++ b/packages/daemon/src/request/urgency.ts
@@ -6,9 +6,9 @@
 
 import type { Route } from "@harrierhitch/configuration";
 import type { Clock } from "@harrierhitch/core";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Arrival } from "./arrival.js";
 import type { QueuePlace } from "./hold-queue.js";
-import type { ServiceRuntime } from "./service-runtime.js";
 
 /** Options of {@link Urgency}. */
 export interface UrgencyOptions {
--- a/packages/daemon/src/spans.ts
+++ b/packages/daemon/src/telemetry/spans.ts
@@ -9,9 +9,9 @@
 import { hrTimeDuration, millisToHrTime } from "@opentelemetry/core";
 import type { Resource } from "@opentelemetry/resources";
 import type { ReadableSpan } from "@opentelemetry/sdk-trace-base";
-import type { AttemptRecord, DecisionRecord, DecisionStep } from "./decision-record.js";
+import type { AttemptRecord, DecisionRecord, DecisionStep } from "../request/decision-record.js";
+import { version } from "../version.js";
 import { newSpanId } from "./trace-context.js";
-import { version } from "./version.js";
 
 interface SpanParts {
     readonly name: string;
--- a/packages/daemon/src/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -8,12 +8,11 @@
 import type { Generation } from "@harrierhitch/core";
 import type { DirectoryChange, OfferResult } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
-import type { AttemptRecord } from "./decision-record.js";
+import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
+import type { StateChange } from "../upstream/service-registry.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import type { Metrics } from "./metrics.js";
-import type { RequestProgress } from "./request-progress.js";
-import type { StateChange } from "./service-registry.js";
 
 /** Writes events and counts. */
 export class Telemetry {
@@ -48,8 +47,8 @@
     }
 
     /** Tells of an attempt that has ended, with what the choice was made by. */
-    attempted({ record, route }: RequestProgress, attempt: AttemptRecord): void {
-        const service = route.service.name;
+    attempted(record: DecisionRecord, attempt: AttemptRecord): void {
+        const service = record.route.service.name;
         const { result, upstream, outcome, startedMs, endedMs } = attempt;
         this.metrics.attempts.inc({ service, end: result?.end ?? "unknown" });
         const step = record.steps.findLast(({ decision }) => decision.action === "choose" && decision.upstream === upstream);
@@ -80,7 +79,8 @@
     }
 
     /** Counts a request that was answered. */
-    served({ record, route }: RequestProgress): void {
+    served(record: DecisionRecord): void {
+        const { route } = record;
         const labels = { service: route.service.name, kind: route.kind.name };
         this.metrics.requests.inc({ ...labels, outcome: record.outcome ?? "unknown" });
         this.metrics.requestDuration.observe(labels, (record.durationMs ?? 0) / 1000);
--- a/packages/daemon/src/tracing.ts
+++ b/packages/daemon/src/telemetry/tracing.ts
@@ -8,10 +8,10 @@
 import type { Clock } from "@harrierhitch/core";
 import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
 import { resourceFromAttributes } from "@opentelemetry/resources";
-import type { DecisionRecord } from "./decision-record.js";
+import type { DecisionRecord } from "../request/decision-record.js";
+import { version } from "../version.js";
 import { SpanQueue } from "./span-queue.js";
 import { spansOf } from "./spans.js";
-import { version } from "./version.js";
 
 /** Exports the spans of requests that are traced. */
 export interface Tracing {
--- a/packages/daemon/src/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -7,7 +7,7 @@
 import type { Service, Upstream } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Dialect } from "./dialect.js";
+import type { Dialect } from "../request/dialect.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 import { SilentServices } from "./silent-services.js";
--- a/packages/daemon/src/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -7,7 +7,7 @@
 import type { Configuration, ListedUpstream, Service } from "@harrierhitch/configuration";
 import type { Clock, ServiceName, UpstreamId } from "@harrierhitch/core";
 import { type Belief, type KnownUpstream, type Observation, RetryBudget, ServiceBeliefs } from "@harrierhitch/decision";
-import { HoldQueue } from "./hold-queue.js";
+import { HoldQueue } from "../request/hold-queue.js";
 import { ServiceRuntime } from "./service-runtime.js";
 import type { Shares } from "./shares.js";
 import type { UpstreamTarget } from "./upstream-transport.js";
--- a/packages/daemon/src/service-runtime.ts
+++ b/packages/daemon/src/upstream/service-runtime.ts
@@ -16,7 +16,7 @@
     UsualTimes,
 } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
-import type { HoldQueue } from "./hold-queue.js";
+import type { HoldQueue } from "../request/hold-queue.js";
 
 /** Beliefs, queue and turn of one service; it outlives configurations. */
 export class ServiceRuntime {
--- a/packages/daemon/test/budgets.test.ts
+++ b/packages/daemon/test/budgets.test.ts
@@ -3,8 +3,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ProbeBudget } from "../src/probe-budget.js";
 import { SpreadDraws } from "../src/spread-draws.js";
+import { ProbeBudget } from "../src/upstream/probe-budget.js";
 
 /** Seconds for which probes are saved up; the most that any window may see beyond its own share. */
 const savedSeconds = 6;
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -4,8 +4,8 @@
 
 import type { Configuration, Kind } from "@harrierhitch/configuration";
 import type { IncomingMessage } from "node:http";
-import { type Arrival, numberHeader, pathOf } from "../../src/arrival.js";
-import type { AnswerHead, AnswerReading, Dialect } from "../../src/dialect.js";
+import { type Arrival, numberHeader, pathOf } from "../../src/request/arrival.js";
+import type { AnswerHead, AnswerReading, Dialect } from "../../src/request/dialect.js";
 import { modelLoadHeader } from "./model-transport.js";
 
 /** Header with the milliseconds for which a caller will wait. */
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -7,10 +7,10 @@
 import { EventEmitter } from "node:events";
 import { readFileSync } from "node:fs";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { CallerAnswer } from "../../src/caller-answer.js";
-import { EventLog } from "../../src/event-log.js";
 import { Instance } from "../../src/instance.js";
-import { Metrics } from "../../src/metrics.js";
+import { CallerAnswer } from "../../src/request/caller-answer.js";
+import { EventLog } from "../../src/telemetry/event-log.js";
+import { Metrics } from "../../src/telemetry/metrics.js";
 import { modelDialect, modelPatienceHeader } from "./model-dialect.js";
 import { modelProbePath, ModelTransport } from "./model-transport.js";
 import { ModelUpstream, type ModelUpstreamOptions } from "./model-upstream.js";
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -5,7 +5,7 @@
 import type { Upstream } from "@harrierhitch/configuration";
 import { type Clock, sleep, type UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult } from "@harrierhitch/decision";
-import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTransport } from "../../src/upstream-transport.js";
+import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTransport } from "../../src/upstream/upstream-transport.js";
 import type { ModelUpstream } from "./model-upstream.js";
 
 /** Path at which modelled upstreams are asked for their load. */
--- a/packages/daemon/test/parts.test.ts
+++ b/packages/daemon/test/parts.test.ts
@@ -1,10 +1,10 @@
 import { FakeClock } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { answerHeaders, requestHeaders } from "../src/headers.js";
-import { HoldQueue, type HoldResult } from "../src/hold-queue.js";
+import { answerHeaders, requestHeaders } from "../src/request/headers.js";
+import { HoldQueue, type HoldResult } from "../src/request/hold-queue.js";
 import { SleepDetector } from "../src/sleep-detector.js";
-import { SpanQueue } from "../src/span-queue.js";
+import { SpanQueue } from "../src/telemetry/span-queue.js";
 
 const stays = () => () => undefined;
 
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -4,9 +4,9 @@
 import { MemberSchema } from "@harrierhitch/protocol";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { EventLog } from "../src/event-log.js";
-import { PlatformLink } from "../src/platform-link.js";
-import { type Platform, PlatformError, type Publication } from "../src/platform.js";
+import { PlatformLink } from "../src/platform/platform-link.js";
+import { type Platform, PlatformError, type Publication } from "../src/platform/platform.js";
+import { EventLog } from "../src/telemetry/event-log.js";
 
 const watchMs = 4000;
 
--- a/packages/daemon/test/silent-services.test.ts
+++ b/packages/daemon/test/silent-services.test.ts
@@ -1,7 +1,7 @@
 import { FakeClock, serviceName } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SilentServices } from "../src/silent-services.js";
+import { SilentServices } from "../src/upstream/silent-services.js";
 
 const name = serviceName("main");
 
