--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -102,7 +102,7 @@
             ...service,
             candidates: upstreams.filter(isCandidate).length,
             bestTime: bestTime(upstreams, []),
-            room: roomAtBest(upstreams, []),
+            ...roomAtBest(upstreams, []),
             askable: upstreams.length,
             upstreams: upstreams.length,
         },
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -6,7 +6,7 @@
 
 import type { Configuration, Route } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
-import { retryAfterOf } from "@harrierhitch/decision";
+import { type DecisionInput, retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
 import { events } from "../telemetry/event.js";
@@ -200,8 +200,7 @@
         const { generation } = this.record.configuration;
         const ageMs = Math.round(this.ageMs);
         const decision = steps.at(-1)?.decision.action;
-        const { request, service } = steps.at(-1)?.input ?? {};
-        const decidedBy = { bestTime: service?.bestTime, usualMs: request?.usualMs, targetMs: request?.targetMs };
+        const decidedBy = toDecidedBy(steps.at(-1)?.input);
         const { upstreamsOut } = this;
         const fields = { request: id, route: this.route.name, problem: kind, detail, outcome, status, retryAfterMs };
         this.services.log.write(events.requestProblem, { ...fields, ageMs, decision, decidedBy, generation, upstreamsOut });
@@ -223,3 +222,14 @@
 /** A status that promises that the request has not run is given only where that is known. */
 const truthfulKind = ({ kind, outcome }: Problem): ProblemKind =>
     outcome !== "not-run" && problemKinds[kind].status === serviceUnavailable ? "upstream-failed" : kind;
+
+/** The inputs that mostly decide whether a request is held or refused, as the log tells them. */
+const toDecidedBy = (input: DecisionInput | undefined) => {
+    if (input === undefined) {
+        return undefined;
+    }
+    const { bestTime, room, askable, queued } = input.service;
+    const { usualMs, targetMs, targetLeftMs, slackMs, holdLeftMs, waitMs, ahead } = input.request;
+    const figures = { bestTime, room, askable, queued, usualMs, targetMs, targetLeftMs, slackMs, holdLeftMs, waitMs, ahead };
+    return Object.fromEntries(Object.entries(figures).map(([name, value]) => [name, Math.round(value * 100) / 100]));
+};
--- a/packages/daemon/src/upstream/service-runtime.ts
+++ b/packages/daemon/src/upstream/service-runtime.ts
@@ -72,7 +72,7 @@
             queued: this.queue.length,
             candidates: upstreams.filter(mayBeChosen).length,
             bestTime: bestTime(upstreams, tried),
-            room: roomAtBest(upstreams, tried),
+            ...roomAtBest(upstreams, tried),
             askable,
             upstreams: upstreams.length,
         };
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -20,7 +20,7 @@
 } from "./decision.js";
 export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
-export { bestTime, isGoodNow, mayBeChosen, probeTargets, roomAtBest, roomInMs } from "./probe-targets.js";
+export { bestTime, isGoodNow, mayBeChosen, probeTargets, type Room, roomAtBest, roomInMs } from "./probe-targets.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
 export { type WorkReading } from "./service-tempo.js";
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -53,17 +53,29 @@
     return candidates.length === 0 ? -1 : Math.min(...candidates.map(workTime));
 };
 
+/** Room at an upstream. */
+export interface Room {
+    /** Requests that it is expected to take before it answers fewer in a given time, with a fraction. */
+    readonly room: number;
+    /** The same as a share of the requests in flight at which it answers most. */
+    readonly freeShare: number;
+}
+
 /**
- * Requests that the best of some upstreams is expected to take before it answers fewer in a given time.
+ * Room at the best of some upstreams.
  *
  * @param upstreams - What is believed of them.
  * @param tried - Ids of those that are left out, because the request has tried them.
- * @returns The number, with a fraction; 0 when none may be chosen.
+ * @returns The room; none when none may be chosen.
  */
-export const roomAtBest = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): number => {
+export const roomAtBest = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): Room => {
     const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
     const [best] = candidates.sort((a, b) => workTime(a) - workTime(b));
-    return best === undefined ? 0 : best.bestInFlight - best.expectedInFlight;
+    if (best === undefined) {
+        return { room: 0, freeShare: 0 };
+    }
+    const room = best.bestInFlight - best.expectedInFlight;
+    return { room, freeShare: room / Math.max(1, best.bestInFlight) };
 };
 
 /**
--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -35,6 +35,7 @@
         candidates: upstreams.length,
         bestTime: 1,
         room: 1,
+        freeShare: 1,
         askable: 1,
         upstreams: upstreams.length,
     },
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -43,6 +43,7 @@
     candidates: "double",
     bestTime: "double",
     room: "double",
+    freeShare: "double",
     askable: "double",
     upstreams: "double",
 };
--- a/packages/policy/src/service-facts.ts
+++ b/packages/policy/src/service-facts.ts
@@ -24,6 +24,8 @@
      * more would add to a backlog, and without a candidate.
      */
     readonly room: number;
+    /** The same as a share of the requests in flight at which that upstream answers most: 1 is an idle one, 0 a full one. */
+    readonly freeShare: number;
     /** Upstreams that may be asked for their load now: while it is 0, waiting brings no news but by answers. */
     readonly askable: number;
     /** All upstreams of the service. */
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -74,7 +74,17 @@
         waitMs: 0,
         usualMs: 0,
     },
-    service: { name: "main", inFlight: 5, queued: 0, candidates: count, bestTime: 1, room: 1, askable: 1, upstreams: count },
+    service: {
+        name: "main",
+        inFlight: 5,
+        queued: 0,
+        candidates: count,
+        bestTime: 1,
+        room: 1,
+        freeShare: 1,
+        askable: 1,
+        upstreams: count,
+    },
     upstreams: Array.from({ length: count }, (_, index) => ({
         id: `main-${index}`,
         availabilityZone: "hall-a",
