Begin what may not be repeated only when everything before it on its connection is answered

Cause: a pipelined request behind an answer that closes the connection counts as unread for its caller, who sends it again whatever its kind; this instance had passed it on at once, so it could run twice. Change: such a request waits for its turn; if the connection ends first it is not run. Reads are worked on at the same time as before. Tests: pipelined-callers.test.ts; the one with a planned stop failed first. Room at tried upstreams counts where no other is left.

--- a/packages/daemon/src/request/accept-body.ts
+++ b/packages/daemon/src/request/accept-body.ts
@@ -1,5 +1,5 @@
 /**
- * Taking a request's body, or refusing the request for it.
+ * Taking a request: its body, and its turn among the requests of its connection.
  *
  * @packageDocumentation
  */
@@ -36,3 +36,17 @@
         return undefined;
     }
 };
+
+/**
+ * Waits for the turn of a request that may not be repeated: it is begun only when everything before it on its connection
+ * is answered. If one of those answers closes the connection, the caller takes it for unread and sends it again.
+ *
+ * @returns Whether it may be begun; otherwise it is settled.
+ */
+export const isItsTurn = async (progress: RequestProgress): Promise<boolean> => {
+    if (progress.route.kind.repeatable || await progress.answer.takeTurn()) {
+        return true;
+    }
+    progress.record.outcome = "not-run";
+    return false;
+};
--- a/packages/daemon/src/request/caller-answer.ts
+++ b/packages/daemon/src/request/caller-answer.ts
@@ -52,6 +52,23 @@
         return () => this.leaveListeners.delete(listener);
     }
 
+    /**
+     * Waits until everything that came before on the connection is answered.
+     *
+     * @returns Whether it was; otherwise the connection ended first, and its caller takes the request for unread.
+     */
+    takeTurn(): Promise<boolean> {
+        const { socket } = this.request;
+        if (this.response.socket !== null) {
+            return Promise.resolve(!this.left);
+        }
+        return new Promise(resolve => {
+            // Node gives a response its socket when those before it on the connection have ended.
+            this.response.once("socket", () => resolve(true));
+            socket.once("close", () => resolve(false));
+        });
+    }
+
     /** Whether the head of an answer was sent. */
     get begun(): boolean {
         return this.response.headersSent;
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -7,7 +7,7 @@
 import type { UpstreamId } from "@harrierhitch/core";
 import type { ChooseDecision, Decision } from "@harrierhitch/decision";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
-import { acceptBody } from "./accept-body.js";
+import { acceptBody, isItsTurn } from "./accept-body.js";
 import { type AttemptReport, AttemptTask } from "./attempt-task.js";
 import { deliver, endStream, giveUpAfterAttempt } from "./deliver.js";
 import type { AnswerReading } from "./dialect.js";
@@ -48,7 +48,7 @@
         services.explanations.begin(progress.record);
         this.runtime.retryBudget.earn();
         const body = await acceptBody(progress, services.bodyLimits);
-        if (body !== undefined) {
+        if (body !== undefined && await isItsTurn(progress)) {
             await this.serve(body);
         }
         progress.record.durationMs = progress.ageMs;
@@ -150,16 +150,16 @@
 
     private async beginSecondAttempt(body: RequestBody): Promise<void> {
         const { kind } = this.progress.route;
-        const mayBegin = (): boolean =>
+        const canBegin = (): boolean =>
             this.running.size === 1 && this.streaming === undefined && this.progress.sentAttempts < kind.maximumAttempts
             && body.canReplay && !this.progress.answer.callerLeft;
         // While others wait for room, a second attempt would take it from their first.
-        if (!mayBegin() || this.runtime.queue.length > 0 || !this.runtime.retryBudget.canTake()) {
+        if (!canBegin() || this.runtime.queue.length > 0 || !this.runtime.retryBudget.canTake()) {
             return;
         }
         const decision = await this.choice.decide(this.tried);
         const isElsewhere = decision.action === "choose" && !this.tried.includes(decision.upstream);
-        if (isElsewhere && isPromising(decision) && mayBegin() && this.runtime.retryBudget.take()) {
+        if (isElsewhere && isPromising(decision) && canBegin() && this.runtime.retryBudget.take()) {
             this.start(decision.upstream, body);
         }
     }
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -25,6 +25,8 @@
     /** Policies in place of those that are deployed. */
     readonly policies?: string;
     readonly seed?: number;
+    /** How unevenly callers are spread over the instances: 1 is evenly, 2 gives the first tenth of them a third. */
+    readonly skew?: number;
 }
 
 /** What became of one caller. */
@@ -98,7 +100,7 @@
 
     /** One try of a caller. */
     async ask(patienceMs: number): Promise<{ readonly status: number; readonly retryAfterMs: number; }> {
-        const instance = this.instances[Math.floor(this.random.next() * this.instances.length)];
+        const instance = this.instances[Math.floor(this.random.next() ** (this.options.skew ?? 1) * this.instances.length)];
         const request = modelRequest(patienceMs);
         const response = new ModelResponse();
         await instance?.serve(request, new CallerAnswer(request, response as unknown as ServerResponse));
--- a/packages/daemon/test/parts.test.ts
+++ b/packages/daemon/test/parts.test.ts
@@ -44,6 +44,29 @@
         assert.deepEqual(results.map(result => result.split(" ")[0]), ["pass", "read1", "read2"]);
     });
 
+    test("lets those who can be in time go before those who cannot, and among them whoever is due first", async () => {
+        const { clock, results, add, wake } = start();
+        await clock.advance(100);
+        add("late", "a", 1, 1000, 50);
+        add("calm", "a", 1, 1000, 900);
+        add("urgent", "a", 1, 1000, 300);
+        await wake(3);
+        assert.deepEqual(results.map(result => result.split(" ")[0]), ["urgent", "calm", "late"]);
+    });
+
+    test("tells how many go before, and for how long they are expected to take", async () => {
+        const { clock, queue, add } = start();
+        const last = { hall: "a", weight: 1, dueAtMs: 2000, arrivedAtMs: 9 };
+        for (let turn = 0; turn < 8; turn += 1) {
+            queue.noteAdmitted();
+            await clock.advance(10);
+        }
+        assert.equal(queue.expectedWaitMs(last), 0);
+        ["a", "b", "c"].forEach(name => add(name, "a", 1));
+        assert.equal(queue.aheadOf(last), 3);
+        assert.equal(queue.expectedWaitMs(last), 30);
+    });
+
     test("gives up its lightest request for a heavier one when it is full, never for an equal one", async () => {
         const { clock, queue, results, add } = start();
         add("read1", "a", 1);
--- a/packages/decision/src/probe-targets.ts
+++ b/packages/decision/src/probe-targets.ts
@@ -65,12 +65,11 @@
  * Room at the best of some upstreams.
  *
  * @param upstreams - What is believed of them.
- * @param tried - Ids of those that are left out, because the request has tried them.
+ * @param tried - Ids of those that are left out, because the request has tried them, unless only they are left.
  * @returns The room; none when none may be chosen.
  */
 export const roomAtBest = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): Room => {
-    const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
-    const [best] = candidates.sort((a, b) => workTime(a) - workTime(b));
+    const [best] = [...candidatesOf(upstreams, tried)].sort((a, b) => workTime(a) - workTime(b));
     if (best === undefined) {
         return { room: 0, freeShare: 0 };
     }
@@ -82,19 +81,25 @@
  * Time until one of some upstreams is expected to have room, if nobody else sends anything.
  *
  * @param upstreams - What is believed of them.
- * @param tried - Ids of those that are left out, because the request has tried them.
+ * @param tried - Ids of those that are left out, because the request has tried them, unless only they are left.
  * @param residenceMs - How long a request stays at an upstream, on average.
  * @returns Milliseconds; -1 when none may be chosen.
  */
 export const roomInMs = (upstreams: readonly UpstreamFacts[], tried: readonly string[], residenceMs: number): number => {
-    const candidates = upstreams.filter(upstream => mayBeChosen(upstream) && !tried.includes(upstream.id));
-    const waits = candidates.map(({ bestInFlight, expectedInFlight }) => {
+    const waits = candidatesOf(upstreams, tried).map(({ bestInFlight, expectedInFlight }) => {
         const over = Math.max(0, expectedInFlight + 1 - bestInFlight);
         return over * residenceMs / Math.max(1, expectedInFlight);
     });
     return waits.length === 0 ? -1 : Math.min(...waits);
 };
 
+/** Upstreams that may be chosen: those that the request has not tried, or all where only tried ones are left. */
+const candidatesOf = (upstreams: readonly UpstreamFacts[], tried: readonly string[]): readonly UpstreamFacts[] => {
+    const candidates = upstreams.filter(mayBeChosen);
+    const untried = candidates.filter(({ id }) => !tried.includes(id));
+    return untried.length > 0 ? untried : candidates;
+};
+
 /** Whether an upstream takes requests now, and has room for one more of this instance. */
 export const mayBeChosen = (upstream: UpstreamFacts): boolean =>
     upstream.state !== "draining" && upstream.state !== "ejected" && upstream.inFlight < upstream.limit;
--- a/packages/decision/test/expected-time.test.ts
+++ b/packages/decision/test/expected-time.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { expect } from "../src/expectation.js";
-import { bestTime, choosers, isGoodNow, probeTargets } from "../src/index.js";
+import { bestTime, choosers, isGoodNow, probeTargets, roomAtBest, roomInMs } from "../src/index.js";
 import { initialTempo } from "../src/service-tempo.js";
 import { upstream as idle } from "./upstream.js";
 
@@ -94,3 +94,18 @@
     const upstreams = [upstream("a", { slowness: 5 }), upstream("b"), upstream("c", { state: "ejected" }), upstream("d")];
     assert.deepEqual(probeTargets({ upstreams, tried: ["d"] }, 2, () => 0), ["b", "a"]);
 });
+
+test("room is that of the best upstream, and of a tried one only where no other is left", () => {
+    const upstreams = [upstream("a", { reportedInFlight: 2 }), upstream("b", { state: "draining" }), upstream("c")];
+    assert.ok(Math.abs(roomAtBest(upstreams, []).room - 2) < 0.01);
+    assert.ok(Math.abs(roomAtBest(upstreams, ["c"]).room) < 0.01);
+    assert.ok(roomAtBest(upstreams, ["a", "c"]).room > 1.9);
+    assert.deepEqual(roomAtBest([upstream("b", { state: "draining" })], []), { room: 0, freeShare: 0 });
+});
+
+test("the wait for room lasts until enough of what is in flight at one upstream has ended", () => {
+    const full = [upstream("a", { reportedInFlight: 4 }), upstream("b", { reportedInFlight: 8 })];
+    assert.ok(Math.abs(roomInMs(full, [], 200) - 150) < 2, `${roomInMs(full, [], 200)}`);
+    assert.equal(roomInMs([upstream("a")], [], 200), 0);
+    assert.equal(roomInMs([], [], 200), -1);
+});
--- /dev/null
+++ b/packages/standin/test/pipelined-callers.test.ts
@@ -0,0 +1,70 @@
+import assert from "node:assert/strict";
+import { after, before, describe, test } from "node:test";
+import { exchange, openCaller } from "./raw-caller.js";
+import { startSystem, type System, until } from "./system.js";
+
+const host = "host: x\r\n";
+const closing = `${host}connection: close\r\n`;
+const issue = (key: string): string => `POST /issue HTTP/1.1\r\n${host}idempotency-key: ${key}\r\ncontent-length: 3\r\n\r\nabc`;
+const read = (path: string, headers = host): string => `GET /read/${path} HTTP/1.1\r\n${headers}\r\n`;
+
+const start = (settings: string): Promise<System> =>
+    startSystem({ upstreams: [{ meanServiceMs: 40 }], settings: `[limits]\n${settings}` });
+
+describe("a caller that sends before it was answered", () => {
+    let system: System;
+
+    before(async () => {
+        system = await start("stopDelayMs = 0\nstopTimeoutMs = 1000\n");
+    });
+
+    after(() => system.stop());
+
+    test("gets the answers in its own order", async () => {
+        const received = await exchange(
+            system.callersPort,
+            ["a", "b", "c"].map(path => read(path)).join("") + read("d", closing),
+        );
+        const paths = [...received.matchAll(/"path":"\/read\/(\w)"/g)].map(match => match[1]);
+        assert.deepEqual(paths, ["a", "b", "c", "d"]);
+    });
+
+    test("has its reads worked on at the same time", async () => {
+        const [upstream] = system.upstreams;
+        const arrivedBefore = upstream!.arrived;
+        upstream!.behaviour = { ...upstream!.behaviour, hang: true };
+        const socket = openCaller(system.callersPort, read("a") + read("b"));
+        await until(() => upstream!.arrived - arrivedBefore === 2);
+        upstream!.behaviour = { ...upstream!.behaviour, hang: false };
+        socket.destroy();
+    });
+
+    test("has an issue begun only when everything before it is answered", async () => {
+        const [upstream] = system.upstreams;
+        const arrivedBefore = upstream!.arrived;
+        upstream!.behaviour = { ...upstream!.behaviour, hang: true };
+        const socket = openCaller(system.callersPort, read("first") + issue("behind-a-read"));
+        await until(() => upstream!.arrived > arrivedBefore);
+        await fetch(`${system.url}/read/beside`, { signal: AbortSignal.timeout(200) }).catch(() => undefined);
+        assert.equal(upstream!.arrived - arrivedBefore, 2);
+        socket.destroy();
+        upstream!.behaviour = { ...upstream!.behaviour, hang: false };
+    });
+});
+
+test("an issue behind an answer that closes the connection never runs, since its caller sends it again", async () => {
+    const system = await start("stopDelayMs = 300\nstopTimeoutMs = 1000\n");
+    let received = "";
+    const socket = openCaller(system.callersPort, read("before"));
+    socket.on("data", data => {
+        received += data.toString("latin1");
+    });
+    await until(() => received.includes("/read/before"));
+    const stopped = system.daemon.stop();
+    socket.write(read("last") + issue("behind-a-close"));
+    await until(() => socket.closed);
+    await stopped;
+    assert.match(received, /"path":"\/read\/last"/);
+    assert.equal(system.upstreams[0]!.runs.get("behind-a-close"), undefined);
+    await system.stop();
+});
