Let halls keep their turns: only requests of the own hall go before one

Cause: a request that was woken for its hall's turn counted those of other halls as ahead of it, and waited again. Callers of the users' platform name no hall, so nothing changes there. Test: parts.test.ts (failed first: 4 instead of 3).

--- a/packages/daemon/src/request/hold-queue.ts
+++ b/packages/daemon/src/request/hold-queue.ts
@@ -106,9 +106,9 @@
         }
     }
 
-    /** Number of requests that wait and go before one. */
+    /** Number of requests of its hall that wait and go before one; other halls have turns of their own. */
     aheadOf(place: QueuePlace): number {
-        return [...this.entries].filter(entry => this.compare(entry, place) < 0).length;
+        return [...this.entries].filter(entry => entry.hall === place.hall && this.compare(entry, place) < 0).length;
     }
 
     /** Notes that a request which had waited was sent to an upstream. */
--- a/packages/daemon/test/parts.test.ts
+++ b/packages/daemon/test/parts.test.ts
@@ -63,6 +63,7 @@
         }
         assert.equal(queue.expectedWaitMs(last), 0);
         ["a", "b", "c"].forEach(name => add(name, "a", 1));
+        add("other", "b", 1);
         assert.equal(queue.aheadOf(last), 3);
         assert.equal(queue.expectedWaitMs(last), 30);
     });
--- a/packages/policy/src/request-facts.ts
+++ b/packages/policy/src/request-facts.ts
@@ -42,7 +42,7 @@
     readonly slackMs: number;
     /** Milliseconds for which it may still be held back. */
     readonly holdLeftMs: number;
-    /** Requests held back at this instance that go before this one. */
+    /** Requests of its hall held back at this instance that go before this one. */
     readonly ahead: number;
     /**
      * Milliseconds for which it would wait at least: behind them, as fast as those before were sent on, and until an
