Let options that stood twice stand once

Ruled out: the other pairs that share a shape: they are lists of constants, or imports, that say different things. No behaviour changes; the tests are the same.

--- a/packages/daemon/src/operators/operators-side.ts
+++ b/packages/daemon/src/operators/operators-side.ts
@@ -5,21 +5,14 @@
  */
 
 import type { Settings } from "@harrierhitch/configuration";
-import type { Instance } from "../instance.js";
 import { RpcServer } from "../peers/rpc-server.js";
-import type { Metrics } from "../telemetry/metrics.js";
-import type { OperatorServiceOptions } from "./operator-service.js";
+import type { RpcSideOptions } from "../peers/rpc-side-options.js";
 import { plainOperatorsHandler, readyHandler } from "./operators-server.js";
 import { PlainServer } from "./plain-server.js";
 
 /** Options of {@link OperatorsSide}. */
-export interface OperatorsSideOptions {
+export interface OperatorsSideOptions extends RpcSideOptions {
     readonly settings: Settings;
-    readonly metrics: Metrics;
-    readonly instance: Instance;
-    readonly serviceOptions: () => OperatorServiceOptions;
-    /** Told of a call or connection that was refused. */
-    readonly onRefused: (reason: string) => void;
 }
 
 /** Serves operators' calls, metrics and readiness. */
--- a/packages/daemon/src/peers/peer-side.ts
+++ b/packages/daemon/src/peers/peer-side.ts
@@ -8,31 +8,24 @@
 import { parseEndpoint, type Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
-import type { Instance } from "../instance.js";
-import type { OperatorServiceOptions } from "../operators/operator-service.js";
 import { answerNotFound } from "../operators/operators-server.js";
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
-import type { Metrics } from "../telemetry/metrics.js";
 import { ConnectClients } from "./connect-clients.js";
 import { joinFleet } from "./join-fleet.js";
 import { RpcServer } from "./rpc-server.js";
+import type { RpcSideOptions } from "./rpc-side-options.js";
 
 /** Settings of the side between instances. */
 export type PeerSettings = NonNullable<Settings["peers"]>;
 
 /** Options of {@link PeerSide}. */
-export interface PeerSideOptions {
+export interface PeerSideOptions extends RpcSideOptions {
     readonly settings: PeerSettings;
     readonly availabilityZone: string;
     readonly clock: Clock;
     readonly random: RandomSource;
-    readonly metrics: Metrics;
     readonly log: EventLog;
-    readonly instance: Instance;
-    readonly serviceOptions: () => OperatorServiceOptions;
-    /** Told of a call or connection that was refused. */
-    readonly onRefused: (reason: string) => void;
 }
 
 /** Serves other instances and joins this one to their fleet. */
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -5,7 +5,6 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import type { Clock } from "@harrierhitch/core";
 import {
     type Directory,
     DirectorySchema,
@@ -19,25 +18,19 @@
     type Version,
     VersionSchema,
 } from "@harrierhitch/protocol";
-import type { AcceptedConfiguration } from "./accepted-configuration.js";
+import type { FleetOptions } from "./fleet-options.js";
 import type { Freshness } from "./freshness.js";
 import type { Members } from "./members.js";
-import type { HeardRumor, Rumors } from "./rumors.js";
-import { toListing, type UpstreamDirectory } from "./upstream-directory.js";
+import type { Rumors } from "./rumors.js";
+import { toListing } from "./upstream-directory.js";
 
-/** Options of {@link Exchange}. */
-export interface ExchangeOptions {
-    readonly clock: Clock;
+/** Options of {@link Exchange}; those of the fleet mean the same there. */
+export interface ExchangeOptions
+    extends Pick<FleetOptions, "clock" | "fleet" | "directory" | "accepted" | "onConfiguration" | "onDirectory" | "onRumor"> {
     /** How old what is told is; brought up to date by what is heard. */
     readonly freshness: Freshness;
-    readonly fleet: string;
     readonly members: Members;
     readonly rumors: Rumors;
-    readonly directory: UpstreamDirectory;
-    readonly accepted: AcceptedConfiguration;
-    readonly onConfiguration: (source: string, text: string) => void;
-    readonly onDirectory: () => void;
-    readonly onRumor: (rumor: HeardRumor) => void;
     /** Told when an exchange brought something that others should hear at once; what no reader tells is urgent. */
     readonly onNews: (isUrgent: boolean) => void;
 }
