Name things by the field's terms, and build the facts of a load in one place

Cause: tempo, pace, fear and hope are metaphors, expect reads like a test's assertion, and the benchmark of a decision listed the expected load of an upstream by hand, as the tests' builder does. Change: ServiceDynamics, AdmissionInterval, pessimistic and optimistic factors, toExpectation, slownessLastsMs, residenceMsOf; the benchmark works its facts out as an instance does.

--- a/packages/daemon/src/request/admission-pace.ts
+++ b/packages/daemon/src/request/admission-interval.ts
@@ -11,7 +11,7 @@
 const rememberedMs = 2000;
 
 /** Measures the time between two admissions out of a queue that is never empty in between. */
-export class AdmissionPace {
+export class AdmissionInterval {
     private admittedAtMs: readonly number[] = [];
 
     /** Notes an admission. */
--- a/packages/daemon/src/request/hold-queue.ts
+++ b/packages/daemon/src/request/hold-queue.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
-import { AdmissionPace } from "./admission-pace.js";
+import { AdmissionInterval } from "./admission-interval.js";
 
 /** What became of waiting. */
 export type HoldResult = "decide-again" | "displaced" | "gone";
@@ -46,7 +46,7 @@
     private readonly turns = new Map<string, number>();
     private virtualTime = 0;
     private reviewing = false;
-    private readonly pace = new AdmissionPace();
+    private readonly pace = new AdmissionInterval();
 
     /** @param clock - The clock for time limits. */
     constructor(private readonly clock: Clock) {}
--- a/packages/decision/src/crowding.ts
+++ b/packages/decision/src/crowding.ts
@@ -3,7 +3,8 @@
  *
  * An upstream that slows down when it is nearly full answers fewer requests in a given time than one that is kept below that
  * point. Gain in a modelled rush of 2.1 times the load for 4 s, 13 upstreams that slow down above 0.8 of 6 slots, means
- * of 4 seeds: 0.88 of the credit instead of 0.84; upstreams that do not slow down lose 0.03 while that is found out.
+ * of 4 seeds: 0.88 of the credit instead of 0.84; upstreams of 3 slots that do not slow down lose 0.03 to
+ * 0.09 while that is found out.
  *
  * @packageDocumentation
  */
@@ -21,20 +22,20 @@
 export interface CrowdingCurve {
     /** Answers by step. */
     readonly answers: readonly (readonly WorkFactor[])[];
-    /** What is known, or feared where too few answers tell. */
-    readonly known: CrowdingFactors;
-    /** What is known, or hoped where too few answers tell: what a trial goes by. */
-    readonly hoped: CrowdingFactors;
+    /** What answers tell; where they are too few, as if upstreams slowed down above {@link assumedKnee}. */
+    readonly pessimistic: CrowdingFactors;
+    /** What answers tell; where they are too few, as if upstreams never slowed down: what a trial goes by. */
+    readonly optimistic: CrowdingFactors;
 }
 
 /** Shares of the slots in use at which the steps end. */
 const fills = [0.5, 0.7, 0.8, 1];
 
-/** Share of the slots in use above which an upstream is feared to slow down. */
-const fearedFill = 0.8;
+/** Share of the slots in use above which an upstream is assumed to slow down until answers tell. */
+const assumedKnee = 0.8;
 
-/** How much longer work is feared to take above it. */
-const fearedFactor = 1.7;
+/** How much longer work is assumed to take above it: enough to keep the last slots free. */
+const assumedFactor = 1.7;
 
 /** Answers by which a step is known. */
 const enoughAnswers = 3;
@@ -91,8 +92,8 @@
 
 const toCurve = (answers: CrowdingCurve["answers"]): CrowdingCurve => ({
     answers,
-    known: toFactors(answers, fill => fill > fearedFill ? fearedFactor : 1),
-    hoped: toFactors(answers, () => 1),
+    pessimistic: toFactors(answers, fill => fill > assumedKnee ? assumedFactor : 1),
+    optimistic: toFactors(answers, () => 1),
 });
 
 /** Steps whose order the scatter of few answers has turned are taken together. */
--- a/packages/decision/src/expectation.ts
+++ b/packages/decision/src/expectation.ts
@@ -6,7 +6,7 @@
 
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { bestInFlight, crowdingAt } from "./crowding.js";
-import { keptShare, loadKeptMs, type ServiceTempo, slownessKeptMs } from "./service-tempo.js";
+import { keptShare, residenceMsOf, type ServiceDynamics, slownessLastsMs } from "./service-dynamics.js";
 
 /** What the expectation rests on. */
 export type KnownLoad = Pick<
@@ -27,30 +27,33 @@
  * means of 4 seeds): 0.88 of the credit instead of 0.67.
  *
  * @param known - The last report, and this instance's own requests there.
- * @param tempo - What is usual in the service.
- * @param isTrial - Whether to hope for the best of fuller upstreams where too little is known of them.
+ * @param dynamics - What is usual in the service.
+ * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
  */
-export const expect = (known: KnownLoad, tempo: ServiceTempo, isTrial = false): Expectation => {
-    const factors = isTrial ? tempo.crowding.hoped : tempo.crowding.known;
-    const expectedInFlight = Math.max(known.inFlight, expectedLoad(known, tempo));
+export const toExpectation = (known: KnownLoad, dynamics: ServiceDynamics, isTrial = false): Expectation => {
+    const factors = isTrial ? dynamics.crowding.optimistic : dynamics.crowding.pessimistic;
+    const expectedInFlight = Math.max(known.inFlight, expectedLoad(known, dynamics));
     return {
         expectedInFlight,
-        expectedSlowness: expectedSlowness(known, tempo),
+        expectedSlowness: expectedSlowness(known, dynamics),
         crowding: crowdingAt(factors, (expectedInFlight + 1) / Math.max(1, known.slots)),
         bestInFlight: bestInFlight(factors, known.slots),
     };
 };
 
-const expectedLoad = ({ reportAgeMs, reportedInFlight, sentSinceReport, slots }: KnownLoad, tempo: ServiceTempo): number => {
-    const usual = tempo.meanLoad * slots;
+const expectedLoad = (
+    { reportAgeMs, reportedInFlight, sentSinceReport, slots }: KnownLoad,
+    dynamics: ServiceDynamics,
+): number => {
+    const usual = dynamics.meanLoad * slots;
     return reportAgeMs < 0
         ? usual
-        : usual + (reportedInFlight + sentSinceReport - usual) * keptShare(reportAgeMs, loadKeptMs(tempo));
+        : usual + (reportedInFlight + sentSinceReport - usual) * keptShare(reportAgeMs, residenceMsOf(dynamics));
 };
 
 /** The slowness against what is usual: where all upstreams are slow, waiting for a faster one is no use. */
-const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, tempo: ServiceTempo): number => {
-    const { meanSlowness, usualSlowness } = tempo;
-    const kept = reportAgeMs < 0 ? 0 : keptShare(reportAgeMs, slownessKeptMs(tempo));
+const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, dynamics: ServiceDynamics): number => {
+    const { meanSlowness, usualSlowness } = dynamics;
+    const kept = reportAgeMs < 0 ? 0 : keptShare(reportAgeMs, slownessLastsMs(dynamics));
     return (meanSlowness + (slowness - meanSlowness) * kept) / usualSlowness;
 };
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -18,12 +18,13 @@
     type PolicyFailure,
     type RefuseDecision,
 } from "./decision.js";
+export { toExpectation } from "./expectation.js";
 export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
 export { bestTime, isGoodNow, mayBeChosen, probeTargets, type Room, roomAtBest, roomInMs } from "./probe-targets.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
-export { type WorkReading } from "./service-tempo.js";
+export { initialDynamics, type WorkReading } from "./service-dynamics.js";
 export { type Flight, type KnownUpstream } from "./tracked-upstream.js";
 export { UsualPatience } from "./usual-patience.js";
 export { UsualTimes } from "./usual-time.js";
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -9,7 +9,14 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
 import type { Observation } from "./observation.js";
-import { afterAnswer, afterReport, initialTempo, loadKeptMs, type ServiceTempo, type WorkReading } from "./service-tempo.js";
+import {
+    afterAnswer,
+    afterReport,
+    initialDynamics,
+    residenceMsOf,
+    type ServiceDynamics,
+    type WorkReading,
+} from "./service-dynamics.js";
 import { type Flight, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
 
 /** Options of {@link ServiceBeliefs}. */
@@ -31,7 +38,7 @@
     private readonly options: Required<Omit<ServiceBeliefsOptions, "belief">>;
     private belief: BeliefOptions;
     private tracked = new Map<UpstreamId, Tracked>();
-    private tempo: ServiceTempo = initialTempo;
+    private dynamics: ServiceDynamics = initialDynamics;
     /** The request that finds out how a fuller upstream does; only one at a time does, since many would fill them all. */
     private trial: Flight | undefined;
 
@@ -103,7 +110,7 @@
             const next = update(belief, observation, this.belief, () => this.mayEject());
             const report = readingOf(tracked.upstream, next);
             if (report !== undefined && report.atMs !== belief.reportedAtMs) {
-                this.tempo = afterReport(this.tempo, report, readingOf(tracked.upstream, belief));
+                this.dynamics = afterReport(this.dynamics, report, readingOf(tracked.upstream, belief));
             }
             this.replace(tracked, next);
         }
@@ -111,7 +118,7 @@
 
     /** Takes in how long the work of an answered request took, against what was expected when it was sent. */
     observeWork(work: WorkReading): void {
-        this.tempo = afterAnswer(this.tempo, work);
+        this.dynamics = afterAnswer(this.dynamics, work);
     }
 
     /** Whether a request may find out how a fuller upstream does. */
@@ -122,7 +129,7 @@
     /**
      * The facts of all upstreams, in the order of the configuration.
      *
-     * @param isTrial - Whether to hope for the best of fuller upstreams where too little is known of them.
+     * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
      */
     facts(isTrial = false): readonly UpstreamFacts[] {
         const nowMs = this.options.clock.nowMs();
@@ -149,7 +156,7 @@
 
     /** Time for which a request stays at an upstream, on average, in milliseconds. */
     get residenceMs(): number {
-        return loadKeptMs(this.tempo);
+        return residenceMsOf(this.dynamics);
     }
 
     /** All requests in flight. */
@@ -169,7 +176,7 @@
 
     private toFacts(tracked: Tracked, isTrial: boolean): UpstreamFacts {
         const { clock, availabilityZone } = this.options;
-        return toFacts(tracked, { tempo: this.tempo, nowMs: clock.nowMs(), availabilityZone, isTrial });
+        return toFacts(tracked, { dynamics: this.dynamics, nowMs: clock.nowMs(), availabilityZone, isTrial });
     }
 
     private mayEject(): boolean {
--- a/packages/decision/src/service-tempo.ts
+++ b/packages/decision/src/service-dynamics.ts
@@ -7,7 +7,7 @@
 import { type CrowdingCurve, initialCrowding, noteCrowding } from "./crowding.js";
 
 /** How fast things change at the upstreams of a service; an immutable value, changed by {@link afterReport} and {@link afterAnswer}. */
-export interface ServiceTempo {
+export interface ServiceDynamics {
     /** Mean of the reported slowness: what is expected where nothing fresh is known. */
     readonly meanSlowness: number;
     /** Slowness that a quarter of the reports are below: what counts as usual, where all upstreams have become slow too. */
@@ -30,7 +30,7 @@
     readonly difference: number;
 }
 
-/** One report of an upstream, as far as the tempo depends on it. */
+/** One report of an upstream, as far as the dynamics depends on it. */
 export interface LoadReading {
     readonly atMs: number;
     readonly inFlight: number;
@@ -62,7 +62,7 @@
 const priorSlowness = 1.8;
 
 /** Time for which a slowness is taken to last before it was seen to change, in milliseconds. */
-const priorSlownessKeptMs = 150;
+const priorSlownessLastsMs = 150;
 
 /** Weight of that prior, as a squared distance from the mean: a few changes outweigh it. */
 const priorSpread = 4;
@@ -89,45 +89,49 @@
 /** Most requests for each slot that count in the mean: an upstream that sheds may report anything. */
 const maximumLoad = 4;
 
-/** The tempo of a service of which nothing is known. */
-export const initialTempo: ServiceTempo = {
+/** The dynamics of a service of which nothing is known. */
+export const initialDynamics: ServiceDynamics = {
     meanSlowness: priorSlowness,
     usualSlowness: 1,
     meanLoad: 0,
     residenceMs: undefined,
-    change: { spread: priorSpread * priorSlownessKeptMs, difference: priorSpread },
+    change: { spread: priorSpread * priorSlownessLastsMs, difference: priorSpread },
     crowding: initialCrowding,
 };
 
 /** Time for which a reported slowness stays true, on average. */
-export const slownessKeptMs = ({ change }: ServiceTempo): number =>
+export const slownessLastsMs = ({ change }: ServiceDynamics): number =>
     Math.min(longestKeptMs, Math.max(shortestKeptMs, change.spread / change.difference));
 
 /** Time for which a request stays at an upstream, on average. */
-export const loadKeptMs = ({ residenceMs }: ServiceTempo): number => residenceMs ?? priorResidenceMs;
+export const residenceMsOf = ({ residenceMs }: ServiceDynamics): number => residenceMs ?? priorResidenceMs;
 
 /**
- * Makes the tempo that follows from a report.
+ * Makes the dynamics that follows from a report.
  *
- * @param tempo - The tempo so far.
+ * @param dynamics - The dynamics so far.
  * @param report - The report.
  * @param before - The report before it of the same upstream; `undefined` without one.
  */
-export const afterReport = (tempo: ServiceTempo, report: LoadReading, before: LoadReading | undefined): ServiceTempo => ({
-    ...tempo,
-    meanSlowness: tempo.meanSlowness + slownessShare * (report.slowness - tempo.meanSlowness),
-    usualSlowness: tempo.usualSlowness * (1 + usualStep * (usualShare - (report.slowness < tempo.usualSlowness ? 1 : 0))),
-    meanLoad: mean(tempo.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
-    change: before === undefined ? tempo.change : afterPair(tempo, before, report),
+export const afterReport = (
+    dynamics: ServiceDynamics,
+    report: LoadReading,
+    before: LoadReading | undefined,
+): ServiceDynamics => ({
+    ...dynamics,
+    meanSlowness: dynamics.meanSlowness + slownessShare * (report.slowness - dynamics.meanSlowness),
+    usualSlowness: dynamics.usualSlowness * (1 + usualStep * (usualShare - (report.slowness < dynamics.usualSlowness ? 1 : 0))),
+    meanLoad: mean(dynamics.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
+    change: before === undefined ? dynamics.change : afterPair(dynamics, before, report),
 });
 
-/** Makes the tempo that follows from an answer. */
-export const afterAnswer = (tempo: ServiceTempo, answer: WorkReading): ServiceTempo => ({
-    ...tempo,
-    residenceMs: tempo.residenceMs === undefined ? answer.latencyMs : mean(tempo.residenceMs, answer.latencyMs),
+/** Makes the dynamics that follows from an answer. */
+export const afterAnswer = (dynamics: ServiceDynamics, answer: WorkReading): ServiceDynamics => ({
+    ...dynamics,
+    residenceMs: dynamics.residenceMs === undefined ? answer.latencyMs : mean(dynamics.residenceMs, answer.latencyMs),
     crowding: answer.usualMs === undefined || answer.reportAgeMs < 0 || answer.reportAgeMs > freshMs || answer.slowness <= 0
-        ? tempo.crowding
-        : noteCrowding(tempo.crowding, answer.fill, answer.latencyMs / (answer.usualMs * answer.slowness), answer.atMs),
+        ? dynamics.crowding
+        : noteCrowding(dynamics.crowding, answer.fill, answer.latencyMs / (answer.usualMs * answer.slowness), answer.atMs),
 });
 
 /** Share of what was reported that still holds after some time, against what is usual. */
@@ -135,15 +139,15 @@
 
 const mean = (before: number, reading: number): number => before + readingShare * (reading - before);
 
-const afterPair = (tempo: ServiceTempo, before: LoadReading, after: LoadReading): SlownessChange => {
+const afterPair = (dynamics: ServiceDynamics, before: LoadReading, after: LoadReading): SlownessChange => {
     const gapMs = after.atMs - before.atMs;
     // Reports further apart than the slowness lasts tell only that it has changed, not when.
-    if (gapMs <= 0 || gapMs > slownessKeptMs(tempo)) {
-        return tempo.change;
+    if (gapMs <= 0 || gapMs > slownessLastsMs(dynamics)) {
+        return dynamics.change;
     }
-    const { spread, difference } = tempo.change;
+    const { spread, difference } = dynamics.change;
     return {
-        spread: spread * pairKept + (before.slowness - tempo.meanSlowness) ** 2 * gapMs,
+        spread: spread * pairKept + (before.slowness - dynamics.meanSlowness) ** 2 * gapMs,
         difference: difference * pairKept + (after.slowness - before.slowness) ** 2 / 2,
     };
 };
--- a/packages/decision/src/tracked-upstream.ts
+++ b/packages/decision/src/tracked-upstream.ts
@@ -8,8 +8,8 @@
 import type { UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { Belief } from "./belief.js";
-import { expect } from "./expectation.js";
-import type { LoadReading, ServiceTempo } from "./service-tempo.js";
+import { toExpectation } from "./expectation.js";
+import type { LoadReading, ServiceDynamics } from "./service-dynamics.js";
 
 /** One request in flight to an upstream. */
 export interface Flight {
@@ -30,11 +30,11 @@
 
 /** What the facts of an upstream depend on besides itself. */
 export interface FactsContext {
-    readonly tempo: ServiceTempo;
+    readonly dynamics: ServiceDynamics;
     readonly nowMs: number;
     /** Availability zone of this instance. */
     readonly availabilityZone: string;
-    /** Whether to hope for the best of fuller upstreams where too little is known of them. */
+    /** Whether to take fuller upstreams for as good as others where too little is known of them. */
     readonly isTrial: boolean;
 }
 
@@ -57,7 +57,7 @@
  */
 export const toFacts = (
     { upstream, belief, flights }: Tracked,
-    { tempo, nowMs, availabilityZone, isTrial }: FactsContext,
+    { dynamics, nowMs, availabilityZone, isTrial }: FactsContext,
 ): UpstreamFacts => {
     const [oldest] = flights;
     const known = {
@@ -79,6 +79,6 @@
         latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
         failureRate: belief.failureRate,
         ...known,
-        ...expect(known, tempo, isTrial),
+        ...toExpectation(known, dynamics, isTrial),
     };
 };
--- a/packages/decision/test/expected-time.test.ts
+++ b/packages/decision/test/expected-time.test.ts
@@ -1,15 +1,15 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { expect } from "../src/expectation.js";
+import { toExpectation } from "../src/expectation.js";
 import { bestTime, choosers, isGoodNow, probeTargets, roomAtBest, roomInMs } from "../src/index.js";
-import { initialTempo } from "../src/service-tempo.js";
+import { initialDynamics } from "../src/service-dynamics.js";
 import { upstream as idle } from "./upstream.js";
 
 /** An upstream of which a fresh report is known, with what is expected of it in a service of which nothing else is known. */
 const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => {
     const facts = idle(id, { reportAgeMs: 1, ...change });
-    return { ...facts, ...expect(facts, initialTempo) };
+    return { ...facts, ...toExpectation(facts, initialDynamics) };
 };
 
 const choose = (candidates: readonly UpstreamFacts[]): string => {
--- a/packages/decision/test/service-tempo.test.ts
+++ b/packages/decision/test/service-dynamics.test.ts
@@ -1,15 +1,15 @@
 import { SeededRandom } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { expect, type KnownLoad } from "../src/expectation.js";
+import { type KnownLoad, toExpectation } from "../src/expectation.js";
 import {
     afterAnswer,
     afterReport,
-    initialTempo,
+    initialDynamics,
     type LoadReading,
-    type ServiceTempo,
-    slownessKeptMs,
-} from "../src/service-tempo.js";
+    type ServiceDynamics,
+    slownessLastsMs,
+} from "../src/service-dynamics.js";
 
 const slots = 6;
 
@@ -25,37 +25,40 @@
     ...change,
 });
 
-const expectedCrowding = (tempo: ServiceTempo, inFlight: number): number =>
-    expect(known({ reportedInFlight: inFlight }), tempo).crowding;
+const expectedCrowding = (dynamics: ServiceDynamics, inFlight: number): number =>
+    toExpectation(known({ reportedInFlight: inFlight }), dynamics).crowding;
 
 const answers = (
     count: number,
     answer: { readonly latencyMs: number; readonly fill: number; },
-    from: ServiceTempo = initialTempo,
-) => Array.from({ length: count }).reduce<ServiceTempo>(
-    tempo => afterAnswer(tempo, { atMs: 0, usualMs: 500, slowness: 1, reportAgeMs: 2, ...answer }),
+    from: ServiceDynamics = initialDynamics,
+) => Array.from({ length: count }).reduce<ServiceDynamics>(
+    dynamics => afterAnswer(dynamics, { atMs: 0, usualMs: 500, slowness: 1, reportAgeMs: 2, ...answer }),
     from,
 );
 
 describe("the load of an upstream", () => {
     test("an upstream that was full a moment ago is full while its work takes longer than that", () => {
-        const tempo = answers(20, { latencyMs: 600, fill: 0.5 });
-        assert.ok(expect(known({ reportedInFlight: 9, reportAgeMs: 130 }), tempo).expectedInFlight > slots);
+        const dynamics = answers(20, { latencyMs: 600, fill: 0.5 });
+        assert.ok(toExpectation(known({ reportedInFlight: 9, reportAgeMs: 130 }), dynamics).expectedInFlight > slots);
     });
 
     test("it is forgotten as soon as its work is short", () => {
-        const tempo = answers(20, { latencyMs: 10, fill: 0.5 });
-        assert.ok(expect(known({ reportedInFlight: 9, reportAgeMs: 130 }), tempo).expectedInFlight < 1);
+        const dynamics = answers(20, { latencyMs: 10, fill: 0.5 });
+        assert.ok(toExpectation(known({ reportedInFlight: 9, reportAgeMs: 130 }), dynamics).expectedInFlight < 1);
     });
 
     test("one of which nothing is known is as busy as the others of its service", () => {
         const reports = Array.from({ length: 200 }, (_, index) => report({ atMs: index, inFlight: 9 }));
-        const tempo = reports.reduce<ServiceTempo>((before, reading) => afterReport(before, reading, undefined), initialTempo);
-        assert.ok(expect(known({ reportedInFlight: -1, reportAgeMs: -1 }), tempo).expectedInFlight > 8.9);
+        const dynamics = reports.reduce<ServiceDynamics>(
+            (before, reading) => afterReport(before, reading, undefined),
+            initialDynamics,
+        );
+        assert.ok(toExpectation(known({ reportedInFlight: -1, reportAgeMs: -1 }), dynamics).expectedInFlight > 8.9);
     });
 
     test("what this instance itself has in flight counts, however old the report", () => {
-        assert.equal(expect(known({ inFlight: 5, reportAgeMs: 60_000 }), initialTempo).expectedInFlight, 5);
+        assert.equal(toExpectation(known({ inFlight: 5, reportAgeMs: 60_000 }), initialDynamics).expectedInFlight, 5);
     });
 });
 
@@ -64,16 +67,16 @@
     const keptMs = (drawnEveryMs: number): number => {
         const random = new SeededRandom(7);
         const last: (LoadReading | undefined)[] = Array.from({ length: 10 }, () => undefined);
-        let tempo = initialTempo;
+        let dynamics = initialDynamics;
         for (let atMs = 0; atMs < 20_000; atMs += 20) {
             last.forEach((before, upstream) => {
                 const isDrawn = before === undefined || (atMs + 20 * upstream) % drawnEveryMs === 0;
                 const reading = report({ atMs, slowness: isDrawn ? random.next() < 0.3 ? 5 : 1 : before.slowness });
-                tempo = afterReport(tempo, reading, before);
+                dynamics = afterReport(dynamics, reading, before);
                 last[upstream] = reading;
             });
         }
-        return slownessKeptMs(tempo);
+        return slownessLastsMs(dynamics);
     };
 
     test("is learned where it changes often, and where it changes rarely", () => {
@@ -84,24 +87,24 @@
 
 describe("crowding", () => {
     test("upstreams that do not slow down when they are full are learned to be so", () => {
-        const tempo = answers(60, { latencyMs: 500, fill: 1 }, answers(20, { latencyMs: 500, fill: 0.5 }));
-        assert.ok(expectedCrowding(initialTempo, 5) > 1.6);
-        assert.ok(expectedCrowding(tempo, 5) < 1.15);
+        const dynamics = answers(60, { latencyMs: 500, fill: 1 }, answers(20, { latencyMs: 500, fill: 0.5 }));
+        assert.ok(expectedCrowding(initialDynamics, 5) > 1.6);
+        assert.ok(expectedCrowding(dynamics, 5) < 1.15);
     });
 
     test("those that slow down from half of their slots on too", () => {
-        const tempo = answers(60, { latencyMs: 1000, fill: 0.7 }, answers(60, { latencyMs: 500, fill: 0.25 }));
-        assert.ok(expectedCrowding(tempo, 3) > 1.8);
-        assert.ok(expectedCrowding(tempo, 0) < 1.05);
+        const dynamics = answers(60, { latencyMs: 1000, fill: 0.7 }, answers(60, { latencyMs: 500, fill: 0.25 }));
+        assert.ok(expectedCrowding(dynamics, 3) > 1.8);
+        assert.ok(expectedCrowding(dynamics, 0) < 1.05);
     });
 
     test("one fuller step is never better than an emptier one, by the scatter of few answers", () => {
-        const tempo = answers(60, { latencyMs: 400, fill: 1 }, answers(60, { latencyMs: 900, fill: 0.5 }));
-        assert.ok(expectedCrowding(tempo, 5) >= expectedCrowding(tempo, 2));
+        const dynamics = answers(60, { latencyMs: 400, fill: 1 }, answers(60, { latencyMs: 900, fill: 0.5 }));
+        assert.ok(expectedCrowding(dynamics, 5) >= expectedCrowding(dynamics, 2));
     });
 
     test("an answer to a choice by an old report teaches nothing", () => {
-        const tempo = afterAnswer(initialTempo, {
+        const dynamics = afterAnswer(initialDynamics, {
             atMs: 0,
             latencyMs: 5000,
             usualMs: 500,
@@ -109,6 +112,6 @@
             fill: 0.5,
             reportAgeMs: 400,
         });
-        assert.deepEqual(tempo.crowding, initialTempo.crowding);
+        assert.deepEqual(dynamics.crowding, initialDynamics.crowding);
     });
 });
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -6,7 +6,8 @@
 
 import { checkConfiguration, type ChooserName, chooserNames, type ServicePolicy } from "@harrierhitch/configuration";
 import { SeededRandom, serviceName } from "@harrierhitch/core";
-import { decide, type DecisionInput, drawNumbers } from "@harrierhitch/decision";
+import { decide, type DecisionInput, drawNumbers, initialDynamics, toExpectation } from "@harrierhitch/decision";
+import type { UpstreamFacts } from "@harrierhitch/policy";
 import { benchConfiguration, rankExpression } from "./bench-configuration.js";
 
 const candidateCounts = [10, 20, 100, 1000];
@@ -85,28 +86,32 @@
         askable: 1,
         upstreams: count,
     },
-    upstreams: Array.from({ length: count }, (_, index) => ({
+    upstreams: Array.from({ length: count }, (_, index) => benchUpstream(index, random)),
+    tried: [],
+    draws: drawNumbers(random),
+    turn: 1,
+});
+
+const benchUpstream = (index: number, random: SeededRandom): UpstreamFacts => {
+    const load = {
+        inFlight: Math.floor(random.next() * 4),
+        reportedInFlight: Math.floor(random.next() * 5),
+        reportAgeMs: random.next() * 100,
+        sentSinceReport: Math.floor(random.next() * 3),
+        slowness: 1,
+        slots: 3,
+    };
+    return {
+        ...load,
+        ...toExpectation(load, initialDynamics),
         id: `main-${index}`,
         availabilityZone: "hall-a",
         sameZone: index % 3 === 0,
         state: "ready",
-        inFlight: Math.floor(random.next() * 4),
         limit: 11,
         oldestInFlightMs: random.next() * 10,
         latencyMs: random.next() * 20,
         latencyAgeMs: random.next() * 100,
-        reportedInFlight: Math.floor(random.next() * 5),
-        reportAgeMs: random.next() * 100,
-        sentSinceReport: Math.floor(random.next() * 3),
-        slowness: 1,
-        expectedInFlight: 0,
-        expectedSlowness: 1,
-        crowding: 1,
-        bestInFlight: 3,
         failureRate: 0,
-        slots: 3,
-    })),
-    tried: [],
-    draws: drawNumbers(random),
-    turn: 1,
-});
+    };
+};
