--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -5,12 +5,20 @@
 import type { Configuration, Kind } from "@harrierhitch/configuration";
 import type { IncomingMessage } from "node:http";
 import { type Arrival, numberHeader, pathOf } from "../../src/request/arrival.js";
-import type { AnswerHead, AnswerReading, Dialect } from "../../src/request/dialect.js";
+import type { AnswerHead, AnswerReading, Dialect, LoadReport } from "../../src/request/dialect.js";
 import { modelLoadHeader } from "./model-transport.js";
 
 /** Header with the milliseconds for which a caller will wait. */
 export const modelPatienceHeader = "patience-ms";
 
+const readLoad = (text: string | readonly string[] | undefined): LoadReport | undefined => {
+    if (typeof text !== "string") {
+        return undefined;
+    }
+    const [running = 0, waiting = 0, slots = 1, slowness = 1] = text.split(",").map(Number);
+    return { inFlight: running + waiting, slots, slowness };
+};
+
 /** The {@link Dialect} of the model. */
 export const modelDialect: Dialect = {
     readArrival: (request: IncomingMessage, _: Configuration, kind: Kind): Arrival => {
@@ -26,7 +34,6 @@
     attemptHeaders: () => ({}),
     retryAfter: delayMs => String(delayMs / 1000),
     readAnswer: ({ status, headers }: AnswerHead): AnswerReading => {
-        const [running = 0, waiting = 0, slots = 1, slowness = 1] = String(headers[modelLoadHeader]).split(",").map(Number);
         const shed = status === 503;
         return {
             foreign: undefined,
@@ -37,7 +44,7 @@
             retryable: shed,
             mayPassOn: !shed,
             leaving: false,
-            load: { inFlight: running + waiting, slots, slowness },
+            load: readLoad(headers[modelLoadHeader]),
         };
     },
 };
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -49,6 +49,8 @@
 export class ModelFleet {
     readonly clock = new FakeClock();
     readonly results: CallerResult[] = [];
+    /** Callers that have begun. */
+    callersBegun = 0;
     readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
     private readonly random: SeededRandom;
     private readonly instances: readonly Instance[];
@@ -68,11 +70,11 @@
         const endAtMs = this.clock.nowMs() + forMs;
         while (this.clock.nowMs() < endAtMs) {
             await this.clock.advance(-Math.log(1 - this.random.next()) / perSecond * 1000);
-            void this.call();
+            await this.callers(1);
         }
     }
 
-    /** Some callers at the same moment. */
+    /** Some callers at the same moment; gives time to what they begin at once, before the clock moves on. */
     callers(count: number): Promise<void> {
         Array.from({ length: count }, () => void this.call());
         return this.clock.advance(0);
@@ -84,8 +86,20 @@
         return callers.filter(({ servedMs = Infinity }) => servedMs <= this.options.targetMs).length / callers.length;
     }
 
+    /** Median time from a caller's first try to its answer. */
+    get medianMs(): number {
+        const times = this.results.map(({ servedMs = Infinity }) => servedMs).sort((a, b) => a - b);
+        return times[Math.floor(times.length / 2)] ?? NaN;
+    }
+
+    /** Share of all callers that were answered well by the given try. */
+    servedBy(tries: number): number {
+        return this.results.filter(result => result.servedMs !== undefined && result.tries <= tries).length / this.results.length;
+    }
+
     private async call(): Promise<void> {
         const firstAtMs = this.clock.nowMs();
+        this.callersBegun += 1;
         for (let tries = 1; tries <= maximumTries; tries += 1) {
             const leftMs = this.options.patienceMs - (this.clock.nowMs() - firstAtMs);
             const { status, retryAfterMs } = await this.ask(Math.round(leftMs));
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -32,7 +32,8 @@
             settle = resolve;
         });
         const answer = async (status: number): Promise<void> => {
-            const headers = { [modelLoadHeader]: model.load, "content-length": "0" };
+            const { load } = model;
+            const headers = { "content-length": "0", ...(load === undefined ? {} : { [modelLoadHeader]: load }) };
             await sleep(this.clock, wayMs);
             sink.onHead(status, headers);
             settle({ end: "answered", status, detail: "", sent: true });
--- a/packages/daemon/test/model/model-upstream.ts
+++ b/packages/daemon/test/model/model-upstream.ts
@@ -19,6 +19,8 @@
     readonly slowShare?: number;
     readonly slowFactor?: number;
     readonly drawnEveryMs?: number;
+    /** Whether it tells its load; it does without this. */
+    readonly tellsLoad?: boolean;
 }
 
 /** One request at a modelled upstream. */
@@ -39,8 +41,11 @@
 
     constructor(private readonly options: ModelUpstreamOptions) {}
 
-    /** Its load, as it tells it. */
-    get load(): string {
+    /** Its load, as it tells it; `undefined` when it does not. */
+    get load(): string | undefined {
+        if (this.options.tellsLoad === false) {
+            return undefined;
+        }
         return [this.running.size, this.waiting.length, this.options.slots, this.slowness].join(",");
     }
 
--- a/packages/daemon/test/rush.test.ts
+++ b/packages/daemon/test/rush.test.ts
@@ -53,6 +53,26 @@
         const fleet = new ModelFleet({ ...fleetOptions, seed: 3 });
         await fleet.load(150, 3000);
         await fleet.clock.advance(10_000);
-        assert.ok(fleet.results.length > 400);
+        assert.ok(fleet.callersBegun > 400);
+        assert.equal(fleet.results.length, fleet.callersBegun);
+    });
+
+    test("many instances at many upstreams do not fill them all at once", async () => {
+        const { upstream } = fleetOptions;
+        const fleet = new ModelFleet({ ...fleetOptions, instances: 17, upstreams: 13, upstream: { ...upstream, workMs: 220 } });
+        await fleet.load(107, 8000);
+        await fleet.load(225, 4000);
+        await fleet.load(107, 3000);
+        await fleet.clock.advance(8000);
+        const during = fleet.inTime(8000, 12_000);
+        const after = fleet.inTime(12_500, 15_000);
+        const most = Math.max(...[...fleet.upstreams.values()].map(({ mostInFlight }) => mostInFlight));
+        assert.ok(during > 0.55, `in time during the rush: ${during}`);
+        assert.ok(after > 0.9, `in time right after it: ${after}`);
+        assert.ok(most <= 12, `${most} at one upstream`);
+        assert.ok(
+            sum(fleet, "sheds") / sum(fleet, "arrivals") < 0.02,
+            `${sum(fleet, "sheds")} of ${sum(fleet, "arrivals")} shed`,
+        );
     });
 });
