Measure crowding against a request that is alone at its upstream

Cause: a lone request fills the only slot of an upstream that has one, so the idle upstream counted as crowded, at 1.7 times usual work before any answer and 2.2 after some, since what it took was learned against that. Every request was held for as long as its slack lasted, and some were refused, at upstreams that were idle two thirds of the time. Change: crowding is that of the fill with the request over that of the request alone. Ruled out: the probes' budget (4 of 4 could be asked), slowness (1.0). Tests: calm.test.ts (a single slot) and service-dynamics.test.ts, both failed first.

--- a/packages/daemon/test/calm.test.ts
+++ b/packages/daemon/test/calm.test.ts
@@ -16,6 +16,14 @@
 
 /** Upstreams of sorts that call for no holding and no refusing: there is room, and waiting would bring nothing better. */
 const calms: readonly Calm[] = [
+    {
+        name: "a single slot",
+        upstream: { slots: 1, queue: 3, workMs: 100 },
+        perSecond: 12,
+        firstTry: 0.98,
+        inTime: 0.98,
+        medianMs: 130,
+    },
     {
         name: "many slots",
         upstream: { slots: 64, queue: 12, workMs: 200 },
--- a/packages/decision/src/crowding.ts
+++ b/packages/decision/src/crowding.ts
@@ -66,8 +66,18 @@
     return toCurve(noted.map(step => stillRemembered(step, atMs)));
 };
 
-/** How much longer work takes at a share of the slots in use; beyond all slots, as long as at all of them. */
-export const crowdingAt = (factors: CrowdingFactors, fill: number): number => factors[stepOf(fill)] ?? 1;
+/**
+ * How much longer one more request takes at an upstream than it would alone there; beyond all slots, as long as at all
+ * of them.
+ *
+ * @param factors - What is known of the service's upstreams.
+ * @param inFlight - Requests in flight there.
+ * @param slots - Its slots.
+ */
+export const crowdingOf = (factors: CrowdingFactors, inFlight: number, slots: number): number =>
+    factorAt(factors, (inFlight + 1) / slots) / factorAt(factors, 1 / slots);
+
+const factorAt = (factors: CrowdingFactors, fill: number): number => factors[stepOf(fill)] ?? 1;
 
 /**
  * Requests in flight at which an upstream answers most in a given time: one more makes all that start then so slow
@@ -86,7 +96,7 @@
 
 const findBest = (factors: CrowdingFactors, slots: number): number => {
     const counts = fills.map(fill => Math.floor(fill * slots + roundingError)).filter(count => count > 0);
-    const answered = (count: number): number => count / crowdingAt(factors, count / slots);
+    const answered = (count: number): number => count / factorAt(factors, count / slots);
     return counts.reduce((best, count) => answered(count) >= answered(best) ? count : best, 1);
 };
 
--- a/packages/decision/src/expectation.ts
+++ b/packages/decision/src/expectation.ts
@@ -5,7 +5,7 @@
  */
 
 import type { UpstreamFacts } from "@harrierhitch/policy";
-import { bestInFlight, crowdingAt } from "./crowding.js";
+import { bestInFlight, crowdingOf } from "./crowding.js";
 import { keptShare, residenceMsOf, type ServiceDynamics, slownessLastsMs } from "./service-dynamics.js";
 
 /** What the expectation rests on. */
@@ -36,7 +36,7 @@
     return {
         expectedInFlight,
         expectedSlowness: expectedSlowness(known, dynamics),
-        crowding: crowdingAt(factors, (expectedInFlight + 1) / Math.max(1, known.slots)),
+        crowding: crowdingOf(factors, expectedInFlight, Math.max(1, known.slots)),
         bestInFlight: bestInFlight(factors, known.slots),
     };
 };
--- a/packages/decision/test/service-dynamics.test.ts
+++ b/packages/decision/test/service-dynamics.test.ts
@@ -98,6 +98,11 @@
         assert.ok(expectedCrowding(dynamics, 0) < 1.05);
     });
 
+    test("an idle upstream of a single slot is not crowded, whatever its one request fills", () => {
+        assert.equal(toExpectation(known({ slots: 1 }), initialDynamics).crowding, 1);
+        assert.equal(toExpectation(known({ slots: 1 }), answers(30, { latencyMs: 900, fill: 1 })).crowding, 1);
+    });
+
     test("one fuller step is never better than an emptier one, by the scatter of few answers", () => {
         const dynamics = answers(60, { latencyMs: 400, fill: 1 }, answers(60, { latencyMs: 900, fill: 0.5 }));
         assert.ok(expectedCrowding(dynamics, 5) >= expectedCrowding(dynamics, 2));
