Take upstreams that report nothing for as fast as usual

Cause: a service whose upstreams tell no load has no report that could show them to be fast; the slowness of 1.8 that is expected where nothing is known then stood for good, above the 1.5 from which the policy holds, and every request waited for its whole slack. Change: that prior counts from the first report of the service on, where it makes what is known to be fast go first. Ruled out: the silence of probes (they stop being sent, as before). Tests: calm.test.ts (no word of their load), failed first.

--- a/packages/daemon/test/calm.test.ts
+++ b/packages/daemon/test/calm.test.ts
@@ -40,6 +40,14 @@
         inTime: 0.98,
         medianMs: 130,
     },
+    {
+        name: "no word of their load",
+        upstream: { slots: 6, queue: 12, workMs: 200, tellsLoad: false },
+        perSecond: 20,
+        firstTry: 0.99,
+        inTime: 0.95,
+        medianMs: 260,
+    },
 ];
 
 describe("calm callers at upstreams with", () => {
--- a/packages/decision/src/expectation.ts
+++ b/packages/decision/src/expectation.ts
@@ -54,6 +54,10 @@
 /** The slowness against what is usual: where all upstreams are slow, waiting for a faster one is no use. */
 const expectedSlowness = ({ reportAgeMs, slowness }: KnownLoad, dynamics: ServiceDynamics): number => {
     const { meanSlowness, usualSlowness } = dynamics;
+    if (meanSlowness === undefined) {
+        // Upstreams that report nothing would otherwise all look slow for good, and their requests wait for news that never come.
+        return 1;
+    }
     const kept = reportAgeMs < 0 ? 0 : keptShare(reportAgeMs, slownessLastsMs(dynamics));
     return (meanSlowness + (slowness - meanSlowness) * kept) / usualSlowness;
 };
--- a/packages/decision/src/service-dynamics.ts
+++ b/packages/decision/src/service-dynamics.ts
@@ -8,8 +8,8 @@
 
 /** How fast things change at the upstreams of a service; an immutable value, changed by {@link afterReport} and {@link afterAnswer}. */
 export interface ServiceDynamics {
-    /** Mean of the reported slowness: what is expected where nothing fresh is known. */
-    readonly meanSlowness: number;
+    /** Mean of the reported slowness: what is expected where nothing fresh is known; `undefined` before the first report. */
+    readonly meanSlowness: number | undefined;
     /** Slowness that a quarter of the reports are below: what counts as usual, where all upstreams have become slow too. */
     readonly usualSlowness: number;
     /** Mean of the requests in flight for each slot, as reported. */
@@ -58,7 +58,7 @@
 /** Share of a new reading in the mean slowness: a hundred count, so that it does not follow single upstreams. */
 const slownessShare = 0.01;
 
-/** Slowness that is expected before any report. */
+/** Mean slowness from the first report on until enough have come: what others report now is good to know, so it is not 1. */
 const priorSlowness = 1.8;
 
 /** Time for which a slowness is taken to last before it was seen to change, in milliseconds. */
@@ -91,7 +91,7 @@
 
 /** The dynamics of a service of which nothing is known. */
 export const initialDynamics: ServiceDynamics = {
-    meanSlowness: priorSlowness,
+    meanSlowness: undefined,
     usualSlowness: 1,
     meanLoad: 0,
     residenceMs: undefined,
@@ -119,7 +119,7 @@
     before: LoadReading | undefined,
 ): ServiceDynamics => ({
     ...dynamics,
-    meanSlowness: dynamics.meanSlowness + slownessShare * (report.slowness - dynamics.meanSlowness),
+    meanSlowness: meanSlownessOf(dynamics) + slownessShare * (report.slowness - meanSlownessOf(dynamics)),
     usualSlowness: dynamics.usualSlowness * (1 + usualStep * (usualShare - (report.slowness < dynamics.usualSlowness ? 1 : 0))),
     meanLoad: mean(dynamics.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
     change: before === undefined ? dynamics.change : afterPair(dynamics, before, report),
@@ -137,6 +137,8 @@
 /** Share of what was reported that still holds after some time, against what is usual. */
 export const keptShare = (ageMs: number, keptMs: number): number => Math.exp(-ageMs / keptMs);
 
+const meanSlownessOf = ({ meanSlowness }: ServiceDynamics): number => meanSlowness ?? priorSlowness;
+
 const mean = (before: number, reading: number): number => before + readingShare * (reading - before);
 
 const afterPair = (dynamics: ServiceDynamics, before: LoadReading, after: LoadReading): SlownessChange => {
@@ -147,7 +149,7 @@
     }
     const { spread, difference } = dynamics.change;
     return {
-        spread: spread * pairKept + (before.slowness - dynamics.meanSlowness) ** 2 * gapMs,
+        spread: spread * pairKept + (before.slowness - meanSlownessOf(dynamics)) ** 2 * gapMs,
         difference: difference * pairKept + (after.slowness - before.slowness) ** 2 / 2,
     };
 };
--- a/packages/decision/test/expected-time.test.ts
+++ b/packages/decision/test/expected-time.test.ts
@@ -3,13 +3,16 @@
 import { describe, test } from "node:test";
 import { toExpectation } from "../src/expectation.js";
 import { bestTime, choosers, isGoodNow, probeTargets, roomAtBest, roomInMs } from "../src/index.js";
-import { initialDynamics } from "../src/service-dynamics.js";
+import { afterReport, initialDynamics } from "../src/service-dynamics.js";
 import { upstream as idle } from "./upstream.js";
 
-/** An upstream of which a fresh report is known, with what is expected of it in a service of which nothing else is known. */
+/** A service of which one report is known. */
+const dynamics = afterReport(initialDynamics, { atMs: 0, inFlight: 0, slowness: 1.8, slots: 3 }, undefined);
+
+/** An upstream of which a fresh report is known, with what is expected of it in a service of which hardly anything else is. */
 const upstream = (id: string, change: Partial<UpstreamFacts> = {}): UpstreamFacts => {
     const facts = idle(id, { reportAgeMs: 1, ...change });
-    return { ...facts, ...toExpectation(facts, initialDynamics) };
+    return { ...facts, ...toExpectation(facts, dynamics) };
 };
 
 const choose = (candidates: readonly UpstreamFacts[]): string => {
