Let requests wait that could not be in time when they arrived

Cause: a request is held for its slack at most; one whose work takes longer than its target has none, so it was refused as soon as the upstreams were full for a moment, though it would have been served late a little after. Change: what had no slack when it arrived is held like those who come back late, within the policy's share of the target. Ruled out: refusing for slowness (bestTime stays under 3 where all have become slow, since slowness is taken against the usual). Requests with slack are decided as before.

--- a/packages/daemon/src/request/urgency.ts
+++ b/packages/daemon/src/request/urgency.ts
@@ -31,12 +31,15 @@
     private readonly arrivedAtMs: number;
     /** Time since the caller's first try when this one arrived, as far as its deadline shows it. */
     private readonly elapsedMs: number;
+    /** Whether it had any slack when it arrived; what had none is late wherever it goes, and waits for room all the same. */
+    private readonly couldBeInTime: boolean;
 
     /** @param options - The request and its service; its arrival is noted there. */
     constructor(private readonly options: UrgencyOptions) {
         const { clock, runtime, route, arrival } = options;
         this.arrivedAtMs = clock.nowMs();
         this.elapsedMs = arrival.patienceMs === undefined ? 0 : runtime.usualPatience.note(route.kind.name, arrival.patienceMs);
+        this.couldBeInTime = this.slackMs > 0;
     }
 
     /** Milliseconds until the target; negative when it has passed, 0 without one. */
@@ -68,10 +71,9 @@
      * @returns Milliseconds.
      */
     holdLeftMs(heldMs: number): number {
-        const { clock, deadlineAtMs, route } = this.options;
+        const { clock, deadlineAtMs } = this.options;
         const leftMs = Math.min(this.maximumHoldMs - heldMs, deadlineAtMs - clock.nowMs());
-        const canBeInTime = route.kind.targetLatencyMs > this.elapsedMs;
-        const usefulMs = canBeInTime ? Math.min(leftMs, this.slackMs) : leftMs;
+        const usefulMs = this.couldBeInTime ? Math.min(leftMs, this.slackMs) : leftMs;
         return usefulMs < shortestHoldMs ? 0 : usefulMs;
     }
 
--- a/packages/daemon/test/calm.test.ts
+++ b/packages/daemon/test/calm.test.ts
@@ -48,6 +48,22 @@
         inTime: 0.95,
         medianMs: 260,
     },
+    {
+        name: "work that takes longer than its target, as they tell",
+        upstream: { slots: 6, queue: 12, workMs: 200, slowShare: 1, slowFactor: 4 },
+        perSecond: 15,
+        firstTry: 0.94,
+        inTime: 0,
+        medianMs: 1040,
+    },
+    {
+        name: "work that takes longer than its target, without a word of it",
+        upstream: { slots: 6, queue: 12, workMs: 800 },
+        perSecond: 15,
+        firstTry: 0.95,
+        inTime: 0,
+        medianMs: 1040,
+    },
 ];
 
 describe("calm callers at upstreams with", () => {
