Explain room, urgency and trials; record what was known of what is refused

Cause: explain showed neither the room nor how urgent a request was, though they now decide. Change: what is refused is recorded with what was known. A step says whether it is a trial, in explanations and in lines 403. explain has a line on target, slack, hold and queue, and columns of what was expected. Tests: explained-facts.test.ts (held, refused, explained, replayed; failed first), trials and the usual slowness, which had none. No decision changes.

--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -44,6 +44,7 @@
     `${paint.bold(`Decision ${number}`)} at ${formatMs(step.atMs)}: ${actionText(step)}`,
     ...(step.failedClause === "" ? [] : [`  clause ${step.failedClause} failed: ${step.failureDetail}; safe default used`]),
     `  ${step.request === undefined ? "" : `${formatMs(step.request.remainingMs)} left, `}${serviceText(step)}`,
+    ...urgencyLines(step),
     `  draws ${step.draws.map(draw => draw.toFixed(4)).join(" ")}, turn ${step.turn}`
     + (step.tried.length === 0 ? "" : `, already tried ${step.tried.join(", ")}`),
     indent(table(candidateTitles, step.candidates.map(candidate => candidateCells(candidate, step.upstream)))),
@@ -52,7 +53,9 @@
 const actionText = (step: Step): string => {
     switch (step.action) {
         case "choose":
-            return `send to ${paint.green(step.upstream)} (${step.chooser})`;
+            return `send to ${paint.green(step.upstream)} (${step.chooser}${
+                step.isTrial ? ", a trial of a fuller upstream" : ""
+            })`;
         case "hold":
             return paint.yellow(`hold back (${step.cause})`);
         default:
@@ -64,7 +67,21 @@
     service === undefined
         ? ""
         : `${service.inFlight} in flight, ${service.queued} held back, ${service.candidates} of ${service.upstreams} upstreams free, `
-            + `the best in ${service.bestTime.toFixed(2)} times usual work`;
+            + `the best in ${service.bestTime.toFixed(2)} times usual work with room for ${service.room.toFixed(2)}`;
+
+const urgencyLines = ({ request }: Step): readonly string[] =>
+    request === undefined || request.targetMs === 0
+        ? []
+        : [
+            `  target ${formatMs(request.targetMs)}, ${leftText(request.targetLeftMs)} since the first try, slack `
+            + `${formatMs(Math.max(0, request.slackMs))}, may be held for ${
+                formatMs(request.holdLeftMs)
+            }, ${request.ahead} ahead, `
+            + `waits for ${formatMs(request.waitMs)} at least`,
+        ];
+
+const leftText = (targetLeftMs: number): string =>
+    targetLeftMs < 0 ? `passed ${formatMs(-targetLeftMs)} ago` : `${formatMs(targetLeftMs)} left`;
 
 const candidateTitles = [
     "",
@@ -79,6 +96,8 @@
     "reported",
     "(age)",
     "slowness",
+    "expected",
+    "slowness",
     "failures",
     "score",
     "left out",
@@ -97,6 +116,8 @@
     formatCount(candidate.reportedInFlight),
     formatMs(candidate.reportAgeMs),
     candidate.slowness.toFixed(1),
+    `${candidate.expectedInFlight.toFixed(1)} of ${candidate.bestInFlight}`,
+    (candidate.expectedSlowness * candidate.crowding).toFixed(1),
     `${(candidate.failureRate * 100).toFixed(0)} %`,
     candidate.score === undefined ? "" : candidate.score.toFixed(2),
     candidate.excluded,
--- a/packages/daemon/src/operators/explanation-message.ts
+++ b/packages/daemon/src/operators/explanation-message.ts
@@ -68,7 +68,7 @@
     });
 };
 
-const toStep = ({ atMs, input, decision }: DecisionStep): Step =>
+const toStep = ({ atMs, input, decision, isTrial }: DecisionStep): Step =>
     create(StepSchema, {
         atMs,
         request: create(RequestSchema, input.request),
@@ -78,6 +78,7 @@
         draws: [...input.draws],
         turn: input.turn,
         action: decision.action,
+        isTrial,
         ...actionFields(decision),
         failedClause: decision.policyFailure?.clause ?? "",
         failureDetail: decision.policyFailure?.detail ?? "",
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -17,6 +17,8 @@
     readonly tookMs: number;
     readonly input: DecisionInput;
     readonly decision: Decision;
+    /** Whether it sends the request to find out how a fuller upstream does; its input then takes those for as good as others. */
+    readonly isTrial: boolean;
 }
 
 /** One attempt; its result is set when it has ended. */
--- a/packages/daemon/src/request/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -10,6 +10,7 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { events } from "../telemetry/event.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
+import type { DecisionStep } from "./decision-record.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 
@@ -38,9 +39,9 @@
         await this.probe(tried);
         const { progress, runtime, services } = this;
         const atMs = progress.ageMs;
-        const { input, decision } = this.decideNow(tried);
+        const { input, decision, isTrial } = this.decideNow(tried);
         runtime.nextTurn();
-        progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision });
+        progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision, isTrial });
         if (decision.policyFailure !== undefined) {
             services.log.write(events.policyFailed, { request: progress.record.id, ...decision.policyFailure });
         }
@@ -48,15 +49,18 @@
     }
 
     /** Decides by what is known; what would be refused finds out how fuller upstreams do, where nothing is known of that. */
-    private decideNow(tried: readonly UpstreamId[]): { readonly input: DecisionInput; readonly decision: Decision; } {
+    private decideNow(tried: readonly UpstreamId[]): Pick<DecisionStep, "input" | "decision" | "isTrial"> {
         const { policy } = this.progress.route;
         const input = this.input(tried, false);
         const decision = decide(policy, input);
         if (decision.action !== "refuse" || !this.runtime.beliefs.mayTry) {
-            return { input, decision };
+            return { input, decision, isTrial: false };
         }
-        const hopeful = this.input(tried, true);
-        return { input: hopeful, decision: decide(policy, hopeful) };
+        const trialInput = this.input(tried, true);
+        const trial = decide(policy, trialInput);
+        return trial.action === "choose"
+            ? { input: trialInput, decision: trial, isTrial: true }
+            : { input, decision, isTrial: false };
     }
 
     private input(tried: readonly UpstreamId[], isTrial: boolean): DecisionInput {
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -78,6 +78,7 @@
                 crowding: rounded(facts.crowding),
                 failureRate: rounded(facts.failureRate),
                 score: rounded(step?.decision.scores[index] ?? 0),
+                isTrial: step?.isTrial === true ? true : undefined,
             },
         });
     }
--- a/packages/decision/test/beliefs.test.ts
+++ b/packages/decision/test/beliefs.test.ts
@@ -163,3 +163,35 @@
     Array.from({ length: 1000 }, () => budget.earn());
     assert.deepEqual(Array.from({ length: 5 }, () => budget.take()).filter(Boolean).length, 3);
 });
+
+describe("a fuller upstream of which no answer has told", () => {
+    const load = { inFlight: 2, slots: 3, slowness: 1 };
+    const u0 = upstreamId("u0");
+
+    test("is taken for crowded, but by a trial", () => {
+        const { beliefs, clock } = start();
+        beliefs.observe(u0, { type: "reported", atMs: clock.nowMs(), ...load });
+        assert.deepEqual([beliefs.facts()[0]?.bestInFlight, beliefs.facts(true)[0]?.bestInFlight], [2, 3]);
+    });
+
+    test("is tried by one request at a time", () => {
+        const { beliefs, clock } = start();
+        beliefs.observe(u0, { type: "reported", atMs: clock.nowMs(), ...load });
+        assert.equal(beliefs.mayTry, true);
+        const trial = beliefs.start(u0);
+        assert.equal(beliefs.mayTry, false);
+        const other = beliefs.start(upstreamId("u1"));
+        beliefs.finish(other);
+        assert.equal(beliefs.mayTry, false);
+        beliefs.finish(trial);
+        assert.equal(beliefs.mayTry, true);
+    });
+
+    test("is known after three answers", () => {
+        const { beliefs, clock } = start();
+        const work = { usualMs: 100, latencyMs: 100, slowness: 1, reportAgeMs: 1 };
+        Array.from({ length: 10 }, () => beliefs.observeWork({ ...work, atMs: clock.nowMs(), fill: 0.3 }));
+        Array.from({ length: 3 }, () => beliefs.observeWork({ ...work, atMs: clock.nowMs(), fill: 1 }));
+        assert.equal(beliefs.facts()[0]?.bestInFlight, 3);
+    });
+});
--- a/packages/decision/test/service-dynamics.test.ts
+++ b/packages/decision/test/service-dynamics.test.ts
@@ -85,6 +85,25 @@
     });
 });
 
+describe("the usual slowness", () => {
+    const after = (slownesses: readonly number[]): ServiceDynamics =>
+        slownesses.reduce(
+            (before, slowness, atMs) => afterReport(before, report({ atMs, slowness }), undefined),
+            initialDynamics,
+        );
+
+    test("follows a service whose upstreams have all become slow: none of them is slow any longer against the others", () => {
+        const dynamics = after(Array.from({ length: 400 }, () => 5));
+        assert.ok(Math.abs(toExpectation(known({ slowness: 5 }), dynamics).expectedSlowness - 1) < 0.1);
+    });
+
+    test("stays that of the fast ones while some are slow", () => {
+        const dynamics = after(Array.from({ length: 400 }, (_, index) => index % 3 === 0 ? 5 : 1));
+        assert.ok(toExpectation(known({ slowness: 5 }), dynamics).expectedSlowness > 4.5);
+        assert.ok(Math.abs(toExpectation(known({ slowness: 1 }), dynamics).expectedSlowness - 1) < 0.1);
+    });
+});
+
 describe("crowding", () => {
     test("upstreams that do not slow down when they are full are learned to be so", () => {
         const dynamics = answers(60, { latencyMs: 500, fill: 1 }, answers(20, { latencyMs: 500, fill: 0.5 }));
--- /dev/null
+++ b/packages/standin/test/explained-facts.test.ts
@@ -0,0 +1,52 @@
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { explanationText, replay } from "@harrierhitch/command";
+import { OperatorService } from "@harrierhitch/protocol";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { startSystem, type System } from "./system.js";
+
+/** A policy that holds for a while and then refuses, by every fact that says how urgent a request is and what room there is. */
+const configuration = `
+[kind.room]
+repeatable = true
+targetLatencyMs = 60
+policy = room
+[route.room]
+method = GET
+path = /room
+service = main
+kind = room
+[policy.room]
+chooser = expected-time
+maximumHoldPercent = 50
+hold = service.room + service.freeShare + service.askable > 0.0 && request.holdLeftMs > 0.0
+refuse = "request.holdLeftMs <= 0.0 && request.targetLeftMs <= 60.0 && request.slackMs <= 60.0 && request.ahead + request.waitMs >= 0.0 ? 'nothing came' : ''"
+`;
+
+let system: System;
+
+before(async () => {
+    system = await startSystem({ upstreams: [{}, {}], configuration });
+});
+
+after(() => system.stop());
+
+test("what held a request back and then refused it is explained, and replayed to the same decisions", async () => {
+    const response = await fetch(`${system.url}/room`);
+    assert.equal(response.status, 503);
+    const requestId = response.headers.get("x-harrierhitch-request-id") ?? "";
+    const client = createClient(
+        OperatorService,
+        createConnectTransport({ baseUrl: `http://${system.operators}`, httpVersion: "1.1" }),
+    );
+    const { explanation } = await client.explain({ requestId });
+    assert.ok(explanation);
+    assert.deepEqual([explanation.steps[0]?.action, explanation.steps.at(-1)?.action], ["hold", "refuse"]);
+    assert.ok(replay(explanation).every(({ same }) => same), "some decision replays to another");
+    assert.ok(explanation.steps.every(({ isTrial }) => !isTrial));
+    const text = explanationText(explanation, "entry-1");
+    assert.match(text, /with room for 2\.00/);
+    assert.match(text, /target 60\.0 ms, .* left since the first try, slack .*, may be held for .*, 0 ahead/);
+    assert.match(text, /0\.0 of 2/);
+});
