End the wait for a turn of a request whose caller has left already

Cause: what may not be repeated waits for its turn on the connection; if the connection had ended before it began to wait, no further event came, so the request was never settled and a planned stop waited for it in vain. Change: the wait begins with whether the caller has left, and ends by the one way in which leaving is told. Ruled out: reads behind others on a connection whose caller leaves; they are cancelled, as a new test shows.

--- a/packages/daemon/src/request/caller-answer.ts
+++ b/packages/daemon/src/request/caller-answer.ts
@@ -58,14 +58,16 @@
      * @returns Whether it was; otherwise the connection ended first, and its caller takes the request for unread.
      */
     takeTurn(): Promise<boolean> {
-        const { socket } = this.request;
-        if (this.response.socket !== null) {
+        if (this.left || this.response.socket !== null) {
             return Promise.resolve(!this.left);
         }
         return new Promise(resolve => {
+            const forget = this.onCallerLeft(() => resolve(false));
             // Node gives a response its socket when those before it on the connection have ended.
-            this.response.once("socket", () => resolve(true));
-            socket.once("close", () => resolve(false));
+            this.response.once("socket", () => {
+                forget();
+                resolve(true);
+            });
         });
     }
 
--- a/packages/standin/test/pipelined-callers.test.ts
+++ b/packages/standin/test/pipelined-callers.test.ts
@@ -39,6 +39,17 @@
         socket.destroy();
     });
 
+    test("has none of its reads worked on once it has left", async () => {
+        const [upstream] = system.upstreams;
+        const { arrived, cancelled } = upstream!;
+        upstream!.behaviour = { ...upstream!.behaviour, hang: true };
+        const socket = openCaller(system.callersPort, read("a") + read("b") + read("c"));
+        await until(() => upstream!.arrived - arrived === 3);
+        socket.destroy();
+        await until(() => upstream!.cancelled - cancelled === 3);
+        upstream!.behaviour = { ...upstream!.behaviour, hang: false };
+    });
+
     test("has an issue begun only when everything before it is answered", async () => {
         const [upstream] = system.upstreams;
         const arrivedBefore = upstream!.arrived;
