Tell callers to come back at once only where a server that has room has shed them

Cause: a refusal while the best upstream had room said that load had not kept it from being served, and told the caller to come back at once. With all upstreams dead nothing is known of their load, so they had room, and callers were sent round at full speed (seen in the quickstart, with its upstreams killed by hand: Retry-After 0 after six refused connections). Change: at once only if the last attempt was shed. Ruled out: sheds of a service that is ill while it has room, for which the rule was made; its test stands beside.

--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -97,7 +97,7 @@
     "(age)",
     "slowness",
     "expected",
-    "slowness",
+    "(times)",
     "failures",
     "score",
     "left out",
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -174,12 +174,13 @@
     }
 
     /**
-     * When the caller should come back if it is refused: at once where the upstreams have room, so that it was not load
-     * that kept it from being served.
+     * When the caller should come back if it is refused: at once where an upstream that has room has just shed it, so that
+     * it was not load that kept it from being served.
      */
     get retryAfterMs(): number {
         const { service } = this.record.steps.at(-1)?.input ?? {};
-        if (service !== undefined && service.room >= 1) {
+        const wasShed = this.record.attempts.at(-1)?.result?.end === "shed";
+        if (wasShed && service !== undefined && service.room >= 1) {
             return 0;
         }
         return retryAfterOf(this.route.policy, { targetMs: this.route.kind.targetLatencyMs });
