Let an instance use twelve of many upstreams, half of them of its zone, and more while they have no room

Ruled out: fewer probes alone (they are not what grows); all upstreams with a smaller record. Change: beyond 24 upstreams an instance uses twelve in a stable order of its own, by turns of its zone and of others; those that leave or are ejected are replaced, and the part doubles while it has no room. The budget of probes is divided by the instances that use an upstream, and bounded for the service in sum whichever part is used. Tests: who is used, replaced, widened, spread over 312 instances; the sum of probes when all instances use all. The tests of the store are two files now, with 60 instances for faults, so that they fit their time-out on a busy machine.

--- a/packages/daemon/src/request/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -68,7 +68,7 @@
         const upstreams = runtime.beliefs.facts(isTrial);
         return {
             request: progress.facts(runtime.roomInMs(upstreams, tried)),
-            service: runtime.facts(upstreams, tried, this.askable),
+            service: runtime.facts(upstreams, tried, this.askableAmong(upstreams)),
             upstreams,
             tried: [...tried],
             draws: drawNumbers(services.random),
@@ -77,12 +77,12 @@
     }
 
     /** Upstreams that may be asked for their load now. */
-    private get askable(): number {
-        const { progress, runtime, services } = this;
+    private askableAmong(upstreams: readonly UpstreamFacts[]): number {
+        const { progress, services } = this;
         const { policy, service } = progress.route;
         return policy.probeCandidates === 0 || service.probePath === undefined
             ? 0
-            : runtime.beliefs.upstreams.filter(({ id }) => services.prober.mayAsk(id)).length;
+            : upstreams.filter(({ id }) => services.prober.mayAsk(upstreamId(id))).length;
     }
 
     /** Asks the likeliest upstreams for their load, two at a time, until one is good or the patience ends. */
@@ -117,7 +117,7 @@
         const { runtime, services } = this;
         const facts = runtime.beliefs.facts().filter(({ id }) => !asked.has(id) && services.prober.mayAsk(upstreamId(id)));
         const ids = probeTargets({ upstreams: facts, tried: [] }, count, () => services.random.next());
-        return runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
+        return ids.flatMap(id => runtime.beliefs.find(upstreamId(id)) ?? []);
     }
 
     /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -3,32 +3,19 @@
  * delays and cuts.
  */
 
-import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { Client } from "@connectrpc/connect";
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import {
-    AcceptedConfiguration,
-    Fleet,
-    fleetTimesFor,
-    type PeerAddress,
-    peerService,
-    UpstreamDirectory,
-} from "@harrierhitch/fleet";
-import { PeerService } from "@harrierhitch/protocol";
+import { AcceptedConfiguration, Fleet, fleetTimesFor, peerService, UpstreamDirectory } from "@harrierhitch/fleet";
 import { PlatformLink } from "../../src/platform/platform-link.js";
 import { type Platform, PlatformError, type Publication } from "../../src/platform/platform.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
+import { basePort, StoreNetwork } from "./store-network.js";
 
 /** Time for which an instance serves alone at least before it joins the others. */
 const joinDelayMs = 4000;
 
 const zones = 6;
-const basePort = 7000;
 const storeDelayMs = 4;
 const silentCallMs = 500;
-const hopMs = 2;
-
-type Service = ReturnType<typeof peerService>;
 
 interface Running {
     readonly id: number;
@@ -47,8 +34,6 @@
     readonly instances = new Map<number, Running>();
     /** Calls to the store; a read that may be old counts a tenth. */
     calls = 0;
-    /** Exchanges between instances. */
-    exchanges = 0;
     /** The store's revision, with the time of each. */
     readonly publishedAtMs = [0, 0];
     /** Instances that the store does not serve. */
@@ -56,7 +41,7 @@
     /** Instances that nobody reaches, though they run. */
     readonly cutOff = new Set<number>();
     isDown = false;
-    private readonly services = new Map<number, Service>();
+    private readonly network: StoreNetwork;
 
     /**
      * @param seed - Of the random source.
@@ -65,6 +50,12 @@
      */
     constructor(seed: number, readonly boundMs: number, private readonly breaks: (link: PlatformLink) => void = () => undefined) {
         this.random = new SeededRandom(seed);
+        this.network = new StoreNetwork(this.clock, this.random, this.cutOff);
+    }
+
+    /** Exchanges between instances. */
+    get exchanges(): number {
+        return this.network.exchanges;
     }
 
     /** The store's revision. */
@@ -141,7 +132,7 @@
             running.link.stop();
             running.fleet?.stop();
             this.instances.delete(id);
-            this.services.delete(id);
+            this.network.close(id);
         }
     }
 
@@ -202,7 +193,7 @@
             address: "127.0.0.1",
             port: basePort + id,
             seeds: [0, 1, 2].map(seed => ({ address: "127.0.0.1", port: basePort + seed })),
-            clients: { to: peer => this.clientFrom(id, peer), close: () => undefined },
+            clients: { to: peer => this.network.client(id, peer), close: () => undefined },
             accepted: new AcceptedConfiguration(),
             directory,
             times: fleetTimesFor(this.boundMs),
@@ -213,41 +204,11 @@
             onSourceLost: () => undefined,
             onUnreachable: () => undefined,
         });
-        this.services.set(
+        this.network.open(
             id,
             peerService({ fleetName: "test", fleet, explain: never, status: never, onRefused: () => undefined }),
         );
         fleet.start();
         return fleet;
     }
-
-    private clientFrom(from: number, peer: PeerAddress): Client<typeof PeerService> {
-        const to = peer.port - basePort;
-        const { input, output } = PeerService.method.exchange;
-        const isCut = (): boolean => this.cutOff.has(from) || this.cutOff.has(to);
-        const hop = (): Promise<void> => new Promise(resolve => this.clock.after(hopMs * (0.5 + this.random.next()), resolve));
-        const exchange = (request: never, { signal }: { readonly signal?: AbortSignal; } = {}) =>
-            new Promise((resolve, reject) => {
-                signal?.addEventListener("abort", () => reject(new TypeError("given up")), { once: true });
-                void hop().then(async () => {
-                    const service = this.services.get(to);
-                    if (isCut()) {
-                        return;
-                    }
-                    if (service === undefined) {
-                        reject(new TypeError("reset"));
-                        return;
-                    }
-                    this.exchanges += 1;
-                    const received = fromBinary(input, toBinary(input, request));
-                    const response = await (service.exchange as (message: unknown) => unknown)(received);
-                    await hop();
-                    if (!isCut()) {
-                        const message = { $typeName: output.typeName, ...response as object } as never;
-                        resolve(fromBinary(output, toBinary(output, message)));
-                    }
-                }).catch(reject);
-            });
-        return { exchange } as unknown as Client<typeof PeerService>;
-    }
 }
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -17,12 +17,15 @@
     type ServiceDynamics,
     type WorkReading,
 } from "./service-dynamics.js";
+import { subsetOrder, subsetSize, wholeUpTo } from "./subset.js";
 import { type Flight, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
 
 /** Options of {@link ServiceBeliefs}. */
 export interface ServiceBeliefsOptions {
     readonly clock: Clock;
     readonly availabilityZone: string;
+    /** Name of this instance, by which it uses a part of many upstreams; all of them without it. */
+    readonly instance?: string;
     /** How beliefs change; the defaults suit upstreams with a few slots. */
     readonly belief?: Partial<BeliefOptions>;
     /** Most upstreams that may be ejected at the same time, as a share. */
@@ -33,11 +36,20 @@
 
 const defaultEjectedShare = 0.34;
 
+/** Room from which a request need not wait for more. */
+const wantedRoom = 0.5;
+
+const hasRoom = ({ expectedInFlight, bestInFlight, inFlight, limit }: UpstreamFacts): boolean =>
+    inFlight < limit && bestInFlight - expectedInFlight >= wantedRoom;
+
 /** Keeps the beliefs about a service's upstreams and their requests in flight. */
 export class ServiceBeliefs {
-    private readonly options: Required<Omit<ServiceBeliefsOptions, "belief">>;
+    private readonly options: Required<Omit<ServiceBeliefsOptions, "belief" | "instance">>;
+    private readonly instance: string | undefined;
     private belief: BeliefOptions;
     private tracked = new Map<UpstreamId, Tracked>();
+    /** The upstreams in the order in which this instance uses them, where it uses a part. */
+    private order: readonly UpstreamId[] | undefined;
     private dynamics: ServiceDynamics = initialDynamics;
     /** The request that finds out how a fuller upstream does; only one at a time does, since many would fill them all. */
     private trial: Flight | undefined;
@@ -50,6 +62,7 @@
             ...options,
         };
         this.belief = { ...defaultBeliefOptions, ...options.belief };
+        this.instance = options.instance;
     }
 
     /**
@@ -81,6 +94,9 @@
                 : { upstream, belief, flights: new Set<Flight>() };
             return [upstream.id, tracked];
         }));
+        this.order = this.instance === undefined || upstreams.length <= wholeUpTo
+            ? undefined
+            : subsetOrder(this.instance, this.options.availabilityZone, upstreams).map(({ id }) => id);
     }
 
     /** Notes that a request is sent to an upstream. */
@@ -127,21 +143,45 @@
     }
 
     /**
-     * The facts of all upstreams, in the order of the configuration.
+     * The facts of the upstreams that this instance uses: all, or of many a part that grows, twice as much each time, while
+     * it has no room.
      *
      * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
      */
     facts(isTrial = false): readonly UpstreamFacts[] {
-        const nowMs = this.options.clock.nowMs();
-        return [...this.tracked.values()].map(tracked => {
-            this.replace(tracked, atTime(tracked.belief, nowMs));
-            return this.toFacts(tracked, isTrial);
+        const { order } = this;
+        if (order === undefined) {
+            return this.allFacts(isTrial);
+        }
+        const usable: UpstreamFacts[] = [];
+        let size = subsetSize;
+        order.some(id => {
+            const facts = this.factsOf(id, isTrial);
+            if (facts !== undefined && facts.state !== "draining" && facts.state !== "ejected") {
+                usable.push(facts);
+            }
+            const isFull = usable.length === size;
+            if (isFull && !usable.some(hasRoom)) {
+                size *= 2;
+                return false;
+            }
+            return isFull;
         });
+        return usable;
     }
 
-    /** The upstreams. */
-    get upstreams(): readonly Upstream[] {
-        return [...this.tracked.values()].map(tracked => tracked.upstream);
+    /**
+     * The facts of all upstreams, in the order of the configuration.
+     *
+     * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
+     */
+    allFacts(isTrial = false): readonly UpstreamFacts[] {
+        return [...this.tracked.keys()].flatMap(id => this.factsOf(id, isTrial) ?? []);
+    }
+
+    /** The ids of all upstreams. */
+    get ids(): readonly UpstreamId[] {
+        return [...this.tracked.keys()];
     }
 
     /** One of the upstreams. */
@@ -169,6 +209,15 @@
         return this.tracked.size;
     }
 
+    private factsOf(id: UpstreamId, isTrial: boolean): UpstreamFacts | undefined {
+        const tracked = this.tracked.get(id);
+        if (tracked === undefined) {
+            return undefined;
+        }
+        this.replace(tracked, atTime(tracked.belief, this.options.clock.nowMs()));
+        return this.toFacts(tracked, isTrial);
+    }
+
     private isFullerThanKnown(tracked: Tracked): boolean {
         const { expectedInFlight, bestInFlight } = this.toFacts(tracked, false);
         return expectedInFlight + 1 > bestInFlight;
