--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -8,7 +8,9 @@
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
+import { workTime } from "./expected-time-chooser.js";
 import type { Observation } from "./observation.js";
+import { mayBeChosen } from "./probe-targets.js";
 import {
     afterAnswer,
     afterReport,
@@ -36,11 +38,16 @@
 
 const defaultEjectedShare = 0.34;
 
-/** Room from which a request need not wait for more. */
+/** Room from which a request need not look for more. */
 const wantedRoom = 0.5;
 
-const hasRoom = ({ expectedInFlight, bestInFlight, inFlight, limit }: UpstreamFacts): boolean =>
-    inFlight < limit && bestInFlight - expectedInFlight >= wantedRoom;
+/** Expected time, in times of usual work, up to which it need not look for a faster one. */
+const wantedTime = 1.5;
+
+const isWanted = (upstream: UpstreamFacts): boolean =>
+    mayBeChosen(upstream)
+    && upstream.bestInFlight - upstream.expectedInFlight >= wantedRoom
+    && workTime(upstream) <= wantedTime;
 
 /** Keeps the beliefs about a service's upstreams and their requests in flight. */
 export class ServiceBeliefs {
@@ -143,8 +150,10 @@
     }
 
     /**
-     * The facts of the upstreams that this instance uses: all, or of many a part that grows, twice as much each time, while
-     * it has no room.
+     * The facts of the upstreams that this instance uses: all, or of many a part while one of it has room and is fast. In
+     * a rush it is as many as it takes to find one. Cost of parts, in time in a modelled rush of 2.3 times the load (90
+     * instances, 60 upstreams, means of three seeds): 0.90 instead of 0.93, and 0.88 where parts only double while none
+     * has room; a lighter rush shows no difference.
      *
      * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
      */
@@ -154,18 +163,12 @@
             return this.allFacts(isTrial);
         }
         const usable: UpstreamFacts[] = [];
-        let size = subsetSize;
         order.some(id => {
             const facts = this.factsOf(id, isTrial);
             if (facts !== undefined && facts.state !== "draining" && facts.state !== "ejected") {
                 usable.push(facts);
             }
-            const isFull = usable.length === size;
-            if (isFull && !usable.some(hasRoom)) {
-                size *= 2;
-                return false;
-            }
-            return isFull;
+            return usable.length === subsetSize && usable.some(isWanted);
         });
         return usable;
     }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,6 +6,7 @@
 
 import { build } from "esbuild";
 import { copyFile, rm } from "node:fs/promises";
+import { lazyHttp2 } from "./lazy-http2.mjs";
 
 await rm("target", { recursive: true, force: true });
 await build({
@@ -22,5 +23,6 @@
     mainFields: ["module", "main"],
     legalComments: "none",
     sourcemap: false,
+    plugins: [lazyHttp2],
 });
 await copyFile("scripts/loader.cjs", "target/harrierhitchd.cjs");
