--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -71,7 +71,6 @@
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
-            instance: this.id,
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
                 if (change.after.state === "draining" && !this.hearing) {
@@ -206,6 +205,7 @@
         this.services.configure(update);
         this.hearing = false;
         this.applyShares();
+        this.probeBudget.retain(new Set(targets.map(target => target.upstream.id)));
         this.parts.onConfigured?.(update);
     }
 
@@ -215,7 +215,7 @@
         if (configuration !== undefined) {
             const shares = sharesOf(configuration, this.parts.settings.budgets, fleet?.members.possible);
             this.services.applyShares(shares);
-            this.probeBudget.configure(shares.probesPerSecond, this.services.upstreams());
+            this.probeBudget.configure(shares.probesPerSecond);
         }
     }
 
--- a/packages/daemon/src/operators/operator-service.ts
+++ b/packages/daemon/src/operators/operator-service.ts
@@ -138,7 +138,7 @@
     });
 
 const toUpstreamStatuses = (runtime: ServiceRuntime): readonly UpstreamStatus[] =>
-    runtime.beliefs.allFacts().map(facts =>
+    runtime.beliefs.facts().map(facts =>
         create(UpstreamStatusSchema, { service: runtime.name, facts: toCandidate(facts), why: whyOf(facts) })
     );
 
--- a/packages/daemon/src/request/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -68,7 +68,7 @@
         const upstreams = runtime.beliefs.facts(isTrial);
         return {
             request: progress.facts(runtime.roomInMs(upstreams, tried)),
-            service: runtime.facts(upstreams, tried, this.askableAmong(upstreams)),
+            service: runtime.facts(upstreams, tried, this.askable),
             upstreams,
             tried: [...tried],
             draws: drawNumbers(services.random),
@@ -77,12 +77,12 @@
     }
 
     /** Upstreams that may be asked for their load now. */
-    private askableAmong(upstreams: readonly UpstreamFacts[]): number {
-        const { progress, services } = this;
+    private get askable(): number {
+        const { progress, runtime, services } = this;
         const { policy, service } = progress.route;
         return policy.probeCandidates === 0 || service.probePath === undefined
             ? 0
-            : upstreams.filter(({ id }) => services.prober.mayAsk(upstreamId(id))).length;
+            : runtime.beliefs.upstreams.filter(({ id }) => services.prober.mayAsk(id)).length;
     }
 
     /** Asks the likeliest upstreams for their load, two at a time, until one is good or the patience ends. */
@@ -117,7 +117,7 @@
         const { runtime, services } = this;
         const facts = runtime.beliefs.facts().filter(({ id }) => !asked.has(id) && services.prober.mayAsk(upstreamId(id)));
         const ids = probeTargets({ upstreams: facts, tried: [] }, count, () => services.random.next());
-        return ids.flatMap(id => runtime.beliefs.find(upstreamId(id)) ?? []);
+        return runtime.beliefs.upstreams.filter(upstream => ids.includes(upstream.id));
     }
 
     /** Whether a request that was held back or tried before has less time left than an answer usually takes. */
--- a/packages/daemon/src/upstream/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -27,7 +27,6 @@
 export interface ServiceRegistryOptions {
     readonly clock: Clock;
     readonly availabilityZone: string;
-    readonly instance: string;
     readonly onStateChange: (change: StateChange) => void;
 }
 
@@ -78,17 +77,11 @@
         return [...this.runtimes.values()];
     }
 
-    /** The upstreams of each service. */
-    upstreams(): ReadonlyMap<ServiceName, readonly UpstreamId[]> {
-        return new Map(this.all().map(({ name, beliefs }) => [name, beliefs.ids]));
-    }
-
     private create(name: ServiceName): ServiceRuntime {
-        const { clock, availabilityZone, instance, onStateChange } = this.options;
+        const { clock, availabilityZone, onStateChange } = this.options;
         const beliefs = new ServiceBeliefs({
             clock,
             availabilityZone,
-            instance,
             onStateChange: (upstream, before, after) => onStateChange({ service: name, upstream, before, after }),
         });
         const retryBudget = new RetryBudget({ share: 0, maximumSaved: retriesSavedAtStart });
--- a/packages/daemon/test/budgets.test.ts
+++ b/packages/daemon/test/budgets.test.ts
@@ -1,4 +1,4 @@
-import { FakeClock, serviceName, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { FakeClock, upstreamId } from "@harrierhitch/core";
 import { RetryBudget } from "@harrierhitch/decision";
 import fc from "fast-check";
 import assert from "node:assert/strict";
@@ -33,40 +33,6 @@
     );
 });
 
-test("instances that use parts of many upstreams ask a service no oftener in sum than all of it, also when they use all of them", async () => {
-    const fleetPerSecond = 51;
-    const instances = 40;
-    const ids: readonly UpstreamId[] = Array.from({ length: 92 }, (_, index) => upstreamId(`u${index}`));
-    const clock = new FakeClock();
-    const budgets = Array.from({ length: instances }, () => {
-        const budget = new ProbeBudget(clock);
-        budget.configure(fleetPerSecond / instances, new Map([[serviceName("main"), ids]]));
-        return budget;
-    });
-    const takeAll = (budget: ProbeBudget): number => ids.filter(id => budget.take(id)).length;
-    let taken = 0;
-    for (let second = 0; second < 30; second += 0.25) {
-        taken += budgets.reduce((sum, budget) => sum + takeAll(budget), 0);
-        await clock.advance(250);
-    }
-    const allowed = fleetPerSecond * ids.length * (30 + savedSeconds);
-    assert.ok(taken <= allowed, `${taken} of ${allowed}`);
-    assert.ok(taken > allowed / 4, `${taken} of ${allowed}`);
-});
-
-test("an instance that uses a part of many upstreams may ask each of them oftener than if it used all", async () => {
-    const clock = new FakeClock();
-    const budget = new ProbeBudget(clock);
-    const ids = Array.from({ length: 92 }, (_, index) => upstreamId(`u${index}`));
-    budget.configure(0.16, new Map([[serviceName("main"), ids]]));
-    let taken = 0;
-    for (let step = 0; step < 100; step += 1) {
-        taken += budget.take(upstreamId("u0")) ? 1 : 0;
-        await clock.advance(100);
-    }
-    assert.ok(taken >= 6, `${taken} in 10 s`);
-});
-
 test("in no window do second attempts exceed what its requests earned and what was saved", () => {
     fc.assert(
         fc.property(fc.array(fc.constantFrom("request", "retry"), { maxLength: 400 }), events => {
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -25,7 +25,6 @@
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
 export { initialDynamics, type WorkReading } from "./service-dynamics.js";
-export { subsetOrder, subsetShare, subsetSize, wholeUpTo } from "./subset.js";
 export { type Flight, type KnownUpstream } from "./tracked-upstream.js";
 export { UsualPatience } from "./usual-patience.js";
 export { UsualTimes } from "./usual-time.js";
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -8,9 +8,7 @@
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
-import { workTime } from "./expected-time-chooser.js";
 import type { Observation } from "./observation.js";
-import { mayBeChosen } from "./probe-targets.js";
 import {
     afterAnswer,
     afterReport,
@@ -19,15 +17,12 @@
     type ServiceDynamics,
     type WorkReading,
 } from "./service-dynamics.js";
-import { subsetOrder, subsetSize, wholeUpTo } from "./subset.js";
 import { type Flight, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
 
 /** Options of {@link ServiceBeliefs}. */
 export interface ServiceBeliefsOptions {
     readonly clock: Clock;
     readonly availabilityZone: string;
-    /** Name of this instance, by which it uses a part of many upstreams; all of them without it. */
-    readonly instance?: string;
     /** How beliefs change; the defaults suit upstreams with a few slots. */
     readonly belief?: Partial<BeliefOptions>;
     /** Most upstreams that may be ejected at the same time, as a share. */
@@ -38,25 +33,11 @@
 
 const defaultEjectedShare = 0.34;
 
-/** Room from which a request need not look for more. */
-const wantedRoom = 0.5;
-
-/** Expected time, in times of usual work, up to which it need not look for a faster one. */
-const wantedTime = 1.5;
-
-const isWanted = (upstream: UpstreamFacts): boolean =>
-    mayBeChosen(upstream)
-    && upstream.bestInFlight - upstream.expectedInFlight >= wantedRoom
-    && workTime(upstream) <= wantedTime;
-
 /** Keeps the beliefs about a service's upstreams and their requests in flight. */
 export class ServiceBeliefs {
-    private readonly options: Required<Omit<ServiceBeliefsOptions, "belief" | "instance">>;
-    private readonly instance: string | undefined;
+    private readonly options: Required<Omit<ServiceBeliefsOptions, "belief">>;
     private belief: BeliefOptions;
     private tracked = new Map<UpstreamId, Tracked>();
-    /** The upstreams in the order in which this instance uses them, where it uses a part. */
-    private order: readonly UpstreamId[] | undefined;
     private dynamics: ServiceDynamics = initialDynamics;
     /** The request that finds out how a fuller upstream does; only one at a time does, since many would fill them all. */
     private trial: Flight | undefined;
@@ -69,7 +50,6 @@
             ...options,
         };
         this.belief = { ...defaultBeliefOptions, ...options.belief };
-        this.instance = options.instance;
     }
 
     /**
@@ -101,9 +81,6 @@
                 : { upstream, belief, flights: new Set<Flight>() };
             return [upstream.id, tracked];
         }));
-        this.order = this.instance === undefined || upstreams.length <= wholeUpTo
-            ? undefined
-            : subsetOrder(this.instance, this.options.availabilityZone, upstreams).map(({ id }) => id);
     }
 
     /** Notes that a request is sent to an upstream. */
@@ -150,41 +127,21 @@
     }
 
     /**
-     * The facts of the upstreams that this instance uses: all, or of many a part while one of it has room and is fast. In
-     * a rush it is as many as it takes to find one. Cost of parts, in time in a modelled rush of 2.3 times the load (90
-     * instances, 60 upstreams, means of three seeds): 0.90 instead of 0.93, and 0.88 where parts only double while none
-     * has room; a lighter rush shows no difference.
+     * The facts of all upstreams, in the order of the configuration.
      *
      * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
      */
     facts(isTrial = false): readonly UpstreamFacts[] {
-        const { order } = this;
-        if (order === undefined) {
-            return this.allFacts(isTrial);
-        }
-        const usable: UpstreamFacts[] = [];
-        order.some(id => {
-            const facts = this.factsOf(id, isTrial);
-            if (facts !== undefined && facts.state !== "draining" && facts.state !== "ejected") {
-                usable.push(facts);
-            }
-            return usable.length === subsetSize && usable.some(isWanted);
+        const nowMs = this.options.clock.nowMs();
+        return [...this.tracked.values()].map(tracked => {
+            this.replace(tracked, atTime(tracked.belief, nowMs));
+            return this.toFacts(tracked, isTrial);
         });
-        return usable;
     }
 
-    /**
-     * The facts of all upstreams, in the order of the configuration.
-     *
-     * @param isTrial - Whether to take fuller upstreams for as good as others where too little is known of them.
-     */
-    allFacts(isTrial = false): readonly UpstreamFacts[] {
-        return [...this.tracked.keys()].flatMap(id => this.factsOf(id, isTrial) ?? []);
-    }
-
-    /** The ids of all upstreams. */
-    get ids(): readonly UpstreamId[] {
-        return [...this.tracked.keys()];
+    /** The upstreams. */
+    get upstreams(): readonly Upstream[] {
+        return [...this.tracked.values()].map(tracked => tracked.upstream);
     }
 
     /** One of the upstreams. */
@@ -212,15 +169,6 @@
         return this.tracked.size;
     }
 
-    private factsOf(id: UpstreamId, isTrial: boolean): UpstreamFacts | undefined {
-        const tracked = this.tracked.get(id);
-        if (tracked === undefined) {
-            return undefined;
-        }
-        this.replace(tracked, atTime(tracked.belief, this.options.clock.nowMs()));
-        return this.toFacts(tracked, isTrial);
-    }
-
     private isFullerThanKnown(tracked: Tracked): boolean {
         const { expectedInFlight, bestInFlight } = this.toFacts(tracked, false);
         return expectedInFlight + 1 > bestInFlight;
