--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -112,7 +112,7 @@
     /** Refreshes what time made doubtful after this process slept; requests wait for it, for a short while. */
     wakeLate(sleptMs: number): void {
         this.parts.log.write(events.wokeLate, { sleptMs });
-        this.fleet?.wakeLate();
+        this.fleet?.wakeLate(sleptMs);
         if (sleptMs >= minimumRefreshSleepMs && this.fleet !== undefined) {
             const refreshing = this.fleet.hearOthers(refreshTimeoutMs).finally(() => {
                 this.refreshing = this.refreshing === refreshing ? undefined : this.refreshing;
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -22,7 +22,7 @@
 import { readDirectory, writeDirectory } from "./directory-message.js";
 import type { ExchangeAnswer, ExchangeManner, SendExchange } from "./exchange-manner.js";
 import type { FleetOptions } from "./fleet-options.js";
-import type { Freshness } from "./freshness.js";
+import { type Freshness, tellShare } from "./freshness.js";
 import type { Members } from "./members.js";
 import type { Roles } from "./roles.js";
 import type { Rumors } from "./rumors.js";
@@ -104,13 +104,18 @@
         });
     }
 
-    /** Whether an instance that asks lacks something, or could be told at once that its knowledge is younger than it seems. */
+    /**
+     * Whether an instance that asks lacks something, or could be told at once that its knowledge is much younger than it
+     * seems. A little younger is not enough: where answers take long, it would ask again and again until the next
+     * confirmation.
+     */
     private isBehind({ directory, configuration }: ExchangeRequest): boolean {
         const { directory: own, freshness, confirmMs } = this.options;
         const ageMs = directory === undefined || directory.ageMs < 0 ? Infinity : directory.ageMs;
+        const isYounger = ageMs - freshness.ageMs > confirmMs * tellShare;
         return Number(directory?.revision ?? 0n) < own.revision
             || this.documentsFor(configuration).length > 0
-            || ageMs > confirmMs && freshness.ageMs < confirmMs;
+            || ageMs > confirmMs && isYounger;
     }
 
     private request(
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -10,7 +10,7 @@
 import { Exchange } from "./exchange.js";
 import type { FleetOptions } from "./fleet-options.js";
 import { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
-import { Freshness } from "./freshness.js";
+import { Freshness, tellShare } from "./freshness.js";
 import { hearOthers } from "./hear-others.js";
 import { chooseLinks, isFullMesh, type Link } from "./links.js";
 import { Members } from "./members.js";
@@ -21,9 +21,6 @@
 import { Rumors, type RumorType } from "./rumors.js";
 import { Seeds } from "./seeds.js";
 
-/** Part of the time between two confirmations by which knowledge has to become younger before that alone is told. */
-const tellShare = 0.6;
-
 /** A reader asks a seed again every so many beats, so that parts that were cut apart find each other: each has a reader. */
 const beatsBetweenSeeds = 5;
 
@@ -155,10 +152,18 @@
             || this.roles.isReader && this.beats % beatsBetweenOutsideRetries === 0;
     }
 
-    /** Forgets what time alone made doubtful, after this process slept. */
-    wakeLate(): void {
+    /**
+     * Forgets what time alone made doubtful, after this process slept; asks others at once only where it slept so long
+     * that it may lack something. A process that is short of processor time wakes late many times a second: asking each
+     * time, and being asked by others that do, would keep all of them short of it.
+     *
+     * @param sleptMs - How long it slept.
+     */
+    wakeLate(sleptMs: number): void {
         this.members.forgive();
-        this.links.wake(true);
+        if (sleptMs >= this.times.confirmMs) {
+            this.links.wake(true);
+        }
     }
 
     /**
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -6,6 +6,9 @@
 
 import { type Clock, sleep } from "@harrierhitch/core";
 
+/** Part of the time between two confirmations by which knowledge has to become younger before that alone is told. */
+export const tellShare = 0.6;
+
 /** Keeps the latest moment as of which nothing published is known to be missing here. */
 export class Freshness {
     private confirmedAtMs = -Infinity;
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -17,6 +17,16 @@
     return fleet;
 };
 
+/** Messages that are delivered in some time, while something happens ten times a second. */
+const messagesIn = async (fleet: FakeFleet, forMs: number, act: () => void): Promise<number> => {
+    const before = fleet.messages;
+    for (let passedMs = 0; passedMs < forMs; passedMs += 100) {
+        act();
+        await fleet.clock.advance(100);
+    }
+    return fleet.messages - before;
+};
+
 const generationsInForce = (fleet: FakeFleet): readonly (number | undefined)[] =>
     fleet.running.map(node => node.generations.at(-1));
 
@@ -135,10 +145,30 @@
 test("an instance that slept does not take the others for dead", async () => {
     const fleet = await startFleet(3);
     fleet.clock.pause(20_000);
-    fleet.node("n0").fleet.wakeLate();
+    fleet.node("n0").fleet.wakeLate(20_000);
     assert.deepEqual(["n1", "n2"].map(id => fleet.node("n0").fleet.members.stateOf(id)), ["alive", "alive"]);
 });
 
+test("instances that wake a little late many times a second ask nobody for it", async () => {
+    const fleet = await startFleet(12);
+    const quiet = await messagesIn(fleet, 3000, () => undefined);
+    const late = await messagesIn(fleet, 3000, () => fleet.running.forEach(node => node.fleet.wakeLate(110)));
+    assert.ok(late < quiet * 1.3, `${late} messages, ${quiet} before`);
+});
+
+test("slow answers do not make instances ask oftener", async () => {
+    const fleet = new FakeFleet(5, { maximumDelayMs: 140, dropShare: 0, repeatShare: 0 });
+    ids(12).forEach(id => fleet.start(id, seedsOf(12)));
+    const confirm = (): void => {
+        fleet.running.filter(node => node.fleet.roles.isReader).forEach(node => node.fleet.freshness.confirm(0));
+        fleet.clock.after(1000, confirm);
+    };
+    confirm();
+    await fleet.clock.advance(8000);
+    const messages = await messagesIn(fleet, 10_000, () => undefined);
+    assert.ok(messages / 10 / 12 < 1.7, `${messages / 10 / 12} messages a second for each instance`);
+});
+
 test("under random cuts no generation falls, and after the heal all agree", async () => {
     const cut = fc.record({
         from: fc.integer({ min: 0, max: 5 }),
--- a/packages/standin/test/pipelined-callers.test.ts
+++ b/packages/standin/test/pipelined-callers.test.ts
@@ -31,12 +31,13 @@
 
     test("has its reads worked on at the same time", async () => {
         const [upstream] = system.upstreams;
-        const arrivedBefore = upstream!.arrived;
+        const { arrived, cancelled } = upstream!;
         upstream!.behaviour = { ...upstream!.behaviour, hang: true };
         const socket = openCaller(system.callersPort, read("a") + read("b"));
-        await until(() => upstream!.arrived - arrivedBefore === 2);
+        await until(() => upstream!.arrived - arrived === 2);
         upstream!.behaviour = { ...upstream!.behaviour, hang: false };
         socket.destroy();
+        await until(() => upstream!.cancelled - cancelled === 2);
     });
 
     test("has none of its reads worked on once it has left", async () => {
