Let an instance that tried the platform in vain read at once when it becomes the reader

Cause, found by reading: the pause after a vain try of an instance that is no reader was its share of the fleet's tries, up to a minute and a half at 312 members; an instance that became the reader in that time read nothing. Change: the pause is two seconds; how rarely it tries while others try for it is decided at each look.

--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -63,7 +63,7 @@
     /** When the platform last told all that had changed. */
     private confirmedAtMs = -Infinity;
     /** When this instance tries itself although those it hears from are trying. */
-    private slowAtMs: number | undefined;
+    private rareTryAtMs: number | undefined;
     private isLost = false;
 
     /** @param options - The platform and the instance. */
@@ -73,7 +73,7 @@
             platform,
             clock,
             random,
-            retryMs: () => this.isReader ? retryMs : this.followerRetryMs,
+            retryMs: () => this.isReader ? retryMs : followerRetryMs,
             batchMs: times.batchMs,
             dueInMs: () => this.dueInMs(),
             watchMs: () => this.watchMs,
@@ -110,7 +110,8 @@
         return fleet === undefined ? !this.options.willJoin() : fleet.roles.isReader;
     }
 
-    private get followerRetryMs(): number {
+    /** Time between two tries of this instance while others try for it. */
+    private get rareTryMs(): number {
         const alive = this.options.instance.fleet?.members.alive.length ?? 1;
         return Math.max(followerRetryMs, alive * 1000 / fleetTriesPerSecond);
     }
@@ -157,11 +158,14 @@
         const ageMs = Math.min(fleet.freshness.ageMs, nowMs - this.confirmedAtMs);
         const staleInMs = times.staleMs - (isRelay ? times.relayLeadMs : 0) - ageMs;
         if (!fleet.isSourceStale) {
-            this.slowAtMs = undefined;
+            this.rareTryAtMs = undefined;
             return Math.max(staleInMs, fleet.joinedAtMs + joinGraceMs - nowMs);
         }
-        this.slowAtMs ??= nowMs + this.followerRetryMs * (0.5 + random.next());
-        return Math.max(staleInMs, this.slowAtMs - nowMs);
+        this.rareTryAtMs ??= nowMs + this.rareTryMs * (0.5 + random.next());
+        const dueInMs = Math.max(staleInMs, this.rareTryAtMs - nowMs);
+        // The next try, should this one fail, is as far away again.
+        this.rareTryAtMs = dueInMs <= 0 ? undefined : this.rareTryAtMs;
+        return dueInMs;
     }
 
     private take(publication: Publication, kind: PublicationKind): void {
@@ -172,7 +176,6 @@
             return;
         }
         this.confirmedAtMs = clock.nowMs();
-        this.slowAtMs = undefined;
         instance.fleet?.freshness.confirm(0);
     }
 
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -165,6 +165,20 @@
     });
 });
 
+test("an instance of a large fleet that tried in vain while others tried for it reads at once when it becomes the reader", async () => {
+    const others = Array.from({ length: 300 }, (_, index) => `other-${index}`);
+    const { clock, platform, link, fleet } = await open(others);
+    await clock.advance(100);
+    platform.isDown = true;
+    await clock.advance(4000);
+    const tried = platform.calls.length;
+    fleet.members.merge(others.map(name => ({ ...member(name, 1e9), leaving: true })), "");
+    await clock.advance(3500);
+    link.stop();
+    assert.ok(tried > 1, `${tried} calls before`);
+    assert.ok(platform.calls.length - tried >= 3, `${platform.calls.length - tried} calls as the reader`);
+});
+
 test("a watch that tells nothing moves no revision on, since the platform may be deaf", async () => {
     const { clock, platform, link, directory } = await open([]);
     await clock.advance(100);
