--- a/packages/daemon/test/model/store-day.ts
+++ b/packages/daemon/test/model/store-day.ts
@@ -29,6 +29,10 @@
         running.hasCallers = true;
     });
 
+/** The instances that read the store, by their own view. */
+export const readersAmong = (fleet: StoreFleet): readonly number[] =>
+    [...fleet.instances.values()].filter(running => running.fleet?.roles.isReader).map(({ id }) => id);
+
 /** Lets time pass, and changes be published; gives the instances that were behind by more than the bound at some moment. */
 export const pass = async (fleet: StoreFleet, seconds: number, changes: number): Promise<readonly number[]> => {
     const behind = new Set<number>();
--- a/packages/daemon/test/store-faults.test.ts
+++ b/packages/daemon/test/store-faults.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { bringCallers, pass, startAll } from "./model/store-day.js";
+import { bringCallers, pass, readersAmong, startAll } from "./model/store-day.js";
 import type { StoreFleet } from "./model/store-fleet.js";
 
 interface Fault {
@@ -10,16 +10,13 @@
     readonly calls: number;
 }
 
-const readersOf = (fleet: StoreFleet): readonly number[] =>
-    [...fleet.instances.values()].filter(running => running.fleet?.roles.isReader).map(({ id }) => id);
-
 const faults: readonly Fault[] = [
-    { name: "one reader is killed", act: fleet => fleet.kill(readersOf(fleet)[0]!), calls: 90 },
-    { name: "all readers are killed", act: fleet => readersOf(fleet).forEach(id => fleet.kill(id)), calls: 150 },
-    { name: "one reader is cut off", act: fleet => fleet.cutOff.add(readersOf(fleet)[0]!), calls: 200 },
+    { name: "one reader is killed", act: fleet => fleet.kill(readersAmong(fleet)[0]!), calls: 90 },
+    { name: "all readers are killed", act: fleet => readersAmong(fleet).forEach(id => fleet.kill(id)), calls: 150 },
+    { name: "one reader is cut off", act: fleet => fleet.cutOff.add(readersAmong(fleet)[0]!), calls: 200 },
     {
         name: "all readers are turned away by the store",
-        act: fleet => readersOf(fleet).forEach(id => fleet.turnedAway.add(id)),
+        act: fleet => readersAmong(fleet).forEach(id => fleet.turnedAway.add(id)),
         calls: 250,
     },
     {
--- a/packages/daemon/test/store-outage.test.ts
+++ b/packages/daemon/test/store-outage.test.ts
@@ -1,11 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import type { PlatformLink } from "../src/platform/platform-link.js";
-import { bringCallers, pass, startAll } from "./model/store-day.js";
-import type { StoreFleet } from "./model/store-fleet.js";
-
-const readersOf = (fleet: StoreFleet): readonly number[] =>
-    [...fleet.instances.values()].filter(running => running.fleet?.roles.isReader).map(({ id }) => id);
+import { bringCallers, pass, readersAmong, startAll } from "./model/store-day.js";
 
 describe("no instance in touch falls behind by more than the bound when", () => {
     test("the store is back after it was away for all, which cost few calls", async () => {
@@ -35,7 +31,7 @@
         fleet.isDown = false;
         await pass(fleet, 3, 0);
         const tried = [...fleet.instances.values()].filter(running => running.fleet?.members.self.platformReachable === false);
-        readersOf(fleet).forEach(id => fleet.kill(id));
+        readersAmong(fleet).forEach(id => fleet.kill(id));
         const behind = await pass(fleet, 10, 5);
         fleet.stop();
         assert.deepEqual(behind, [], `${tried.length} had tried`);
