--- /dev/null
+++ b/packages/daemon/test/model/silent-directory.ts
@@ -0,0 +1,17 @@
+/**
+ * A directory of listed upstreams of which only the revision matters.
+ */
+
+import type { Clock } from "@harrierhitch/core";
+import { UpstreamDirectory } from "@harrierhitch/fleet";
+
+/** Makes a directory that tells nobody of its changes. */
+export const silentDirectory = (clock: Clock): UpstreamDirectory =>
+    new UpstreamDirectory({
+        clock,
+        read: () => ({ value: undefined, findings: [] }),
+        doubtfulMs: () => 0,
+        onChange: () => undefined,
+        onDoubtEnded: () => undefined,
+        onInvalid: () => undefined,
+    });
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -8,6 +8,7 @@
 import { PlatformLink } from "../../src/platform/platform-link.js";
 import { type Platform, PlatformError, type Publication } from "../../src/platform/platform.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
+import { silentDirectory } from "./silent-directory.js";
 import { basePort, StoreNetwork } from "./store-network.js";
 
 /** Time for which an instance serves alone at least before it joins the others. */
@@ -73,14 +74,7 @@
         this.kill(id);
         const { clock, random } = this;
         const times = fleetTimesFor(this.boundMs);
-        const directory = new UpstreamDirectory({
-            clock,
-            read: () => ({ value: undefined, findings: [] }),
-            doubtfulMs: () => 0,
-            onChange: () => undefined,
-            onDoubtEnded: () => undefined,
-            onInvalid: () => undefined,
-        });
+        const directory = silentDirectory(clock);
         const instance = {
             fleet: undefined as Fleet | undefined,
             directory,
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -1,12 +1,13 @@
 import { create } from "@bufbuild/protobuf";
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import { AcceptedConfiguration, defaultFleetTimes, Fleet, readersOf, UpstreamDirectory } from "@harrierhitch/fleet";
+import { AcceptedConfiguration, defaultFleetTimes, Fleet, readersOf } from "@harrierhitch/fleet";
 import { MemberSchema } from "@harrierhitch/protocol";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { PlatformLink } from "../src/platform/platform-link.js";
 import { type Platform, PlatformError, type Publication } from "../src/platform/platform.js";
 import { EventLog } from "../src/telemetry/event-log.js";
+import { silentDirectory } from "./model/silent-directory.js";
 
 const watchMs = 4000;
 
@@ -58,14 +59,7 @@
 const open = async (others: readonly string[]) => {
     const clock = new FakeClock();
     const platform = new FakePlatform(clock);
-    const directory = new UpstreamDirectory({
-        clock,
-        read: () => ({ value: undefined, findings: [] }),
-        doubtfulMs: () => 0,
-        onChange: () => undefined,
-        onDoubtEnded: () => undefined,
-        onInvalid: () => undefined,
-    });
+    const directory = silentDirectory(clock);
     const random = new SeededRandom(1);
     const never = (): never => {
         throw new TypeError("not used");
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -106,8 +106,7 @@
 
     /**
      * Whether an instance that asks lacks something, or could be told at once that its knowledge is much younger than it
-     * seems. A little younger is not enough: where answers take long, it would ask again and again until the next
-     * confirmation.
+     * seems. A little younger is not enough: its next question would be answered for the same reason.
      */
     private isBehind({ directory, configuration }: ExchangeRequest): boolean {
         const { directory: own, freshness, confirmMs } = this.options;
--- a/packages/fleet/src/roles.ts
+++ b/packages/fleet/src/roles.ts
@@ -123,7 +123,7 @@
 
     /**
      * The sources as far as they are known. They are looked for several times a second, so they are found anew only when
-     * something was learned of members, or after a while: for 312 members that takes 0.3 ms.
+     * something was learned of members, or after a while.
      */
     private get sources(): Sources {
         const { clock, members } = this.options;
