Decide again a request whose time for being held ran out after the decision

Cause: a request is decided with the time for which it may still be held, and held a moment later with that time read again. Where it had fallen below a millisecond in between, the request was refused as held for too long, with the decision that holds as its last one, though the policy, told that no time is left, might have sent it or named its own reason to refuse.

Ruled out: a full queue (one request), a policy that holds for ever (the policy refuses at 0).

--- a/packages/daemon/src/request/request-hold.ts
+++ b/packages/daemon/src/request/request-hold.ts
@@ -19,6 +19,11 @@
 export const holdBack = async (progress: RequestProgress, runtime: ServiceRuntime, clock: Clock): Promise<boolean> => {
     const { service, kind } = progress.route;
     const { holdLeftMs } = progress;
+    if (holdLeftMs <= 0 && progress.decidedHoldLeftMs > 0) {
+        // The time ran out after the decision: the policy, told so, may still send it. Refusing here lost such requests
+        // though upstreams had room (seen where a busy process took over a millisecond from the decision to this point).
+        return false;
+    }
     if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
         giveUpHolding(progress, holdLeftMs <= 0 ? "held back for too long" : "too many requests wait");
         return true;
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -123,6 +123,11 @@
         return this.urgency.holdLeftMs(this.heldMs);
     }
 
+    /** Milliseconds for which it could be held back as the last decision knew it; 0 before the first. */
+    get decidedHoldLeftMs(): number {
+        return this.record.steps.at(-1)?.input.request.holdLeftMs ?? 0;
+    }
+
     /**
      * The request as policies see it.
      *
