Let callers wait for the first answer of the platform, and start with less

Load pattern: all instances lost power, and their callers try again while they start.

Changes, one cause each: - An instance listens before it knows a configuration. Its callers now wait while the first call to the platform is under way (0.5 s and 500 requests at most), and are refused at once when it fails. start.test.ts: without it nobody is served by the first try; now all are, in time. The time of arrival goes on to the deadline and the target. - Callers are listened to and the platform is asked before anything else. - Node's cryptography, HTTPS, workers and V8's statistics load only when used: the hash of a configuration is worked out when another instance asks, and ids of traces are no secrets. Schemas are not compiled for one check each. - One line tells what the first read brought instead of one for each upstream: at 390 upstreams the limit of lines dropped 'configuration accepted' (seen on a stand-in of the store).

Ruled out: flags of V8. A larger young generation (4, 8, 16 MB) and a single thread for garbage collection were within the scatter (15 starts each, twice). Looking at the clock every 250 ms instead of 50 was reverted: a sleep of 200 ms would go unnoticed, which a test rules out.

instance.ts, request-progress.ts: entry of requests, the directory and what the log tells of a decision have files of their own.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -50,19 +50,19 @@
  * @returns The configuration, or all findings.
  */
 export const checkConfiguration = (file: string, text: string): Checked<Configuration> =>
-    tooLarge(file, text) ?? checkSections(LocatedIni.read(file, text), hashOf(text));
+    tooLarge(file, text) ?? checkSections(LocatedIni.read(file, text), lazyHashOf(text));
 
 /**
  * Checks the sections of a configuration that was published in another syntax.
  *
  * @param document - The sections.
- * @param hash - Hash of the published text.
+ * @param hashOfText - Gives the hash of the published text when somebody asks for it.
  * @param context - What the configuration may build on.
  * @returns The configuration, or all findings.
  */
 export const checkSections = (
     document: LocatedIni,
-    hash: string,
+    hashOfText: () => string,
     context: ConfigurationContext = {},
 ): Checked<Configuration> => {
     const checked = checkDocument(document, configurationSchema);
@@ -75,7 +75,7 @@
     if (findings.length > 0) {
         return { value: undefined, findings };
     }
-    const configuration = join(hash, checked.value, policies);
+    const configuration = join(hashOfText, checked.value, policies);
     const routeFindings = addRoutes(document, configuration);
     return routeFindings.length > 0
         ? { value: undefined, findings: routeFindings }
@@ -91,8 +91,17 @@
     return { value: undefined, findings: [{ file, section: "", key: "", line: undefined, message }] };
 };
 
-/** SHA-256 of a document's text, in hexadecimal. */
-export const hashOf = (text: string): string => createHash("sha256").update(text).digest("hex");
+/**
+ * Gives the SHA-256 of a document's text in hexadecimal, worked out when it is first asked for: only other instances ask,
+ * seconds after a start, and Node's cryptography takes a tenth of a start to load (29 of 333 ms, profiles of three starts).
+ */
+export const lazyHashOf = (text: string): () => string => {
+    let hash: string | undefined;
+    return () => {
+        hash ??= createHash("sha256").update(text).digest("hex");
+        return hash;
+    };
+};
 
 const addRoutes = (document: LocatedIni, configuration: Configuration): readonly Finding[] =>
     configuration.routes.flatMap(route => {
@@ -179,7 +188,11 @@
         return { service, weight: Number(weight) };
     });
 
-const join = (hash: string, values: ConfigurationValues, policies: ReadonlyMap<string, ServicePolicy>): Configuration => {
+const join = (
+    hashOfText: () => string,
+    values: ConfigurationValues,
+    policies: ReadonlyMap<string, ServicePolicy>,
+): Configuration => {
     const services = new Map(
         Object.entries(values.service).map(([name, section]) => {
             const service: Service = {
@@ -208,7 +221,17 @@
         return { name, method, host, path, choices };
     });
     const { fleet, callers } = values;
-    return { generation: generation(values.generation), hash, fleet, callers, services, routes, router: new Router() };
+    return {
+        generation: generation(values.generation),
+        get hash() {
+            return hashOfText();
+        },
+        fleet,
+        callers,
+        services,
+        routes,
+        router: new Router(),
+    };
 };
 
 const defined = <Value>(value: Value | undefined): Value => {
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -12,7 +12,7 @@
     checkSections,
     type Configuration,
     type ConfigurationContext,
-    hashOf,
+    lazyHashOf,
     maximumDocumentBytes,
     tooLarge,
 } from "./configuration.js";
--- a/packages/configuration/src/key.ts
+++ b/packages/configuration/src/key.ts
@@ -8,6 +8,9 @@
 import { isIP } from "node:net";
 import * as z from "zod";
 
+// Documents are few and checked once; compiling a checker for each schema would only delay a start.
+z.config({ jitless: true });
+
 /** What the reference says of a key. */
 export interface KeyDescription {
     /** What the key is for. */
@@ -115,7 +118,7 @@
 /** A key that holds an IP number, or an IP number and a port as `IP:port`. */
 export const endpointKey = (options: KeyOptions<string>) =>
     key(
-        value => typeof value === "string" && (isIP(value) !== 0 || parseEndpoint(value) !== undefined) ? value : undefined,
+        value => typeof value === "string" && (parseEndpoint(value) !== undefined || isIP(value) !== 0) ? value : undefined,
         "an IP number, or IP:port",
         options,
     );
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,10 +71,13 @@
 
     /** Begins to listen, to talk to other instances and to follow the platform. */
     async start(): Promise<DaemonPorts> {
+        // Callers first, then what has to be known to serve them: after a loss of power they are waiting already.
+        const callers = await this.callers.listen();
+        this.platform.start();
         const ports = {
             operators: await this.operators.listen(),
             peers: await this.peers.start(),
-            callers: await this.callers.listen(),
+            callers,
             ready: await this.operators.listenForReadiness(),
         };
         const { platform, budgets } = this.settings;
@@ -83,7 +86,6 @@
             this.log.write(events.plainOperators, { address: this.settings.operators.address });
         }
         await this.openTracing();
-        this.platform.start();
         this.sleepDetector.start();
         void this.instance.hearOthers().then(() => this.log.write(events.serving));
         return ports;
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,20 +4,24 @@
  * @packageDocumentation
  */
 
-import { formatFinding, pickRoute, type Route, type RouteGroup } from "@harrierhitch/configuration";
 import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
-import { AcceptedConfiguration, type Fleet, type HeardRumor, type OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
+import {
+    AcceptedConfiguration,
+    type Fleet,
+    type HeardRumor,
+    type OfferResult,
+    type UpstreamDirectory,
+} from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
+import { FirstRead } from "./first-read.js";
 import type { InstanceParts } from "./instance-parts.js";
-import { minimumRefreshSleepMs, notReadyRetryAfterMs, refreshTimeoutMs } from "./instance-times.js";
+import { minimumRefreshSleepMs, refreshTimeoutMs } from "./instance-times.js";
+import { openDirectory } from "./open-directory.js";
 import { ExplanationStore } from "./operators/explanation-store.js";
 import type { Publication } from "./platform/platform.js";
-import { hostOf, pathOf } from "./request/arrival.js";
 import type { CallerAnswer } from "./request/caller-answer.js";
 import { makeRequestServices } from "./request/make-request-services.js";
-import { RequestProgress } from "./request/request-progress.js";
-import type { RequestServices } from "./request/request-services.js";
-import { RequestTask } from "./request/request-task.js";
+import { RequestEntry } from "./request/request-entry.js";
 import { SpreadDraws } from "./spread-draws.js";
 import { events } from "./telemetry/event.js";
 import { Telemetry } from "./telemetry/telemetry.js";
@@ -38,10 +42,10 @@
     readonly directory: UpstreamDirectory;
     /** This instance's part in the fleet; `undefined` while it works alone. */
     fleet: Fleet | undefined;
+    private readonly firstRead: FirstRead;
     private readonly probeBudget: ProbeBudget;
-    private readonly requestServices: RequestServices;
     private readonly telemetry: Telemetry;
-    private readonly draws: SpreadDraws;
+    private readonly entry: RequestEntry;
     private hasHeardOthers = false;
     private hearing = false;
     private refreshing: Promise<unknown> | undefined;
@@ -53,16 +57,11 @@
         this.telemetry = new Telemetry(parts.log, parts.metrics);
         this.id = instanceId(settings.instance.id);
         this.incarnation = Math.floor(clock.wallMs());
-        this.draws = new SpreadDraws(random);
+        this.firstRead = new FirstRead(clock);
         this.accepted = new AcceptedConfiguration((source, text) => syntax.configuration(source, text));
-        this.directory = new UpstreamDirectory({
-            clock,
-            read: (id, text) => syntax.upstream(id, text),
-            doubtfulMs: () => parts.doubtfulMs(),
-            onChange: change => this.telemetry.listingChanged(change),
+        this.directory = openDirectory(parts, {
+            onChange: change => this.directory.revision > 0 ? this.telemetry.listingChanged(change) : undefined,
             onDoubtEnded: () => this.apply(),
-            onInvalid: (id, findings) =>
-                parts.log.write(events.listingInvalid, { upstream: id, findings: findings.map(formatFinding) }),
         });
         this.explanations = new ExplanationStore({
             maximumEntries: settings.limits.recordEntries,
@@ -79,7 +78,7 @@
             },
         });
         this.probeBudget = new ProbeBudget(clock);
-        this.requestServices = makeRequestServices({
+        const services = makeRequestServices({
             parts,
             instance: this.id,
             incarnation: this.incarnation,
@@ -87,6 +86,8 @@
             probeBudget: this.probeBudget,
             telemetry: this.telemetry,
         });
+        const { accepted, services: registry, telemetry } = this;
+        this.entry = new RequestEntry({ services, accepted, registry, telemetry, draws: new SpreadDraws(random) });
     }
 
     /** Stage of the instance's life. */
@@ -139,8 +140,10 @@
     /** Serves one request; never rejects. */
     async serve(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         try {
+            const arrivedAtMs = this.parts.clock.nowMs();
             await this.refreshing;
-            await this.route(request, answer);
+            await (this.configuration ?? this.firstRead.wait());
+            await this.entry.serve({ request, answer, arrivedAtMs, hasHeardOthers: this.hasHeardOthers });
         }
         catch (thrown) {
             this.parts.log.write(events.requestFailed, { error: thrown });
@@ -165,6 +168,15 @@
         if (before !== this.directory.revision) {
             this.fleet?.wakeLinks();
         }
+        if (before === 0) {
+            this.telemetry.listingsRead(this.directory);
+        }
+        this.firstRead.end();
+    }
+
+    /** Notes that the platform failed: requests need not wait for what it would tell. */
+    platformFailed(): void {
+        this.firstRead.end();
     }
 
     /**
@@ -218,28 +230,4 @@
             this.probeBudget.configure(shares.probesPerSecond);
         }
     }
-
-    private async route(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
-        const { inForce } = this.accepted;
-        if (inForce === undefined || !this.hasHeardOthers) {
-            const detail = inForce === undefined ? "no configuration has been accepted yet" : "others have not been heard yet";
-            answer.problem({ kind: "not-ready", detail, outcome: "not-run", retryAfterMs: notReadyRetryAfterMs }, undefined);
-            return;
-        }
-        const path = pathOf(request.url ?? "/");
-        const group = inForce.configuration.router.find(request.method ?? "", hostOf(request), path);
-        const route = group && this.pick(group);
-        const runtime = route && this.services.get(route.service.name);
-        if (route === undefined || runtime === undefined) {
-            this.telemetry.unrouted(request, path, inForce.configuration.generation);
-            answer.problem({ kind: "no-route", detail: `${request.method} ${path}`, outcome: "not-run" }, undefined);
-            return;
-        }
-        const progress = new RequestProgress(this.requestServices, runtime, inForce.configuration, route, request, answer);
-        await new RequestTask(this.requestServices, runtime, progress).run();
-    }
-
-    private pick(group: RouteGroup): Route | undefined {
-        return pickRoute(group, group.choices.length > 1 ? this.draws.next(group.name) : 0);
-    }
 }
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -19,7 +19,7 @@
     readonly platform: Platform;
     readonly clock: Clock;
     readonly random: RandomSource;
-    readonly instance: Pick<Instance, "fleet" | "directory" | "takePublication">;
+    readonly instance: Pick<Instance, "fleet" | "directory" | "takePublication" | "platformFailed">;
     readonly log: EventLog;
     /** Shortest time between two tries while the platform is down. */
     readonly retryMs: number;
@@ -182,6 +182,7 @@
     private onLost(error: Error): void {
         const { fleet, directory } = this.options.instance;
         this.isLost = true;
+        this.options.instance.platformFailed();
         fleet?.members.tell({ platformReachable: false });
         fleet?.wakeLinks();
         this.options.log.write(events.platformFailed, { revision: directory.revision, error });
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -14,7 +14,7 @@
 } from "@harrierhitch/configuration";
 import { asError } from "@harrierhitch/core";
 import { defineCommand, runMain } from "citty";
-import { readFile } from "node:fs/promises";
+import { readFileSync } from "node:fs";
 import { Daemon } from "./daemon.js";
 import type { PlatformAdapter } from "./platform/platform.js";
 import { version } from "./version.js";
@@ -49,13 +49,13 @@
 
 const runDaemon = async (file: string, { adapter }: DaemonProgramOptions): Promise<void> => {
     try {
-        const settings = accept(checkSettings(file, await readFile(file, "utf8")));
-        const policies = await readPolicies(settings);
+        const settings = accept(checkSettings(file, readFileSync(file, "utf8")));
+        const policies = readPolicies(settings);
         const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }) });
         await daemon.start();
         const stop = () => void daemon.stop();
         process.once("SIGTERM", stop).once("SIGINT", stop);
-        process.on("SIGHUP", () => void reload(file, daemon));
+        process.on("SIGHUP", () => reload(file, daemon));
         await daemon.whenStopped;
         process.exit(exitCodes.stopped);
     }
@@ -65,13 +65,13 @@
     }
 };
 
-const readPolicies = async ({ policies }: Settings): Promise<ReadonlyMap<string, ServicePolicy>> =>
-    policies.file === undefined ? new Map() : accept(checkPolicyFile(policies.file, await readFile(policies.file, "utf8")));
+const readPolicies = ({ policies }: Settings): ReadonlyMap<string, ServicePolicy> =>
+    policies.file === undefined ? new Map() : accept(checkPolicyFile(policies.file, readFileSync(policies.file, "utf8")));
 
 /** Reads the settings again; what cannot be read leaves the last good ones in force. */
-const reload = async (file: string, daemon: Daemon): Promise<void> => {
+const reload = (file: string, daemon: Daemon): void => {
     try {
-        daemon.reload(accept(checkSettings(file, await readFile(file, "utf8"))));
+        daemon.reload(accept(checkSettings(file, readFileSync(file, "utf8"))));
     }
     catch (thrown) {
         daemon.reloadFailed(asError(thrown));
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -4,9 +4,9 @@
  * @packageDocumentation
  */
 
-import type { Configuration, Route } from "@harrierhitch/configuration";
+import type { Route } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
-import { type DecisionInput, retryAfterOf } from "@harrierhitch/decision";
+import { retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
 import { events } from "../telemetry/event.js";
@@ -14,9 +14,11 @@
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Arrival } from "./arrival.js";
 import type { CallerAnswer } from "./caller-answer.js";
+import { toDecidedBy } from "./decided-by.js";
 import type { DecisionRecord } from "./decision-record.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import type { RequestServices } from "./request-services.js";
+import type { RoutedRequest } from "./routed-request.js";
 import { Urgency } from "./urgency.js";
 
 /** Header that names a request to its caller. */
@@ -33,6 +35,9 @@
 
 /** The progress of one request. */
 export class RequestProgress {
+    readonly route: Route;
+    readonly request: IncomingMessage;
+    readonly answer: CallerAnswer;
     readonly arrivedAtMs: number;
     readonly deadlineAtMs: number;
     readonly arrival: Arrival;
@@ -46,20 +51,18 @@
     /**
      * @param services - What the daemon provides to requests.
      * @param runtime - The state of the route's service.
-     * @param configuration - The configuration that this request is served under, to its end.
-     * @param route - The route that matched.
-     * @param request - The caller's request.
-     * @param answer - The caller's answer.
+     * @param routed - The request.
      */
     constructor(
         private readonly services: RequestServices,
         private readonly runtime: ServiceRuntime,
-        configuration: Configuration,
-        readonly route: Route,
-        readonly request: IncomingMessage,
-        readonly answer: CallerAnswer,
+        routed: RoutedRequest,
     ) {
-        this.arrivedAtMs = services.clock.nowMs();
+        const { configuration, route, request, answer, arrivedAtMs } = routed;
+        this.route = route;
+        this.request = request;
+        this.answer = answer;
+        this.arrivedAtMs = arrivedAtMs;
         this.arrival = services.dialect.readArrival(request, configuration, route.kind);
         this.deadlineAtMs = this.arrivedAtMs + this.arrival.timeoutMs;
         this.urgency = new Urgency({
@@ -67,6 +70,7 @@
             runtime,
             route,
             arrival: this.arrival,
+            arrivedAtMs,
             deadlineAtMs: this.deadlineAtMs,
         });
         this.trace = continueTrace(request.headers["traceparent"], () => services.sampleTrace());
@@ -228,14 +232,3 @@
 /** A status that promises that the request has not run is given only where that is known. */
 const truthfulKind = ({ kind, outcome }: Problem): ProblemKind =>
     outcome !== "not-run" && problemKinds[kind].status === serviceUnavailable ? "upstream-failed" : kind;
-
-/** The inputs that mostly decide whether a request is held or refused, as the log tells them. */
-const toDecidedBy = (input: DecisionInput | undefined) => {
-    if (input === undefined) {
-        return undefined;
-    }
-    const { bestTime, room, askable, queued } = input.service;
-    const { usualMs, targetMs, targetLeftMs, slackMs, holdLeftMs, waitMs, ahead } = input.request;
-    const figures = { bestTime, room, askable, queued, usualMs, targetMs, targetLeftMs, slackMs, holdLeftMs, waitMs, ahead };
-    return Object.fromEntries(Object.entries(figures).map(([name, value]) => [name, Math.round(value * 100) / 100]));
-};
--- a/packages/daemon/src/request/urgency.ts
+++ b/packages/daemon/src/request/urgency.ts
@@ -16,6 +16,7 @@
     readonly runtime: ServiceRuntime;
     readonly route: Route;
     readonly arrival: Arrival;
+    readonly arrivedAtMs: number;
     /** When the request is given up. */
     readonly deadlineAtMs: number;
 }
@@ -36,8 +37,8 @@
 
     /** @param options - The request and its service; its arrival is noted there. */
     constructor(private readonly options: UrgencyOptions) {
-        const { clock, runtime, route, arrival } = options;
-        this.arrivedAtMs = clock.nowMs();
+        const { runtime, route, arrival, arrivedAtMs } = options;
+        this.arrivedAtMs = arrivedAtMs;
         this.elapsedMs = arrival.patienceMs === undefined ? 0 : runtime.usualPatience.note(route.kind.name, arrival.patienceMs);
         this.couldBeInTime = this.slackMs > 0;
     }
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -35,6 +35,7 @@
     platformRecovered: { number: 211, level: "info", message: "platform answers again" },
     listingInvalid: { number: 220, level: "error", message: "listed upstream was rejected; its last good listing stays" },
     listingChanged: { number: 221, level: "info", message: "listed upstream came, changed or went" },
+    listingsRead: { number: 222, level: "info", message: "listed upstreams were read for the first time" },
     heardNobody: { number: 230, level: "warn", message: "no other instance was heard; serving alone" },
     peerRefused: { number: 231, level: "warn", message: "another instance's call or connection was refused" },
     upstreamStateChanged: { number: 300, level: "info", message: "upstream changed state" },
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -6,7 +6,7 @@
 
 import { formatFinding } from "@harrierhitch/configuration";
 import type { Generation } from "@harrierhitch/core";
-import type { DirectoryChange, OfferResult } from "@harrierhitch/fleet";
+import type { DirectoryChange, OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
 import type { StateChange } from "../upstream/service-registry.js";
@@ -104,6 +104,19 @@
         this.log.write(events.requestUnrouted, { method: request.method, host: request.headers.host, path, generation });
     }
 
+    /**
+     * Tells what the first read brought, in one line: a line for each of hundreds took a start longer, and the limit of
+     * lines then dropped the one on the configuration.
+     */
+    listingsRead({ upstreams, revision }: Pick<UpstreamDirectory, "upstreams" | "revision">): void {
+        const ids = Object.fromEntries(
+            [...new Set(upstreams.map(({ service }) => service))].map(
+                name => [name, upstreams.filter(({ service }) => service === name).map(({ id }) => id)],
+            ),
+        );
+        this.log.write(events.listingsRead, { revision, upstreams: ids });
+    }
+
     /** Tells of a listed upstream that came, changed or went. */
     listingChanged({ upstream, before, after, revision }: DirectoryChange): void {
         if (listingState(before) === listingState(after)) {
--- a/packages/daemon/src/telemetry/trace-context.ts
+++ b/packages/daemon/src/telemetry/trace-context.ts
@@ -5,7 +5,6 @@
  */
 
 import { parseTraceParent } from "@opentelemetry/core";
-import { randomBytes } from "node:crypto";
 
 /** The place of one request in a trace. */
 export interface TraceContext {
@@ -40,16 +39,15 @@
 export const toTraceparent = (trace: TraceContext, spanId: string): string =>
     `00-${trace.traceId}-${spanId}-${trace.sampled ? "01" : "00"}`;
 
-const poolBytes = 8192;
-let pool = Buffer.alloc(0);
-let used = 0;
+/** Bytes that one draw makes. */
+const drawnBytes = 4;
 
-/** Random bytes are drawn in larger pieces, since each draw has a fixed cost. */
-const randomHex = (bytes: number): string => {
-    if (used + bytes > pool.length) {
-        pool = randomBytes(poolBytes);
-        used = 0;
-    }
-    used += bytes;
-    return pool.toString("hex", used - bytes, used);
-};
+/**
+ * Ids of traces have to differ, not to be secret; so they need no cryptography, which an instance that starts would have to
+ * load before its first answer (29 of 333 ms of a start, profiles of three starts).
+ */
+const randomHex = (bytes: number): string =>
+    Array.from(
+        { length: bytes / drawnBytes },
+        () => Math.floor(Math.random() * 2 ** (8 * drawnBytes)).toString(16).padStart(2 * drawnBytes, "0"),
+    ).join("");
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -27,6 +27,8 @@
     readonly seed?: number;
     /** How unevenly callers are spread over the instances: 1 is evenly, 2 gives the first tenth of them a third. */
     readonly skew?: number;
+    /** Whether the instances know no configuration until {@link ModelFleet.publish}, as after their start. */
+    readonly startsUnconfigured?: boolean;
 }
 
 /** What became of one caller. */
@@ -42,7 +44,6 @@
 
 /** Share of its remaining time for which a caller waits at most when it is told to come back. */
 const comeBackShare = 1 / 3;
-
 const deployedPolicies = new URL("../../../../../deploy/policies.ini", import.meta.url);
 
 /** Runs callers against real decisions and modelled upstreams. */
@@ -141,14 +142,30 @@
             metrics: new Metrics(false),
             doubtfulMs: () => 0,
         });
-        const { type } = instance.offerConfiguration("model", this.configurationText());
-        if (type !== "accepted") {
-            throw new RangeError("the configuration of the model is not valid");
+        if (this.options.startsUnconfigured !== true) {
+            this.configure(instance);
         }
         void instance.hearOthers();
         return instance;
     }
 
+    /** Lets all instances take what the platform tells. */
+    publish(): void {
+        const told = { configuration: this.configurationText(), listings: [], revision: 1 };
+        this.instances.forEach(instance => instance.takePublication(told, true));
+    }
+
+    /** Lets all instances notice that the platform does not answer. */
+    failPlatform(): void {
+        this.instances.forEach(instance => instance.platformFailed());
+    }
+
+    private configure(instance: Instance): void {
+        if (instance.offerConfiguration("model", this.configurationText()).type !== "accepted") {
+            throw new RangeError("the configuration of the model is not valid");
+        }
+    }
+
     private configurationText(): string {
         const { instances, targetMs, patienceMs, upstream } = this.options;
         const sections = [...this.upstreams.keys()].map((id, index) =>
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -78,6 +78,7 @@
         const instance = {
             fleet: undefined as Fleet | undefined,
             directory,
+            platformFailed: () => undefined,
             takePublication: ({ revision, listings }: Publication, isWhole: boolean) => {
                 const before = directory.revision;
                 directory.takeIn({ revision, whole: isWhole, listings });
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -96,6 +96,7 @@
         instance: {
             fleet,
             directory,
+            platformFailed: () => undefined,
             takePublication: ({ revision, listings }, isWhole) => directory.takeIn({ revision, whole: isWhole, listings }),
         },
         log: new EventLog({ level: "silent" }),
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,7 +6,7 @@
 
 import { build } from "esbuild";
 import { copyFile, rm } from "node:fs/promises";
-import { lazyHttp2 } from "./lazy-http2.mjs";
+import { lazyBuiltins } from "./lazy-builtins.mjs";
 
 await rm("target", { recursive: true, force: true });
 await build({
@@ -23,6 +23,6 @@
     mainFields: ["module", "main"],
     legalComments: "none",
     sourcemap: false,
-    plugins: [lazyHttp2],
+    plugins: [lazyBuiltins],
 });
 await copyFile("scripts/loader.cjs", "target/harrierhitchd.cjs");
