Keep what instances speak to each other with out of a start: a package for what was published

Cause: an instance that starts needs the configuration in force and the directory of listed upstreams, which stood in the fleet's package; with them came protobuf and the messages of instances, and one import of types alone loaded the package even where nothing of it was used.

Change: AcceptedConfiguration, UpstreamDirectory and the times that follow from the bounds are a package before protocol and fleet; the linter refuses imports of types that load something.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,10 +2,10 @@
 import tseslint from "typescript-eslint";
 
 /** The packages in their order: each may import only those before it. */
-const order = ["core", "policy", "configuration", "decision", "protocol", "fleet", "daemon", "command", "standin"];
+const order = ["core", "policy", "configuration", "decision", "published", "protocol", "fleet", "daemon", "command", "standin"];
 
 /** Packages that stand beside each other although one comes first. */
-const extraForbidden = { command: ["fleet", "daemon"], protocol: ["policy", "configuration", "decision"] };
+const extraForbidden = { command: ["fleet", "daemon"], protocol: ["policy", "configuration", "decision", "published"] };
 
 const orderRules = order.map((name, index) => ({
     files: [`packages/${name}/**/*.ts`],
@@ -45,6 +45,7 @@
             "tsdoc/syntax": "error",
             "max-lines": ["error", { max: 250 }],
             "max-lines-per-function": ["error", { max: 60, skipComments: true, skipBlankLines: true }],
+            "@typescript-eslint/no-import-type-side-effects": "error",
             "@typescript-eslint/naming-convention": ["error", {
                 selector: "typeLike",
                 format: ["PascalCase"],
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,7 @@
 
 import type { ServicePolicy, Settings } from "@harrierhitch/configuration";
 import { type Clock, type RandomSource, sleep, SystemClock, SystemRandom } from "@harrierhitch/core";
-import { type FleetTimes, fleetTimesFor } from "@harrierhitch/fleet";
+import { type FleetTimes, fleetTimesFor } from "@harrierhitch/published";
 import type { DaemonOptions, DaemonPorts } from "./daemon-options.js";
 import { Instance } from "./instance.js";
 import type { OperatorServiceOptions } from "./operators/operator-service.js";
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -5,13 +5,8 @@
  */
 
 import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
-import {
-    AcceptedConfiguration,
-    type Fleet,
-    type HeardRumor,
-    type OfferResult,
-    type UpstreamDirectory,
-} from "@harrierhitch/fleet";
+import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
+import { AcceptedConfiguration, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import { FirstRead } from "./first-read.js";
 import type { InstanceParts } from "./instance-parts.js";
--- a/packages/daemon/src/open-directory.ts
+++ b/packages/daemon/src/open-directory.ts
@@ -5,7 +5,7 @@
  */
 
 import { formatFinding } from "@harrierhitch/configuration";
-import { UpstreamDirectory, type UpstreamDirectoryOptions } from "@harrierhitch/fleet";
+import { UpstreamDirectory, type UpstreamDirectoryOptions } from "@harrierhitch/published";
 import type { InstanceParts } from "./instance-parts.js";
 import { events } from "./telemetry/event.js";
 
--- a/packages/daemon/src/peers/peer-side.ts
+++ b/packages/daemon/src/peers/peer-side.ts
@@ -7,7 +7,8 @@
 
 import { parseEndpoint, type Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { FleetTimes, PeerAddress, PeerClients } from "@harrierhitch/fleet";
+import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
+import type { FleetTimes } from "@harrierhitch/published";
 import { answerNotFound } from "../operators/operators-server.js";
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -6,8 +6,8 @@
  */
 
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { Fleet, FleetTimes } from "@harrierhitch/fleet";
-import { Role } from "@harrierhitch/protocol";
+import type { Fleet } from "@harrierhitch/fleet";
+import type { FleetTimes } from "@harrierhitch/published";
 import type { Instance } from "../instance.js";
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
@@ -151,7 +151,7 @@
     private dueInFleetInMs(fleet: Fleet): number {
         const { times, clock, random, hasCallers } = this.options;
         const nowMs = clock.nowMs();
-        const isRelay = fleet.roles.own === Role.RELAY;
+        const isRelay = fleet.roles.isRelay;
         if (!isRelay && !hasCallers()) {
             return Infinity;
         }
--- a/packages/daemon/src/platform/platform.ts
+++ b/packages/daemon/src/platform/platform.ts
@@ -6,7 +6,7 @@
 
 import type { Checked, Configuration, ListedUpstream, ServicePolicy } from "@harrierhitch/configuration";
 import { HarrierhitchError, type UpstreamId } from "@harrierhitch/core";
-import type { Listing } from "@harrierhitch/fleet";
+import type { Listing } from "@harrierhitch/published";
 import type { Dialect } from "../request/dialect.js";
 
 /** What a read or a watch of the platform tells. */
--- a/packages/daemon/src/request/request-entry.ts
+++ b/packages/daemon/src/request/request-entry.ts
@@ -5,7 +5,7 @@
  */
 
 import { pickRoute, type Route, type RouteGroup } from "@harrierhitch/configuration";
-import type { AcceptedConfiguration } from "@harrierhitch/fleet";
+import type { AcceptedConfiguration } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import { notReadyRetryAfterMs } from "../instance-times.js";
 import type { SpreadDraws } from "../spread-draws.js";
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -6,7 +6,7 @@
 
 import { formatFinding } from "@harrierhitch/configuration";
 import type { Generation } from "@harrierhitch/core";
-import type { DirectoryChange, OfferResult, UpstreamDirectory } from "@harrierhitch/fleet";
+import type { DirectoryChange, OfferResult, UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
 import type { StateChange } from "../upstream/service-registry.js";
--- a/packages/daemon/test/model/silent-directory.ts
+++ b/packages/daemon/test/model/silent-directory.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
-import { UpstreamDirectory } from "@harrierhitch/fleet";
+import { UpstreamDirectory } from "@harrierhitch/published";
 
 /** Makes a directory that tells nobody of its changes. */
 export const silentDirectory = (clock: Clock): UpstreamDirectory =>
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -4,7 +4,8 @@
  */
 
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import { AcceptedConfiguration, Fleet, fleetTimesFor, peerService, UpstreamDirectory } from "@harrierhitch/fleet";
+import { Fleet, peerService } from "@harrierhitch/fleet";
+import { AcceptedConfiguration, fleetTimesFor, UpstreamDirectory } from "@harrierhitch/published";
 import { PlatformLink } from "../../src/platform/platform-link.js";
 import { type Platform, PlatformError, type Publication } from "../../src/platform/platform.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -1,7 +1,8 @@
 import { create } from "@bufbuild/protobuf";
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import { AcceptedConfiguration, defaultFleetTimes, Fleet, readersOf } from "@harrierhitch/fleet";
+import { Fleet, readersOf } from "@harrierhitch/fleet";
 import { MemberSchema } from "@harrierhitch/protocol";
+import { AcceptedConfiguration, defaultFleetTimes } from "@harrierhitch/published";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { PlatformLink } from "../src/platform/platform-link.js";
--- a/packages/fleet/src/directory-message.ts
+++ b/packages/fleet/src/directory-message.ts
@@ -6,7 +6,7 @@
 
 import { create } from "@bufbuild/protobuf";
 import { type Directory, DirectorySchema, ListingSchema } from "@harrierhitch/protocol";
-import { type DirectoryNews, toListing, type UpstreamDirectory } from "./upstream-directory.js";
+import { type DirectoryNews, toListing, type UpstreamDirectory } from "@harrierhitch/published";
 
 /**
  * Writes what an instance lacks of a directory.
--- a/packages/fleet/src/fleet-options.ts
+++ b/packages/fleet/src/fleet-options.ts
@@ -5,11 +5,11 @@
  */
 
 import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
-import type { AcceptedConfiguration } from "./accepted-configuration.js";
-import type { FleetTimes } from "./fleet-times.js";
+import type { AcceptedConfiguration } from "@harrierhitch/published";
+import type { FleetTimes } from "@harrierhitch/published";
+import type { UpstreamDirectory } from "@harrierhitch/published";
 import type { PeerAddress, PeerClients } from "./peer-clients.js";
 import type { HeardRumor } from "./rumors.js";
-import type { UpstreamDirectory } from "./upstream-directory.js";
 
 /** Options of a fleet. */
 export interface FleetOptions {
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -7,9 +7,9 @@
 import { create } from "@bufbuild/protobuf";
 import { sleep } from "@harrierhitch/core";
 import { type Member, MemberSchema } from "@harrierhitch/protocol";
+import { defaultFleetTimes, type FleetTimes } from "@harrierhitch/published";
 import { Exchange } from "./exchange.js";
 import type { FleetOptions } from "./fleet-options.js";
-import { defaultFleetTimes, type FleetTimes } from "./fleet-times.js";
 import { Freshness, tellShare } from "./freshness.js";
 import { hearOthers } from "./hear-others.js";
 import { chooseLinks, isFullMesh, type Link } from "./links.js";
--- a/packages/fleet/src/links.ts
+++ b/packages/fleet/src/links.ts
@@ -6,7 +6,7 @@
 
 import { rendezvous } from "@harrierhitch/core";
 import { type Member, Role } from "@harrierhitch/protocol";
-import { type FleetTimes, quietMsFor } from "./fleet-times.js";
+import { type FleetTimes, quietMsFor } from "@harrierhitch/published";
 import { readersAsked } from "./sources.js";
 
 /** A member that this instance talks to. */
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -7,7 +7,7 @@
 import { create } from "@bufbuild/protobuf";
 import type { Clock, InstanceId } from "@harrierhitch/core";
 import { type Member, type MemberCursor, MemberCursorSchema, MemberSchema } from "@harrierhitch/protocol";
-import { type FleetTimes, heartbeatMsFor } from "./fleet-times.js";
+import { type FleetTimes, heartbeatMsFor } from "@harrierhitch/published";
 import { isNewer, type MemberState } from "./member.js";
 
 /** Options of {@link Members}. */
--- a/packages/fleet/src/peer-calls.ts
+++ b/packages/fleet/src/peer-calls.ts
@@ -6,8 +6,8 @@
 
 import { asError, type Clock } from "@harrierhitch/core";
 import { type Member, Role } from "@harrierhitch/protocol";
+import type { FleetTimes } from "@harrierhitch/published";
 import type { Exchange } from "./exchange.js";
-import type { FleetTimes } from "./fleet-times.js";
 import type { Link } from "./links.js";
 import { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
 import type { Roles } from "./roles.js";
--- a/packages/fleet/src/roles.ts
+++ b/packages/fleet/src/roles.ts
@@ -6,7 +6,7 @@
 
 import type { Clock } from "@harrierhitch/core";
 import { type Member, Role } from "@harrierhitch/protocol";
-import type { FleetTimes } from "./fleet-times.js";
+import type { FleetTimes } from "@harrierhitch/published";
 import type { Members } from "./members.js";
 import { readersOf, relaysOf } from "./sources.js";
 
@@ -89,6 +89,11 @@
         return this.own === Role.READER;
     }
 
+    /** Whether this instance passes on to its availability zone what readers tell. */
+    get isRelay(): boolean {
+        return this.own === Role.RELAY;
+    }
+
     /** Whether others may rely on what this instance reads. */
     get hasFollowers(): boolean {
         return this.options.members.alive.length > 1;
--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -1,7 +1,7 @@
 import { FakeClock, upstreamId } from "@harrierhitch/core";
+import { type Listing, UpstreamDirectory } from "@harrierhitch/published";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { type Listing, UpstreamDirectory } from "../src/index.js";
 import { listedUpstream } from "./listed-upstream.js";
 
 const listing = (id: string, revision: number, text?: string): Listing => ({ upstream: upstreamId(id), revision, text });
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -7,15 +7,8 @@
 import type { Client } from "@connectrpc/connect";
 import { FakeClock, instanceId, SeededRandom } from "@harrierhitch/core";
 import { PeerService } from "@harrierhitch/protocol";
-import {
-    AcceptedConfiguration,
-    Fleet,
-    type HeardRumor,
-    type OfferResult,
-    type PeerAddress,
-    peerService,
-    UpstreamDirectory,
-} from "../src/index.js";
+import { AcceptedConfiguration, type OfferResult, UpstreamDirectory } from "@harrierhitch/published";
+import { Fleet, type HeardRumor, type PeerAddress, peerService } from "../src/index.js";
 import { listedUpstream } from "./listed-upstream.js";
 
 /** Faults of the network. */
--- a/packages/standin/src/platform-standin.ts
+++ b/packages/standin/src/platform-standin.ts
@@ -8,7 +8,7 @@
 import { createHash } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo } from "node:net";
+import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 
 /** How the stand-in behaves; each fault can be switched on and off. */
--- a/packages/standin/test/fleet-system.test.ts
+++ b/packages/standin/test/fleet-system.test.ts
@@ -1,6 +1,6 @@
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { type Daemon, type DaemonPorts } from "@harrierhitch/daemon";
+import type { Daemon, DaemonPorts } from "@harrierhitch/daemon";
 import { OperatorService } from "@harrierhitch/protocol";
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
--- a/packages/standin/test/operators-tls.test.ts
+++ b/packages/standin/test/operators-tls.test.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { type Daemon, type DaemonPorts } from "@harrierhitch/daemon";
+import type { Daemon, DaemonPorts } from "@harrierhitch/daemon";
 import { ExchangeRequestSchema, OperatorService, PeerService } from "@harrierhitch/protocol";
 import assert from "node:assert/strict";
 import { copyFileSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
