Let the read whose caller leaves last longer than the leaving, in a test

Cause: the stand-in serves in 40 ms on the mean; where this process waits that long for a processor, the read is served before its caller has left, and nothing is cancelled. Reproduced with a mean of 1 ms: the same case fails with the same message. The check itself is unchanged; the service now takes a second or more.

--- a/packages/standin/test/caller-faults.test.ts
+++ b/packages/standin/test/caller-faults.test.ts
@@ -151,11 +151,16 @@
     },
 ];
 
+/** Service that takes far longer than a caller takes to leave. */
+const leftServiceMs = 2000;
+
 describe("a caller that leaves", () => {
     leavingCases.forEach(({ name, text, runs }) => {
         test(name, async () => {
             const cancelledBefore = system.upstreams[0]!.cancelled;
             const startedBefore = system.upstreams[0]!.started;
+            // A read that ends while this process waits for a processor would be served before its caller leaves.
+            system.upstreams[0]!.behaviour = { ...system.upstreams[0]!.behaviour, meanServiceMs: runs ? 40 : leftServiceMs };
             const socket = openCaller(system.callersPort, text);
             if (name.startsWith("while")) {
                 await until(() => system.upstreams[0]!.started > startedBefore);
@@ -173,6 +178,7 @@
                     system.upstreams[0]!.cancelled - cancelledBefore === system.upstreams[0]!.started - startedBefore
                 );
             }
+            system.upstreams[0]!.behaviour = { ...system.upstreams[0]!.behaviour, meanServiceMs: 40 };
             const next = await fetch(`${system.url}/read/after`);
             assert.deepEqual((await next.json() as { path: string; }).path, "/read/after");
         });
