--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -6,7 +6,7 @@
 
 import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
 import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
-import { AcceptedConfiguration, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
+import { AcceptedConfiguration, type DirectoryChange, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import { FirstRead } from "./first-read.js";
 import type { InstanceParts } from "./instance-parts.js";
@@ -55,7 +55,7 @@
         this.firstRead = new FirstRead(clock);
         this.accepted = new AcceptedConfiguration((source, text) => syntax.configuration(source, text));
         this.directory = openDirectory(parts, {
-            onChange: change => this.directory.revision > 0 ? this.telemetry.listingChanged(change) : undefined,
+            onChange: change => this.tellListing(change),
             onDoubtEnded: () => this.apply(),
         });
         this.explanations = new ExplanationStore({
@@ -137,7 +137,9 @@
         try {
             const arrivedAtMs = this.parts.clock.nowMs();
             await this.refreshing;
-            await (this.configuration ?? this.firstRead.wait());
+            if (this.configuration === undefined) {
+                await this.firstRead.wait();
+            }
             await this.entry.serve({ request, answer, arrivedAtMs, hasHeardOthers: this.hasHeardOthers });
         }
         catch (thrown) {
@@ -169,6 +171,13 @@
         this.firstRead.end();
     }
 
+    /** The first read is told as a whole. */
+    private tellListing(change: DirectoryChange): void {
+        if (this.directory.revision > 0) {
+            this.telemetry.listingChanged(change);
+        }
+    }
+
     /** Notes that the platform failed: requests need not wait for what it would tell. */
     platformFailed(): void {
         this.firstRead.end();
