--- a/packages/command/src/status-command.ts
+++ b/packages/command/src/status-command.ts
@@ -103,7 +103,7 @@
 const statusText = (status: GetStatusResponse): string =>
     [
         table(
-            ["instance", "zone", "version", "state", "generation", "hash", "in flight", "platform heard", "records"],
+            ["instance", "zone", "version", "state", "generation", "hash", "in flight", "platform heard", "zones out", "records"],
             status.instances.map(instanceCells),
         ),
         ...(status.unreachable.length === 0 ? [] : [paint.red(`did not answer: ${status.unreachable.join(", ")}`)]),
@@ -123,6 +123,7 @@
     instance.configurationHash.slice(0, 12),
     String(instance.requestsInFlight),
     instance.platformAgeMs < 0 ? "never" : `${formatMs(instance.platformAgeMs)} ago`,
+    instance.zonesOut.join(", "),
     String(instance.records),
 ];
 
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -166,6 +166,14 @@
         ),
         drainHeader: headerKey("Header by which an upstream says that it is leaving; its value is draining.", "x-upstream-state"),
         loadHeader: headerKey("Header with the upstream's requests in flight.", "x-upstream-in-flight"),
+        coldRequestsPerSecond: numberKey({
+            description:
+                "Requests a second that one upstream bears from the whole fleet while it is cold; 0 does not bound them.",
+            unit: "1/s",
+            minimum: 0,
+            maximum: 100_000,
+            defaultValue: 0,
+        }),
         probePath: optionalTextKey({
             description: "Path at which an upstream tells its load; it is never probed without one.",
             expected: "a path that begins with /",
--- a/packages/configuration/src/upstream.ts
+++ b/packages/configuration/src/upstream.ts
@@ -23,4 +23,6 @@
     readonly leaving: boolean;
     /** Time for which it still answers slowly, counted from the moment it was listed. */
     readonly coldMs: number;
+    /** When this start of it began, in milliseconds since the Unix epoch; 0 when it does not say. */
+    readonly startedAtMs: number;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,7 +14,8 @@
 import { PeerJoiner } from "./peers/peer-joiner.js";
 import { ownPlatform } from "./platform/own-platform.js";
 import { PlatformLink } from "./platform/platform-link.js";
-import type { Platform, PlatformAdapter, PlatformOptions } from "./platform/platform.js";
+import { platformOptions } from "./platform/platform-options.js";
+import type { Platform, PlatformAdapter } from "./platform/platform.js";
 import { CallersServer } from "./request/callers-server.js";
 import { SleepDetector } from "./sleep-detector.js";
 import { type EventLog, openLog } from "./telemetry/event-log.js";
@@ -62,7 +63,9 @@
         this.transport = options.transport ?? new HttpTransport();
         const adapter = options.adapter ?? ownPlatform;
         this.instance = this.createInstance(adapter, options.policies ?? new Map());
-        this.platform = this.createPlatformLink(options.platform ?? adapter.open(this.platformOptions()));
+        this.platform = this.createPlatformLink(
+            options.platform ?? adapter.open(platformOptions(settings, this.metrics, this.log)),
+        );
         this.sleepDetector = new SleepDetector({ clock: this.clock, onWake: sleptMs => this.instance.wakeLate(sleptMs) });
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsSide();
@@ -170,16 +173,6 @@
         });
     }
 
-    private platformOptions(): PlatformOptions {
-        const { addresses, configurationKey, readTimeoutMs } = this.settings.platform;
-        return {
-            addresses: addresses.split(",").map(address => address.trim()),
-            configurationKey,
-            readTimeoutMs,
-            onCall: kind => this.metrics.platformCalls.inc({ kind }),
-        };
-    }
-
     private createCallersServer(): CallersServer {
         return new CallersServer({
             settings: this.settings.callers,
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 
-import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
+import { type Generation, type InstanceId, instanceId, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { SharedColdAdmission } from "@harrierhitch/decision";
 import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, type DirectoryChange, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
@@ -56,6 +57,7 @@
         this.accepted = new AcceptedConfiguration((source, text) => syntax.configuration(source, text));
         this.directory = openDirectory(parts, {
             onChange: change => this.tellListing(change),
+            onZone: change => this.telemetry.zoneChanged(change),
             onDoubtEnded: () => this.apply(),
         });
         this.explanations = new ExplanationStore({
@@ -65,10 +67,11 @@
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
+            coldAdmission: new SharedColdAdmission({ clock, sharersOf: upstream => this.coldSharersOf(upstream) }),
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
                 if (change.after.state === "draining" && !this.hearing) {
-                    this.fleet?.tellRumor(change.upstream, "draining");
+                    this.fleet?.tellLeaving(change.upstream, change.startedAtMs);
                 }
             },
         });
@@ -153,13 +156,13 @@
     }
 
     /** Takes what the platform told. */
-    takePublication({ configuration, listings, revision }: Publication, isWhole: boolean): void {
+    takePublication({ configuration, listings, zones, revision }: Publication, isWhole: boolean): void {
         const before = this.directory.revision;
-        this.directory.takeIn({ revision, whole: isWhole, listings });
+        this.directory.takeIn({ revision, whole: isWhole, listings, zones });
         if (configuration !== undefined) {
             this.offerConfiguration("platform", configuration);
         }
-        if (listings.length > 0 || isWhole) {
+        if (listings.length > 0 || zones.length > 0 || isWhole) {
             this.apply();
         }
         if (before !== this.directory.revision) {
@@ -201,9 +204,9 @@
     }
 
     /** Takes in what another instance learned of an upstream. */
-    takeRumor({ upstream, type, atMs }: HeardRumor): void {
+    takeRumor({ upstream, startedAtMs, atMs }: HeardRumor): void {
         this.hearing = true;
-        this.services.observe(upstreamId(upstream), { type, atMs });
+        this.services.observe(upstreamId(upstream), { type: "draining", atMs }, startedAtMs);
         this.hearing = false;
     }
 
@@ -213,7 +216,7 @@
         if (configuration === undefined) {
             return;
         }
-        const update: RegistryUpdate = { configuration, listed: this.directory.upstreams };
+        const update: RegistryUpdate = { configuration, listed: this.directory.inService };
         const targets = toTargets(update);
         this.parts.transport.configure(targets);
         // Everyone reads of a listed upstream's leaving itself: told by each, it would go round the fleet many times.
@@ -225,6 +228,12 @@
         this.parts.onConfigured?.(update);
     }
 
+    /** How many instances share a cold upstream; an instance that is no part of a fleet has it for itself. */
+    private coldSharersOf(upstream: UpstreamId): number {
+        const isAlone = this.parts.settings.peers === undefined;
+        return isAlone ? 1 : this.fleet?.coldSharers.of(upstream) ?? 0;
+    }
+
     /** Brings this instance's shares of the fleet's budgets up to date. */
     applyShares(): void {
         const { configuration, fleet } = this;
--- a/packages/daemon/src/open-directory.ts
+++ b/packages/daemon/src/open-directory.ts
@@ -16,13 +16,16 @@
  * @param listeners - Who is told of changes.
  */
 export const openDirectory = (
-    { clock, syntax, log, doubtfulMs }: Pick<InstanceParts, "clock" | "syntax" | "log" | "doubtfulMs">,
-    listeners: Pick<UpstreamDirectoryOptions, "onChange" | "onDoubtEnded">,
+    { clock, syntax, log, metrics, doubtfulMs }: Pick<InstanceParts, "clock" | "syntax" | "log" | "metrics" | "doubtfulMs">,
+    listeners: Pick<UpstreamDirectoryOptions, "onChange" | "onZone" | "onDoubtEnded">,
 ): UpstreamDirectory =>
     new UpstreamDirectory({
         ...listeners,
         clock,
         doubtfulMs,
         read: (id, text) => syntax.upstream(id, text),
-        onInvalid: (id, findings) => log.write(events.listingInvalid, { upstream: id, findings: findings.map(formatFinding) }),
+        onInvalid: (id, findings, revision) => {
+            metrics.listingsInvalid.inc();
+            log.write(events.listingInvalid, { upstream: id, revision, findings: findings.map(formatFinding) });
+        },
     });
--- a/packages/daemon/src/operators/operator-service.ts
+++ b/packages/daemon/src/operators/operator-service.ts
@@ -135,6 +135,7 @@
         platformAgeMs: platformAgeMs(),
         records: instance.explanations.entries,
         recordBytes: instance.explanations.bytes,
+        zonesOut: [...instance.directory.zonesOut],
     });
 
 const toUpstreamStatuses = (runtime: ServiceRuntime): readonly UpstreamStatus[] =>
--- a/packages/daemon/src/operators/operators-side.ts
+++ b/packages/daemon/src/operators/operators-side.ts
@@ -64,6 +64,7 @@
         metrics.recordBytes.set(explanations.bytes);
         metrics.members.set(fleet?.members.alive.length ?? 1);
         metrics.listed.set(directory.upstreams.length);
+        metrics.zonesOut.set(directory.zonesOut.length);
         metrics.knowledgeAge.set((fleet?.freshness.knownAgeMs ?? 0) / 1000);
         metrics.reader.set(fleet === undefined || fleet.roles.isReader ? 1 : 0);
     }
--- a/packages/daemon/src/peers/join-fleet.ts
+++ b/packages/daemon/src/peers/join-fleet.ts
@@ -9,7 +9,8 @@
 import type { Metrics } from "../telemetry/metrics.js";
 
 /** What an instance joins its fleet with: the fleet's options but for those that the settings and the metrics give. */
-export interface JoinFleetOptions extends Omit<FleetOptions, "fleet" | "address" | "port" | "onUnreachable"> {
+export interface JoinFleetOptions
+    extends Omit<FleetOptions, "fleet" | "address" | "port" | "onExchange" | "onLimited" | "onUnreachable"> {
     readonly settings: NonNullable<Settings["peers"]>;
     readonly metrics: Metrics;
 }
@@ -22,5 +23,7 @@
         address: settings.address,
         port: settings.port,
         onConfiguration: (source, text) => options.onConfiguration(`instance ${source}`, text),
+        onExchange: reason => metrics.peerExchanges.inc({ reason }),
+        onLimited: () => metrics.peersLimited.inc(),
         onUnreachable: () => metrics.peersUnreachable.inc(),
     });
--- a/packages/daemon/src/platform/http-platform.ts
+++ b/packages/daemon/src/platform/http-platform.ts
@@ -36,7 +36,7 @@
         const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(waitMs / 1000)}` };
         const result = await this.get(headers, waitMs + watchGraceMs, signal);
         return result.status === notModified
-            ? { revision: this.revision, configuration: undefined, listings: [] }
+            ? { revision: this.revision, configuration: undefined, listings: [], zones: [] }
             : this.toPublication(result);
     }
 
@@ -64,7 +64,7 @@
         }
         this.version = etag;
         this.revision += 1;
-        return { revision: this.revision, configuration: body.toString("utf8"), listings: [] };
+        return { revision: this.revision, configuration: body.toString("utf8"), listings: [], zones: [] };
     }
 }
 
--- a/packages/daemon/src/platform/platform-follower.ts
+++ b/packages/daemon/src/platform/platform-follower.ts
@@ -119,7 +119,8 @@
         const revision = knownRevision();
         // While the platform fails, short calls notice its return at once.
         const publication = await platform.watch(revision, signal, this.failuresInRow === 0 ? watchMs() : 0);
-        const isEmpty = publication.listings.length === 0 && publication.configuration === undefined;
+        const { listings, zones, configuration } = publication;
+        const isEmpty = listings.length === 0 && zones.length === 0 && configuration === undefined;
         // A platform that loses its history may be deaf for a moment before: what it did not tell is asked for again.
         return isEmpty ? { ...publication, revision } : publication;
     }
--- a/packages/daemon/src/platform/platform.ts
+++ b/packages/daemon/src/platform/platform.ts
@@ -6,7 +6,7 @@
 
 import type { Checked, Configuration, ListedUpstream, ServicePolicy } from "@harrierhitch/configuration";
 import { HarrierhitchError, type UpstreamId } from "@harrierhitch/core";
-import type { Listing } from "@harrierhitch/published";
+import type { Listing, ZoneListing } from "@harrierhitch/published";
 import type { Dialect } from "../request/dialect.js";
 
 /** What a read or a watch of the platform tells. */
@@ -17,6 +17,8 @@
     readonly configuration: string | undefined;
     /** Listed upstreams: all of them after a read, those that changed after a watch. */
     readonly listings: readonly Listing[];
+    /** Availability zones out of service: all of them after a read, those that changed after a watch. */
+    readonly zones: readonly ZoneListing[];
 }
 
 /** The platform: it can be read and watched, never written. */
@@ -61,6 +63,8 @@
     readonly readTimeoutMs: number;
     /** Called once for each call to the platform, for counting. */
     readonly onCall: (kind: "read" | "watch") => void;
+    /** Told of an item that cannot be read, and is left out. */
+    readonly onInvalidItem: (key: string, revision: number | undefined, detail: string) => void;
 }
 
 /** Options of the syntax in which a platform publishes. */
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -4,9 +4,8 @@
  * @packageDocumentation
  */
 
-import type { Upstream } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
-import { type AttemptResult, type Flight, outcomeOf } from "@harrierhitch/decision";
+import { type AttemptResult, type Flight, type KnownUpstream, outcomeOf } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
 import { newSpanId, toTraceparent } from "../telemetry/trace-context.js";
@@ -28,7 +27,7 @@
     /** The request, to whose record the attempt is added. */
     readonly progress: RequestProgress;
     readonly body: RequestBody;
-    readonly upstream: Upstream;
+    readonly upstream: KnownUpstream;
     /** What the choice knew of it. */
     readonly chosenBy: UpstreamFacts | undefined;
     /** Asked before an answer is passed on as it arrives: whether it is this attempt's turn to answer the caller. */
@@ -88,7 +87,7 @@
     }
 
     /** The upstream that is tried. */
-    get upstream(): Upstream {
+    get upstream(): KnownUpstream {
         return this.options.upstream;
     }
 
@@ -153,7 +152,7 @@
         const atMs = services.clock.nowMs();
         const isForeign = reading?.foreign !== undefined;
         if (isForeign || result.end !== "answered" && result.end !== "cancelled") {
-            runtime.beliefs.observe(upstream.id, { type: "failed", atMs });
+            runtime.beliefs.observe(upstream.id, { type: "failed", atMs }, upstream.startedAtMs);
         }
         const outcome = this.outcomeOf(result);
         this.record.endedMs = atMs - progress.arrivedAtMs;
--- a/packages/daemon/src/request/dialect.ts
+++ b/packages/daemon/src/request/dialect.ts
@@ -56,6 +56,8 @@
     /** Whether the upstream says that it leaves. */
     readonly leaving: boolean;
     readonly load: LoadReport | undefined;
+    /** Milliseconds for which the upstream says that it stays slow after a start; `undefined` when it does not say. */
+    readonly coldMs: number | undefined;
 }
 
 /** Reads and writes the headers by which callers, this instance and upstreams understand each other. */
--- a/packages/daemon/src/request/header-dialect.ts
+++ b/packages/daemon/src/request/header-dialect.ts
@@ -49,6 +49,7 @@
             mayPassOn: true,
             leaving: headers[service.drainHeader] === "draining",
             load: readLoad(headers[service.loadHeader]),
+            coldMs: undefined,
         };
     }
 }
--- a/packages/daemon/src/request/learn.ts
+++ b/packages/daemon/src/request/learn.ts
@@ -4,8 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Upstream } from "@harrierhitch/configuration";
-import { workTime } from "@harrierhitch/decision";
+import { type KnownUpstream, type Observation, workTime } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { AnswerReading } from "./dialect.js";
@@ -26,38 +25,42 @@
 export const learnFromAnswer = (
     { clock }: Pick<RequestServices, "clock">,
     { beliefs }: ServiceRuntime,
-    upstream: Upstream,
+    upstream: KnownUpstream,
     reading: AnswerReading,
     startedAtMs: number,
 ): void => {
     const atMs = clock.nowMs();
+    const observe = (observation: Observation): void => beliefs.observe(upstream.id, observation, upstream.startedAtMs);
     if (reading.foreign !== undefined) {
         return;
     }
     if (reading.leaving || reading.misdirected) {
-        beliefs.observe(upstream.id, { type: "draining", atMs });
+        observe({ type: "draining", atMs });
     }
     if (reading.misdirected) {
         return;
     }
+    if (reading.coldMs !== undefined && reading.coldMs > 0) {
+        observe({ type: "cooled", atMs, coldMs: reading.coldMs });
+    }
     const load = reading.load === undefined ? {} : { slots: reading.load.slots, slowness: reading.load.slowness };
     if (reading.shed) {
-        beliefs.observe(upstream.id, { type: "shed", atMs });
+        observe({ type: "shed", atMs });
         if (reading.load !== undefined && reading.load.inFlight < (reading.load.slots ?? upstream.slots)) {
             // It has room by its own word, and sheds for another reason: that says nothing of the service's load. Taken
             // for full, a service that shed half of what it got was held back from; with its callers told to come back
             // at once, and other changes, it earns 0.93 of the credit instead of 0.82 (mean of 8 s with that fault, one run each).
-            beliefs.observe(upstream.id, { type: "reported", atMs, ...reading.load });
+            observe({ type: "reported", atMs, ...reading.load });
             return;
         }
         // One that tells of no room, or of nothing, is full: it must not look idle.
         const inFlight = Math.max(reading.load?.inFlight ?? 0, upstream.slots * shedLoadFactor);
-        beliefs.observe(upstream.id, { type: "reported", atMs, inFlight, ...load });
+        observe({ type: "reported", atMs, inFlight, ...load });
         return;
     }
     const latencyMs = atMs - startedAtMs;
     const reportedInFlight = reading.load?.inFlight;
-    beliefs.observe(upstream.id, { type: "answered", atMs, latencyMs, failed: reading.failed, reportedInFlight, ...load });
+    observe({ type: "answered", atMs, latencyMs, failed: reading.failed, reportedInFlight, ...load });
 };
 
 /** How long an upstream has worked on a request. */
--- a/packages/daemon/src/request/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -4,9 +4,16 @@
  * @packageDocumentation
  */
 
-import type { Upstream } from "@harrierhitch/configuration";
 import { type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { decide, type Decision, type DecisionInput, drawNumbers, isGoodNow, probeTargets } from "@harrierhitch/decision";
+import {
+    decide,
+    type Decision,
+    type DecisionInput,
+    drawNumbers,
+    isGoodNow,
+    type KnownUpstream,
+    probeTargets,
+} from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { events } from "../telemetry/event.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
@@ -116,7 +123,7 @@
     }
 
     /** The likeliest upstreams that were not asked yet and that the budget allows to ask. */
-    private likeliest(asked: ReadonlySet<string>, count: number): readonly Upstream[] {
+    private likeliest(asked: ReadonlySet<string>, count: number): readonly KnownUpstream[] {
         const { runtime, services } = this;
         const askable = this.considered.filter(id => !asked.has(id) && services.prober.mayAsk(id));
         const facts = runtime.beliefs.factsOf(askable);
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -129,7 +129,8 @@
         const { services, runtime, progress } = this;
         const upstream = runtime.beliefs.find(id);
         if (upstream === undefined) {
-            throw new RangeError(`the service has no upstream ${id}`);
+            // Its zone was taken out of service, or it is gone, since the decision: the next one does not see it.
+            return;
         }
         const mayStream = (reading: AnswerReading): boolean => this.mayStream(reading, task, body);
         const chosenBy = this.choice.factsOf(id);
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -51,6 +51,20 @@
     /** Probes of upstreams, by service and result. */
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
+    /** Exchanges with other instances that were begun here, by reason. */
+    readonly peerExchanges = this.counter(
+        "harrierhitch_peer_exchanges_total",
+        "Exchanges with other instances begun here",
+        ["reason"],
+    );
+
+    /** Exchanges that had to wait because the one before over the same link was just now. */
+    readonly peersLimited = this.counter(
+        "harrierhitch_peer_exchanges_limited_total",
+        "Exchanges with other instances held back by the limit of a link",
+        [],
+    );
+
     /** Exchanges with other instances that failed. */
     readonly peersUnreachable = this.counter(
         "harrierhitch_peers_unreachable_total",
@@ -80,6 +94,16 @@
     /** Upstreams that are listed apart from the configuration. */
     readonly listed = this.gauge("harrierhitch_listed_upstreams", "Upstreams listed apart from the configuration");
 
+    /** Availability zones that are out of service. */
+    readonly zonesOut = this.gauge("harrierhitch_zones_out_of_service", "Availability zones out of service");
+
+    /** Published entries that could not be read. */
+    readonly listingsInvalid = this.counter(
+        "harrierhitch_listings_invalid_total",
+        "Published entries that could not be read, and name no upstream to use",
+        [],
+    );
+
     /** Whether this instance reads the platform now. */
     readonly reader = this.gauge("harrierhitch_platform_reader", "Whether this instance reads the platform now");
 
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -6,7 +6,7 @@
 
 import { formatFinding } from "@harrierhitch/configuration";
 import type { Generation } from "@harrierhitch/core";
-import type { DirectoryChange, OfferResult, UpstreamDirectory } from "@harrierhitch/published";
+import type { DirectoryChange, OfferResult, UpstreamDirectory, ZoneListing } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
 import type { StateChange } from "../upstream/service-registry.js";
@@ -134,6 +134,11 @@
         });
     }
 
+    /** Tells of an availability zone that was taken out of service or put back. */
+    zoneChanged({ availabilityZone, isOut, revision }: ZoneListing): void {
+        this.log.write(events.zoneChanged, { availabilityZone, after: isOut ? "out of service" : "in service", revision });
+    }
+
     /** Tells of a change of an upstream's believed state. */
     stateChanged({ service, upstream, before, after }: StateChange): void {
         this.metrics.stateChanges.inc({ service, state: after.state });
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -6,6 +6,7 @@
 
 import type { Upstream } from "@harrierhitch/configuration";
 import type { UpstreamId } from "@harrierhitch/core";
+import { isSameStart } from "@harrierhitch/decision";
 import { HttpAttempt } from "./http-attempt.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTarget, UpstreamTransport } from "./upstream-transport.js";
@@ -57,7 +58,6 @@
 };
 
 const sameTarget = (a: UpstreamTarget, b: UpstreamTarget): boolean =>
-    a.upstream.address === b.upstream.address
-    && a.upstream.port === b.upstream.port
+    isSameStart(a.upstream, b.upstream)
     && a.connections === b.connections
     && a.connectTimeoutMs === b.connectTimeoutMs;
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -4,8 +4,9 @@
  * @packageDocumentation
  */
 
-import type { Service, Upstream } from "@harrierhitch/configuration";
+import type { Service } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
+import type { KnownUpstream, Observation } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dialect } from "../request/dialect.js";
 import type { ProbeBudget } from "./probe-budget.js";
@@ -30,7 +31,7 @@
 export interface ProbeQuestion {
     readonly service: Service;
     readonly runtime: ServiceRuntime;
-    readonly upstreams: readonly Upstream[];
+    readonly upstreams: readonly KnownUpstream[];
     /** Longest time for which the answers are waited for. */
     readonly timeoutMs: number;
     /** Asked after each answer: whether the others need not be waited for. */
@@ -80,7 +81,7 @@
         timer.cancel();
     }
 
-    private probe(question: ProbeQuestion, upstream: Upstream): Promise<void> | undefined {
+    private probe(question: ProbeQuestion, upstream: KnownUpstream): Promise<void> | undefined {
         const { clock, budget, onProbe } = this.options;
         const running = this.asking.get(upstream.id);
         if (running !== undefined) {
@@ -99,7 +100,7 @@
         return probe;
     }
 
-    private async send({ service, runtime }: ProbeQuestion, upstream: Upstream): Promise<void> {
+    private async send({ service, runtime }: ProbeQuestion, upstream: KnownUpstream): Promise<void> {
         const { clock, transport, onProbe } = this.options;
         const probe = { told: false };
         const request = {
@@ -126,18 +127,28 @@
     private learn(
         service: Service,
         runtime: ServiceRuntime,
-        upstream: Upstream,
+        upstream: KnownUpstream,
         status: number,
         headers: IncomingHttpHeaders,
     ): boolean {
         const { clock, dialect } = this.options;
-        const { load, leaving, misdirected } = dialect.readAnswer({ status, headers, service, requestHeaders: undefined });
+        const { load, leaving, misdirected, coldMs } = dialect.readAnswer({
+            status,
+            headers,
+            service,
+            requestHeaders: undefined,
+        });
         const atMs = clock.nowMs();
+        const observe = (observation: Observation): void =>
+            runtime.beliefs.observe(upstream.id, observation, upstream.startedAtMs);
         if (leaving || misdirected) {
-            runtime.beliefs.observe(upstream.id, { type: "draining", atMs });
+            observe({ type: "draining", atMs });
+        }
+        if (coldMs !== undefined && coldMs > 0) {
+            observe({ type: "cooled", atMs, coldMs });
         }
         if (load !== undefined) {
-            runtime.beliefs.observe(upstream.id, { type: "reported", atMs, ...load });
+            observe({ type: "reported", atMs, ...load });
         }
         return load !== undefined;
     }
--- a/packages/daemon/src/upstream/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -6,7 +6,14 @@
 
 import type { Configuration, ListedUpstream, Service } from "@harrierhitch/configuration";
 import type { Clock, ServiceName, UpstreamId } from "@harrierhitch/core";
-import { type Belief, type KnownUpstream, type Observation, RetryBudget, ServiceBeliefs } from "@harrierhitch/decision";
+import {
+    type Belief,
+    type ColdAdmission,
+    type KnownUpstream,
+    type Observation,
+    RetryBudget,
+    ServiceBeliefs,
+} from "@harrierhitch/decision";
 import { HoldQueue } from "../request/hold-queue.js";
 import { ServiceRuntime } from "./service-runtime.js";
 import type { Shares } from "./shares.js";
@@ -16,6 +23,8 @@
 export interface StateChange {
     readonly service: ServiceName;
     readonly upstream: UpstreamId;
+    /** The start of it that is meant, in milliseconds since the Unix epoch; 0 when it is not known. */
+    readonly startedAtMs: number;
     readonly before: Belief;
     readonly after: Belief;
 }
@@ -28,6 +37,8 @@
     readonly clock: Clock;
     readonly availabilityZone: string;
     readonly onStateChange: (change: StateChange) => void;
+    /** Admits requests to cold upstreams. */
+    readonly coldAdmission: ColdAdmission;
 }
 
 /** What a registry is brought up to date by. */
@@ -62,9 +73,15 @@
         this.runtimes.forEach(({ retryBudget }) => retryBudget.configure(retryShare, retriesSaved));
     }
 
-    /** Takes in an observation of an upstream, whichever service it belongs to. */
-    observe(upstream: UpstreamId, observation: Observation): void {
-        this.runtimes.forEach(runtime => runtime.beliefs.observe(upstream, observation));
+    /**
+     * Takes in an observation of an upstream, whichever service it belongs to.
+     *
+     * @param upstream - The upstream.
+     * @param observation - What was learned.
+     * @param startedAtMs - The start that it was learned of; 0 when it is not known.
+     */
+    observe(upstream: UpstreamId, observation: Observation, startedAtMs: number): void {
+        this.runtimes.forEach(runtime => runtime.beliefs.observe(upstream, observation, startedAtMs));
     }
 
     /** The runtime of a service. */
@@ -78,11 +95,13 @@
     }
 
     private create(name: ServiceName): ServiceRuntime {
-        const { clock, availabilityZone, onStateChange } = this.options;
+        const { clock, availabilityZone, onStateChange, coldAdmission } = this.options;
         const beliefs = new ServiceBeliefs({
             clock,
             availabilityZone,
-            onStateChange: (upstream, before, after) => onStateChange({ service: name, upstream, before, after }),
+            coldAdmission,
+            onStateChange: ({ id, startedAtMs = 0 }, before, after) =>
+                onStateChange({ service: name, upstream: id, startedAtMs, before, after }),
         });
         const retryBudget = new RetryBudget({ share: 0, maximumSaved: retriesSavedAtStart });
         return new ServiceRuntime(name, beliefs, new HoldQueue(clock), retryBudget, clock);
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
-import type { AttemptResult } from "@harrierhitch/decision";
+import type { AttemptResult, KnownUpstream } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
 
@@ -57,7 +57,7 @@
 
 /** An upstream with the limits of its connections. */
 export interface UpstreamTarget {
-    readonly upstream: Upstream;
+    readonly upstream: KnownUpstream;
     readonly connections: number;
     readonly connectTimeoutMs: number;
 }
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -45,6 +45,7 @@
             mayPassOn: !shed,
             leaving: false,
             load: readLoad(headers[modelLoadHeader]),
+            coldMs: undefined,
         };
     },
 };
--- a/packages/daemon/test/model/silent-directory.ts
+++ b/packages/daemon/test/model/silent-directory.ts
@@ -12,6 +12,7 @@
         read: () => ({ value: undefined, findings: [] }),
         doubtfulMs: () => 0,
         onChange: () => undefined,
+        onZone: () => undefined,
         onDoubtEnded: () => undefined,
         onInvalid: () => undefined,
     });
--- a/packages/decision/src/belief.ts
+++ b/packages/decision/src/belief.ts
@@ -119,6 +119,10 @@
                 limit: coldLimit,
                 coldMs: observation.coldMs ?? options.coldMs,
             };
+        case "cooled":
+            return belief.state === "ready" || belief.state === "cold"
+                ? { ...withState(belief, "cold", observation.atMs), coldMs: observation.coldMs, limit: coldLimit }
+                : belief;
         case "reported":
             return afterReport(belief, { ...observation, reportedInFlight: observation.inFlight });
     }
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -46,6 +46,10 @@
 const decideBy = (servicePolicy: DecisionPolicy, input: DecisionInput): Decision => {
     const { policy, chooser } = servicePolicy;
     const { request, service } = input;
+    if (input.upstreams.every(({ state }) => state === "draining")) {
+        // Waiting brings nothing: all are leaving, or their availability zones are out of service.
+        return withoutCandidates(input.upstreams.map(exclusionOf), undefined);
+    }
     const reason = policy.refuse(request, service);
     if (reason !== undefined) {
         const retryAfterMs = retryAfterOf(servicePolicy, request);
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -8,6 +8,13 @@
 export { type Belief, type BeliefOptions, defaultBeliefOptions } from "./belief.js";
 export { type Choice, type Chooser, type ChooserInput } from "./chooser.js";
 export { choosers, drawNumbers } from "./choosers.js";
+export {
+    type ColdAdmission,
+    type ColdUpstream,
+    SharedColdAdmission,
+    type SharedColdAdmissionOptions,
+    unboundedColdAdmission,
+} from "./cold-admission.js";
 export { decide, type DecisionPolicy, retryAfterOf } from "./decide.js";
 export { type DecisionInput } from "./decision-input.js";
 export {
@@ -25,6 +32,6 @@
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
 export { initialDynamics, type WorkReading } from "./service-dynamics.js";
-export { type Flight, type KnownUpstream } from "./tracked-upstream.js";
+export { type Flight, isSameStart, type KnownUpstream } from "./tracked-upstream.js";
 export { UsualPatience } from "./usual-patience.js";
 export { UsualTimes } from "./usual-time.js";
--- a/packages/decision/src/observation.ts
+++ b/packages/decision/src/observation.ts
@@ -48,6 +48,12 @@
         /** Time for which it will answer slowly; the usual time when it is not known. */
         readonly coldMs?: number | undefined;
     }
+    | {
+        /** It answers slowly for a while, by its own word or the list's, although it has not left. */
+        readonly type: "cooled";
+        readonly atMs: number;
+        readonly coldMs: number;
+    }
     | LoadFigures & {
         /** Its load as another instance or a probe reported it. */
         readonly type: "reported";
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -4,10 +4,11 @@
  * @packageDocumentation
  */
 
-import type { Service, Upstream } from "@harrierhitch/configuration";
+import type { Service } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
-import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, initialBelief, update } from "./belief.js";
+import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, update } from "./belief.js";
+import { type ColdAdmission, type ColdUpstream, unboundedColdAdmission } from "./cold-admission.js";
 import type { Observation } from "./observation.js";
 import {
     afterAnswer,
@@ -18,7 +19,8 @@
     type WorkReading,
 } from "./service-dynamics.js";
 import { maximumShortlist, shortlist } from "./shortlist.js";
-import { type Flight, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
+import { track } from "./track.js";
+import { type Flight, isOtherStart, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
 
 /** Options of {@link ServiceBeliefs}. */
 export interface ServiceBeliefsOptions {
@@ -29,7 +31,9 @@
     /** Most upstreams that may be ejected at the same time, as a share. */
     readonly maximumEjectedShare?: number;
     /** Told of every change of an upstream's state. */
-    readonly onStateChange?: (upstream: UpstreamId, before: Belief, after: Belief) => void;
+    readonly onStateChange?: (upstream: KnownUpstream, before: Belief, after: Belief) => void;
+    /** Admits requests to cold upstreams; everything is admitted without it. */
+    readonly coldAdmission?: ColdAdmission;
 }
 
 const defaultEjectedShare = 0.34;
@@ -40,6 +44,7 @@
     private belief: BeliefOptions;
     private tracked = new Map<UpstreamId, Tracked>();
     private dynamics: ServiceDynamics = initialDynamics;
+    private coldRequestsPerSecond = 0;
     /** The request that finds out how a fuller upstream does; only one at a time does, since many would fill them all. */
     private trial: Flight | undefined;
 
@@ -48,6 +53,7 @@
         this.options = {
             maximumEjectedShare: defaultEjectedShare,
             onStateChange: () => undefined,
+            coldAdmission: unboundedColdAdmission,
             ...options,
         };
         this.belief = { ...defaultBeliefOptions, ...options.belief };
@@ -55,33 +61,24 @@
 
     /**
      * Takes over the upstreams of a newly accepted configuration. Beliefs about
-     * upstreams that stay are kept; one whose address changed is a new start.
+     * upstreams that stay are kept; one that has started again is believed nothing of.
      *
      * @param service - The service as configured.
      * @param maximumInstances - Most entry instances, which share the connections to an upstream.
      * @param upstreams - Its upstreams, where others than the configured ones are known.
      */
     configure(
-        service: Pick<Service, "upstreams" | "maximumConnections">,
+        service: Pick<Service, "upstreams" | "maximumConnections" | "coldRequestsPerSecond">,
         maximumInstances: number,
         upstreams: readonly KnownUpstream[] = service.upstreams,
     ): void {
         const maximumLimit = Math.max(1, Math.floor(service.maximumConnections / maximumInstances));
         this.belief = { ...this.belief, maximumLimit };
+        this.coldRequestsPerSecond = service.coldRequestsPerSecond;
         const isFirst = this.tracked.size === 0;
         const nowMs = this.options.clock.nowMs();
-        this.tracked = new Map(upstreams.map(upstream => {
-            const old = this.tracked.get(upstream.id);
-            const sameAddress = old?.upstream.address === upstream.address && old.upstream.port === upstream.port;
-            const fresh = initialBelief(this.belief, nowMs);
-            const returned = { type: "returned", atMs: nowMs, coldMs: upstream.coldMs } as const;
-            const isCold = upstream.coldMs === undefined ? !isFirst : upstream.coldMs > 0;
-            const belief = isCold ? update(fresh, returned, this.belief, () => false) : fresh;
-            const tracked: Tracked = old !== undefined && sameAddress
-                ? { upstream, belief: old.belief, flights: old.flights }
-                : { upstream, belief, flights: new Set<Flight>() };
-            return [upstream.id, tracked];
-        }));
+        const options = { belief: this.belief, nowMs, isFirst };
+        this.tracked = new Map(upstreams.map(upstream => [upstream.id, track(upstream, this.tracked.get(upstream.id), options)]));
     }
 
     /** Notes that a request is sent to an upstream. */
@@ -92,6 +89,9 @@
             this.trial ??= flight;
         }
         tracked?.flights.add(flight);
+        if (tracked?.belief.state === "cold") {
+            this.options.coldAdmission.noteSent(this.coldUpstream(tracked));
+        }
         this.observe(upstream, { type: "started", atMs: flight.startedAtMs });
         return flight;
     }
@@ -102,10 +102,16 @@
         this.trial = this.trial === flight ? undefined : this.trial;
     }
 
-    /** Takes in an observation; one about an upstream that is not configured is dropped. */
-    observe(upstream: UpstreamId, observation: Observation): void {
+    /**
+     * Takes in an observation; one about an upstream that is not configured, or about another start of it, is dropped.
+     *
+     * @param upstream - The upstream.
+     * @param observation - What was learned.
+     * @param startedAtMs - The start that it was learned of, in milliseconds since the Unix epoch; 0 when it is not known.
+     */
+    observe(upstream: UpstreamId, observation: Observation, startedAtMs = 0): void {
         const tracked = this.tracked.get(upstream);
-        if (tracked !== undefined) {
+        if (tracked !== undefined && !isOtherStart(tracked.upstream, startedAtMs)) {
             // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
             const belief = atTime(tracked.belief, this.options.clock.nowMs());
             const next = update(belief, observation, this.belief, () => this.mayEject());
@@ -173,12 +179,12 @@
     }
 
     /** The upstreams. */
-    get upstreams(): readonly Upstream[] {
+    get upstreams(): readonly KnownUpstream[] {
         return [...this.tracked.values()].map(tracked => tracked.upstream);
     }
 
     /** One of the upstreams. */
-    find(upstream: UpstreamId): Upstream | undefined {
+    find(upstream: UpstreamId): KnownUpstream | undefined {
         return this.tracked.get(upstream)?.upstream;
     }
 
@@ -209,7 +215,8 @@
 
     private mayBeChosen({ upstream, belief, flights }: Tracked, tried: readonly UpstreamId[], nowMs: number): boolean {
         const { state, limit } = atTime(belief, nowMs);
-        return state !== "draining" && state !== "ejected" && flights.size < Math.floor(limit) && !tried.includes(upstream.id);
+        return state !== "draining" && state !== "ejected" && flights.size < Math.floor(limit) && !tried.includes(upstream.id)
+            && (state !== "cold" || this.options.coldAdmission.mayTake(this.coldUpstream({ upstream })));
     }
 
     private factsNow(tracked: Tracked, isTrial: boolean): UpstreamFacts {
@@ -219,7 +226,12 @@
 
     private toFacts(tracked: Tracked, isTrial: boolean): UpstreamFacts {
         const { clock, availabilityZone } = this.options;
-        return toFacts(tracked, { dynamics: this.dynamics, nowMs: clock.nowMs(), availabilityZone, isTrial });
+        const isAdmitted = tracked.belief.state !== "cold" || this.options.coldAdmission.mayTake(this.coldUpstream(tracked));
+        return toFacts(tracked, { dynamics: this.dynamics, nowMs: clock.nowMs(), availabilityZone, isTrial, isAdmitted });
+    }
+
+    private coldUpstream({ upstream }: Pick<Tracked, "upstream">): ColdUpstream {
+        return { id: upstream.id, requestsPerSecond: this.coldRequestsPerSecond };
     }
 
     private mayEject(): boolean {
@@ -231,7 +243,7 @@
         const before = tracked.belief;
         tracked.belief = belief;
         if (before.state !== belief.state) {
-            this.options.onStateChange(tracked.upstream.id, before, belief);
+            this.options.onStateChange(tracked.upstream, before, belief);
         }
     }
 }
--- /dev/null
+++ b/packages/decision/src/track.ts
@@ -0,0 +1,42 @@
+/**
+ * Taking over a listed or configured upstream: with what was believed of it, or as one of which nothing is known.
+ *
+ * @packageDocumentation
+ */
+
+import { type Belief, type BeliefOptions, initialBelief, update } from "./belief.js";
+import { type Flight, isSameStart, type KnownUpstream, type Tracked } from "./tracked-upstream.js";
+
+/** Options of {@link track}. */
+export interface TrackOptions {
+    readonly belief: BeliefOptions;
+    readonly nowMs: number;
+    /** Whether the service had no upstreams before: those that do not say so are then not cold. */
+    readonly isFirst: boolean;
+}
+
+/**
+ * Takes over an upstream.
+ *
+ * @param upstream - The upstream as it is listed now.
+ * @param old - The same id as it was known before; `undefined` for one that is new.
+ * @param options - How beliefs begin.
+ */
+export const track = (upstream: KnownUpstream, old: Tracked | undefined, options: TrackOptions): Tracked =>
+    old !== undefined && isSameStart(old.upstream, upstream)
+        ? { upstream, belief: afterListing(old, upstream, options), flights: old.flights }
+        : { upstream, belief: beliefOfStart(upstream, options), flights: new Set<Flight>() };
+
+const beliefOfStart = ({ coldMs }: KnownUpstream, { belief, nowMs, isFirst }: TrackOptions): Belief => {
+    const fresh = initialBelief(belief, nowMs);
+    const isCold = coldMs === undefined ? !isFirst : coldMs > 0;
+    return isCold ? update(fresh, { type: "returned", atMs: nowMs, coldMs }, belief, () => false) : fresh;
+};
+
+/** The belief of an upstream that stays, after it may have been listed anew. */
+const afterListing = ({ upstream: before, belief }: Tracked, upstream: KnownUpstream, options: TrackOptions): Belief => {
+    const { coldMs = 0 } = upstream;
+    return upstream !== before && coldMs > 0
+        ? update(belief, { type: "cooled", atMs: options.nowMs, coldMs }, options.belief, () => false)
+        : belief;
+};
--- a/packages/decision/src/tracked-upstream.ts
+++ b/packages/decision/src/tracked-upstream.ts
@@ -17,8 +17,20 @@
     readonly startedAtMs: number;
 }
 
-/** An upstream, with the time for which it will answer slowly where that is known. */
-export type KnownUpstream = Upstream & { readonly coldMs?: number; };
+/** An upstream, with the time for which it will answer slowly and its start, where they are known. */
+export type KnownUpstream = Upstream & {
+    readonly coldMs?: number;
+    /** When this start of it began, in milliseconds since the Unix epoch; 0 or absent where it does not say. */
+    readonly startedAtMs?: number;
+};
+
+/** Whether two entries speak of one start: an upstream that started again holds and knows nothing of before. */
+export const isSameStart = (a: KnownUpstream, b: KnownUpstream): boolean =>
+    a.address === b.address && a.port === b.port && (a.startedAtMs ?? 0) === (b.startedAtMs ?? 0);
+
+/** Whether something was learned of another start of an upstream than the one that is listed; what names none may be of this one. */
+export const isOtherStart = ({ startedAtMs: known = 0 }: KnownUpstream, startedAtMs: number): boolean =>
+    known > 0 && startedAtMs > 0 && known !== startedAtMs;
 
 /** An upstream with what is believed of it and what is in flight there. */
 export interface Tracked {
@@ -36,6 +48,8 @@
     readonly availabilityZone: string;
     /** Whether to take fuller upstreams for as good as others where too little is known of them. */
     readonly isTrial: boolean;
+    /** Whether a request of this instance may go there now, if it is cold. */
+    readonly isAdmitted: boolean;
 }
 
 /** The last report of an upstream; `undefined` without one. */
@@ -57,7 +71,7 @@
  */
 export const toFacts = (
     { upstream, belief, flights }: Tracked,
-    { dynamics, nowMs, availabilityZone, isTrial }: FactsContext,
+    { dynamics, nowMs, availabilityZone, isTrial, isAdmitted }: FactsContext,
 ): UpstreamFacts => {
     const [oldest] = flights;
     const known = {
@@ -73,7 +87,7 @@
         availabilityZone: upstream.availabilityZone,
         sameZone: upstream.availabilityZone === availabilityZone,
         state: belief.state,
-        limit: Math.floor(belief.limit),
+        limit: isAdmitted ? Math.floor(belief.limit) : 0,
         oldestInFlightMs: oldest === undefined ? 0 : nowMs - oldest.startedAtMs,
         latencyMs: belief.latencyMs,
         latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
--- a/packages/decision/test/beliefs.test.ts
+++ b/packages/decision/test/beliefs.test.ts
@@ -42,6 +42,8 @@
             return { type, atMs, latencyMs: 5, failed: false, reportedInFlight: 2 };
         case "reported":
             return { type, atMs, inFlight: 3 };
+        case "cooled":
+            return { type, atMs, coldMs: 2000 };
         default:
             return { type, atMs };
     }
--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -159,3 +159,23 @@
         { seed: 11, numRuns: 500 },
     );
 });
+
+describe("where nothing is left to wait for, the caller hears so at once, although the policy would hold it", () => {
+    const holding = policy("random", { hold: "true" });
+    const cases = [
+        { name: "because the service has no upstream in service", upstreams: [] },
+        {
+            name: "because all of them leave",
+            upstreams: [upstream("a", { state: "draining" }), upstream("b", { state: "draining" })],
+        },
+    ];
+    cases.forEach(({ name, upstreams }) => {
+        test(name, () => {
+            assert.equal(decide(holding, input(upstreams)).action, "refuse");
+        });
+    });
+    test("but not while one is only ejected or cold", () => {
+        assert.equal(decide(holding, input([upstream("a", { state: "ejected" })])).action, "hold");
+        assert.equal(decide(holding, input([upstream("a", { state: "cold", limit: 0 })])).action, "hold");
+    });
+});
--- a/packages/fleet/src/directory-message.ts
+++ b/packages/fleet/src/directory-message.ts
@@ -5,7 +5,7 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import { type Directory, DirectorySchema, ListingSchema } from "@harrierhitch/protocol";
+import { type Directory, DirectorySchema, ListingSchema, ZoneListingSchema } from "@harrierhitch/protocol";
 import { type DirectoryNews, toListing, type UpstreamDirectory } from "@harrierhitch/published";
 
 /**
@@ -20,7 +20,7 @@
     if (directory.revision <= revision) {
         return create(DirectorySchema, { ...known, complete: revision < Infinity });
     }
-    const { whole, listings } = directory.newsAfter(revision);
+    const { whole, listings, zones } = directory.newsAfter(revision);
     return create(DirectorySchema, {
         ...known,
         whole,
@@ -34,11 +34,14 @@
                 doubtedMs,
             })
         ),
+        zones: zones.map(({ availabilityZone, revision: at, isOut }) =>
+            create(ZoneListingSchema, { availabilityZone, revision: BigInt(at), outOfService: isOut })
+        ),
     });
 };
 
 /** Reads what another instance told of its directory; `undefined` when it told its revision only. */
-export const readDirectory = ({ complete, revision, whole, listings }: Directory): DirectoryNews | undefined =>
+export const readDirectory = ({ complete, revision, whole, listings, zones }: Directory): DirectoryNews | undefined =>
     complete
         ? {
             revision: Number(revision),
@@ -46,5 +49,10 @@
             listings: listings.map(({ upstream, revision: at, text, removed, doubtedMs }) =>
                 toListing(upstream, Number(at), removed ? undefined : text, doubtedMs)
             ),
+            zones: zones.map(({ availabilityZone, revision: at, outOfService }) => ({
+                availabilityZone,
+                revision: Number(at),
+                isOut: outOfService,
+            })),
         }
         : undefined;
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -177,11 +177,12 @@
     private takeInDirectory(message: Directory | undefined): void {
         const { directory, onDirectory } = this.options;
         const news = message === undefined ? undefined : readDirectory(message);
-        if (news === undefined || news.listings.length === 0 && news.revision <= directory.revision) {
+        const isEmpty = news === undefined || news.listings.length === 0 && news.zones.length === 0;
+        if (news === undefined || isEmpty && news.revision <= directory.revision) {
             return;
         }
         directory.takeIn(news);
-        if (news.listings.length > 0) {
+        if (!isEmpty || news.whole) {
             onDirectory();
         }
     }
--- a/packages/fleet/src/fleet-options.ts
+++ b/packages/fleet/src/fleet-options.ts
@@ -8,6 +8,7 @@
 import type { AcceptedConfiguration } from "@harrierhitch/published";
 import type { FleetTimes } from "@harrierhitch/published";
 import type { UpstreamDirectory } from "@harrierhitch/published";
+import type { ExchangeReason } from "./exchange-reason.js";
 import type { PeerAddress, PeerClients } from "./peer-clients.js";
 import type { HeardRumor } from "./rumors.js";
 
@@ -38,6 +39,10 @@
     readonly onSizeChange: () => void;
     /** Told that a reader or relay did not answer, so that another one is asked. */
     readonly onSourceLost: (source: string, error: Error) => void;
+    /** Told of each exchange that is begun here. */
+    readonly onExchange: (reason: ExchangeReason) => void;
+    /** Told when an exchange had to wait because the one before it over the same link was just now. */
+    readonly onLimited: () => void;
     /** Told of an exchange that failed. */
     readonly onUnreachable: (peer: PeerAddress, error: Error) => void;
 }
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import { create } from "@bufbuild/protobuf";
 import { sleep } from "@harrierhitch/core";
-import { type Member, MemberSchema } from "@harrierhitch/protocol";
+import type { Member } from "@harrierhitch/protocol";
 import { defaultFleetTimes, type FleetTimes } from "@harrierhitch/published";
+import { ColdSharers } from "./cold-sharers.js";
 import { Exchange } from "./exchange.js";
 import type { FleetOptions } from "./fleet-options.js";
 import { Freshness, tellShare } from "./freshness.js";
@@ -18,11 +18,10 @@
 import type { PeerAddress } from "./peer-clients.js";
 import { PeerLinks } from "./peer-links.js";
 import { Roles } from "./roles.js";
-import { Rumors, type RumorType } from "./rumors.js";
+import { Rumors } from "./rumors.js";
+import { SeedSearch } from "./seed-search.js";
 import { Seeds } from "./seeds.js";
-
-/** A reader asks a seed again every so many beats, so that parts that were cut apart find each other: each has a reader. */
-const beatsBetweenSeeds = 5;
+import { selfOf } from "./self.js";
 
 /** Failed members of other availability zones are tried every so many beats only. */
 const beatsBetweenOutsideRetries = 4;
@@ -37,43 +36,45 @@
     /** How old the knowledge of what the platform publishes is, from whatever source. */
     readonly freshness: Freshness;
     readonly times: FleetTimes;
+    /** Which cold upstreams this instance shares with a few others. */
+    readonly coldSharers: ColdSharers;
     private readonly ending = new AbortController();
     private readonly links: PeerLinks;
     private readonly calls: PeerCalls;
     /** Instances that are asked first for the others. */
     readonly seeds: Seeds;
+    private readonly seedSearch: SeedSearch;
     private beats = 0;
     private knownSize = 1;
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
-        const { clock, random, instance, incarnation, fleet, accepted, directory, address, port } = options;
+        const { clock, random, fleet, accepted, directory, address, port } = options;
         this.times = { ...defaultFleetTimes, ...options.times };
         this.seeds = new Seeds({ random, self: { address, port }, addresses: options.seeds });
-        const self = create(MemberSchema, {
-            instance,
-            incarnation: BigInt(incarnation),
-            availabilityZone: options.availabilityZone,
-            address,
-            port,
-            platformReachable: true,
-        });
         this.freshness = new Freshness(clock, this.times.confirmMs * tellShare);
-        this.members = new Members({ clock, self, times: this.times });
+        this.members = new Members({ clock, self: selfOf(options), times: this.times });
         this.roles = new Roles({
             clock,
             members: this.members,
             times: this.times,
             readsFromStart: () => this.seeds.includesSelf || this.seeds.all.length === 0,
         });
-        this.rumors = new Rumors({ clock, instance, incarnation });
+        this.coldSharers = new ColdSharers({
+            clock,
+            members: this.members,
+            joinedAtMs: this.roles.joinedAtMs,
+            settleMs: this.times.settleMs,
+        });
+        this.rumors = new Rumors({ clock });
         this.links = new PeerLinks({
             clock,
             random,
             members: this.members,
             choose: members => this.chooseLinks(members),
             mayRetry: member => this.mayRetry(member),
-            exchangeWith: (member, link) => this.calls.exchangeWith(member, link),
+            exchangeWith: (member, reason, link) => this.calls.exchangeWith(member, reason, link),
+            onLimited: () => options.onLimited(),
         });
         this.exchange = new Exchange({
             clock,
@@ -97,11 +98,14 @@
             times: this.times,
             exchange: this.exchange,
             roles: this.roles,
+            onExchange: options.onExchange,
             onFailure: (peer, error) => {
                 options.onUnreachable(peer, error);
                 this.avoid(peer, error);
             },
         });
+        const { seeds, members, roles, calls } = this;
+        this.seedSearch = new SeedSearch({ seeds, members, roles, calls, onHeard: () => this.links.refresh() });
     }
 
     /** Takes over other seeds. */
@@ -119,7 +123,7 @@
         this.members.tell({ leaving: true });
         this.freshness.tell();
         const links = this.members.others.filter(({ instance }) => this.links.includes(instance));
-        await Promise.all(links.map(member => this.calls.exchangeWith(member)));
+        await Promise.all(links.map(member => this.calls.exchangeWith(member, "news")));
     }
 
     /** Ends all talk at once. */
@@ -129,10 +133,16 @@
         this.options.clients.close();
     }
 
-    /** Tells others what this instance learned of an upstream. */
-    tellRumor(upstream: string, type: RumorType): void {
-        this.rumors.learn(upstream, type);
-        this.wakeLinks();
+    /**
+     * Tells others that an upstream leaves, unless they know it from here already.
+     *
+     * @param upstream - The upstream.
+     * @param startedAtMs - The start that leaves, in milliseconds since the Unix epoch; 0 when it is not known.
+     */
+    tellLeaving(upstream: string, startedAtMs: number): void {
+        if (this.rumors.learn(upstream, startedAtMs)) {
+            this.wakeLinks();
+        }
     }
 
     /**
@@ -185,7 +195,8 @@
             this.members.beat();
             this.members.prune();
             this.links.refresh();
-            this.askSeed();
+            this.beats += 1;
+            this.seedSearch.beat();
             this.tellSize();
             await sleep(clock, this.times.exchangeMs, this.ending.signal);
         }
@@ -199,19 +210,6 @@
         }
     }
 
-    /** Asks a seed that is not among the living members: it, or whoever it knows, may be a part of the fleet cut off from here. */
-    private askSeed(): void {
-        const { alive } = this.members;
-        const isAlone = alive.length === 1;
-        this.beats += 1;
-        const seed = isAlone || this.roles.isReader && this.beats % beatsBetweenSeeds === 0
-            ? this.seeds.pickUnlike(alive)
-            : undefined;
-        if (seed !== undefined) {
-            void this.calls.exchangeWith(seed).then(heard => heard ? this.links.refresh() : undefined);
-        }
-    }
-
     /** When this instance began to talk to others. */
     get joinedAtMs(): number {
         return this.roles.joinedAtMs;
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -4,15 +4,20 @@
  * @packageDocumentation
  */
 
-import { type Clock, sleep } from "@harrierhitch/core";
+import { type Clock, sleep, type Timer } from "@harrierhitch/core";
 
 /** Part of the time between two confirmations by which knowledge has to become younger before that alone is told. */
 export const tellShare = 0.6;
 
+/** Shortest time between two moments at which those who wait are told: every follower asks ten times a second at most. */
+const tellGapMs = 100;
+
 /** Keeps the latest moment as of which nothing published is known to be missing here. */
 export class Freshness {
     private confirmedAtMs = -Infinity;
     private toldAtMs = -Infinity;
+    private endedWaitsAtMs = -Infinity;
+    private due: Timer | undefined;
     private readonly waiting = new Set<AbortController>();
 
     /**
@@ -45,8 +50,25 @@
         }
     }
 
-    /** Ends the wait of everyone, because there is something new. */
+    /**
+     * Ends the wait of everyone, because there is something new. What comes up within {@link tellGapMs} is told together:
+     * each of those who wait answers with a question.
+     */
     tell(): void {
+        const { clock } = this;
+        const dueInMs = this.endedWaitsAtMs + tellGapMs - clock.nowMs();
+        if (dueInMs <= 0) {
+            this.endWaits();
+        }
+        else {
+            this.due ??= clock.after(dueInMs, () => this.endWaits());
+        }
+    }
+
+    private endWaits(): void {
+        this.due?.cancel();
+        this.due = undefined;
+        this.endedWaitsAtMs = this.clock.nowMs();
         this.toldAtMs = this.confirmedAtMs;
         this.waiting.forEach(waiting => waiting.abort());
     }
--- a/packages/fleet/src/hear-others.ts
+++ b/packages/fleet/src/hear-others.ts
@@ -42,7 +42,7 @@
         if (peers.length === 0) {
             return true;
         }
-        const heard = await Promise.all(peers.slice(0, linksAtStart).map(peer => calls.exchangeWith(peer)));
+        const heard = await Promise.all(peers.slice(0, linksAtStart).map(peer => calls.exchangeWith(peer, "search")));
         if (heard.includes(true)) {
             return true;
         }
--- a/packages/fleet/src/peer-calls.ts
+++ b/packages/fleet/src/peer-calls.ts
@@ -7,6 +7,7 @@
 import { asError, type Clock } from "@harrierhitch/core";
 import { type Member, Role } from "@harrierhitch/protocol";
 import type { FleetTimes } from "@harrierhitch/published";
+import type { ExchangeReason } from "./exchange-reason.js";
 import type { Exchange } from "./exchange.js";
 import type { Link } from "./links.js";
 import { callWithin, type PeerAddress, type PeerClients } from "./peer-clients.js";
@@ -19,6 +20,8 @@
     readonly times: FleetTimes;
     readonly exchange: Exchange;
     readonly roles: Roles;
+    /** Told of each exchange that is begun. */
+    readonly onExchange: (reason: ExchangeReason) => void;
     /** Told of a call that failed. */
     readonly onFailure: (peer: PeerAddress, error: Error) => void;
 }
@@ -45,11 +48,17 @@
      * Exchanges news with one instance.
      *
      * @param peer - The instance.
+     * @param reason - Why, for counting.
      * @param link - How it is asked; once, without waiting, where there is none.
      * @returns Whether it answered.
      */
-    async exchangeWith(peer: PeerAddress & Partial<Pick<Member, "instance">>, link?: Link): Promise<boolean> {
-        const { clock, clients, times, exchange, roles, onFailure } = this.options;
+    async exchangeWith(
+        peer: PeerAddress & Partial<Pick<Member, "instance">>,
+        reason: ExchangeReason,
+        link?: Link,
+    ): Promise<boolean> {
+        const { clock, clients, times, exchange, roles, onExchange, onFailure } = this.options;
+        onExchange(reason);
         const { waitMs = 0, role = Role.UNSPECIFIED } = link ?? {};
         try {
             const client = clients.to(peer);
--- a/packages/fleet/src/rumors.ts
+++ b/packages/fleet/src/rumors.ts
@@ -1,6 +1,11 @@
 /**
  * Observations of upstreams that are passed on from instance to instance.
  *
+ * An observation is a fact that no clock orders: one start of an upstream leaves. Facts of one upstream are ordered by
+ * its starts alone, so any order and any number of deliveries ends in the same state, and each instance takes each fact
+ * as news once. Ages only end the passing on: ordered by them, four observers of one departure kept 19 instances telling
+ * each other for good (69,174 messages in 30 s of a model with ways of 20 ms; 57 now).
+ *
  * @packageDocumentation
  */
 
@@ -8,84 +13,95 @@
 import type { Clock } from "@harrierhitch/core";
 import { type Observation, ObservationSchema } from "@harrierhitch/protocol";
 
-/** What an instance can tell others of an upstream. */
-export type RumorType = "draining" | "returned";
-
-/** An observation of another instance, with its time on this instance's clock. */
+/** What another instance learned: that a start of an upstream leaves. */
 export interface HeardRumor {
     readonly upstream: string;
-    readonly type: RumorType;
+    /** The start that leaves, in milliseconds since the Unix epoch; 0 when it is not known. */
+    readonly startedAtMs: number;
+    /** When it was learned, on this instance's clock. */
     readonly atMs: number;
 }
 
 interface Kept {
-    readonly observation: Observation;
+    readonly startedAtMs: number;
     readonly learnedAtMs: number;
+    /** When this instance took it in: what it forgets by, whatever age it was told. */
+    readonly takenAtMs: number;
 }
 
 /** Options of {@link Rumors}. */
 export interface RumorsOptions {
     readonly clock: Clock;
-    readonly instance: string;
-    readonly incarnation: number;
 }
 
 /** Time for which an observation is passed on: longer than any exchange takes to reach everyone. */
 const passOnMs = 10_000;
 
+/**
+ * Time for which an observation is remembered: far longer than it is passed on, since the time on its way is not part
+ * of the age that is told. One that comes back late is then still known everywhere.
+ */
+const rememberMs = 60_000;
+
 /** Most observations in one exchange, which bounds their bytes; the latest go first. */
 const maximumPerExchange = 32;
 
-/** Keeps the latest observation of each upstream for a while. */
+/** Keeps, of each upstream, the latest start that is known to leave. */
 export class Rumors {
     private readonly kept = new Map<string, Kept>();
-    private count = 0n;
 
-    /** @param options - Clock and this instance. */
+    /** @param options - The clock. */
     constructor(private readonly options: RumorsOptions) {}
 
-    /** Notes what this instance learned itself. */
-    learn(upstream: string, type: RumorType): void {
-        this.count += 1n;
-        const observation = create(ObservationSchema, {
-            upstream,
-            type,
-            origin: this.options.instance,
-            originIncarnation: BigInt(this.options.incarnation),
-            number: this.count,
-        });
-        this.kept.set(upstream, { observation, learnedAtMs: this.options.clock.nowMs() });
+    /**
+     * Notes what this instance learned itself.
+     *
+     * @param upstream - The upstream.
+     * @param startedAtMs - The start that leaves, in milliseconds since the Unix epoch; 0 when it is not known.
+     * @returns Whether it was not known.
+     */
+    learn(upstream: string, startedAtMs: number): boolean {
+        return this.put(upstream, startedAtMs, this.options.clock.nowMs());
     }
 
     /** The observations that are told in an exchange, with their ages. */
     news(): readonly Observation[] {
         const nowMs = this.options.clock.nowMs();
-        return [...this.kept.values()]
-            .filter(kept => nowMs - kept.learnedAtMs < passOnMs)
-            .sort((a, b) => b.learnedAtMs - a.learnedAtMs)
+        return [...this.kept]
+            .filter(([, { learnedAtMs }]) => nowMs - learnedAtMs < passOnMs)
+            .sort(([, a], [, b]) => b.learnedAtMs - a.learnedAtMs)
             .slice(0, maximumPerExchange)
-            .map(kept => create(ObservationSchema, { ...kept.observation, ageMs: nowMs - kept.learnedAtMs }));
+            .map(([upstream, { startedAtMs, learnedAtMs }]) =>
+                create(ObservationSchema, { upstream, startedAtMs: BigInt(startedAtMs), ageMs: nowMs - learnedAtMs })
+            );
     }
 
-    /**
-     * Takes in observations; gives those that are later than what was known of
-     * the same upstream. An older one never undoes a later one.
-     */
+    /** Takes in observations; gives those that were not known. */
     merge(observations: readonly Observation[]): readonly HeardRumor[] {
+        this.forgetOld();
         const nowMs = this.options.clock.nowMs();
-        return observations.flatMap(observation => {
-            const { upstream, type } = observation;
-            const learnedAtMs = nowMs - Math.max(0, observation.ageMs);
-            const known = this.kept.get(upstream);
-            const isKnown = known !== undefined && (isSame(known.observation, observation) || known.learnedAtMs >= learnedAtMs);
-            if (isKnown || type !== "draining" && type !== "returned") {
-                return [];
+        return observations.flatMap(({ upstream, startedAtMs: started, ageMs }) => {
+            const startedAtMs = Number(started);
+            const atMs = nowMs - Math.max(0, ageMs);
+            return this.put(upstream, startedAtMs, atMs) ? [{ upstream, startedAtMs, atMs }] : [];
+        });
+    }
+
+    private put(upstream: string, startedAtMs: number, learnedAtMs: number): boolean {
+        const known = this.kept.get(upstream);
+        if (known !== undefined && known.startedAtMs >= startedAtMs) {
+            return false;
+        }
+        this.kept.set(upstream, { startedAtMs, learnedAtMs, takenAtMs: this.options.clock.nowMs() });
+        return true;
+    }
+
+    private forgetOld(): void {
+        const oldestMs = this.options.clock.nowMs() - rememberMs;
+        this.kept.forEach(({ takenAtMs }, upstream) => {
+            if (takenAtMs < oldestMs) {
+                this.kept.delete(upstream);
             }
-            this.kept.set(upstream, { observation, learnedAtMs });
-            return [{ upstream, type, atMs: learnedAtMs }];
         });
     }
 }
-
-const isSame = (a: Observation, b: Observation): boolean =>
-    a.origin === b.origin && a.originIncarnation === b.originIncarnation && a.number === b.number;
--- /dev/null
+++ b/packages/fleet/src/seed-search.ts
@@ -0,0 +1,43 @@
+/**
+ * Looking for parts of the fleet that were cut off from here.
+ *
+ * @packageDocumentation
+ */
+
+import type { Members } from "./members.js";
+import type { PeerCalls } from "./peer-calls.js";
+import type { Roles } from "./roles.js";
+import type { Seeds } from "./seeds.js";
+
+/** A reader asks a seed again every so many beats, so that parts that were cut apart find each other: each has a reader. */
+const beatsBetweenSeeds = 5;
+
+/** Options of {@link SeedSearch}. */
+export interface SeedSearchOptions {
+    readonly seeds: Seeds;
+    readonly members: Members;
+    readonly roles: Roles;
+    readonly calls: PeerCalls;
+    /** Told when a seed has answered. */
+    readonly onHeard: () => void;
+}
+
+/** Asks seeds that are not among the living members: one, or whoever it knows, may be such a part. */
+export class SeedSearch {
+    private beats = 0;
+
+    /** @param options - Seeds and the way to ask them. */
+    constructor(private readonly options: SeedSearchOptions) {}
+
+    /** Called with every beat; asks a seed where it is time for that. */
+    beat(): void {
+        const { seeds, members: { alive }, roles, calls, onHeard } = this.options;
+        const isAlone = alive.length === 1;
+        this.beats += 1;
+        const isDue = isAlone || roles.isReader && this.beats % beatsBetweenSeeds === 0;
+        const seed = isDue ? seeds.pickUnlike(alive) : undefined;
+        if (seed !== undefined) {
+            void calls.exchangeWith(seed, "search").then(heard => heard ? onHeard() : undefined);
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/test/cold-sharers.test.ts
@@ -0,0 +1,49 @@
+import { create } from "@bufbuild/protobuf";
+import { FakeClock, instanceId } from "@harrierhitch/core";
+import { type Member, MemberSchema } from "@harrierhitch/protocol";
+import { defaultFleetTimes } from "@harrierhitch/published";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { ColdSharers } from "../src/cold-sharers.js";
+import { Members } from "../src/members.js";
+
+const settleMs = 2500;
+
+const memberOf = (index: number): Member => create(MemberSchema, { instance: instanceId(`n${index}`), incarnation: 1n });
+
+/** What some instance finds that knows these members. */
+const sharersOf = async (self: number, known: readonly number[], upstream: string, afterMs = settleMs): Promise<number> => {
+    const clock = new FakeClock();
+    const members = new Members({ clock, self: memberOf(self), times: defaultFleetTimes });
+    members.merge(known.map(memberOf), "other");
+    const sharers = new ColdSharers({ clock, members, joinedAtMs: 0, settleMs });
+    await clock.advance(afterMs);
+    return sharers.of(upstream);
+};
+
+const range = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
+
+describe("of the instances that know each other", () => {
+    [95, 312, 900].forEach(size => {
+        test(`three of ${size} share each cold upstream`, async () => {
+            const finds = await Promise.all(range(size).map(self => sharersOf(self, range(size), "u1")));
+            assert.deepEqual(finds.filter(count => count > 0), [3, 3, 3]);
+        });
+    });
+
+    test("none shares one before it has had time to hear of the others", async () => {
+        const finds = await Promise.all(range(95).map(self => sharersOf(self, [], "u1", settleMs - 1)));
+        assert.ok(finds.every(count => count === 0));
+    });
+
+    test("fewer than twelve of 95 share one while each knows a random half of the others", async () => {
+        const half = (self: number): readonly number[] => range(95).filter(other => (self * 31 + other * 17) % 7 < 4);
+        const counts = await Promise.all(
+            range(20).map(async upstream => {
+                const finds = await Promise.all(range(95).map(self => sharersOf(self, half(self), `u${upstream}`)));
+                return finds.filter(count => count > 0).length;
+            }),
+        );
+        assert.ok(Math.max(...counts) < 12, `up to ${Math.max(...counts)} sharers`);
+    });
+});
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -77,6 +77,7 @@
             read: (upstream, text) => ({ value: listedUpstream(upstream, text), findings: [] }),
             doubtfulMs: () => 0,
             onChange: () => undefined,
+            onZone: () => undefined,
             onDoubtEnded: () => undefined,
             onInvalid: () => undefined,
         });
@@ -108,6 +109,8 @@
             onRumor: rumor => heard.push(rumor),
             onSizeChange: () => undefined,
             onSourceLost: () => undefined,
+            onExchange: () => undefined,
+            onLimited: () => undefined,
             onUnreachable: () => undefined,
         });
         const node: FakeNode = { id, incarnation, fleet, accepted, directory, generations, heard, offer };
--- a/packages/fleet/test/listed-upstream.ts
+++ b/packages/fleet/test/listed-upstream.ts
@@ -15,4 +15,5 @@
     slots: 3,
     leaving: text === "leaving",
     coldMs: 0,
+    startedAtMs: 0,
 });
--- a/packages/published/src/index.ts
+++ b/packages/published/src/index.ts
@@ -17,3 +17,4 @@
     UpstreamDirectory,
     type UpstreamDirectoryOptions,
 } from "./upstream-directory.js";
+export { type ZoneListing, ZoneListings, type ZoneNews } from "./zone-listings.js";
--- a/packages/published/src/upstream-directory.ts
+++ b/packages/published/src/upstream-directory.ts
@@ -6,6 +6,7 @@
 
 import type { Checked, Finding, ListedUpstream } from "@harrierhitch/configuration";
 import { type Clock, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { type ZoneListing, ZoneListings } from "./zone-listings.js";
 
 /** One listing as it was published or passed on. */
 export interface Listing {
@@ -28,6 +29,8 @@
     /** Whether these are all listings, so that upstreams without one are gone. */
     readonly whole: boolean;
     readonly listings: readonly Listing[];
+    /** Availability zones that are out of service, or were put back; all that are out where the news are whole. */
+    readonly zones: readonly ZoneListing[];
 }
 
 /** What changed by some news. */
@@ -52,8 +55,10 @@
     readonly onChange: (change: DirectoryChange) => void;
     /** Told when a removal that was doubted has turned out to be true. */
     readonly onDoubtEnded: () => void;
-    /** Told of a listing that cannot be read; the last good one stays. */
-    readonly onInvalid: (id: UpstreamId, findings: readonly Finding[]) => void;
+    /** Told of an availability zone that was taken out of service or put back. */
+    readonly onZone: (change: ZoneListing) => void;
+    /** Told of a listing that cannot be read: it names no upstream to use, whatever the one before it said. */
+    readonly onInvalid: (id: UpstreamId, findings: readonly Finding[], revision: number) => void;
 }
 
 interface DoubtedRemoval {
@@ -80,6 +85,7 @@
 /** Keeps the listings by their revisions; an older one never undoes a later one. */
 export class UpstreamDirectory {
     private readonly entries = new Map<UpstreamId, Entry>();
+    private readonly zones = new ZoneListings();
     private known = 0;
     /** Removals that are not believed yet, until it is clear that the entries did not just lapse. */
     private readonly doubted = new Map<UpstreamId, DoubtedRemoval>();
@@ -97,8 +103,19 @@
         return [...this.entries.values()].flatMap(entry => entry.upstream ?? []);
     }
 
+    /** The listed upstreams whose availability zone is in service: only they get requests. */
+    get inService(): readonly ListedUpstream[] {
+        return this.upstreams.filter(({ availabilityZone }) => !this.zones.isOut(availabilityZone));
+    }
+
+    /** The availability zones that are out of service. */
+    get zonesOut(): readonly string[] {
+        return this.zones.out;
+    }
+
     /** Takes in news from any source. */
     takeIn(news: DirectoryNews): void {
+        this.zones.takeIn(news, this.known).forEach(change => this.options.onZone(change));
         const removals = [...news.listings.filter(listing => this.isRemoval(listing)), ...this.missingFrom(news)];
         const ownDoubtMs = Math.max(this.options.doubtfulMs(), this.areTooMany(removals) ? suddenGraceMs : 0);
         news.listings.filter(listing => !removals.includes(listing)).forEach(listing => this.put(listing));
@@ -123,7 +140,8 @@
         const doubted = [...this.doubted.values()]
             .filter(({ removal }) => removal.revision > revision)
             .map(({ removal, untilMs }) => ({ ...removal, doubtedMs: Math.max(1, untilMs - nowMs) }));
-        return { revision: this.known, whole: isWhole, listings: [...kept, ...doubted] };
+        const zones = this.zones.after(revision, isWhole);
+        return { revision: this.known, whole: isWhole, listings: [...kept, ...doubted], zones };
     }
 
     private put({ upstream, revision, text }: Listing): void {
@@ -131,18 +149,17 @@
         if (before !== undefined && before.revision >= revision) {
             return;
         }
-        const after = text === undefined ? undefined : this.read(upstream, text, before?.upstream);
+        const after = text === undefined ? undefined : this.read(upstream, text, revision);
         this.entries.set(upstream, { revision, text, upstream: after });
         this.tell({ upstream, before: before?.upstream, after, revision });
     }
 
-    private read(id: UpstreamId, text: string, lastGood: ListedUpstream | undefined): ListedUpstream | undefined {
-        const checked = this.options.read(id, text);
-        if (checked.value === undefined) {
-            this.options.onInvalid(id, checked.findings);
-            return lastGood;
+    private read(id: UpstreamId, text: string, revision: number): ListedUpstream | undefined {
+        const { value, findings } = this.options.read(id, text);
+        if (value === undefined) {
+            this.options.onInvalid(id, findings, revision);
         }
-        return checked.value;
+        return value;
     }
 
     private isRemoval({ upstream, revision, text }: Listing): boolean {
