Look for a second upstream again while the first has not answered

Cause: a second attempt was looked for once, at half of the target. It is looked for at each further half of the target now, within the same budget. Test: second-attempt.test.ts fails on the code before.

--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -20,6 +20,9 @@
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 
+/** Shortest time between two looks for a second upstream, in milliseconds. */
+const shortestStepMs = 20;
+
 /** Serves one request. */
 export class RequestTask {
     private readonly tried: UpstreamId[] = [];
@@ -93,6 +96,7 @@
                 return this.afterAttempt(event.report, body);
             case "slow":
                 await this.beginSecondAttempt(body);
+                this.awaitSlowness();
                 return false;
             case "expired":
                 this.cancelAll("timed-out");
@@ -141,10 +145,17 @@
         this.awaitSlowness();
     }
 
+    /**
+     * Looks for a second upstream when the first has not answered for a share of the target, and again as often, while
+     * there is only one: what spoke against it, a spent budget or no better upstream, may be over. Looked for once, a
+     * request stayed with an upstream that had become 12 times slower until its caller's deadline.
+     */
     private awaitSlowness(): void {
         const { policy, kind } = this.progress.route;
         if (policy.hedgePercent > 0 && kind.targetLatencyMs > 0 && kind.repeatable && this.tried.length === 1) {
-            const delayMs = kind.targetLatencyMs * policy.hedgePercent / 100 - this.progress.ageMs;
+            const stepMs = Math.max(shortestStepMs, kind.targetLatencyMs * policy.hedgePercent / 100);
+            const { ageMs } = this.progress;
+            const delayMs = (Math.floor(ageMs / stepMs) + 1) * stepMs - ageMs;
             this.services.clock.after(delayMs, () => this.mailbox.post({ type: "slow" }));
         }
     }
--- /dev/null
+++ b/packages/daemon/test/second-attempt.test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ModelFleet } from "./model/model-fleet.js";
+
+/** A second attempt is looked for each time half of the target has passed. */
+const policies = `
+[policy.repeatable]
+chooser = expected-time
+probeCandidates = 4
+probeTimeoutMs = 25
+hedgePercent = 50
+`;
+
+test("a request whose second attempt found no better upstream looks again, and goes there once there is one", async () => {
+    const fleet = new ModelFleet({
+        instances: 1,
+        upstreams: 2,
+        upstream: { slots: 1, queue: 9, workMs: 60_000 },
+        targetMs: 400,
+        patienceMs: 4000,
+        policies,
+    });
+    const [stuck, full] = [...fleet.upstreams.values()];
+    const leave = full!.take(() => undefined);
+    const arrivedBefore = full!.arrivals;
+    await fleet.clock.advance(1000);
+    await fleet.callers(1);
+    await fleet.clock.advance(300);
+    assert.deepEqual([stuck!.arrivals, full!.arrivals], [1, arrivedBefore]);
+    leave?.();
+    await fleet.clock.advance(200);
+    assert.equal(full!.arrivals, arrivedBefore + 1);
+});
