--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -222,10 +222,11 @@
         this.giveUp({ kind: "overloaded", detail, outcome, retryAfterMs: this.retryAfterMs });
     }
 
-    /** Gives up because the deadline has passed. */
-    giveUpAtDeadline(): void {
+    /** Gives up because the deadline has passed; the request is settled then. */
+    giveUpAtDeadline(): true {
         const detail = `no answer within ${this.arrival.timeoutMs} ms`;
         this.giveUp({ kind: "deadline", detail, outcome: this.outcomeSoFar() });
+        return true;
     }
 }
 
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -81,8 +81,8 @@
             case "hold":
                 return await holdBack(this.progress, this.runtime, this.services.clock);
             case "refuse": {
-                const kind = decision.cause === "policy" ? "refused" : "no-upstream";
-                const { reason, retryAfterMs } = decision;
+                const { cause, reason, retryAfterMs } = decision;
+                const kind = cause === "policy" ? "refused" : "no-upstream";
                 this.progress.giveUp({ kind, detail: reason, outcome: this.progress.outcomeSoFar(), retryAfterMs });
                 return true;
             }
@@ -96,11 +96,11 @@
                 return this.afterAttempt(event.report, body);
             case "slow":
                 await this.beginSecondAttempt(body);
-                this.awaitSlowness();
+                this.awaitSlowness(0);
                 return false;
             case "expired":
                 this.cancelAll("timed-out");
-                return this.streaming === undefined ? this.giveUpAtDeadline() : false;
+                return this.streaming === undefined && this.progress.giveUpAtDeadline();
             case "caller-left":
                 return this.afterCallerLeft();
         }
@@ -114,7 +114,7 @@
             return true;
         }
         if (progress.isLate) {
-            return this.giveUpAtDeadline();
+            return progress.giveUpAtDeadline();
         }
         if (this.choice.isHopeless(decision.upstream, this.tried)) {
             progress.giveUpUnderLoad("too little time is left for an answer");
@@ -146,17 +146,16 @@
     }
 
     /**
-     * Looks for a second upstream when the first has not answered for a share of the target, and again as often, while
-     * there is only one: what spoke against it, a spent budget or no better upstream, may be over. Looked for once, a
-     * request stayed with an upstream that had become 12 times slower until its caller's deadline.
+     * Looks for a second upstream each time the first has not answered for a share of the target: what spoke against one,
+     * a spent budget or no better upstream, may be over. Looked for once, requests stayed with slow upstreams for good.
+     *
+     * @param sinceMs - Milliseconds since the last look, or since the request arrived.
      */
-    private awaitSlowness(): void {
+    private awaitSlowness(sinceMs = this.progress.ageMs): void {
         const { policy, kind } = this.progress.route;
         if (policy.hedgePercent > 0 && kind.targetLatencyMs > 0 && kind.repeatable && this.tried.length === 1) {
             const stepMs = Math.max(shortestStepMs, kind.targetLatencyMs * policy.hedgePercent / 100);
-            const { ageMs } = this.progress;
-            const delayMs = (Math.floor(ageMs / stepMs) + 1) * stepMs - ageMs;
-            this.services.clock.after(delayMs, () => this.mailbox.post({ type: "slow" }));
+            this.services.clock.after(stepMs - sinceMs, () => this.mailbox.post({ type: "slow" }));
         }
     }
 
@@ -216,7 +215,7 @@
         const { progress, runtime } = this;
         const { result, outcome } = report;
         if (result.end === "timed-out" || progress.isLate) {
-            return this.giveUpAtDeadline();
+            return progress.giveUpAtDeadline();
         }
         // An attempt that never reached its upstream is no further load on the service.
         const isFree = result.end === "connect-failed";
@@ -241,11 +240,6 @@
         return false;
     }
 
-    private giveUpAtDeadline(): boolean {
-        this.progress.giveUpAtDeadline();
-        return true;
-    }
-
     private cancelAll(end: "timed-out" | "cancelled"): void {
         this.running.forEach(task => task.cancel(end));
     }
