--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -26,8 +26,8 @@
         `${paint.bold("Request")} ${explanation.requestId}, decided by instance ${instance}`,
         ...(request === undefined
             ? []
-            : [`${request.method} ${request.path}, kind ${request.kind}, hall ${
-                request.hall === "" ? "unknown" : request.hall
+            : [`${request.method} ${request.path}, kind ${request.kind}, workspace ${
+                request.workspace === "" ? "unknown" : request.workspace
             }`]),
         `Arrived ${arrived}, route ${explanation.route} to service ${explanation.service}, trace ${explanation.traceId}`,
         `Configuration generation ${explanation.generation}, hash ${explanation.configurationHash.slice(0, 12)}`,
--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -28,7 +28,7 @@
 export const scenarioSchema = z.strictObject({
     request: optionalSection({
         kind: text("Name of the request's kind.", "read"),
-        hall: text("Name of the caller's hall.", "hall-a"),
+        workspace: text("Name of the caller's workspace.", "hall-a"),
         method: text("HTTP method.", "GET"),
         path: text("Path without the query.", "/"),
         weight: number("Weight of the kind.", 1),
--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -41,7 +41,7 @@
             defaultValue: 18,
         }),
         timeoutHeader: headerKey("Header with the milliseconds that the caller will still wait.", "x-request-timeout-ms"),
-        hallHeader: headerKey("Header with the name of the caller's hall.", "x-hall"),
+        workspaceHeader: headerKey("Header with the name of the caller's workspace.", "x-workspace"),
         depthHeader: headerKey("Header with the number of harrierhitch hops so far.", "x-harrierhitch-depth"),
         maximumDepth: integerKey({
             description: "Most hops; a deeper call is refused.",
--- a/packages/daemon/src/request/arrival.ts
+++ b/packages/daemon/src/request/arrival.ts
@@ -12,8 +12,8 @@
     readonly timeoutMs: number;
     /** Milliseconds for which the caller itself will wait; `undefined` when it does not say. */
     readonly patienceMs: number | undefined;
-    /** Name of the caller's hall; empty when it names none. */
-    readonly hall: string;
+    /** Name of the caller's workspace; empty when it names none. */
+    readonly workspace: string;
     /** Number of harrierhitch hops before this one. */
     readonly depth: number;
     /** Path without the query. */
--- a/packages/daemon/src/request/header-dialect.ts
+++ b/packages/daemon/src/request/header-dialect.ts
@@ -21,7 +21,7 @@
         return {
             timeoutMs: asked === undefined ? kind.timeoutMs : Math.min(asked, kind.timeoutMs),
             patienceMs: asked,
-            hall: textHeader(request, fleet.hallHeader) ?? "",
+            workspace: textHeader(request, fleet.workspaceHeader) ?? "",
             depth: numberHeader(request, fleet.depthHeader) ?? 0,
             path: pathOf(request.url ?? "/"),
         };
--- a/packages/daemon/src/request/hold-queue.ts
+++ b/packages/daemon/src/request/hold-queue.ts
@@ -12,8 +12,8 @@
 
 /** Where a request stands among those that wait. */
 export interface QueuePlace {
-    /** Hall of the caller, for fairness. */
-    readonly hall: string;
+    /** Workspace of the caller, for fairness. */
+    readonly workspace: string;
     /** Weight of the request's kind. */
     readonly weight: number;
     /** Time until which an answer is worth most. */
@@ -37,7 +37,7 @@
 const reviewMs = 20;
 
 /**
- * Holds requests back until something finishes. Halls take turns; within a hall those that can still be answered in
+ * Holds requests back until something finishes. Workspaces take turns; within a workspace those that can still be answered in
  * time go first, then the heaviest, and among equals whoever is due first, counted from the caller's first try. A full
  * queue gives up its lightest request for a heavier one.
  */
@@ -97,8 +97,8 @@
     wake(): void {
         const next = this.next();
         if (next !== undefined) {
-            this.virtualTime = Math.max(this.virtualTime, this.turns.get(next.hall) ?? 0);
-            this.turns.set(next.hall, this.virtualTime + 1);
+            this.virtualTime = Math.max(this.virtualTime, this.turns.get(next.workspace) ?? 0);
+            this.turns.set(next.workspace, this.virtualTime + 1);
             next.finish("decide-again");
         }
         if (this.entries.size === 0) {
@@ -106,9 +106,9 @@
         }
     }
 
-    /** Number of requests of its hall that wait and go before one; other halls have turns of their own. */
+    /** Number of requests of its workspace that wait and go before one; other workspaces have turns of their own. */
     aheadOf(place: QueuePlace): number {
-        return [...this.entries].filter(entry => entry.hall === place.hall && this.compare(entry, place) < 0).length;
+        return [...this.entries].filter(entry => entry.workspace === place.workspace && this.compare(entry, place) < 0).length;
     }
 
     /** Notes that a request which had waited was sent to an upstream. */
@@ -123,7 +123,7 @@
     }
 
     private next(): Entry | undefined {
-        const turnOf = (entry: Entry): number => Math.max(this.turns.get(entry.hall) ?? 0, this.virtualTime);
+        const turnOf = (entry: Entry): number => Math.max(this.turns.get(entry.workspace) ?? 0, this.virtualTime);
         return [...this.entries].reduce<Entry | undefined>((best, entry) => {
             const order = best === undefined ? -1 : turnOf(entry) - turnOf(best) || this.compare(entry, best);
             return order < 0 ? entry : best;
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -142,7 +142,7 @@
         const { kind } = this.route;
         return {
             kind: kind.name,
-            hall: this.arrival.hall,
+            workspace: this.arrival.workspace,
             method: this.request.method ?? "GET",
             path: this.arrival.path,
             weight: kind.weight,
--- a/packages/daemon/src/request/urgency.ts
+++ b/packages/daemon/src/request/urgency.ts
@@ -62,7 +62,7 @@
         const { route, arrival, deadlineAtMs } = this.options;
         const { weight, targetLatencyMs } = route.kind;
         const dueAtMs = targetLatencyMs > 0 ? this.arrivedAtMs - this.elapsedMs + targetLatencyMs : deadlineAtMs;
-        return { hall: arrival.hall, weight, dueAtMs, arrivedAtMs: this.arrivedAtMs };
+        return { workspace: arrival.workspace, weight, dueAtMs, arrivedAtMs: this.arrivedAtMs };
     }
 
     /**
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -26,7 +26,7 @@
         return {
             timeoutMs: Math.min(patienceMs ?? kind.timeoutMs, kind.timeoutMs),
             patienceMs,
-            hall: "",
+            workspace: "",
             depth: 0,
             path: pathOf(request.url ?? "/"),
         };
--- a/packages/daemon/test/parts.test.ts
+++ b/packages/daemon/test/parts.test.ts
@@ -14,8 +14,8 @@
         const queue = new HoldQueue(clock);
         const results: string[] = [];
         let arrivals = 0;
-        const add = (name: string, hall: string, weight: number, untilMs = 1000, dueAtMs = 1000) =>
-            void queue.wait({ hall, weight, dueAtMs, arrivedAtMs: arrivals++, untilMs, onGone: stays }).then((
+        const add = (name: string, workspace: string, weight: number, untilMs = 1000, dueAtMs = 1000) =>
+            void queue.wait({ workspace, weight, dueAtMs, arrivedAtMs: arrivals++, untilMs, onGone: stays }).then((
                 result: HoldResult,
             ) => results.push(`${name} ${result}`));
         const wake = async (times: number): Promise<void> => {
@@ -27,7 +27,7 @@
         return { clock, queue, results, add, wake };
     };
 
-    test("lets halls take turns, however many wait in one", async () => {
+    test("lets workspaces take turns, however many wait in one", async () => {
         const { results, add, wake } = start();
         ["a1", "a2", "a3", "a4"].forEach(name => add(name, "a", 1));
         ["b1", "b2"].forEach(name => add(name, "b", 1));
@@ -35,7 +35,7 @@
         assert.deepEqual(results.map(result => result.split(" ")[0]), ["a1", "b1", "a2", "b2"]);
     });
 
-    test("lets the heavier request of a hall go first, and the older of equals", async () => {
+    test("lets the heavier request of a workspace go first, and the older of equals", async () => {
         const { results, add, wake } = start();
         add("read1", "a", 1);
         add("pass", "a", 10);
@@ -56,7 +56,7 @@
 
     test("tells how many go before, and for how long they are expected to take", async () => {
         const { clock, queue, add } = start();
-        const last = { hall: "a", weight: 1, dueAtMs: 2000, arrivedAtMs: 9 };
+        const last = { workspace: "a", weight: 1, dueAtMs: 2000, arrivedAtMs: 9 };
         for (let turn = 0; turn < 8; turn += 1) {
             queue.noteAdmitted();
             await clock.advance(10);
--- a/packages/decision/test/decide.test.ts
+++ b/packages/decision/test/decide.test.ts
@@ -10,7 +10,7 @@
 const input = (upstreams: readonly UpstreamFacts[], change: Partial<DecisionInput> = {}): DecisionInput => ({
     request: {
         kind: "read",
-        hall: "a",
+        workspace: "a",
         method: "GET",
         path: "/",
         weight: 1,
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -17,7 +17,7 @@
 
 const requestFields = {
     kind: "string",
-    hall: "string",
+    workspace: "string",
     method: "string",
     path: "string",
     weight: "double",
--- a/packages/policy/src/request-facts.ts
+++ b/packages/policy/src/request-facts.ts
@@ -8,8 +8,8 @@
 export interface RequestFacts {
     /** Name of the request's kind, for example `issue`. */
     readonly kind: string;
-    /** Name of the hall that the caller belongs to; empty when unknown. */
-    readonly hall: string;
+    /** Name of the workspace that the caller belongs to; empty when unknown. */
+    readonly workspace: string;
     /** HTTP method in capitals. */
     readonly method: string;
     /** Path without the query. */
@@ -42,7 +42,7 @@
     readonly slackMs: number;
     /** Milliseconds for which it may still be held back. */
     readonly holdLeftMs: number;
-    /** Requests of its hall held back at this instance that go before this one. */
+    /** Requests of its workspace held back at this instance that go before this one. */
     readonly ahead: number;
     /**
      * Milliseconds for which it would wait at least: behind them, as fast as those before were sent on, and until an
--- a/packages/standin/src/bench-arrivals.ts
+++ b/packages/standin/src/bench-arrivals.ts
@@ -45,7 +45,7 @@
     let dueMs = 0;
     let sent = 0;
     const sendOne = async (pool: Pool, number: number, isIssue: boolean, sentMs: number): Promise<void> => {
-        const headers = { "x-request-number": `${prefix}-${number}`, "x-hall": `hall-${number % 4}` };
+        const headers = { "x-request-number": `${prefix}-${number}`, "x-workspace": `workspace-${number % 4}` };
         try {
             const response = await pool.request({
                 method: isIssue ? "POST" : "GET",
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -57,7 +57,7 @@
 export const benchInput = (count: number, random: SeededRandom): DecisionInput => ({
     request: {
         kind: "read",
-        hall: "hall-a",
+        workspace: "hall-a",
         method: "GET",
         path: "/read",
         weight: 1,
--- a/packages/standin/src/load.ts
+++ b/packages/standin/src/load.ts
@@ -33,7 +33,7 @@
             onResponseEnd: () => resolve(status === 200),
             onResponseError: () => resolve(false),
         };
-        pool.dispatch({ method: "GET", path, headers: { "x-hall": "hall-a" } }, handler);
+        pool.dispatch({ method: "GET", path, headers: { "x-workspace": "hall-a" } }, handler);
     });
 
 /**
--- a/packages/standin/src/quickstart.ts
+++ b/packages/standin/src/quickstart.ts
@@ -109,8 +109,8 @@
 }
 
 const shown: readonly Shown[] = [
-    { what: "seat map", method: "GET", path: "/seats/OK123", entry: 1, headers: { "x-hall": "hall-a" } },
-    { what: "seat map", method: "GET", path: "/seats/OK124", entry: 2, headers: { "x-hall": "hall-b" } },
+    { what: "seat map", method: "GET", path: "/seats/OK123", entry: 1, headers: { "x-workspace": "hall-a" } },
+    { what: "seat map", method: "GET", path: "/seats/OK124", entry: 2, headers: { "x-workspace": "hall-b" } },
     {
         what: "boarding pass",
         method: "POST",
