--- a/packages/decision/src/cold-admission.ts
+++ b/packages/decision/src/cold-admission.ts
@@ -45,7 +45,7 @@
  *
  * Even steps bound the sum in every second, not on average: with three sharers and 2.5 requests a second each makes one
  * request in 1.2 s at most, so that even three views of the fleet that share no member stay at nine. Random moments at
- * the same rate reach eleven in one second somewhere, since hundreds of upstreams may be cold on a day.
+ * the same rate would reach twelve in some second of some day, with hundreds of upstreams cold on it.
  */
 export class SharedColdAdmission implements ColdAdmission {
     private readonly sentAtMs = new Map<UpstreamId, number>();
