--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -19,6 +19,12 @@
 /** Names one request: the instance that decided, its incarnation and a running number. */
 export type RequestId = Branded<string, "RequestId">;
 
+/**
+ * Tells what a request asks for: requests with the same method, host, path, caller and body have the same key, whichever
+ * instance they arrive at.
+ */
+export type RequestKey = Branded<string, "RequestKey">;
+
 /** Numbers the published configurations; a higher one replaces a lower one. */
 export type Generation = Branded<number, "Generation">;
 
@@ -34,5 +40,8 @@
 /** Brands a string as a {@link RequestId}. */
 export const requestId = (text: string): RequestId => text as RequestId;
 
+/** Brands a string as a {@link RequestKey}. */
+export const requestKey = (text: string): RequestKey => text as RequestKey;
+
 /** Brands a number as a {@link Generation}. */
 export const generation = (value: number): Generation => value as Generation;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,8 @@
     instanceId,
     type RequestId,
     requestId,
+    type RequestKey,
+    requestKey,
     type ServiceName,
     serviceName,
     type UpstreamId,
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -16,6 +16,7 @@
 import { requestHeaders } from "./headers.js";
 import { learnFromAnswer, learnFromOvertaken, learnFromWork, type Work } from "./learn.js";
 import type { RequestBody } from "./request-body.js";
+import { requestKeyOf } from "./request-key.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import { AnswerBuffer, type WholeAnswer } from "./whole-answer.js";
@@ -144,7 +145,7 @@
         progress.answer.begin(status, headers, progress.ownHeaders(reading.outcome));
     }
 
-    private finish(result: AttemptResult): AttemptReport {
+    private async finish(result: AttemptResult): Promise<AttemptReport> {
         const { runtime, services, progress, upstream } = this.options;
         const { reading } = this;
         runtime.beliefs.finish(this.flight);
@@ -160,6 +161,9 @@
             ? { ...result, end: "garbled", detail: reading.foreign }
             : { ...result, end: reading?.shed === true ? "shed" : result.end };
         this.record.outcome = outcome;
+        if (result.end === "reset") {
+            await this.lookAfterBreak();
+        }
         services.onAttempt(progress.record, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         if (result.end === "cancelled") {
@@ -172,6 +176,13 @@
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
 
+    /** Finds out whether the upstream has ended, or has closed this connection alone. */
+    private async lookAfterBreak(): Promise<void> {
+        const { services, progress, body, upstream } = this.options;
+        const key = requestKeyOf(progress.request, body);
+        this.record.broken = { key, port: await services.transport.checkPort(upstream) };
+    }
+
     private work(atMs: number): Work {
         const { chosenBy, progress, runtime } = this.options;
         return { runtime, kind: progress.route.kind.name, chosenBy, atMs, latencyMs: atMs - this.startedAtMs };
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -5,8 +5,9 @@
  */
 
 import type { Configuration, Route } from "@harrierhitch/configuration";
-import type { Outcome, RequestId, UpstreamId } from "@harrierhitch/core";
+import type { Outcome, RequestId, RequestKey, UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult, Decision, DecisionInput } from "@harrierhitch/decision";
+import type { PortState } from "../upstream/check-port.js";
 import type { ProblemKind } from "./problem.js";
 
 /** One decision with its input. */
@@ -31,6 +32,8 @@
     endedMs: number | undefined;
     result: AttemptResult | undefined;
     outcome: Outcome | undefined;
+    /** What was asked, and whether anyone still listened at the upstream, where the connection broke. */
+    broken?: { readonly key: RequestKey; readonly port: PortState; };
 }
 
 /** What is kept of one request, filled in while it is served. */
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -62,6 +62,8 @@
             end: result?.end,
             status: result?.status,
             outcome,
+            key: attempt.broken?.key,
+            port: attempt.broken?.port,
             detail: result?.detail === "" ? undefined : result?.detail,
             startedMs: Math.round(startedMs),
             endedMs: endedMs === undefined ? undefined : Math.round(endedMs),
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -7,6 +7,7 @@
 import type { Upstream } from "@harrierhitch/configuration";
 import type { UpstreamId } from "@harrierhitch/core";
 import { isSameStart } from "@harrierhitch/decision";
+import { checkPort, type PortState } from "./check-port.js";
 import { HttpAttempt } from "./http-attempt.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { AnswerSink, Attempt, UpstreamRequest, UpstreamTarget, UpstreamTransport } from "./upstream-transport.js";
@@ -47,6 +48,10 @@
         return new HttpAttempt(entry.target, entry.agent, request, sink);
     }
 
+    checkPort(upstream: Upstream): Promise<PortState> {
+        return checkPort(upstream);
+    }
+
     close(): Promise<void> {
         this.agents.forEach(entry => entry.agent.destroy());
         return Promise.resolve();
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -8,6 +8,7 @@
 import type { AttemptResult, KnownUpstream } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
+import type { PortState } from "./check-port.js";
 
 /** The request as it is sent to an upstream. */
 export interface UpstreamRequest {
@@ -49,6 +50,8 @@
 export interface UpstreamTransport {
     /** Starts an attempt. */
     send(upstream: Upstream, request: UpstreamRequest, sink: AnswerSink): Attempt;
+    /** Looks whether anyone listens at an upstream's address; never rejects. */
+    checkPort(upstream: Upstream): Promise<PortState>;
     /** Opens and closes pools so that just these upstreams have one. */
     configure(upstreams: readonly UpstreamTarget[]): void;
     /** Closes all connections once they are idle. */
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -58,6 +58,10 @@
         return { result, cancel, resume: () => undefined };
     }
 
+    checkPort(): Promise<"open"> {
+        return Promise.resolve("open");
+    }
+
     configure(): void {}
 
     close(): Promise<void> {
