--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,5 +26,5 @@
 export { type RandomSource } from "./random.js";
 export { rendezvous } from "./rendezvous.js";
 export { SeededRandom } from "./seeded-random.js";
-export { SystemClock } from "./system-clock.js";
+export { SystemClock, type SystemClockOptions } from "./system-clock.js";
 export { SystemRandom } from "./system-random.js";
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -23,6 +23,10 @@
     readonly failStatus: number;
     /** Breaks the connection of every request that it has read. */
     readonly reset: boolean;
+    /** Ends, as a process that crashes, a moment after it began to run a request whose URL contains this; empty never does. */
+    readonly endsOn: string;
+    /** Time for which it is gone then. */
+    readonly endedMs: number;
     /** Never answers. */
     readonly hang: boolean;
     /** Leaving: sheds new requests and says so. */
@@ -42,6 +46,8 @@
     slowness: 1,
     failStatus: 0,
     reset: false,
+    endsOn: "",
+    endedMs: 400,
     hang: false,
     draining: false,
     reportedInFlight: undefined,
@@ -72,9 +78,12 @@
     arrived = 0;
     /** Value of `traceparent` in the last request. */
     lastTraceparent = "";
+    /** How often it has ended under a request. */
+    ends = 0;
     /** Requests whose caller gave up before the answer. */
     cancelled = 0;
-    private readonly server: Server;
+    private server: Server;
+    private closed = false;
     private readonly random: RandomSource;
     private readonly startedAtMs = performance.now();
     private running = 0;
@@ -88,7 +97,7 @@
     constructor(private readonly name: string, behaviour: Partial<UpstreamBehaviour> = {}, seed = 1) {
         this.behaviour = { ...calmBehaviour, ...behaviour };
         this.random = new SeededRandom(seed);
-        this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => void this.accept(request, response));
+        this.server = this.openServer();
     }
 
     /** Begins to listen; gives the port. */
@@ -99,6 +108,29 @@
 
     /** Stops listening and breaks all connections. */
     async close(): Promise<void> {
+        this.closed = true;
+        await this.closeServer();
+    }
+
+    private openServer(): Server {
+        return createServer({ keepAliveTimeout: 60_000 }, (request, response) => void this.accept(request, response));
+    }
+
+    /** Ends, and comes back at the same address knowing nothing of before. */
+    private async crash(): Promise<void> {
+        const { port } = this.server.address() as AddressInfo;
+        this.ends += 1;
+        this.running = 0;
+        this.waiting = [];
+        await this.closeServer();
+        await wait(this.behaviour.endedMs);
+        if (!this.closed) {
+            this.server = this.openServer();
+            await this.listen(port);
+        }
+    }
+
+    private async closeServer(): Promise<void> {
         this.server.closeAllConnections();
         await new Promise<void>(resolve => this.server.close(() => resolve()));
     }
@@ -150,7 +182,16 @@
         if (typeof key === "string" && (request.method === "POST" || this.countsReads)) {
             this.runs.set(key, (this.runs.get(key) ?? 0) + 1);
         }
+        const { endsOn } = this.behaviour;
+        const { server } = this;
         await wait(this.serviceMs());
+        if (server !== this.server || !server.listening) {
+            return;
+        }
+        if (endsOn !== "" && request.url?.includes(endsOn) === true) {
+            await this.crash();
+            return;
+        }
         const content = await body;
         this.running -= 1;
         if (!response.closed) {
