Withhold a request once three upstreams have ended under it, at every instance

Cause: what an attempt learned of its request was forgotten with it. Each repeat, at whichever instance, was sent on as any repeatable request, to the next upstream it could end. Change: an attempt whose connection breaks and whose upstream then refuses connections is a run that ended with its upstream. Instances tell each other such runs (facts that no clock orders, with every exchange while new, and to whoever does not withhold the same requests). A request is withheld when three upstreams ended under it one after the other, none of them accounted for by another withheld request, and none answered it since: 503, not-run, at once, come back in 30 s. Suspects get no second attempt beside the first. Events 320 and 321, a metric. The key has the caller's address: other callers and other paths are untouched. Ruled out: withholding after any reset (an upstream that is full resets as well), by path or caller alone (innocents), at two ends (a request that is put beside the cause twice would go with it).

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -16,6 +16,7 @@
 import { ExplanationStore } from "./operators/explanation-store.js";
 import type { Publication } from "./platform/platform.js";
 import type { CallerAnswer } from "./request/caller-answer.js";
+import { CrashWatch } from "./request/crash-watch.js";
 import { makeRequestServices } from "./request/make-request-services.js";
 import { RequestEntry } from "./request/request-entry.js";
 import { SpreadDraws } from "./spread-draws.js";
@@ -33,6 +34,8 @@
     readonly id: InstanceId;
     readonly incarnation: number;
     readonly explanations: ExplanationStore;
+    /** Which requests are withheld, and why. */
+    readonly crashes: CrashWatch;
     readonly services: ServiceRegistry;
     readonly accepted: AcceptedConfiguration;
     readonly directory: UpstreamDirectory;
@@ -64,6 +67,7 @@
             maximumEntries: settings.limits.recordEntries,
             maximumBytes: settings.limits.recordBytes,
         });
+        this.crashes = new CrashWatch({ clock, log: parts.log, metrics: parts.metrics, onNews: () => this.fleet?.wakeLinks() });
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
@@ -81,6 +85,7 @@
             instance: this.id,
             incarnation: this.incarnation,
             explanations: this.explanations,
+            crashes: this.crashes,
             probeBudget: this.probeBudget,
             telemetry: this.telemetry,
         });
--- a/packages/daemon/src/peers/peer-side.ts
+++ b/packages/daemon/src/peers/peer-side.ts
@@ -74,6 +74,7 @@
             incarnation: instance.incarnation,
             accepted: instance.accepted,
             directory: instance.directory,
+            crashes: instance.crashes.ledger,
             onConfiguration: (source, text) => void instance.offerConfiguration(source, text),
             onDirectory: () => instance.apply(),
             onSizeChange: () => instance.applyShares(),
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -16,7 +16,6 @@
 import { requestHeaders } from "./headers.js";
 import { learnFromAnswer, learnFromOvertaken, learnFromWork, type Work } from "./learn.js";
 import type { RequestBody } from "./request-body.js";
-import { requestKeyOf } from "./request-key.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
 import { AnswerBuffer, type WholeAnswer } from "./whole-answer.js";
@@ -146,7 +145,7 @@
     }
 
     private async finish(result: AttemptResult): Promise<AttemptReport> {
-        const { runtime, services, progress, upstream } = this.options;
+        const { runtime, services, progress, body, upstream } = this.options;
         const { reading } = this;
         runtime.beliefs.finish(this.flight);
         runtime.queue.wake();
@@ -172,6 +171,10 @@
         if (isWhole && outcome === "ran") {
             learnFromWork(this.work(atMs));
         }
+        if (isWhole && outcome === "ran" && reading?.failed !== true) {
+            // A failure may be a deadline that passed in the upstream's queue: that one has not shown that it survives the request.
+            services.crashes.noteAnswered(() => progress.key(body));
+        }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
     }
@@ -179,8 +182,15 @@
     /** Finds out whether the upstream has ended, or has closed this connection alone. */
     private async lookAfterBreak(): Promise<void> {
         const { services, progress, body, upstream } = this.options;
-        const key = requestKeyOf(progress.request, body);
-        this.record.broken = { key, port: await services.transport.checkPort(upstream) };
+        const ranMs = services.clock.nowMs() - this.startedAtMs;
+        const key = progress.key(body);
+        const port = await services.transport.checkPort(upstream);
+        this.record.broken = { key, port };
+        if (port === "closed") {
+            const { id, attempts } = progress.record;
+            const attempt = attempts.indexOf(this.record) + 1;
+            services.crashes.noteEnd({ request: id, attempt, key, upstream: upstream.id, ranMs });
+        }
     }
 
     private work(atMs: number): Work {
--- a/packages/daemon/src/request/make-request-services.ts
+++ b/packages/daemon/src/request/make-request-services.ts
@@ -10,6 +10,7 @@
 import type { Telemetry } from "../telemetry/telemetry.js";
 import type { ProbeBudget } from "../upstream/probe-budget.js";
 import { Prober } from "../upstream/prober.js";
+import type { CrashWatch } from "./crash-watch.js";
 import { RequestIds } from "./request-id.js";
 import type { RequestServices } from "./request-services.js";
 
@@ -19,13 +20,14 @@
     readonly instance: InstanceId;
     readonly incarnation: number;
     readonly explanations: ExplanationStore;
+    readonly crashes: CrashWatch;
     readonly probeBudget: ProbeBudget;
     readonly telemetry: Telemetry;
 }
 
 /** Makes the parts that the requests of an instance share. */
 export const makeRequestServices = (options: RequestServicesOptions): RequestServices => {
-    const { parts, instance, incarnation, explanations, probeBudget, telemetry } = options;
+    const { parts, instance, incarnation, explanations, crashes, probeBudget, telemetry } = options;
     const { settings, clock, random, transport, dialect, log, metrics, onTraced } = parts;
     const { limits, callers, traces } = settings;
     return {
@@ -41,6 +43,7 @@
             onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
         }),
         explanations,
+        crashes,
         requestIds: new RequestIds(instance, incarnation),
         bodyLimits: { maximumBytes: callers.maximumBodyBytes, replayBytes: limits.replayBodyBytes },
         answerBufferBytes: limits.answerBufferBytes,
--- a/packages/daemon/src/request/problem.ts
+++ b/packages/daemon/src/request/problem.ts
@@ -20,6 +20,7 @@
     "refused": { status: 503, title: "The policy refuses the request" },
     "no-upstream": { status: 503, title: "No upstream takes the request" },
     "overloaded": { status: 503, title: "The request cannot be served in time" },
+    "withheld": { status: 503, title: "Upstreams end under the request" },
     "not-ready": { status: 503, title: "The instance has no configuration yet" },
     "deadline": { status: 504, title: "The deadline has passed" },
     "too-deep": { status: 508, title: "The call is too deep" },
--- a/packages/daemon/src/request/request-key.ts
+++ b/packages/daemon/src/request/request-key.ts
@@ -7,6 +7,7 @@
 import { type RequestKey, requestKey } from "@harrierhitch/core";
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import { hostOf } from "./arrival.js";
 import type { RequestBody } from "./request-body.js";
 
 /** Hexadecimal digits of a key: 64 bits, so that two of a million keys are the same with a chance of 1 in 37 million. */
@@ -23,7 +24,7 @@
 export const requestKeyOf = (request: IncomingMessage, body: RequestBody): RequestKey => {
     const { method = "", url = "", headers, socket } = request;
     const length = headers["content-length"] ?? "";
-    const head = [method, headers.host ?? "", url, socket.remoteAddress ?? "", length].join("\0");
+    const head = [method, hostOf(request), url, socket.remoteAddress ?? "", length].join("\0");
     const hash = createHash("sha256").update(head);
     if (body.whole !== undefined) {
         hash.update("\0").update(body.whole);
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Route } from "@harrierhitch/configuration";
-import type { Outcome } from "@harrierhitch/core";
+import type { Outcome, RequestKey } from "@harrierhitch/core";
 import { retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
@@ -17,6 +17,8 @@
 import { toDecidedBy } from "./decided-by.js";
 import type { DecisionRecord } from "./decision-record.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
+import type { RequestBody } from "./request-body.js";
+import { requestKeyOf } from "./request-key.js";
 import type { RequestServices } from "./request-services.js";
 import type { RoutedRequest } from "./routed-request.js";
 import { Urgency } from "./urgency.js";
@@ -47,6 +49,7 @@
     heldMs = 0;
     /** How urgent it is. */
     readonly urgency: Urgency;
+    private knownKey: RequestKey | undefined;
 
     /**
      * @param services - What the daemon provides to requests.
@@ -168,6 +171,12 @@
         return outcomes.find(outcome => outcome === "ran") ?? outcomes.find(outcome => outcome === "unknown") ?? "not-run";
     }
 
+    /** What is asked for, which its repeats have in common. */
+    key(body: RequestBody): RequestKey {
+        this.knownKey ??= requestKeyOf(this.request, body);
+        return this.knownKey;
+    }
+
     /** Headers of our own for the caller's answer. */
     ownHeaders(outcome: Outcome): Record<string, string> {
         const { attempts, configuration } = this.record;
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../telemetry/event-log.js";
 import type { Prober } from "../upstream/prober.js";
 import type { UpstreamTransport } from "../upstream/upstream-transport.js";
+import type { CrashWatch } from "./crash-watch.js";
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { Dialect } from "./dialect.js";
 import type { BodyLimits } from "./request-body.js";
@@ -22,6 +23,7 @@
     readonly transport: UpstreamTransport;
     readonly prober: Prober;
     readonly explanations: ExplanationStore;
+    readonly crashes: CrashWatch;
     readonly requestIds: RequestIds;
     readonly bodyLimits: BodyLimits;
     /** Largest answer that is kept back until it is whole. */
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -19,9 +19,8 @@
 import { holdBack } from "./request-hold.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-
-/** Shortest time between two looks for a second upstream, in milliseconds. */
-const shortestStepMs = 20;
+import { allowsSecond, secondLookMs } from "./second-attempt.js";
+import { giveUpWithheld } from "./withheld.js";
 
 /** Serves one request. */
 export class RequestTask {
@@ -65,14 +64,22 @@
         const expiry = clock.after(progress.remainingMs, () => this.mailbox.post({ type: "expired" }));
         const forgetLeaving = progress.answer.onCallerLeft(() => this.mailbox.post({ type: "caller-left" }));
         for (let settled = false; !settled;) {
-            settled = this.running.size === 0
-                ? await this.follow(await this.choice.decide(this.tried), body)
-                : await this.handle(await this.mailbox.take(), body);
+            settled = this.running.size === 0 ? await this.next(body) : await this.handle(await this.mailbox.take(), body);
         }
         expiry.cancel();
         forgetLeaving();
     }
 
+    /** Decides what comes next while no attempt runs, unless upstreams end under the request; tells whether it is settled. */
+    private async next(body: RequestBody): Promise<boolean> {
+        if (giveUpWithheld(this.progress, body, this.services.crashes)) {
+            return true;
+        }
+        const decision = await this.choice.decide(this.tried);
+        // What is known may have changed while upstreams were asked for their load.
+        return giveUpWithheld(this.progress, body, this.services.crashes) || await this.follow(decision, body);
+    }
+
     /** Does what was decided; tells whether the request is settled. */
     private async follow(decision: Decision, body: RequestBody): Promise<boolean> {
         switch (decision.action) {
@@ -106,7 +113,7 @@
         }
     }
 
-    /** Begins the attempt that was decided, or gives up where it makes no sense any more. */
+    /** Begins the attempt that was decided, or gives up where it makes no sense. */
     private beginAttempt(decision: ChooseDecision, body: RequestBody): boolean {
         const { progress } = this;
         if (progress.answer.callerLeft) {
@@ -147,31 +154,30 @@
     }
 
     /**
-     * Looks for a second upstream each time the first has not answered for a share of the target: what spoke against one,
-     * a spent budget or no better upstream, may be over. Looked for once, requests stayed with slow upstreams for good.
+     * Looks for a second upstream after a while.
      *
      * @param sinceMs - Milliseconds since the last look, or since the request arrived.
      */
     private awaitSlowness(sinceMs = this.progress.ageMs): void {
-        const { policy, kind } = this.progress.route;
-        if (policy.hedgePercent > 0 && kind.targetLatencyMs > 0 && kind.repeatable && this.tried.length === 1) {
-            const stepMs = Math.max(shortestStepMs, kind.targetLatencyMs * policy.hedgePercent / 100);
+        const stepMs = secondLookMs(this.progress);
+        if (stepMs !== undefined && this.tried.length === 1) {
             this.services.clock.after(stepMs - sinceMs, () => this.mailbox.post({ type: "slow" }));
         }
     }
 
     private async beginSecondAttempt(body: RequestBody): Promise<void> {
-        const { kind } = this.progress.route;
+        const { progress, runtime, services: { crashes } } = this;
         const canBegin = (): boolean =>
-            this.running.size === 1 && this.streaming === undefined && this.progress.sentAttempts < kind.maximumAttempts
-            && body.canReplay && !this.progress.answer.callerLeft;
+            this.running.size === 1 && this.streaming === undefined && allowsSecond(progress, body)
+            // Two upstreams would end where one shows as much.
+            && !crashes.isSuspect(() => progress.key(body));
         // While others wait for room, a second attempt would take it from their first.
-        if (!canBegin() || this.runtime.queue.length > 0 || !this.runtime.retryBudget.canTake()) {
+        if (!canBegin() || runtime.queue.length > 0 || !runtime.retryBudget.canTake()) {
             return;
         }
         const decision = await this.choice.decide(this.tried);
         const isElsewhere = decision.action === "choose" && !this.tried.includes(decision.upstream);
-        if (isElsewhere && isPromising(decision) && canBegin() && this.runtime.retryBudget.take()) {
+        if (isElsewhere && isPromising(decision) && canBegin() && runtime.retryBudget.take()) {
             this.start(decision.upstream, body);
         }
     }
@@ -233,15 +239,12 @@
     }
 
     private afterCallerLeft(): boolean {
-        const { progress } = this;
         // What may not be repeated runs to its end, so that its outcome is known.
-        if (progress.route.kind.repeatable) {
+        if (this.progress.route.kind.repeatable) {
             this.cancelAll("cancelled");
         }
         return false;
     }
 
-    private cancelAll(end: "timed-out" | "cancelled"): void {
-        this.running.forEach(task => task.cancel(end));
-    }
+    private readonly cancelAll = (end: "timed-out" | "cancelled") => this.running.forEach(task => task.cancel(end));
 }
--- /dev/null
+++ b/packages/daemon/src/request/withheld.ts
@@ -0,0 +1,29 @@
+/**
+ * Turning away a request under which upstreams end.
+ *
+ * @packageDocumentation
+ */
+
+import type { CrashWatch } from "./crash-watch.js";
+import type { RequestBody } from "./request-body.js";
+import type { RequestProgress } from "./request-progress.js";
+
+/** Time after which a withheld request may come again, in milliseconds: long, since upstreams have to be mended first. */
+const retryAfterMs = 30_000;
+
+/**
+ * Gives up a withheld request at once: no wait can help it.
+ *
+ * @param progress - The request.
+ * @param body - Its body.
+ * @param crashes - Which requests are withheld.
+ * @returns Whether it is settled so.
+ */
+export const giveUpWithheld = (progress: RequestProgress, body: RequestBody, crashes: CrashWatch): boolean => {
+    const isWithheld = crashes.isWithheld(() => progress.key(body));
+    if (isWithheld) {
+        const detail = "upstreams have ended one after the other under this request";
+        progress.giveUp({ kind: "withheld", detail, outcome: progress.outcomeSoFar(), retryAfterMs });
+    }
+    return isWithheld;
+};
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -72,6 +72,13 @@
         [],
     );
 
+    /** Requests that are withheld since this instance started, because upstreams ended under them. */
+    readonly requestsWithheld = this.counter(
+        "harrierhitch_requests_withheld_total",
+        "Requests found to end upstreams, and withheld since",
+        [],
+    );
+
     /** Log lines that were dropped. */
     readonly linesDropped = this.counter("harrierhitch_log_lines_dropped_total", "Log lines dropped to bound the volume", []);
 
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -4,6 +4,7 @@
  */
 
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
+import { CrashLedger } from "@harrierhitch/decision";
 import { Fleet, peerService } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, fleetTimesFor, UpstreamDirectory } from "@harrierhitch/published";
 import { PlatformLink } from "../../src/platform/platform-link.js";
@@ -192,6 +193,7 @@
             clients: { to: peer => this.network.client(id, peer), close: () => undefined },
             accepted: new AcceptedConfiguration(),
             directory,
+            crashes: new CrashLedger({ clock: this.clock }),
             times: fleetTimesFor(this.boundMs),
             onConfiguration: () => undefined,
             onDirectory: () => undefined,
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
+import { CrashLedger } from "@harrierhitch/decision";
 import { Fleet, readersOf } from "@harrierhitch/fleet";
 import { MemberSchema } from "@harrierhitch/protocol";
 import { AcceptedConfiguration, defaultFleetTimes } from "@harrierhitch/published";
@@ -79,6 +80,7 @@
         clients: { to: never, close: () => undefined },
         accepted: new AcceptedConfiguration(),
         directory,
+        crashes: new CrashLedger({ clock }),
         onConfiguration: () => undefined,
         onDirectory: () => undefined,
         onSizeChange: () => undefined,
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -15,6 +15,8 @@
     type SharedColdAdmissionOptions,
     unboundedColdAdmission,
 } from "./cold-admission.js";
+export { CrashLedger, type CrashLedgerOptions } from "./crash-ledger.js";
+export { withheldRequests } from "./crash-verdict.js";
 export { decide, type DecisionPolicy, retryAfterOf } from "./decide.js";
 export { type DecisionInput } from "./decision-input.js";
 export {
@@ -25,6 +27,7 @@
     type PolicyFailure,
     type RefuseDecision,
 } from "./decision.js";
+export { type EndedRun } from "./ended-run.js";
 export { toExpectation } from "./expectation.js";
 export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -8,7 +8,6 @@
 import {
     type Directory,
     type Document,
-    DocumentSchema,
     type ExchangeRequest,
     ExchangeRequestSchema,
     type ExchangeResponse,
@@ -16,9 +15,9 @@
     type Member,
     type MemberCursor,
     Role,
-    type Version,
-    VersionSchema,
 } from "@harrierhitch/protocol";
+import { documentsFor, versionOf } from "./configuration-news.js";
+import { readEndedRuns, writeCrashNews } from "./crash-message.js";
 import { readDirectory, writeDirectory } from "./directory-message.js";
 import type { ExchangeAnswer, ExchangeManner, SendExchange } from "./exchange-manner.js";
 import type { FleetOptions } from "./fleet-options.js";
@@ -29,8 +28,11 @@
 import type { Rumors } from "./rumors.js";
 
 /** Options of {@link Exchange}; those of the fleet mean the same there. */
-export interface ExchangeOptions
-    extends Pick<FleetOptions, "clock" | "fleet" | "directory" | "accepted" | "onConfiguration" | "onDirectory" | "onRumor"> {
+export interface ExchangeOptions extends
+    Pick<
+        FleetOptions,
+        "clock" | "fleet" | "directory" | "accepted" | "crashes" | "onConfiguration" | "onDirectory" | "onRumor"
+    > {
     /** How old what is told is; brought up to date by what is heard. */
     readonly freshness: Freshness;
     /** Time between two confirmations: knowledge that is older may have been confirmed meanwhile. */
@@ -53,6 +55,10 @@
     private readonly heard = new Map<string, MemberCursor>();
     /** How far it has told each of them its own. */
     private readonly told = new Map<string, MemberCursor>();
+    /** What each of them has said that it withholds. */
+    private readonly withheld = new Map<string, string>();
+    /** The difference in what is withheld that each of them was last told of at once. */
+    private readonly hurried = new Map<string, string>();
 
     /** @param options - What is told and taken in. */
     constructor(private readonly options: ExchangeOptions) {}
@@ -73,7 +79,7 @@
         this.told.set(instance, told);
         this.takeIn(instance, response, manner.role !== undefined && manner.role !== Role.UNSPECIFIED);
         const ageMs = this.takeInAge(response, Math.max(0, clock.nowMs() - askedAtMs - response.heldMs));
-        const documents = this.documentsFor(response.configuration);
+        const documents = documentsFor(this.options.accepted, response.configuration);
         const directory = this.directoryFor(Number(response.directory?.revision ?? 0n));
         if (documents.length > 0 || directory.listings.length > 0) {
             const second = this.request(documents, directory, { receiver: instance });
@@ -86,22 +92,23 @@
     async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
         const asking = request.sender?.instance ?? "";
         this.takeIn(asking, request);
-        const { members, roles, rumors, freshness } = this.options;
+        const { clock, members, roles, rumors, crashes, freshness } = this.options;
         if (request.role !== Role.UNSPECIFIED) {
             roles.noteAsked(request.role);
         }
-        const waits = request.waitMs > 0 && !this.isBehind(request);
+        const waits = request.waitMs > 0 && !this.isBehind(request) && !this.lacksWithheld(asking, request.withheld);
         const heldMs = waits ? await freshness.next(Math.min(request.waitMs, maximumWaitMs)) : 0;
         const news = members.newsAfter(request.heard, asking);
         return create(ExchangeResponseSchema, {
             sender: members.self,
             members: [...news.members],
             told: news.told,
-            configuration: this.version(),
-            configurationDocuments: this.documentsFor(request.configuration),
+            configuration: versionOf(this.options.accepted),
+            configurationDocuments: documentsFor(this.options.accepted, request.configuration),
             observations: request.brief ? [] : [...rumors.news()],
             directory: this.directoryFor(Number(request.directory?.revision ?? 0n)),
             heldMs,
+            ...writeCrashNews(crashes, clock.nowMs(), request.withheld, request.brief),
         });
     }
 
@@ -114,23 +121,37 @@
         const ageMs = directory === undefined || directory.ageMs < 0 ? Infinity : directory.ageMs;
         const isYounger = ageMs - freshness.ageMs > confirmMs * tellShare;
         return Number(directory?.revision ?? 0n) < own.revision
-            || this.documentsFor(configuration).length > 0
+            || documentsFor(this.options.accepted, configuration).length > 0
             || ageMs > confirmMs && isYounger;
     }
 
+    /**
+     * Whether an instance that asks lacks a request that is withheld here. It is answered at once for one difference only
+     * once: where two see the same runs differently, its next question would be answered for the same reason.
+     */
+    private lacksWithheld(asking: string, other: string): boolean {
+        const { digest } = this.options.crashes;
+        const difference = `${other}>${digest}`;
+        const isNew = digest !== "" && digest !== other && this.hurried.get(asking) !== difference;
+        if (isNew) {
+            this.hurried.set(asking, difference);
+        }
+        return isNew;
+    }
+
     private request(
         configurationDocuments: Document[],
         directory: Directory,
         { waitMs = 0, isBrief = false, role = Role.UNSPECIFIED, receiver = "" }: ExchangeManner = {},
     ): { readonly request: ExchangeRequest; readonly told: MemberCursor; } {
-        const { fleet, members, rumors } = this.options;
+        const { clock, fleet, members, rumors, crashes } = this.options;
         const news = members.newsAfter(this.told.get(receiver), receiver);
         const heard = this.heard.get(receiver);
         const request = create(ExchangeRequestSchema, {
             fleet,
             sender: members.self,
             members: [...news.members],
-            configuration: this.version(),
+            configuration: versionOf(this.options.accepted),
             configurationDocuments,
             observations: isBrief ? [] : [...rumors.news()],
             directory,
@@ -138,12 +159,14 @@
             brief: isBrief,
             role,
             ...(heard && { heard }),
+            ...writeCrashNews(crashes, clock.nowMs(), this.withheld.get(receiver) ?? "", isBrief),
         });
         return { request, told: news.told };
     }
 
     private takeIn(source: string, news: ExchangeRequest | ExchangeResponse, isFromSource = false): void {
-        const { members, rumors, accepted, directory, onConfiguration, onRumor, onNews, onLeaving } = this.options;
+        const { clock, members, rumors, crashes, accepted, directory, onConfiguration, onRumor, onNews, onLeaving } =
+            this.options;
         const told = news.sender === undefined ? news.members : [news.sender, ...news.members];
         const leaving = told.filter(member => member.leaving && members.stateOf(member.instance) !== "left");
         const generationBefore = accepted.inForce?.configuration.generation;
@@ -157,16 +180,18 @@
         this.takeInDirectory(news.directory);
         const heard = rumors.merge(news.observations);
         heard.forEach(onRumor);
+        this.withheld.set(source, news.withheld);
+        const isUrgent = crashes.merge(readEndedRuns(news.endedRuns, clock.nowMs())) || heard.length > 0;
         if (leaving.length > 0) {
             onLeaving(leaving);
         }
         if (
-            heard.length > 0 || generationBefore !== accepted.inForce?.configuration.generation
+            isUrgent || generationBefore !== accepted.inForce?.configuration.generation
             || revisionBefore !== directory.revision
         ) {
             // What a source tells, it tells everyone who asks it.
             const reach = isFromSource ? "followers" : "links";
-            onNews(heard.length > 0 ? "everyone" : reach);
+            onNews(isUrgent ? "everyone" : reach);
         }
     }
 
@@ -213,29 +238,4 @@
         const { directory, freshness } = this.options;
         return writeDirectory(directory, freshness.knownAgeMs, revision);
     }
-
-    private version(): Version {
-        const configuration = this.options.accepted.inForce?.configuration;
-        return create(VersionSchema, {
-            number: BigInt(configuration?.generation ?? 0),
-            hash: configuration?.hash ?? "",
-        });
-    }
-
-    /** The configuration, if another instance lacks it by the version it told. */
-    private documentsFor(other: Version | undefined): Document[] {
-        const { inForce } = this.options.accepted;
-        const own = this.version();
-        // Of two contents under one generation the lower hash wins.
-        return inForce !== undefined && isAhead(own, other, (a, b) => a < b)
-            ? [create(DocumentSchema, { version: own, text: inForce.text })]
-            : [];
-    }
 }
-
-const isAhead = (own: Version, other: Version | undefined, winsTie: (a: string, b: string) => boolean): boolean => {
-    if (other === undefined || own.number !== other.number) {
-        return own.number > (other?.number ?? 0n);
-    }
-    return own.hash !== other.hash && winsTie(own.hash, other.hash);
-};
--- a/packages/fleet/src/fleet-options.ts
+++ b/packages/fleet/src/fleet-options.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
+import type { CrashLedger } from "@harrierhitch/decision";
 import type { AcceptedConfiguration } from "@harrierhitch/published";
 import type { FleetTimes } from "@harrierhitch/published";
 import type { UpstreamDirectory } from "@harrierhitch/published";
@@ -28,6 +29,8 @@
     readonly clients: PeerClients;
     readonly accepted: AcceptedConfiguration;
     readonly directory: UpstreamDirectory;
+    /** What is remembered of upstreams that ended under requests. */
+    readonly crashes: CrashLedger;
     readonly times?: Partial<FleetTimes>;
     /** Offers a configuration document that another instance passed on. */
     readonly onConfiguration: (source: string, text: string) => void;
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -46,7 +46,7 @@
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
-        const { clock, random, fleet, accepted, directory, address, port } = options;
+        const { clock, random, fleet, accepted, directory, crashes, address, port } = options;
         this.times = { ...defaultFleetTimes, ...options.times };
         this.seeds = new Seeds({ random, self: { address, port }, addresses: options.seeds });
         this.freshness = new Freshness(clock, this.times.confirmMs * tellShare, this.times.batchMs);
@@ -83,6 +83,7 @@
             rumors: this.rumors,
             directory,
             accepted,
+            crashes,
             onConfiguration: options.onConfiguration,
             onDirectory: options.onDirectory,
             onRumor: options.onRumor,
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -6,6 +6,7 @@
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
 import { FakeClock, instanceId, SeededRandom } from "@harrierhitch/core";
+import { CrashLedger } from "@harrierhitch/decision";
 import { PeerService } from "@harrierhitch/protocol";
 import { AcceptedConfiguration, type OfferResult, UpstreamDirectory } from "@harrierhitch/published";
 import { Fleet, type HeardRumor, type PeerAddress, peerService } from "../src/index.js";
@@ -25,6 +26,7 @@
     readonly fleet: Fleet;
     readonly accepted: AcceptedConfiguration;
     readonly directory: UpstreamDirectory;
+    readonly crashes: CrashLedger;
     /** Generations in force, in their order. */
     readonly generations: number[];
     readonly heard: HeardRumor[];
@@ -81,6 +83,7 @@
             onDoubtEnded: () => undefined,
             onInvalid: () => undefined,
         });
+        const crashes = new CrashLedger({ clock: this.clock });
         const generations: number[] = [];
         const heard: HeardRumor[] = [];
         const offer = (text: string): OfferResult => {
@@ -103,6 +106,7 @@
             clients: { to: peer => this.clientFrom(id, peer), close: () => undefined },
             accepted,
             directory,
+            crashes,
             seeds: seeds.map(seed => ({ address: "127.0.0.1", port: portOf(seed) })),
             onConfiguration: (_, text) => void offer(text),
             onDirectory: () => undefined,
@@ -113,7 +117,7 @@
             onLimited: () => undefined,
             onUnreachable: () => undefined,
         });
-        const node: FakeNode = { id, incarnation, fleet, accepted, directory, generations, heard, offer };
+        const node: FakeNode = { id, incarnation, fleet, accepted, directory, crashes, generations, heard, offer };
         const never = (): never => {
             throw new TypeError("not used");
         };
