--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -66,7 +66,7 @@
         this.platform = this.createPlatformLink(
             options.platform ?? adapter.open(platformOptions(settings, this.metrics, this.log)),
         );
-        this.sleepDetector = new SleepDetector({ clock: this.clock, onWake: sleptMs => this.instance.wakeLate(sleptMs) });
+        this.sleepDetector = new SleepDetector({ clock: this.clock, onWake: sleptMs => this.wakeLate(sleptMs) });
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsSide();
         this.peers = this.createPeerJoiner();
@@ -139,6 +139,11 @@
         this.announceStopped();
     }
 
+    private wakeLate(sleptMs: number): void {
+        this.platform.noteSlept();
+        this.instance.wakeLate(sleptMs);
+    }
+
     private createInstance(adapter: PlatformAdapter, policies: ReadonlyMap<string, ServicePolicy>): Instance {
         const { settings, clock, random, transport, log, metrics } = this;
         return new Instance({
@@ -170,6 +175,7 @@
             times: this.times,
             willJoin: () => this.peers.willJoin,
             hasCallers: () => this.callers.hasServed,
+            lookForSleep: () => this.sleepDetector.look(),
         });
     }
 
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -11,7 +11,6 @@
 import type { IncomingMessage } from "node:http";
 import { FirstRead } from "./first-read.js";
 import type { InstanceParts } from "./instance-parts.js";
-import { minimumRefreshSleepMs, refreshTimeoutMs } from "./instance-times.js";
 import { openDirectory } from "./open-directory.js";
 import { ExplanationStore } from "./operators/explanation-store.js";
 import type { Publication } from "./platform/platform.js";
@@ -25,6 +24,7 @@
 import { ProbeBudget } from "./upstream/probe-budget.js";
 import { type RegistryUpdate, ServiceRegistry, toTargets } from "./upstream/service-registry.js";
 import { sharesOf } from "./upstream/shares.js";
+import { WakeRefresh } from "./wake-refresh.js";
 
 /** Stage of an instance's life. */
 export type InstanceStage = "starting" | "serving" | "stopping";
@@ -47,7 +47,7 @@
     private readonly entry: RequestEntry;
     private hasHeardOthers = false;
     private hearing = false;
-    private refreshing: Promise<unknown> | undefined;
+    private readonly refresh: WakeRefresh;
     private stopping = false;
 
     /** @param parts - What the instance is made of. */
@@ -57,6 +57,7 @@
         this.id = instanceId(settings.instance.id);
         this.incarnation = Math.floor(clock.wallMs());
         this.firstRead = new FirstRead(clock);
+        this.refresh = new WakeRefresh({ log: parts.log, transport: parts.transport, fleet: () => this.fleet });
         this.accepted = new AcceptedConfiguration((source, text) => syntax.configuration(source, text));
         this.directory = openDirectory(parts, {
             onChange: change => this.tellListing(change),
@@ -115,14 +116,7 @@
 
     /** Refreshes what time made doubtful after this process slept; requests wait for it, for a short while. */
     wakeLate(sleptMs: number): void {
-        this.parts.log.write(events.wokeLate, { sleptMs });
-        this.fleet?.wakeLate(sleptMs);
-        if (sleptMs >= minimumRefreshSleepMs && this.fleet !== undefined) {
-            const refreshing = this.fleet.hearOthers(refreshTimeoutMs).finally(() => {
-                this.refreshing = this.refreshing === refreshing ? undefined : this.refreshing;
-            });
-            this.refreshing = refreshing;
-        }
+        this.refresh.begin(sleptMs);
     }
 
     /** The configuration in force. */
@@ -144,7 +138,7 @@
     async serve(request: IncomingMessage, answer: CallerAnswer): Promise<void> {
         try {
             const arrivedAtMs = this.parts.clock.nowMs();
-            await this.refreshing;
+            await this.refresh.ended;
             if (this.configuration === undefined) {
                 await this.firstRead.wait();
             }
--- a/packages/daemon/src/platform/platform-follower.ts
+++ b/packages/daemon/src/platform/platform-follower.ts
@@ -25,8 +25,10 @@
     readonly batchMs: number;
     /** The revision up to which this instance knows everything, from whatever source. */
     readonly knownRevision: () => number;
-    /** Takes what a read or a watch told. */
-    readonly onPublication: (publication: Publication, kind: PublicationKind) => void;
+    /** Takes what a read or a watch told; `asOfMs` is the moment up to which it tells everything. */
+    readonly onPublication: (publication: Publication, kind: PublicationKind, asOfMs: number) => void;
+    /** Asked, before an answer is taken in, to look whether this process slept while it was on its way. */
+    readonly lookForSleep: () => void;
     /** Told when the platform failed after it had answered, or at the first call. */
     readonly onLost: (error: Error) => void;
     /** Told when the platform answers again. */
@@ -45,6 +47,7 @@
     private answeredAtMs: number | undefined;
     private hasRead = false;
     private failuresInRow = 0;
+    private sleptAtMs = -Infinity;
     /** After a gap in the history only a fresh read tells what went away meanwhile. */
     private mustBeFresh = false;
 
@@ -66,6 +69,11 @@
         this.ending.abort();
     }
 
+    /** Notes that this process slept until now. */
+    noteSlept(): void {
+        this.sleptAtMs = this.options.clock.nowMs();
+    }
+
     private async follow(): Promise<void> {
         const { clock, dueInMs, batchMs } = this.options;
         const { signal } = this.ending;
@@ -82,14 +90,17 @@
     }
 
     private async callOnce(signal: AbortSignal): Promise<void> {
-        const { clock, random, retryMs, onPublication } = this.options;
+        const { clock, random, retryMs, onPublication, lookForSleep } = this.options;
         const kind = this.nextKind();
+        const askedAtMs = clock.nowMs();
         try {
             const publication = await this.call(kind, signal);
             this.hasRead = true;
             this.mustBeFresh = false;
             this.onAnswer();
-            onPublication(publication, kind);
+            lookForSleep();
+            // The answer may have lain here while the process slept: it tells no more than that it is younger than the question.
+            onPublication(publication, kind, this.sleptAtMs >= askedAtMs ? askedAtMs : clock.nowMs());
         }
         catch (thrown) {
             if (isAborted(signal)) {
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -28,6 +28,8 @@
     readonly times: FleetTimes;
     /** Whether this instance is going to join others, from whom it will hear what the platform tells. */
     readonly willJoin: () => boolean;
+    /** Looks whether this process slept, and if so calls {@link PlatformLink.noteSlept}. */
+    readonly lookForSleep: () => void;
     /** Whether callers have come to this instance: whoever serves nobody needs to know nothing. */
     readonly hasCallers: () => boolean;
 }
@@ -85,7 +87,8 @@
             dueInMs: () => this.dueInMs(),
             watchMs: () => this.watchMs,
             knownRevision: () => instance.directory.revision,
-            onPublication: (publication, kind) => this.take(publication, kind),
+            onPublication: (publication, kind, asOfMs) => this.take(publication, kind, asOfMs),
+            lookForSleep: options.lookForSleep,
             onLost: error => this.onLost(error),
             onRegained: () => this.onRegained(),
         });
@@ -112,6 +115,11 @@
         this.follower.stop();
     }
 
+    /** Notes that this process slept until now, so that no answer that lay here meanwhile is taken for a new one. */
+    noteSlept(): void {
+        this.follower.noteSlept();
+    }
+
     private get isReader(): boolean {
         const { fleet } = this.options.instance;
         return fleet === undefined ? !this.options.willJoin() : fleet.roles.isReader;
@@ -175,15 +183,15 @@
         return dueInMs;
     }
 
-    private take(publication: Publication, kind: PublicationKind): void {
+    private take(publication: Publication, kind: PublicationKind, asOfMs: number): void {
         const { instance, clock } = this.options;
         instance.takePublication(publication, kind !== "changes");
         if (kind === "stale") {
             this.readAtMs = clock.nowMs();
             return;
         }
-        this.confirmedAtMs = clock.nowMs();
-        instance.fleet?.freshness.confirm(0);
+        this.confirmedAtMs = asOfMs;
+        instance.fleet?.freshness.confirm(clock.nowMs() - asOfMs);
     }
 
     private onLost(error: Error): void {
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -52,6 +52,10 @@
         return checkPort(upstream);
     }
 
+    dropIdle(): void {
+        this.agents.forEach(entry => entry.agent.dropIdle());
+    }
+
     close(): Promise<void> {
         this.agents.forEach(entry => entry.agent.destroy());
         return Promise.resolve();
--- a/packages/daemon/src/upstream/upstream-agent.ts
+++ b/packages/daemon/src/upstream/upstream-agent.ts
@@ -44,6 +44,11 @@
     /** Keeps no connection any longer; requests in flight go on. */
     retire(): void {
         this.retired = true;
+        this.dropIdle();
+    }
+
+    /** Closes connections that no request uses. */
+    dropIdle(): void {
         Object.values(this.freeSockets).flat().forEach(socket => socket?.destroy());
     }
 
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -54,6 +54,8 @@
     checkPort(upstream: Upstream): Promise<PortState>;
     /** Opens and closes pools so that just these upstreams have one. */
     configure(upstreams: readonly UpstreamTarget[]): void;
+    /** Closes connections that no request uses: after a sleep their upstreams may have closed them, unnoticed here. */
+    dropIdle(): void;
     /** Closes all connections once they are idle. */
     close(): Promise<void>;
 }
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -64,6 +64,8 @@
 
     configure(): void {}
 
+    dropIdle(): void {}
+
     close(): Promise<void> {
         return Promise.resolve();
     }
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -100,6 +100,7 @@
             times,
             willJoin: () => instance.fleet === undefined,
             hasCallers: () => running.hasCallers,
+            lookForSleep: () => undefined,
         });
         this.breaks(link);
         const running: Running = {
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -95,6 +95,7 @@
         clock.after(500, beat);
     };
     beat();
+    const sleep = { isOver: false };
     const link = new PlatformLink({
         platform,
         clock,
@@ -112,10 +113,11 @@
         times: defaultFleetTimes,
         willJoin: () => !hasJoined,
         hasCallers: () => true,
+        lookForSleep: () => sleep.isOver ? link.noteSlept() : undefined,
     });
     link.start();
     await clock.advance(0);
-    return { clock, platform, directory, fleet, link };
+    return { clock, platform, directory, fleet, link, sleep };
 };
 
 /** The name of a member that is the reader beside `self`, or is not. */
@@ -128,6 +130,17 @@
 };
 
 describe("an instance", () => {
+    test("that slept takes what came meanwhile for as old as its question", async () => {
+        const { clock, fleet, link, sleep } = await open([]);
+        await clock.advance(1000);
+        assert.ok(fleet.freshness.ageMs >= 900);
+        clock.pause(6000);
+        sleep.isOver = true;
+        await clock.advance(0);
+        link.stop();
+        assert.ok(fleet.freshness.ageMs >= 6000, `${fleet.freshness.ageMs} ms`);
+    });
+
     test("that is alone watches for as long as its settings say", async () => {
         const { clock, platform, link } = await open([]);
         await clock.advance(9000);
