--- a/packages/daemon/src/request/crash-watch.ts
+++ b/packages/daemon/src/request/crash-watch.ts
@@ -58,7 +58,8 @@
         const { clock, log, onNews } = this.options;
         const id = `${request}.${attempt}`;
         log.write(events.endedUnder, { request, key, upstream, ranMs: Math.round(ranMs) });
-        if (this.ledger.merge([{ id, key, upstream, endedAtMs: clock.nowMs(), ranMs, isAnswered: false }])) {
+        const [endedAtMs, endedAtUnixMs] = [clock.nowMs(), Math.floor(clock.wallMs())];
+        if (this.ledger.merge([{ id, key, upstream, endedAtMs, endedAtUnixMs, ranMs, isAnswered: false }])) {
             onNews();
         }
     }
--- a/packages/decision/src/crash-ledger.ts
+++ b/packages/decision/src/crash-ledger.ts
@@ -46,6 +46,8 @@
 export class CrashLedger {
     private readonly entries = new Map<string, Entry>();
     private withheld: ReadonlyMap<RequestKey, readonly EndedRun[]> = new Map();
+    /** Requests that lost an upstream and were not answered since. */
+    private suspects: ReadonlySet<RequestKey> = new Set();
     /** When the oldest entry is to be looked at again. */
     private staleAtMs = Infinity;
 
@@ -82,7 +84,7 @@
     /** Whether an upstream has ended under a request that was not answered since. */
     isSuspect(key: RequestKey): boolean {
         this.forgetOld();
-        return [...this.entries.values()].some(({ run }) => run.key === key && !run.isAnswered);
+        return this.suspects.has(key);
     }
 
     /**
@@ -106,7 +108,10 @@
      * @returns Whether that was new of any run.
      */
     noteAnswered(key: RequestKey): boolean {
-        const own = [...this.entries.values()].map(({ run }) => run).filter(run => run.key === key && !run.isAnswered);
+        if (!this.isSuspect(key)) {
+            return false;
+        }
+        const own = this.runs.filter(run => run.key === key);
         return this.merge(own.map(run => ({ ...run, isAnswered: true })));
     }
 
@@ -124,6 +129,10 @@
         return [...new Set([...settling, ...news])].slice(0, maximumTold);
     }
 
+    private get runs(): readonly EndedRun[] {
+        return [...this.entries.values()].map(({ run }) => run);
+    }
+
     private put(run: EndedRun): boolean {
         const known = this.entries.get(run.id);
         const ageMs = this.options.clock.nowMs() - run.endedAtMs;
@@ -145,16 +154,18 @@
             return;
         }
         const isSettling = (run: EndedRun): boolean => this.withheld.has(run.key);
-        const order = [...this.entries.values()].map(({ run }) => run).sort((a, b) =>
-            Number(isSettling(a)) - Number(isSettling(b)) || a.endedAtMs - b.endedAtMs
+        const order = [...this.runs].sort((a, b) =>
+            Number(isSettling(a)) - Number(isSettling(b)) || a.endedAtUnixMs - b.endedAtUnixMs
         );
         order.slice(0, surplus).forEach(({ id }) => this.entries.delete(id));
     }
 
     private judge(): void {
         const before = this.withheld;
-        this.withheld = withheldRequests([...this.entries.values()].map(({ run }) => run));
-        this.staleAtMs = Math.min(...[...this.entries.values()].map(({ run }) => this.forgetAtMs(run)));
+        const { runs } = this;
+        this.withheld = withheldRequests(runs);
+        this.suspects = new Set(runs.filter(run => !run.isAnswered).map(run => run.key));
+        this.staleAtMs = Math.min(...runs.map(run => this.forgetAtMs(run)));
         this.withheld.forEach((runs, key) => before.has(key) ? undefined : this.options.onWithheld?.(key, runs));
     }
 
@@ -167,9 +178,7 @@
         if (nowMs < this.staleAtMs) {
             return;
         }
-        [...this.entries.values()]
-            .filter(({ run }) => this.forgetAtMs(run) <= nowMs)
-            .forEach(({ run }) => this.entries.delete(run.id));
+        this.runs.filter(run => this.forgetAtMs(run) <= nowMs).forEach(({ id }) => this.entries.delete(id));
         this.judge();
     }
 }
--- a/packages/decision/src/crash-verdict.ts
+++ b/packages/decision/src/crash-verdict.ts
@@ -17,18 +17,24 @@
  */
 const endsToWithhold = 3;
 
-/** Two runs at one upstream whose ends were seen within this many milliseconds ended with the same end of it. */
+/**
+ * Two runs at one upstream whose ends were seen within this many milliseconds ended with the same end of it: less than an
+ * upstream takes to be back, more than the times of day of two machines usually differ.
+ */
 const sameEndMs = 1000;
 
+/** Times of day are whole milliseconds. */
+const resolutionMs = 1;
+
 /**
  * The runs that count: of runs that overlap only one, since a single outage may end many upstreams at once and with them
  * every run of a popular request.
  */
 const oneAfterTheOther = (runs: readonly EndedRun[]): readonly EndedRun[] => {
     const counted: EndedRun[] = [];
-    [...runs].sort((a, b) => a.endedAtMs - b.endedAtMs).forEach(run => {
+    [...runs].sort((a, b) => a.endedAtUnixMs - b.endedAtUnixMs).forEach(run => {
         const last = counted.at(-1);
-        if (last === undefined || run.endedAtMs - run.ranMs >= last.endedAtMs) {
+        if (last === undefined || run.endedAtUnixMs - run.ranMs >= last.endedAtUnixMs - resolutionMs) {
             counted.push(run);
         }
     });
@@ -36,7 +42,7 @@
 };
 
 const isSameEnd = (a: EndedRun, b: EndedRun): boolean =>
-    a.upstream === b.upstream && Math.abs(a.endedAtMs - b.endedAtMs) <= sameEndMs;
+    a.upstream === b.upstream && Math.abs(a.endedAtUnixMs - b.endedAtUnixMs) <= sameEndMs;
 
 const byKey = (runs: readonly EndedRun[]): ReadonlyMap<RequestKey, readonly EndedRun[]> => {
     const groups = new Map<RequestKey, EndedRun[]>();
--- a/packages/decision/src/ended-run.ts
+++ b/packages/decision/src/ended-run.ts
@@ -13,8 +13,14 @@
     /** What was asked. */
     readonly key: RequestKey;
     readonly upstream: string;
-    /** When the upstream ended, on this instance's clock. */
+    /** When the upstream ended, on this instance's clock, the time on the way here left out: what it is forgotten by. */
     readonly endedAtMs: number;
+    /**
+     * The same by the time of day of the instance that saw it, in milliseconds since the Unix epoch: what it is judged by.
+     * Every instance then judges alike: by the time at which they heard of them, 4 of 19 instances took runs that followed
+     * each other within 50 ms for ones that overlapped (a network with ways of up to 40 ms, seeds 1 to 8).
+     */
+    readonly endedAtUnixMs: number;
     /** How long the request had been there, in milliseconds. */
     readonly ranMs: number;
     /** Whether an upstream has answered the same request since, which proves that it does not end whoever runs it. */
--- /dev/null
+++ b/packages/decision/test/crash-ledger.test.ts
@@ -0,0 +1,138 @@
+/**
+ * One request ended 22 upstreams one after the other, while the others that were under way there were merely lost with
+ * them. The two have to be told apart from the same lines: a connection that broke, and a port that is closed since.
+ */
+
+import { FakeClock, type RequestKey, requestKey, SeededRandom } from "@harrierhitch/core";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { CrashLedger, type EndedRun, withheldRequests } from "../src/index.js";
+
+const keyOf = (name: string): RequestKey => requestKey(Buffer.from(name.padEnd(8, "-")).toString("hex").slice(0, 16));
+const bad = keyOf("bad");
+const popular = keyOf("popular");
+const other = keyOf("other");
+
+let runs = 0;
+
+/** A run of 50 ms that ended with its upstream. */
+const ended = (key: RequestKey, upstream: string, endedAtMs: number, more: Partial<EndedRun> = {}): EndedRun => {
+    runs += 1;
+    return {
+        id: `entry-1.a.${runs}.1`,
+        key,
+        upstream,
+        endedAtMs,
+        endedAtUnixMs: endedAtMs,
+        ranMs: 50,
+        isAnswered: false,
+        ...more,
+    };
+};
+
+const withheld = (all: readonly EndedRun[]): readonly RequestKey[] => [...withheldRequests(all).keys()];
+
+describe("a request is withheld", () => {
+    test("when three upstreams ended under it, one after the other", () => {
+        const three = [ended(bad, "u1", 100), ended(bad, "u2", 200), ended(bad, "u3", 300)];
+        assert.deepEqual(withheld(three.slice(0, 2)), []);
+        assert.deepEqual(withheld(three), [bad]);
+    });
+
+    test("also when it is one upstream that comes back under its id", () => {
+        assert.deepEqual(withheld([ended(bad, "u1", 100), ended(bad, "u1", 5000), ended(bad, "u1", 9000)]), [bad]);
+    });
+
+    test("and not one that was under way beside it at the same upstreams", () => {
+        const both = ["u1", "u2", "u3"].flatMap((upstream, index) => [
+            ended(bad, upstream, 100 * (index + 1)),
+            ...(index < 2 ? [ended(other, upstream, 100 * (index + 1) + 3)] : []),
+        ]);
+        const fourth = ended(other, "u4", 900);
+        assert.deepEqual(withheld([...both, fourth]), [bad]);
+    });
+
+    test("and not a popular one that one outage took from many upstreams at once", () => {
+        const outage = Array.from({ length: 12 }, (_, index) => ended(popular, `u${index}`, 1000 + 4 * index));
+        assert.deepEqual(withheld(outage), []);
+    });
+
+    test("and not one that was answered between outages, however many there are", () => {
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        for (let outage = 0; outage < 20; outage += 1) {
+            ledger.merge([ended(popular, `u${outage}`, 0), ended(popular, `u${outage + 30}`, 60)]);
+            ledger.noteAnswered(popular);
+            assert.equal(ledger.isWithheld(popular), false);
+        }
+    });
+
+    test("and no longer when a run that was still under way is answered", () => {
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.merge([ended(bad, "u1", 100), ended(bad, "u2", 200), ended(bad, "u3", 300)]);
+        assert.equal(ledger.isWithheld(bad), true);
+        assert.equal(ledger.noteAnswered(bad), true);
+        assert.deepEqual([ledger.isWithheld(bad), ledger.isSuspect(bad), ledger.digest], [false, false, ""]);
+    });
+});
+
+describe("the ledger", () => {
+    test("comes to the same verdict by any order and any number of deliveries", () => {
+        const run = fc.record({
+            key: fc.constantFrom(bad, popular, other),
+            upstream: fc.constantFrom("u1", "u2", "u3", "u4"),
+            endedAtMs: fc.integer({ min: 0, max: 3000 }),
+            ranMs: fc.integer({ min: 1, max: 500 }),
+            isAnswered: fc.boolean(),
+        });
+        const property = fc.property(fc.array(run, { maxLength: 14 }), fc.integer(), (drawn, seed) => {
+            const facts = drawn.map((fact, index) => ({ id: `r${index}`, endedAtUnixMs: fact.endedAtMs, ...fact }));
+            const deliveries = [...facts, ...facts.map(fact => ({ ...fact, isAnswered: false })), ...facts.slice(0, 5)];
+            const random = new SeededRandom(seed);
+            const shuffled = deliveries.map(fact => ({ fact, at: random.next() })).sort((a, b) => a.at - b.at);
+            const clock = new FakeClock();
+            const [inOrder, mixed] = [new CrashLedger({ clock }), new CrashLedger({ clock })];
+            inOrder.merge(facts);
+            shuffled.forEach(({ fact }) => mixed.merge([fact]));
+            assert.equal(mixed.digest, inOrder.digest);
+            assert.equal(mixed.size, inOrder.size);
+            assert.equal(mixed.merge(facts), false);
+        });
+        fc.assert(property, { seed: 32, numRuns: 300 });
+    });
+
+    test("keeps what settled something within its bound, and tells little at a time", () => {
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.merge([ended(bad, "u1", 100), ended(bad, "u2", 200), ended(bad, "u3", 300)]);
+        const flood = Array.from({ length: 5000 }, (_, index) => ended(keyOf(`k${index}`), `v${index}`, 1000 + index));
+        flood.forEach(run => ledger.merge([run]));
+        assert.equal(ledger.size, 512);
+        assert.equal(ledger.isWithheld(bad), true);
+        const told = ledger.toTell("", false);
+        assert.equal(told.length, 64);
+        assert.deepEqual(told.slice(0, 3).map(({ key }) => key), [bad, bad, bad]);
+    });
+
+    test("tells one that withholds the same only what is new", async () => {
+        const clock = new FakeClock();
+        const ledger = new CrashLedger({ clock });
+        ledger.merge([ended(bad, "u1", 0), ended(bad, "u2", 100), ended(bad, "u3", 200)]);
+        assert.equal(ledger.toTell(ledger.digest, false).length, 3);
+        assert.equal(ledger.toTell(ledger.digest, true).length, 0);
+        await clock.advance(11_000);
+        assert.equal(ledger.toTell(ledger.digest, false).length, 0);
+        assert.equal(ledger.toTell("", true).length, 3);
+    });
+
+    test("forgets suspects after ten minutes and verdicts after an hour, and takes back nothing from others", async () => {
+        const clock = new FakeClock();
+        const ledger = new CrashLedger({ clock });
+        const three = [ended(bad, "u1", 0), ended(bad, "u2", 100), ended(bad, "u3", 200)];
+        ledger.merge([...three, ended(other, "u4", 0)]);
+        await clock.advance(600_000);
+        assert.deepEqual([ledger.isSuspect(other), ledger.isWithheld(bad)], [false, true]);
+        await clock.advance(3_000_300);
+        assert.deepEqual([ledger.isWithheld(bad), ledger.size], [false, 0]);
+        assert.equal(ledger.merge(three), false);
+    });
+});
--- a/packages/fleet/src/crash-message.ts
+++ b/packages/fleet/src/crash-message.ts
@@ -30,12 +30,13 @@
  */
 export const writeCrashNews = (ledger: CrashLedger, nowMs: number, other: string, isBrief: boolean): CrashNews => ({
     withheld: ledger.digest,
-    endedRuns: ledger.toTell(other, isBrief).map(({ id, key, upstream, endedAtMs, ranMs, isAnswered }) =>
+    endedRuns: ledger.toTell(other, isBrief).map(({ id, key, upstream, endedAtMs, endedAtUnixMs, ranMs, isAnswered }) =>
         create(EndedRunSchema, {
             id,
             key: BigInt(`0x${key}`),
             upstream,
             ageMs: nowMs - endedAtMs,
+            endedAtUnixMs: BigInt(endedAtUnixMs),
             ranMs,
             answered: isAnswered,
         })
@@ -49,11 +50,12 @@
  * @param nowMs - The time on this instance's clock.
  */
 export const readEndedRuns = (messages: readonly EndedRunMessage[], nowMs: number): readonly EndedRun[] =>
-    messages.map(({ id, key, upstream, ageMs, ranMs, answered }) => ({
+    messages.map(({ id, key, upstream, ageMs, endedAtUnixMs, ranMs, answered }) => ({
         id,
         key: requestKey(key.toString(16).padStart(keyDigits, "0")),
         upstream,
         endedAtMs: nowMs - Math.max(0, ageMs),
+        endedAtUnixMs: Number(endedAtUnixMs),
         ranMs,
         isAnswered: answered,
     }));
