--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -45,6 +45,8 @@
     readonly random: SeededRandom;
     /** Messages that were delivered. */
     messages = 0;
+    /** Bytes of requests and answers that were delivered. */
+    bytes = 0;
     private readonly nodes = new Map<string, FakeNode>();
     private readonly services = new Map<string, Implementation>();
     private readonly cuts = new Set<string>();
@@ -170,10 +172,14 @@
             (request: never, options?: { readonly signal?: AbortSignal; }) =>
                 this.deliver(from, to, options?.signal, async () => {
                     const service = this.services.get(to) as Readonly<Record<string, (message: unknown) => unknown>> | undefined;
-                    const received = fromBinary(method.input, toBinary(method.input, request));
+                    const sent = toBinary(method.input, request);
+                    this.bytes += sent.length;
+                    const received = fromBinary(method.input, sent);
                     const response = await service?.[method.localName]?.(received);
                     const output = { $typeName: method.output.typeName, ...response as object } as never;
-                    return fromBinary(method.output, toBinary(method.output, output));
+                    const answered = toBinary(method.output, output);
+                    this.bytes += answered.length;
+                    return fromBinary(method.output, answered);
                 }),
         ]);
         return Object.fromEntries(methods) as Client<typeof PeerService>;
