--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -20,8 +20,8 @@
 export type RequestId = Branded<string, "RequestId">;
 
 /**
- * Tells what a request asks for: requests with the same method, host, path, caller and body have the same key, whichever
- * instance they arrive at.
+ * Tells what a request asks for, the same whichever instance it arrives at: 16 hexadecimal digits over method, host and
+ * path, then 8 each over caller, query and body.
  */
 export type RequestKey = Branded<string, "RequestKey">;
 
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -11,6 +11,7 @@
 import { newSpanId, toTraceparent } from "../telemetry/trace-context.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { AnswerSink, Attempt } from "../upstream/upstream-transport.js";
+import type { SeenEnd } from "./crash-watch.js";
 import type { AttemptRecord } from "./decision-record.js";
 import type { AnswerReading } from "./dialect.js";
 import { requestHeaders } from "./headers.js";
@@ -163,6 +164,12 @@
         if (result.end === "reset") {
             await this.lookAfterBreak();
         }
+        else if (result.refused === true) {
+            services.crashes.noteClosed(upstream.id);
+        }
+        else if (result.end !== "answered" && result.sent && reading === undefined) {
+            services.crashes.noteAbandoned(this.seen());
+        }
         services.onAttempt(progress.record, this.record);
         const isWhole = result.end === "answered" && !isForeign;
         if (result.end === "cancelled") {
@@ -173,7 +180,7 @@
         }
         if (isWhole && outcome === "ran" && reading?.failed !== true) {
             // A failure may be a deadline that passed in the upstream's queue: that one has not shown that it survives the request.
-            services.crashes.noteAnswered(() => progress.key(body));
+            services.crashes.noteAnswered(progress.key(body));
         }
         const answer = isWhole && this.discardedBytes === 0 ? this.buffer?.whole() : undefined;
         return { task: this, result: this.record.result, outcome, reading, isWhole, answer, passedOn: this.passedOn };
@@ -181,18 +188,23 @@
 
     /** Finds out whether the upstream has ended, or has closed this connection alone. */
     private async lookAfterBreak(): Promise<void> {
-        const { services, progress, body, upstream } = this.options;
-        const ranMs = services.clock.nowMs() - this.startedAtMs;
-        const key = progress.key(body);
+        const { services, upstream } = this.options;
+        const seen = this.seen();
         const port = await services.transport.checkPort(upstream);
-        this.record.broken = { key, port };
+        this.record.broken = { key: seen.key, port };
         if (port === "closed") {
-            const { id, attempts } = progress.record;
-            const attempt = attempts.indexOf(this.record) + 1;
-            services.crashes.noteEnd({ request: id, attempt, key, upstream: upstream.id, ranMs });
+            services.crashes.noteEnd(seen);
         }
     }
 
+    /** This run, for what is remembered of upstreams that end. */
+    private seen(): SeenEnd {
+        const { services, progress, body, upstream } = this.options;
+        const { id: request, attempts } = progress.record;
+        const ranMs = services.clock.nowMs() - this.startedAtMs;
+        return { request, attempt: attempts.indexOf(this.record) + 1, key: progress.key(body), upstream: upstream.id, ranMs };
+    }
+
     private work(atMs: number): Work {
         const { chosenBy, progress, runtime } = this.options;
         return { runtime, kind: progress.route.kind.name, chosenBy, atMs, latencyMs: atMs - this.startedAtMs };
--- a/packages/daemon/src/request/crash-watch.ts
+++ b/packages/daemon/src/request/crash-watch.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock, RequestId, RequestKey, UpstreamId } from "@harrierhitch/core";
-import { CrashLedger, type EndedRun } from "@harrierhitch/decision";
+import { CrashLedger, type EndedRun, type RequestPattern } from "@harrierhitch/decision";
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
 import type { Metrics } from "../telemetry/metrics.js";
@@ -29,6 +29,21 @@
     readonly ranMs: number;
 }
 
+/** A run that this instance gave up, at an upstream that may be working on it still. */
+interface AbandonedRun extends SeenEnd {
+    readonly atMs: number;
+    readonly atUnixMs: number;
+}
+
+/**
+ * Time for which a run that was given up is remembered, in milliseconds: upstreams that have just started are slow, and
+ * some work on after their caller has left; one ended two seconds after its request had been given up.
+ */
+const abandonedMs = 5000;
+
+/** Most of them: a second of an instance's requests at its busiest. */
+const maximumAbandoned = 256;
+
 /**
  * What this instance knows of requests under which upstreams end. Without it each instance sent such a request on at
  * every repeat: 15 of 8 upstreams ended under nine repeats at three instances; 3 with it.
@@ -36,16 +51,17 @@
 export class CrashWatch {
     /** What the fleet remembers; kept up to date by what others tell, too. */
     readonly ledger: CrashLedger;
+    private abandoned: readonly AbandonedRun[] = [];
 
     /** @param options - Clock, log and listener. */
     constructor(private readonly options: CrashWatchOptions) {
         const { clock } = options;
-        this.ledger = new CrashLedger({ clock, onWithheld: (key, runs) => this.tellWithheld(key, runs) });
+        this.ledger = new CrashLedger({ clock, onWithheld: (pattern, runs) => this.tellWithheld(pattern, runs) });
     }
 
     /** Whether a request is not to be sent; its key is asked for only where something is remembered. */
     isWithheld(key: () => RequestKey): boolean {
-        return this.ledger.withheldCount > 0 && this.ledger.isWithheld(key());
+        return this.ledger.size > 0 && this.ledger.isWithheld(key());
     }
 
     /** Whether an upstream has ended under a request that was not answered since. */
@@ -53,32 +69,61 @@
         return this.ledger.size > 0 && this.ledger.isSuspect(key());
     }
 
+    /** Notes a run that is given up before anything is known of its end. */
+    noteAbandoned(run: SeenEnd): void {
+        const { clock } = this.options;
+        const atMs = clock.nowMs();
+        const kept = this.abandoned.filter(other => atMs - other.atMs < abandonedMs).slice(1 - maximumAbandoned);
+        this.abandoned = [...kept, { ...run, atMs, atUnixMs: Math.floor(clock.wallMs()) }];
+    }
+
+    /** Notes that nobody listens at an upstream any more: what was given up there lately may be the cause. */
+    noteClosed(upstream: UpstreamId): void {
+        const nowMs = this.options.clock.nowMs();
+        const there = this.abandoned.filter(run => run.upstream === upstream);
+        if (there.length > 0) {
+            this.abandoned = this.abandoned.filter(run => run.upstream !== upstream);
+            there.filter(run => nowMs - run.atMs < abandonedMs).forEach(run =>
+                this.note(run, { endedAtMs: run.atMs, endedAtUnixMs: run.atUnixMs })
+            );
+        }
+    }
+
     /** Notes a run whose upstream has ended. */
-    noteEnd({ request, attempt, key, upstream, ranMs }: SeenEnd): void {
-        const { clock, log, onNews } = this.options;
+    noteEnd(run: SeenEnd): void {
+        const { clock } = this.options;
+        this.note(run, { endedAtMs: clock.nowMs(), endedAtUnixMs: Math.floor(clock.wallMs()) });
+        this.noteClosed(run.upstream);
+    }
+
+    private note(
+        { request, attempt, key, upstream, ranMs }: SeenEnd,
+        ended: Pick<EndedRun, "endedAtMs" | "endedAtUnixMs">,
+    ): void {
+        const { log, onNews } = this.options;
         const id = `${request}.${attempt}`;
         log.write(events.endedUnder, { request, key, upstream, ranMs: Math.round(ranMs) });
-        const [endedAtMs, endedAtUnixMs] = [clock.nowMs(), Math.floor(clock.wallMs())];
-        if (this.ledger.merge([{ id, key, upstream, endedAtMs, endedAtUnixMs, ranMs, isAnswered: false }])) {
+        if (this.ledger.merge([{ id, key, upstream, ...ended, ranMs, isAnswered: false, answeredAlike: 0 }])) {
             onNews();
         }
     }
 
     /** Notes that an upstream has answered a request whole. */
-    noteAnswered(key: () => RequestKey): void {
-        if (this.ledger.size > 0 && this.ledger.noteAnswered(key())) {
+    noteAnswered(key: RequestKey): void {
+        if (this.ledger.noteAnswered(key)) {
             this.options.onNews();
         }
     }
 
-    private tellWithheld(key: RequestKey, runs: readonly EndedRun[]): void {
+    private tellWithheld(pattern: RequestPattern, runs: readonly EndedRun[]): void {
         const { clock, log, metrics } = this.options;
         const nowMs = clock.nowMs();
         metrics.requestsWithheld.inc();
         log.write(events.requestWithheld, {
-            key,
-            runs: runs.map(({ id, upstream, endedAtMs, ranMs }) => ({
+            pattern,
+            runs: runs.map(({ id, key, upstream, endedAtMs, ranMs }) => ({
                 id,
+                key,
                 upstream,
                 ageMs: Math.round(nowMs - endedAtMs),
                 ranMs: Math.round(ranMs),
--- a/packages/daemon/src/request/request-key.ts
+++ b/packages/daemon/src/request/request-key.ts
@@ -7,27 +7,33 @@
 import { type RequestKey, requestKey } from "@harrierhitch/core";
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
-import { hostOf } from "./arrival.js";
+import { hostOf, pathOf } from "./arrival.js";
 import type { RequestBody } from "./request-body.js";
 
-/** Hexadecimal digits of a key: 64 bits, so that two of a million keys are the same with a chance of 1 in 37 million. */
-const keyDigits = 16;
+/** Hexadecimal digits of the part for method, host and path: two of a million are the same with a chance of 1 in 37 million. */
+const pathDigits = 16;
+
+/** Those of the parts for caller, query and body, which are compared among requests of one path only. */
+const traitDigits = 8;
+
+const digest = (content: string | Buffer, digits: number): string =>
+    createHash("sha256").update(content).digest("hex").slice(0, digits);
 
 /**
- * The key of a request. The caller's address is part of it, so that nothing that is learned of one caller's request
- * touches those of another.
+ * The key of a request.
  *
  * @param request - The request.
+ * @param caller - The caller's address as it was when the request arrived: a socket that is closed has none.
  * @param body - Its body; one that is too large to be kept counts by its length alone.
  * @returns A key that is the same on every instance.
  */
-export const requestKeyOf = (request: IncomingMessage, body: RequestBody): RequestKey => {
-    const { method = "", url = "", headers, socket } = request;
-    const length = headers["content-length"] ?? "";
-    const head = [method, hostOf(request), url, socket.remoteAddress ?? "", length].join("\0");
-    const hash = createHash("sha256").update(head);
-    if (body.whole !== undefined) {
-        hash.update("\0").update(body.whole);
-    }
-    return requestKey(hash.digest("hex").slice(0, keyDigits));
+export const requestKeyOf = (request: IncomingMessage, caller: string, body: RequestBody): RequestKey => {
+    const { method = "", url = "", headers } = request;
+    const path = pathOf(url);
+    return requestKey([
+        digest([method, hostOf(request), path].join("\0"), pathDigits),
+        digest(caller, traitDigits),
+        digest(url.slice(path.length), traitDigits),
+        digest(body.whole ?? headers["content-length"] ?? "", traitDigits),
+    ].join(""));
 };
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -49,6 +49,7 @@
     heldMs = 0;
     /** How urgent it is. */
     readonly urgency: Urgency;
+    private readonly callerAddress: string;
     private knownKey: RequestKey | undefined;
 
     /**
@@ -66,6 +67,7 @@
         this.request = request;
         this.answer = answer;
         this.arrivedAtMs = arrivedAtMs;
+        this.callerAddress = request.socket.remoteAddress ?? "";
         this.arrival = services.dialect.readArrival(request, configuration, route.kind);
         this.deadlineAtMs = this.arrivedAtMs + this.arrival.timeoutMs;
         this.urgency = new Urgency({
@@ -173,7 +175,7 @@
 
     /** What is asked for, which its repeats have in common. */
     key(body: RequestBody): RequestKey {
-        this.knownKey ??= requestKeyOf(this.request, body);
+        this.knownKey ??= requestKeyOf(this.request, this.callerAddress, body);
         return this.knownKey;
     }
 
@@ -215,8 +217,7 @@
             ...this.ownHeaders(outcome),
             ...retryAfter,
         });
-        const { id, status, steps } = this.record;
-        const { generation } = this.record.configuration;
+        const { id, status, steps, configuration: { generation } } = this.record;
         const ageMs = Math.round(this.ageMs);
         const decision = steps.at(-1)?.decision.action;
         const decidedBy = toDecidedBy(steps.at(-1)?.input);
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -160,7 +160,7 @@
     }
 
     private fail(error: Error): void {
-        this.finish(this.cancelled?.end ?? this.endOf(error), describe(error));
+        this.finish(this.cancelled?.end ?? this.endOf(error), describe(error), codeOf(error) === "ECONNREFUSED");
     }
 
     private endOf(error: Error): AttemptEnd {
@@ -170,13 +170,13 @@
         return codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
     }
 
-    private finish(end: AttemptEnd, detail: string): void {
+    private finish(end: AttemptEnd, detail: string, refused = false): void {
         if (this.finished) {
             return;
         }
         this.finished = true;
         clearTimeout(this.connectTimer);
-        this.settle({ end, status: this.answer?.statusCode, detail, sent: this.sent });
+        this.settle({ end, status: this.answer?.statusCode, detail, sent: this.sent, refused });
     }
 }
 
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -226,6 +226,7 @@
         headers: { host: "model", [modelPatienceHeader]: String(patienceMs) },
         rawHeaders: ["host", "model"],
         complete: true,
+        socket: { remoteAddress: "127.0.0.1" },
     }) as unknown as IncomingMessage;
 
 /** Takes an answer; as much of a response as an instance uses. */
--- a/packages/decision/src/attempt-result.ts
+++ b/packages/decision/src/attempt-result.ts
@@ -28,6 +28,8 @@
     readonly detail: string;
     /** Whether any byte of the request may have reached the upstream. */
     readonly sent: boolean;
+    /** Whether the upstream's machine refused the connection: no process listens there. */
+    readonly refused?: boolean;
 }
 
 /**
--- a/packages/decision/src/crash-ledger.ts
+++ b/packages/decision/src/crash-ledger.ts
@@ -8,14 +8,16 @@
  */
 
 import type { Clock, RequestKey } from "@harrierhitch/core";
+import { AnsweredKeys } from "./answered-keys.js";
 import { withheldRequests } from "./crash-verdict.js";
 import type { EndedRun } from "./ended-run.js";
+import { agreeingSets, pathPartOf, patternOf, type RequestPattern, traitSets } from "./request-traits.js";
 
 /** Options of {@link CrashLedger}. */
 export interface CrashLedgerOptions {
     readonly clock: Clock;
-    /** Told of a request that is withheld from now on, with the runs that settled it. */
-    readonly onWithheld?: (key: RequestKey, runs: readonly EndedRun[]) => void;
+    /** Told of requests that are withheld from now on, with the runs that settled it. */
+    readonly onWithheld?: (pattern: RequestPattern, runs: readonly EndedRun[]) => void;
 }
 
 interface Entry {
@@ -45,9 +47,14 @@
 /** Remembers runs that ended with their upstreams, and tells which requests are withheld for them. */
 export class CrashLedger {
     private readonly entries = new Map<string, Entry>();
-    private withheld: ReadonlyMap<RequestKey, readonly EndedRun[]> = new Map();
+    private readonly answered = new AnsweredKeys();
+    private verdicts: ReadonlyMap<RequestPattern, readonly EndedRun[]> = new Map();
+    /** What was ever withheld, here or by another instance, as long as runs of it are remembered. */
+    private agreed: ReadonlySet<RequestPattern> = new Set();
     /** Requests that lost an upstream and were not answered since. */
     private suspects: ReadonlySet<RequestKey> = new Set();
+    /** Method, host and path of the runs that are remembered. */
+    private suspectPaths: ReadonlySet<string> = new Set();
     /** When the oldest entry is to be looked at again. */
     private staleAtMs = Infinity;
 
@@ -59,26 +66,16 @@
         return this.entries.size;
     }
 
-    /** Requests that are withheld. */
-    get withheldCount(): number {
+    /** What is withheld: what the requests have in common. */
+    get withheld(): readonly RequestPattern[] {
         this.forgetOld();
-        return this.withheld.size;
-    }
-
-    /** The same on two instances that withhold the same requests, and most likely not otherwise; empty where none is. */
-    get digest(): string {
-        this.forgetOld();
-        const parts = [...this.withheld.keys()].reduce<readonly number[]>(
-            (sum, key) => sum.map((part, index) => (part ^ Number.parseInt(key.slice(index * 8, index * 8 + 8), 16)) >>> 0),
-            [0, 0],
-        );
-        return this.withheld.size === 0 ? "" : parts.map(part => part.toString(16).padStart(8, "0")).join("");
+        return [...this.verdicts.keys()];
     }
 
     /** Whether a request is not to be sent, because upstreams end under it. */
     isWithheld(key: RequestKey): boolean {
         this.forgetOld();
-        return this.withheld.has(key);
+        return this.verdicts.size > 0 && traitSets.some(set => this.verdicts.has(patternOf(key, set)));
     }
 
     /** Whether an upstream has ended under a request that was not answered since. */
@@ -90,12 +87,16 @@
     /**
      * Takes in runs, this instance's or others'.
      *
+     * @param runs - The runs.
+     * @param withheld - What whoever told of the runs withholds.
      * @returns Whether anything was new.
      */
-    merge(runs: readonly EndedRun[]): boolean {
+    merge(runs: readonly EndedRun[], withheld: readonly RequestPattern[] = []): boolean {
         this.forgetOld();
         const news = runs.filter(run => this.put(run));
-        if (news.length > 0) {
+        const agreed = withheld.filter(pattern => !this.agreed.has(pattern) && this.runs.some(run => isOf(run, pattern)));
+        if (news.length > 0 || agreed.length > 0) {
+            this.agreed = new Set([...this.agreed, ...agreed]);
             this.keepWithinBound();
             this.judge();
         }
@@ -108,27 +109,38 @@
      * @returns Whether that was new of any run.
      */
     noteAnswered(key: RequestKey): boolean {
-        if (!this.isSuspect(key)) {
+        this.answered.note(key);
+        const path = pathPartOf(key);
+        if (!this.suspectPaths.has(path)) {
             return false;
         }
-        const own = this.runs.filter(run => run.key === key);
-        return this.merge(own.map(run => ({ ...run, isAnswered: true })));
+        const alike = this.runs.filter(run => pathPartOf(run.key) === path);
+        return this.merge(alike.map(run => ({
+            ...run,
+            isAnswered: run.isAnswered || run.key === key,
+            answeredAlike: run.answeredAlike | agreeingSets(run.key, key),
+        })));
     }
 
     /**
      * The runs to tell another instance: what is new, and what it lacks to withhold the same requests.
      *
-     * @param digest - Its {@link digest}.
+     * @param withheld - What it withholds.
      * @param isBrief - Whether to leave out what is only new.
      */
-    toTell(digest: string, isBrief: boolean): readonly EndedRun[] {
+    toTell(withheld: readonly RequestPattern[], isBrief: boolean): readonly EndedRun[] {
         const nowMs = this.options.clock.nowMs();
-        const settling = digest === this.digest ? [] : [...this.withheld.values()].flat();
+        const settling = this.lacking(withheld).flatMap(pattern => this.verdicts.get(pattern) ?? []);
         const isNew = ({ learnedAtMs }: Entry): boolean => nowMs - learnedAtMs < passOnMs;
         const news = isBrief ? [] : [...this.entries.values()].filter(isNew).map(({ run }) => run).reverse();
         return [...new Set([...settling, ...news])].slice(0, maximumTold);
     }
 
+    /** What is withheld here, and not by another instance that withholds what is given. */
+    lacking(withheld: readonly RequestPattern[]): readonly RequestPattern[] {
+        return this.withheld.filter(pattern => !withheld.includes(pattern));
+    }
+
     private get runs(): readonly EndedRun[] {
         return [...this.entries.values()].map(({ run }) => run);
     }
@@ -136,12 +148,18 @@
     private put(run: EndedRun): boolean {
         const known = this.entries.get(run.id);
         const ageMs = this.options.clock.nowMs() - run.endedAtMs;
-        const isForgotten = known === undefined && ageMs > withholdMs - forgottenMarginMs;
-        if (isForgotten || known !== undefined && (known.run.isAnswered || !run.isAnswered)) {
+        if (known === undefined && ageMs > withholdMs - forgottenMarginMs) {
+            return false;
+        }
+        const before = known?.run ?? run;
+        const kept = {
+            ...before,
+            isAnswered: before.isAnswered || run.isAnswered,
+            answeredAlike: before.answeredAlike | run.answeredAlike | this.answered.agreeingWith(run.key),
+        };
+        if (known !== undefined && kept.isAnswered === before.isAnswered && kept.answeredAlike === before.answeredAlike) {
             return false;
         }
-        // What is known of it stays: only that it was answered is new.
-        const kept = known === undefined ? run : { ...known.run, isAnswered: true };
         this.entries.delete(run.id);
         this.entries.set(run.id, { run: kept, learnedAtMs: this.options.clock.nowMs() });
         return true;
@@ -153,7 +171,7 @@
         if (surplus <= 0) {
             return;
         }
-        const isSettling = (run: EndedRun): boolean => this.withheld.has(run.key);
+        const isSettling = (run: EndedRun): boolean => traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
         const order = [...this.runs].sort((a, b) =>
             Number(isSettling(a)) - Number(isSettling(b)) || a.endedAtUnixMs - b.endedAtUnixMs
         );
@@ -161,16 +179,23 @@
     }
 
     private judge(): void {
-        const before = this.withheld;
+        const before = this.verdicts;
         const { runs } = this;
-        this.withheld = withheldRequests(runs);
+        this.verdicts = withheldRequests(runs, this.agreed);
+        this.agreed = new Set(
+            [...this.agreed, ...this.verdicts.keys()].filter(pattern => runs.some(run => isOf(run, pattern))),
+        );
         this.suspects = new Set(runs.filter(run => !run.isAnswered).map(run => run.key));
+        this.suspectPaths = new Set(runs.map(run => pathPartOf(run.key)));
         this.staleAtMs = Math.min(...runs.map(run => this.forgetAtMs(run)));
-        this.withheld.forEach((runs, key) => before.has(key) ? undefined : this.options.onWithheld?.(key, runs));
+        this.verdicts.forEach((settling, pattern) =>
+            before.has(pattern) ? undefined : this.options.onWithheld?.(pattern, settling)
+        );
     }
 
     private forgetAtMs(run: EndedRun): number {
-        return run.endedAtMs + (this.withheld.has(run.key) ? withholdMs : suspectMs);
+        const isSettling = traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
+        return run.endedAtMs + (isSettling ? withholdMs : suspectMs);
     }
 
     private forgetOld(): void {
@@ -182,3 +207,5 @@
         this.judge();
     }
 }
+
+const isOf = (run: EndedRun, pattern: RequestPattern): boolean => traitSets.some(set => patternOf(run.key, set) === pattern);
--- a/packages/decision/src/crash-verdict.ts
+++ b/packages/decision/src/crash-verdict.ts
@@ -5,11 +5,14 @@
  * tells that one from those that were merely there: it needs three upstreams, one after the other, without one answer,
  * and ends that another request accounts for do not count.
  *
+ * What the repeats of such a request have in common is found out as well: all of it, or, where they differ in caller,
+ * query or body, the rest, as long as no request was ever answered that has that rest in common with them.
+ *
  * @packageDocumentation
  */
 
-import type { RequestKey } from "@harrierhitch/core";
 import type { EndedRun } from "./ended-run.js";
+import { allTraits, differInOthers, patternOf, type RequestPattern, type TraitSet, traitSets } from "./request-traits.js";
 
 /**
  * Upstreams that end under a request before it is withheld. With two, a request that is sent on after it lost its first
@@ -21,20 +24,35 @@
  * Two runs at one upstream whose ends were seen within this many milliseconds ended with the same end of it: less than an
  * upstream takes to be back, more than the times of day of two machines usually differ.
  */
-const sameEndMs = 1000;
+const sameEndMs = 500;
 
 /** Times of day are whole milliseconds. */
 const resolutionMs = 1;
 
+/**
+ * Time between the runs that count of a request that upstreams had answered before: an outage takes its upstreams within
+ * such a time, some of them one after the other, and with them runs of whatever is asked for often.
+ */
+const outageMs = 1000;
+
+interface Candidate {
+    readonly pattern: RequestPattern;
+    readonly runs: readonly EndedRun[];
+    readonly count: number;
+}
+
+const isAnsweredAlike = (run: EndedRun, set: TraitSet): boolean => (run.answeredAlike >> set & 1) === 1;
+
 /**
  * The runs that count: of runs that overlap only one, since a single outage may end many upstreams at once and with them
  * every run of a popular request.
  */
 const oneAfterTheOther = (runs: readonly EndedRun[]): readonly EndedRun[] => {
+    const gapMs = runs.some(run => isAnsweredAlike(run, allTraits)) ? outageMs : -resolutionMs;
     const counted: EndedRun[] = [];
     [...runs].sort((a, b) => a.endedAtUnixMs - b.endedAtUnixMs).forEach(run => {
         const last = counted.at(-1);
-        if (last === undefined || run.endedAtUnixMs - run.ranMs >= last.endedAtUnixMs - resolutionMs) {
+        if (last === undefined || run.endedAtUnixMs - run.ranMs >= last.endedAtUnixMs + gapMs) {
             counted.push(run);
         }
     });
@@ -44,34 +62,39 @@
 const isSameEnd = (a: EndedRun, b: EndedRun): boolean =>
     a.upstream === b.upstream && Math.abs(a.endedAtUnixMs - b.endedAtUnixMs) <= sameEndMs;
 
-const byKey = (runs: readonly EndedRun[]): ReadonlyMap<RequestKey, readonly EndedRun[]> => {
-    const groups = new Map<RequestKey, EndedRun[]>();
-    runs.filter(run => !run.isAnswered).forEach(run => {
-        const group = groups.get(run.key) ?? [];
-        group.push(run);
-        groups.set(run.key, group);
+/** The groups of runs that agree in some traits and may show together that these end upstreams. */
+const candidatesFor = (runs: readonly EndedRun[], set: TraitSet): readonly Candidate[] => {
+    const groups = new Map<RequestPattern, EndedRun[]>();
+    runs.filter(run => set === allTraits ? !run.isAnswered : !isAnsweredAlike(run, set)).forEach(run => {
+        const pattern = patternOf(run.key, set);
+        groups.set(pattern, [...groups.get(pattern) ?? [], run]);
     });
-    return groups;
+    return [...groups]
+        .filter(([, own]) => own.length >= endsToWithhold && differInOthers(own.map(({ key }) => key), set))
+        .map(([pattern, own]) => ({ pattern, runs: own, count: oneAfterTheOther(own).length }));
 };
 
 /**
  * Finds the requests that are not to be sent any more.
  *
  * @param runs - All runs that ended with their upstreams, in any order.
- * @returns The keys of those requests, each with the runs that settled it; the same for any order of the runs.
+ * @param agreed - What was withheld already, here or elsewhere: what is learned of others later, which might account for
+ *   an end as well, does not set it free.
+ * @returns What those requests have in common, each with the runs that settled it; the same for any order of the runs.
  */
-export const withheldRequests = (runs: readonly EndedRun[]): ReadonlyMap<RequestKey, readonly EndedRun[]> => {
-    const candidates = [...byKey(runs)]
-        .filter(([, own]) => own.length >= endsToWithhold)
-        .map(([key, own]) => ({ key, own, count: oneAfterTheOther(own).length }))
-        .sort((a, b) => b.count - a.count || (a.key < b.key ? -1 : 1));
-    const withheld = new Map<RequestKey, readonly EndedRun[]>();
+export const withheldRequests = (
+    runs: readonly EndedRun[],
+    agreed: ReadonlySet<RequestPattern> = new Set(),
+): ReadonlyMap<RequestPattern, readonly EndedRun[]> => {
+    const candidates = traitSets.flatMap(set => candidatesFor(runs, set))
+        .sort((a, b) => b.count - a.count || (a.pattern < b.pattern ? -1 : 1));
+    const withheld = new Map<RequestPattern, readonly EndedRun[]>();
     const explained: EndedRun[] = [];
-    candidates.forEach(({ key, own }) => {
-        const unexplained = own.filter(run => !explained.some(other => isSameEnd(run, other)));
-        const counted = oneAfterTheOther(unexplained);
+    candidates.forEach(({ pattern, runs: own }) => {
+        const isAgreed = agreed.has(pattern);
+        const counted = oneAfterTheOther(isAgreed ? own : own.filter(run => !explained.some(other => isSameEnd(run, other))));
         if (counted.length >= endsToWithhold) {
-            withheld.set(key, counted.slice(0, endsToWithhold));
+            withheld.set(pattern, counted.slice(0, endsToWithhold));
             explained.push(...own);
         }
     });
--- a/packages/decision/src/ended-run.ts
+++ b/packages/decision/src/ended-run.ts
@@ -23,6 +23,11 @@
     readonly endedAtUnixMs: number;
     /** How long the request had been there, in milliseconds. */
     readonly ranMs: number;
+    /**
+     * In what an answered request agrees with this one, as far as any instance remembers: bit `n` stands for the set of
+     * traits `n` of `request-traits.ts`.
+     */
+    readonly answeredAlike: number;
     /** Whether an upstream has answered the same request since, which proves that it does not end whoever runs it. */
     readonly isAnswered: boolean;
 }
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -32,6 +32,7 @@
 export { workTime } from "./expected-time-chooser.js";
 export { type LoadFigures, type Observation } from "./observation.js";
 export { bestTime, isGoodNow, mayBeChosen, probeTargets, type Room, roomAtBest, roomInMs } from "./probe-targets.js";
+export { type RequestPattern } from "./request-traits.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { ServiceBeliefs, type ServiceBeliefsOptions } from "./service-beliefs.js";
 export { initialDynamics, type WorkReading } from "./service-dynamics.js";
--- a/packages/decision/test/crash-ledger.test.ts
+++ b/packages/decision/test/crash-ledger.test.ts
@@ -9,7 +9,10 @@
 import { describe, test } from "node:test";
 import { CrashLedger, type EndedRun, withheldRequests } from "../src/index.js";
 
-const keyOf = (name: string): RequestKey => requestKey(Buffer.from(name.padEnd(8, "-")).toString("hex").slice(0, 16));
+/** A key of which each part tells what it stands for. */
+const keyOf = (path: string, caller = "c", query = "q", body = "b"): RequestKey =>
+    requestKey(path.padEnd(16, "_") + [caller, query, body].map(trait => trait.padEnd(8, "_")).join(""));
+
 const bad = keyOf("bad");
 const popular = keyOf("popular");
 const other = keyOf("other");
@@ -27,11 +30,12 @@
         endedAtUnixMs: endedAtMs,
         ranMs: 50,
         isAnswered: false,
+        answeredAlike: 0,
         ...more,
     };
 };
 
-const withheld = (all: readonly EndedRun[]): readonly RequestKey[] => [...withheldRequests(all).keys()];
+const withheld = (all: readonly EndedRun[]): readonly string[] => [...withheldRequests(all).keys()];
 
 describe("a request is withheld", () => {
     test("when three upstreams ended under it, one after the other", () => {
@@ -58,6 +62,29 @@
         assert.deepEqual(withheld(outage), []);
     });
 
+    test("and not a popular one that an outage took from one upstream after the other, if it had been answered before", () => {
+        const outage = Array.from({ length: 12 }, (_, index) => ended(popular, `u${index}`, 1000 + 60 * index));
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.noteAnswered(popular);
+        ledger.merge(outage);
+        assert.equal(ledger.isWithheld(popular), false);
+        // Upstreams that have begun to choke on it are another matter: it takes longer, but not for ever.
+        ledger.merge([ended(popular, "u1", 4000), ended(popular, "u2", 7000)]);
+        assert.equal(ledger.isWithheld(popular), true);
+    });
+
+    test("and not once an instance that has not seen it end remembers its answer", () => {
+        const clock = new FakeClock();
+        const [here, there] = [new CrashLedger({ clock }), new CrashLedger({ clock })];
+        there.noteAnswered(popular);
+        here.merge([ended(popular, "u1", 100), ended(popular, "u2", 200), ended(popular, "u3", 300)]);
+        assert.equal(here.isWithheld(popular), true);
+        there.merge(here.toTell(there.withheld, false));
+        here.merge(there.toTell(here.withheld, false));
+        assert.deepEqual([here.isWithheld(popular), there.isWithheld(popular)], [false, false]);
+        assert.equal(here.merge(there.toTell(here.withheld, false)), false);
+    });
+
     test("and not one that was answered between outages, however many there are", () => {
         const ledger = new CrashLedger({ clock: new FakeClock() });
         for (let outage = 0; outage < 20; outage += 1) {
@@ -72,7 +99,54 @@
         ledger.merge([ended(bad, "u1", 100), ended(bad, "u2", 200), ended(bad, "u3", 300)]);
         assert.equal(ledger.isWithheld(bad), true);
         assert.equal(ledger.noteAnswered(bad), true);
-        assert.deepEqual([ledger.isWithheld(bad), ledger.isSuspect(bad), ledger.digest], [false, false, ""]);
+        assert.deepEqual([ledger.isWithheld(bad), ledger.isSuspect(bad), ledger.withheld], [false, false, []]);
+    });
+});
+
+describe("requests that differ in a trait", () => {
+    const upstreams = ["u1", "u2", "u3"];
+    const after = (index: number): number => 100 * (index + 1);
+
+    test("are withheld by what they have in common: other callers", () => {
+        const runsOf = upstreams.map((upstream, index) => ended(keyOf("bad", `c${index}`), upstream, after(index)));
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.merge(runsOf);
+        assert.equal(ledger.isWithheld(keyOf("bad", "c9")), true);
+        assert.equal(ledger.isWithheld(keyOf("bad", "c9", "q", "other")), false);
+        assert.equal(ledger.isWithheld(keyOf("bad", "c9", "other")), false);
+        assert.equal(ledger.isWithheld(keyOf("good", "c0")), false);
+    });
+
+    test("by what they have in common: other callers and queries", () => {
+        const runsOf = upstreams.map((upstream, index) => ended(keyOf("bad", `c${index}`, `q${index}`), upstream, after(index)));
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.merge(runsOf);
+        assert.equal(ledger.isWithheld(keyOf("bad", "c9", "q9")), true);
+        assert.equal(ledger.isWithheld(keyOf("bad", "c9", "q9", "other")), false);
+    });
+
+    test("and nobody else is withheld for one caller's", () => {
+        const ledger = new CrashLedger({ clock: new FakeClock() });
+        ledger.merge(upstreams.map((upstream, index) => ended(bad, upstream, after(index))));
+        assert.equal(ledger.isWithheld(bad), true);
+        [keyOf("bad", "c9"), keyOf("bad", "c", "q9"), keyOf("bad", "c", "q", "b9"), keyOf("x")].forEach(key =>
+            assert.equal(ledger.isWithheld(key), false)
+        );
+    });
+
+    test("are sent on where one that has that in common was answered, before, since, or at another instance", () => {
+        const runsOf = () => upstreams.map((upstream, index) => ended(keyOf("busy", `c${index}`), upstream, after(index)));
+        const clock = new FakeClock();
+        const [before, since, told] = [new CrashLedger({ clock }), new CrashLedger({ clock }), new CrashLedger({ clock })];
+        before.noteAnswered(keyOf("busy", "c7"));
+        before.merge(runsOf());
+        assert.deepEqual(before.withheld, []);
+        since.merge(runsOf());
+        assert.equal(since.withheld.length, 1);
+        since.noteAnswered(keyOf("busy", "c7"));
+        assert.deepEqual(since.withheld, []);
+        told.merge(before.toTell([], false));
+        assert.deepEqual(told.withheld, []);
     });
 });
 
@@ -84,17 +158,22 @@
             endedAtMs: fc.integer({ min: 0, max: 3000 }),
             ranMs: fc.integer({ min: 1, max: 500 }),
             isAnswered: fc.boolean(),
+            answeredAlike: fc.integer({ min: 0, max: 255 }),
         });
         const property = fc.property(fc.array(run, { maxLength: 14 }), fc.integer(), (drawn, seed) => {
             const facts = drawn.map((fact, index) => ({ id: `r${index}`, endedAtUnixMs: fact.endedAtMs, ...fact }));
-            const deliveries = [...facts, ...facts.map(fact => ({ ...fact, isAnswered: false })), ...facts.slice(0, 5)];
+            const deliveries = [
+                ...facts,
+                ...facts.map(fact => ({ ...fact, isAnswered: false, answeredAlike: 0 })),
+                ...facts.slice(0, 5),
+            ];
             const random = new SeededRandom(seed);
             const shuffled = deliveries.map(fact => ({ fact, at: random.next() })).sort((a, b) => a.at - b.at);
             const clock = new FakeClock();
             const [inOrder, mixed] = [new CrashLedger({ clock }), new CrashLedger({ clock })];
             inOrder.merge(facts);
             shuffled.forEach(({ fact }) => mixed.merge([fact]));
-            assert.equal(mixed.digest, inOrder.digest);
+            assert.deepEqual([...mixed.withheld].sort(), [...inOrder.withheld].sort());
             assert.equal(mixed.size, inOrder.size);
             assert.equal(mixed.merge(facts), false);
         });
@@ -108,7 +187,7 @@
         flood.forEach(run => ledger.merge([run]));
         assert.equal(ledger.size, 512);
         assert.equal(ledger.isWithheld(bad), true);
-        const told = ledger.toTell("", false);
+        const told = ledger.toTell([], false);
         assert.equal(told.length, 64);
         assert.deepEqual(told.slice(0, 3).map(({ key }) => key), [bad, bad, bad]);
     });
@@ -117,11 +196,11 @@
         const clock = new FakeClock();
         const ledger = new CrashLedger({ clock });
         ledger.merge([ended(bad, "u1", 0), ended(bad, "u2", 100), ended(bad, "u3", 200)]);
-        assert.equal(ledger.toTell(ledger.digest, false).length, 3);
-        assert.equal(ledger.toTell(ledger.digest, true).length, 0);
+        assert.equal(ledger.toTell(ledger.withheld, false).length, 3);
+        assert.equal(ledger.toTell(ledger.withheld, true).length, 0);
         await clock.advance(11_000);
-        assert.equal(ledger.toTell(ledger.digest, false).length, 0);
-        assert.equal(ledger.toTell("", true).length, 3);
+        assert.equal(ledger.toTell(ledger.withheld, false).length, 0);
+        assert.equal(ledger.toTell([], true).length, 3);
     });
 
     test("forgets suspects after ten minutes and verdicts after an hour, and takes back nothing from others", async () => {
--- a/packages/fleet/src/crash-message.ts
+++ b/packages/fleet/src/crash-message.ts
@@ -6,7 +6,7 @@
 
 import { create } from "@bufbuild/protobuf";
 import { requestKey } from "@harrierhitch/core";
-import type { CrashLedger, EndedRun } from "@harrierhitch/decision";
+import type { CrashLedger, EndedRun, RequestPattern } from "@harrierhitch/decision";
 import {
     type EndedRun as EndedRunMessage,
     EndedRunSchema,
@@ -17,9 +17,6 @@
 /** What one message tells of runs that ended with their upstreams. */
 export type CrashNews = Pick<ExchangeRequest | ExchangeResponse, "endedRuns" | "withheld">;
 
-/** Hexadecimal digits of a key. */
-const keyDigits = 16;
-
 /**
  * Writes what an instance lacks.
  *
@@ -28,34 +25,48 @@
  * @param other - What the other one has said that it withholds.
  * @param isBrief - Whether to leave out what is only new.
  */
-export const writeCrashNews = (ledger: CrashLedger, nowMs: number, other: string, isBrief: boolean): CrashNews => ({
-    withheld: ledger.digest,
-    endedRuns: ledger.toTell(other, isBrief).map(({ id, key, upstream, endedAtMs, endedAtUnixMs, ranMs, isAnswered }) =>
-        create(EndedRunSchema, {
-            id,
-            key: BigInt(`0x${key}`),
-            upstream,
-            ageMs: nowMs - endedAtMs,
-            endedAtUnixMs: BigInt(endedAtUnixMs),
-            ranMs,
-            answered: isAnswered,
-        })
-    ),
+export const writeCrashNews = (
+    ledger: CrashLedger,
+    nowMs: number,
+    other: readonly RequestPattern[],
+    isBrief: boolean,
+): CrashNews => ({
+    withheld: [...ledger.withheld],
+    endedRuns: ledger.toTell(other, isBrief).map((
+        { id, key, upstream, endedAtMs, endedAtUnixMs, ranMs, isAnswered, answeredAlike },
+    ) => create(EndedRunSchema, {
+        id,
+        key,
+        upstream,
+        ageMs: nowMs - endedAtMs,
+        endedAtUnixMs: BigInt(endedAtUnixMs),
+        ranMs,
+        answered: isAnswered,
+        answeredAlike,
+    })),
 });
 
 /**
- * Reads what another instance told.
+ * Takes in what another instance told.
  *
- * @param messages - What it told.
+ * @param ledger - What this instance remembers.
+ * @param news - What the other one told.
  * @param nowMs - The time on this instance's clock.
+ * @returns Whether anything was new.
  */
-export const readEndedRuns = (messages: readonly EndedRunMessage[], nowMs: number): readonly EndedRun[] =>
-    messages.map(({ id, key, upstream, ageMs, endedAtUnixMs, ranMs, answered }) => ({
+export const takeInCrashNews = (ledger: CrashLedger, { endedRuns, withheld }: CrashNews, nowMs: number): boolean =>
+    ledger.merge(endedRuns.map(message => readEndedRun(message, nowMs)), withheld);
+
+const readEndedRun = (message: EndedRunMessage, nowMs: number): EndedRun => {
+    const { id, key, upstream, ageMs, endedAtUnixMs, ranMs, answered, answeredAlike } = message;
+    return {
         id,
-        key: requestKey(key.toString(16).padStart(keyDigits, "0")),
+        key: requestKey(key),
         upstream,
         endedAtMs: nowMs - Math.max(0, ageMs),
         endedAtUnixMs: Number(endedAtUnixMs),
         ranMs,
         isAnswered: answered,
-    }));
+        answeredAlike,
+    };
+};
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -17,7 +17,7 @@
     Role,
 } from "@harrierhitch/protocol";
 import { documentsFor, versionOf } from "./configuration-news.js";
-import { readEndedRuns, writeCrashNews } from "./crash-message.js";
+import { takeInCrashNews, writeCrashNews } from "./crash-message.js";
 import { readDirectory, writeDirectory } from "./directory-message.js";
 import type { ExchangeAnswer, ExchangeManner, SendExchange } from "./exchange-manner.js";
 import type { FleetOptions } from "./fleet-options.js";
@@ -56,8 +56,8 @@
     /** How far it has told each of them its own. */
     private readonly told = new Map<string, MemberCursor>();
     /** What each of them has said that it withholds. */
-    private readonly withheld = new Map<string, string>();
-    /** The difference in what is withheld that each of them was last told of at once. */
+    private readonly withheld = new Map<string, readonly string[]>();
+    /** What each of them lacked of what is withheld when it was last told of it at once. */
     private readonly hurried = new Map<string, string>();
 
     /** @param options - What is told and taken in. */
@@ -129,12 +129,11 @@
      * Whether an instance that asks lacks a request that is withheld here. It is answered at once for one difference only
      * once: where two see the same runs differently, its next question would be answered for the same reason.
      */
-    private lacksWithheld(asking: string, other: string): boolean {
-        const { digest } = this.options.crashes;
-        const difference = `${other}>${digest}`;
-        const isNew = digest !== "" && digest !== other && this.hurried.get(asking) !== difference;
+    private lacksWithheld(asking: string, withheld: readonly string[]): boolean {
+        const lacking = [...this.options.crashes.lacking(withheld)].sort().join();
+        const isNew = lacking !== "" && this.hurried.get(asking) !== lacking;
         if (isNew) {
-            this.hurried.set(asking, difference);
+            this.hurried.set(asking, lacking);
         }
         return isNew;
     }
@@ -159,7 +158,7 @@
             brief: isBrief,
             role,
             ...(heard && { heard }),
-            ...writeCrashNews(crashes, clock.nowMs(), this.withheld.get(receiver) ?? "", isBrief),
+            ...writeCrashNews(crashes, clock.nowMs(), this.withheld.get(receiver) ?? [], isBrief),
         });
         return { request, told: news.told };
     }
@@ -181,7 +180,7 @@
         const heard = rumors.merge(news.observations);
         heard.forEach(onRumor);
         this.withheld.set(source, news.withheld);
-        const isUrgent = crashes.merge(readEndedRuns(news.endedRuns, clock.nowMs())) || heard.length > 0;
+        const isUrgent = takeInCrashNews(crashes, news, clock.nowMs()) || heard.length > 0;
         if (leaving.length > 0) {
             onLeaving(leaving);
         }
--- a/packages/fleet/test/crash-spread.test.ts
+++ b/packages/fleet/test/crash-spread.test.ts
@@ -9,7 +9,7 @@
 import { describe, test } from "node:test";
 import { FakeFleet, type FakeNode } from "./fake-fleet.js";
 
-const bad = requestKey("00000000000000bd");
+const bad = requestKey("00000000000000bd".padEnd(40, "0"));
 const names = (count: number): readonly string[] => Array.from({ length: count }, (_, index) => `n${index + 1}`);
 
 /** Time within which everyone knows. */
@@ -32,6 +32,7 @@
         endedAtUnixMs: Math.floor(fleet.clock.wallMs()),
         ranMs: 50,
         isAnswered: false,
+        answeredAlike: 0,
     };
     node.crashes.merge([run]);
     node.fleet.wakeLinks();
--- a/packages/standin/test/repeats.test.ts
+++ b/packages/standin/test/repeats.test.ts
@@ -105,3 +105,30 @@
     assert.equal(status, 503);
     assert.equal(ends(), before);
 });
+
+test("a request that is asked for all the time, and was merely under way when upstreams ended, is still sent on", async () => {
+    system.upstreams.forEach(upstream => upstream.behaviour = { ...upstream.behaviour, meanServiceMs: 40 });
+    let isOver = false;
+    const seen: number[] = [];
+    const popular = Array.from({ length: 9 }, async (_, index) => {
+        while (!isOver) {
+            seen.push((await ask(index % instances + 1, "/read/popular")).status);
+        }
+    });
+    for (let outage = 0; outage < 8; outage += 1) {
+        const before = ends();
+        await ask(outage % instances + 1, `/read/bad/${outage}`);
+        assert.ok(ends() > before);
+        await pause();
+    }
+    isOver = true;
+    await Promise.all(popular);
+    // Each end is one run of a request that causes it; what is known besides was under way there.
+    assert.ok(system.daemon.instance.crashes.ledger.size > ends(), "no popular request was under way where an upstream ended");
+    assert.ok(!seen.includes(503));
+    await pause();
+    const statuses = await Promise.all(
+        Array.from({ length: instances + 1 }, async (_, index) => (await ask(index + 1, "/read/popular")).status),
+    );
+    assert.deepEqual(statuses, statuses.map(() => 200));
+});
