Test repeats that differ in caller and query; the requests of the model in a file of their own

Three real instances: nine repeats, each from another address and with another query, end four upstreams (three runs of the first and one of the second, which shows that neither matters); another path of the same caller is served.

--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -4,14 +4,14 @@
 
 import { checkConfiguration, checkSettings } from "@harrierhitch/configuration";
 import { FakeClock, SeededRandom, sleep, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { EventEmitter } from "node:events";
 import { readFileSync } from "node:fs";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import { Instance } from "../../src/instance.js";
 import { CallerAnswer } from "../../src/request/caller-answer.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
 import { Metrics } from "../../src/telemetry/metrics.js";
-import { modelDialect, modelPatienceHeader } from "./model-dialect.js";
+import { modelDialect } from "./model-dialect.js";
+import { modelRequest, ModelResponse } from "./model-request.js";
 import { modelProbePath, ModelTransport } from "./model-transport.js";
 import { ModelUpstream, type ModelUpstreamOptions } from "./model-upstream.js";
 
@@ -217,35 +217,3 @@
 retrySlack = 60
 probesPerSecond = 60
 `;
-
-const modelRequest = (patienceMs: number): IncomingMessage =>
-    ({
-        method: "GET",
-        url: "/",
-        httpVersion: "1.1",
-        headers: { host: "model", [modelPatienceHeader]: String(patienceMs) },
-        rawHeaders: ["host", "model"],
-        complete: true,
-        socket: { remoteAddress: "127.0.0.1" },
-    }) as unknown as IncomingMessage;
-
-/** Takes an answer; as much of a response as an instance uses. */
-class ModelResponse extends EventEmitter {
-    status = 0;
-    headers: Readonly<Record<string, unknown>> = {};
-    writableFinished = false;
-
-    get headersSent(): boolean {
-        return this.status !== 0;
-    }
-
-    writeHead(status: number, headers: Readonly<Record<string, unknown>>): void {
-        this.status = status;
-        this.headers = headers;
-    }
-
-    end(): void {
-        this.writableFinished = true;
-        this.emit("close");
-    }
-}
--- a/packages/standin/test/repeats.test.ts
+++ b/packages/standin/test/repeats.test.ts
@@ -106,6 +106,17 @@
     assert.equal(ends(), before);
 });
 
+test("repeats that differ in caller and query are known by what they have in common", async () => {
+    const before = ends();
+    for (let repeat = 0; repeat < 9; repeat += 1) {
+        await ask(repeat % instances + 1, `/read/bad/anywhere?n=${repeat}`, `127.0.0.${10 + repeat}`);
+        await pause();
+    }
+    // The first three are one caller's own attempts, the next one is another's, and shows that the caller does not matter.
+    assert.ok(ends() - before <= 4, `${ends() - before} upstreams ended`);
+    assert.equal((await ask(1, "/read/good/anywhere?n=0", "127.0.0.10")).status, 200);
+});
+
 test("a request that is asked for all the time, and was merely under way when upstreams ended, is still sent on", async () => {
     system.upstreams.forEach(upstream => upstream.behaviour = { ...upstream.behaviour, meanServiceMs: 40 });
     let isOver = false;
