--- a/packages/decision/src/ended-run.ts
+++ b/packages/decision/src/ended-run.ts
@@ -17,7 +17,7 @@
     readonly endedAtMs: number;
     /**
      * The same by the time of day of the instance that saw it, in milliseconds since the Unix epoch: what it is judged by.
-     * Every instance then judges alike: by the time at which they heard of them, 4 of 19 instances took runs that followed
+     * Every instance then judges alike: by the time at which they heard of them, up to 14 of 19 instances took runs that followed
      * each other within 50 ms for ones that overlapped (a network with ways of up to 40 ms, seeds 1 to 8).
      */
     readonly endedAtUnixMs: number;
