--- a/packages/decision/src/crash-ledger.ts
+++ b/packages/decision/src/crash-ledger.ts
@@ -75,7 +75,7 @@
     /** Whether a request is not to be sent, because upstreams end under it. */
     isWithheld(key: RequestKey): boolean {
         this.forgetOld();
-        return this.verdicts.size > 0 && this.hasVerdictOn(key);
+        return this.verdicts.size > 0 && traitSets.some(set => this.verdicts.has(patternOf(key, set)));
     }
 
     /** Whether an upstream has ended under a request that was not answered since. */
@@ -172,8 +172,9 @@
         if (surplus <= 0) {
             return;
         }
+        const isSettling = (run: EndedRun): boolean => traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
         const order = [...this.runs].sort((a, b) =>
-            Number(this.hasVerdictOn(a.key)) - Number(this.hasVerdictOn(b.key)) || a.endedAtUnixMs - b.endedAtUnixMs
+            Number(isSettling(a)) - Number(isSettling(b)) || a.endedAtUnixMs - b.endedAtUnixMs
         );
         order.slice(0, surplus).forEach(({ id }) => this.entries.delete(id));
     }
@@ -194,11 +195,8 @@
     }
 
     private forgetAtMs(run: EndedRun): number {
-        return run.endedAtMs + (this.hasVerdictOn(run.key) ? withholdMs : suspectMs);
-    }
-
-    private hasVerdictOn(key: RequestKey): boolean {
-        return traitSets.some(set => this.verdicts.has(patternOf(key, set)));
+        const isSettling = traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
+        return run.endedAtMs + (isSettling ? withholdMs : suspectMs);
     }
 
     private forgetOld(): void {
