Tell what upstreams ask for in the heads of their answers

Now the head's notice is read (leaves, wants a rest, a Retry-After that cannot be read), told in events 322 and 323 with the request or probe that heard it, and counted. Nothing is decided by it yet.

Retry-After is read in both forms of RFC 9110, seconds (with a fraction) and a date, counted from the answer's own Date.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -18,6 +18,7 @@
     type SyntaxOptions,
 } from "./platform/platform.js";
 export { type DaemonProgramOptions, exitCodes, runDaemonProgram } from "./program.js";
+export { type AnswerNotice, noNotice, readRest } from "./request/answer-notice.js";
 export { type Arrival, numberHeader, pathOf, textHeader } from "./request/arrival.js";
 export { type AnswerHead, type AnswerReading, type Dialect, type LoadReport, type OutgoingAttempt } from "./request/dialect.js";
 export { EventLog, type EventLogOptions } from "./telemetry/event-log.js";
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -102,6 +102,7 @@
         const { service } = progress.route;
         const reading = services.dialect.readAnswer({ status, headers, service, requestHeaders: progress.request.headers });
         this.reading = reading;
+        services.onNotice({ service: service.name, upstream, notice: reading.notice, request: progress.record.id });
         learnFromAnswer(services, runtime, upstream, reading, this.startedAtMs);
         if (reading.foreign !== undefined) {
             return false;
--- a/packages/daemon/src/request/dialect.ts
+++ b/packages/daemon/src/request/dialect.ts
@@ -7,6 +7,7 @@
 import type { Configuration, Kind, Service, Upstream } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { AnswerNotice } from "./answer-notice.js";
 import type { Arrival } from "./arrival.js";
 
 /** An attempt, as far as its request tells of it. */
@@ -55,6 +56,8 @@
     readonly mayPassOn: boolean;
     /** Whether the upstream says that it leaves. */
     readonly leaving: boolean;
+    /** What it wants heeded after this answer. */
+    readonly notice: AnswerNotice;
     readonly load: LoadReport | undefined;
     /** Milliseconds for which the upstream says that it stays slow after a start; `undefined` when it does not say. */
     readonly coldMs: number | undefined;
--- a/packages/daemon/src/request/header-dialect.ts
+++ b/packages/daemon/src/request/header-dialect.ts
@@ -7,6 +7,7 @@
 import type { Configuration, Kind } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
 import type { IncomingMessage } from "node:http";
+import { readRest } from "./answer-notice.js";
 import { type Arrival, numberHeader, pathOf, textHeader } from "./arrival.js";
 import type { AnswerHead, AnswerReading, Dialect, LoadReport, OutgoingAttempt } from "./dialect.js";
 import { outcomeHeader } from "./problem.js";
@@ -39,6 +40,7 @@
     readAnswer({ status, headers, service }: AnswerHead): AnswerReading {
         const shed = service.shedStatuses.has(status) && headers[service.shedHeader] === "not-run";
         const told = headers[outcomeHeader];
+        const leaving = headers[service.drainHeader] === "draining";
         return {
             foreign: undefined,
             outcome: shed ? "not-run" : outcomeOfStatus(status, told),
@@ -47,7 +49,8 @@
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
             mayPassOn: true,
-            leaving: headers[service.drainHeader] === "draining",
+            leaving,
+            notice: { leaving, ...readRest(status, headers) },
             load: readLoad(headers[service.loadHeader]),
             coldMs: undefined,
         };
--- a/packages/daemon/src/request/make-request-services.ts
+++ b/packages/daemon/src/request/make-request-services.ts
@@ -10,6 +10,7 @@
 import type { Telemetry } from "../telemetry/telemetry.js";
 import type { ProbeBudget } from "../upstream/probe-budget.js";
 import { Prober } from "../upstream/prober.js";
+import type { HeardNotice } from "./answer-notice.js";
 import type { CrashWatch } from "./crash-watch.js";
 import { RequestIds } from "./request-id.js";
 import type { RequestServices } from "./request-services.js";
@@ -30,6 +31,7 @@
     const { parts, instance, incarnation, explanations, crashes, probeBudget, telemetry } = options;
     const { settings, clock, random, transport, dialect, log, metrics, onTraced } = parts;
     const { limits, callers, traces } = settings;
+    const onNotice = (notice: HeardNotice): void => telemetry.noticed(notice);
     return {
         clock,
         random,
@@ -41,6 +43,7 @@
             dialect,
             budget: probeBudget,
             onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
+            onNotice,
         }),
         explanations,
         crashes,
@@ -49,6 +52,7 @@
         answerBufferBytes: limits.answerBufferBytes,
         log,
         sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
+        onNotice,
         onAttempt: (record, attempt) => telemetry.attempted(record, attempt),
         onServed: (record, sampled) => {
             telemetry.served(record);
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../telemetry/event-log.js";
 import type { Prober } from "../upstream/prober.js";
 import type { UpstreamTransport } from "../upstream/upstream-transport.js";
+import type { HeardNotice } from "./answer-notice.js";
 import type { CrashWatch } from "./crash-watch.js";
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { Dialect } from "./dialect.js";
@@ -31,6 +32,8 @@
     readonly log: EventLog;
     /** Decides whether a trace that begins here is recorded. */
     sampleTrace(): boolean;
+    /** Told of what an upstream asks of this instance in the head of an answer. */
+    onNotice(notice: HeardNotice): void;
     /** Told when an attempt has ended. */
     onAttempt(record: DecisionRecord, attempt: AttemptRecord): void;
     /** Told when a request was answered. */
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -41,6 +41,8 @@
     heardNobody: { number: 230, level: "warn", message: "no other instance was heard; serving alone" },
     peerRefused: { number: 231, level: "warn", message: "another instance's call or connection was refused" },
     upstreamStateChanged: { number: 300, level: "info", message: "upstream changed state" },
+    noticeHeard: { number: 322, level: "info", message: "upstream said that it leaves, or asked for a rest" },
+    retryAfterUnreadable: { number: 323, level: "warn", message: "upstream's Retry-After cannot be read; it is left out" },
     endedUnder: { number: 320, level: "info", message: "upstream ended while a request was under way there" },
     requestWithheld: { number: 321, level: "warn", message: "request is withheld: upstreams end under it" },
     policyFailed: { number: 310, level: "error", message: "policy clause failed; the safe default was used" },
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -48,6 +48,13 @@
         ["service", "state"],
     );
 
+    /** Answers in which upstreams said that they leave, asked for a rest, or sent a `Retry-After` that cannot be read. */
+    readonly upstreamNotices = this.counter(
+        "harrierhitch_upstream_notices_total",
+        "Answers in which upstreams leave, ask for a rest, or ask in a way that cannot be read",
+        ["service", "notice"],
+    );
+
     /** Probes of upstreams, by service and result. */
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -8,6 +8,7 @@
 import type { Generation } from "@harrierhitch/core";
 import type { DirectoryChange, OfferResult, UpstreamDirectory, ZoneListing } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
+import type { HeardNotice } from "../request/answer-notice.js";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
 import type { StateChange } from "../upstream/service-registry.js";
 import type { EventLog } from "./event-log.js";
@@ -85,6 +86,26 @@
         });
     }
 
+    /** Tells what an upstream asked of this instance in the head of an answer. */
+    noticed({ service, upstream, notice, request }: HeardNotice): void {
+        const { leaving, restMs, unreadable } = notice;
+        const from = { service, upstream: upstream.id, startedAtMs: upstream.startedAtMs, request };
+        const count = (name: string): void => this.metrics.upstreamNotices.inc({ service, notice: name });
+        if (leaving) {
+            count("leaving");
+        }
+        if (restMs !== undefined) {
+            count("rest");
+        }
+        if (leaving || restMs !== undefined) {
+            this.log.write(events.noticeHeard, { ...from, leaving, restMs });
+        }
+        if (unreadable !== undefined) {
+            count("unreadable");
+            this.log.write(events.retryAfterUnreadable, { ...from, text: unreadable });
+        }
+    }
+
     /** Counts a request that was answered. */
     served(record: DecisionRecord): void {
         const { route } = record;
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -8,6 +8,7 @@
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { KnownUpstream, Observation } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
+import type { HeardNotice } from "../request/answer-notice.js";
 import type { Dialect } from "../request/dialect.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { ServiceRuntime } from "./service-runtime.js";
@@ -22,6 +23,8 @@
     readonly budget: ProbeBudget;
     /** Told of each probe that was sent, and of how it ended. */
     readonly onProbe: (service: Service, result: ProbeResult) => void;
+    /** Told of what an upstream asks of this instance in its answer to a probe. */
+    readonly onNotice: (notice: HeardNotice) => void;
 }
 
 /** How a probe ended. */
@@ -131,13 +134,14 @@
         status: number,
         headers: IncomingHttpHeaders,
     ): boolean {
-        const { clock, dialect } = this.options;
-        const { load, leaving, misdirected, coldMs } = dialect.readAnswer({
+        const { clock, dialect, onNotice } = this.options;
+        const { load, leaving, misdirected, coldMs, notice } = dialect.readAnswer({
             status,
             headers,
             service,
             requestHeaders: undefined,
         });
+        onNotice({ service: service.name, upstream, notice, request: undefined });
         const atMs = clock.nowMs();
         const observe = (observation: Observation): void =>
             runtime.beliefs.observe(upstream.id, observation, upstream.startedAtMs);
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -4,9 +4,10 @@
 
 import type { Configuration, Kind } from "@harrierhitch/configuration";
 import type { IncomingMessage } from "node:http";
+import { readRest } from "../../src/request/answer-notice.js";
 import { type Arrival, numberHeader, pathOf } from "../../src/request/arrival.js";
 import type { AnswerHead, AnswerReading, Dialect, LoadReport } from "../../src/request/dialect.js";
-import { modelLoadHeader } from "./model-transport.js";
+import { modelLeavingHeader, modelLoadHeader } from "./model-transport.js";
 
 /** Header with the milliseconds for which a caller will wait. */
 export const modelPatienceHeader = "patience-ms";
@@ -44,6 +45,7 @@
             retryable: shed,
             mayPassOn: !shed,
             leaving: false,
+            notice: { leaving: headers[modelLeavingHeader] !== undefined, ...readRest(status, headers) },
             load: readLoad(headers[modelLoadHeader]),
             coldMs: undefined,
         };
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -14,6 +14,9 @@
 /** Header with their load. */
 export const modelLoadHeader = "load";
 
+/** Header of an upstream that leaves. */
+export const modelLeavingHeader = "leaving";
+
 /** Time from an instance to an upstream. */
 const wayMs = 1;
 
