--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -132,7 +132,7 @@
             settings,
             clock,
             random: new SeededRandom(index + 1),
-            transport: new ModelTransport(clock, this.upstreams),
+            transport: new ModelTransport(clock, this.upstreams, `entry-${index}`),
             dialect: modelDialect,
             syntax: {
                 configuration: checkConfiguration,
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -22,7 +22,11 @@
 
 /** Sends to modelled upstreams. */
 export class ModelTransport implements UpstreamTransport {
-    constructor(private readonly clock: Clock, private readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>) {}
+    constructor(
+        private readonly clock: Clock,
+        private readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>,
+        private readonly instance: string,
+    ) {}
 
     send(upstream: Upstream, request: UpstreamRequest, sink: AnswerSink): Attempt {
         const model = this.upstreams.get(upstream.id);
@@ -34,20 +38,31 @@
         const result = new Promise<AttemptResult>(resolve => {
             settle = resolve;
         });
-        const answer = async (status: number): Promise<void> => {
+        const answer = async (status: number, restMs?: number): Promise<void> => {
             const { load } = model;
-            const headers = { "content-length": "0", ...(load === undefined ? {} : { [modelLoadHeader]: load }) };
+            const headers = {
+                "content-length": "0",
+                ...(load === undefined ? {} : { [modelLoadHeader]: load }),
+                ...(restMs === undefined ? {} : { "retry-after": String(restMs / 1000) }),
+            };
             await sleep(this.clock, wayMs);
             sink.onHead(status, headers);
             settle({ end: "answered", status, detail: "", sent: true });
         };
         const arrive = async (): Promise<void> => {
             await sleep(this.clock, wayMs);
+            model.noteArrival(this.instance);
             if (request.path === modelProbePath) {
                 model.probes += 1;
                 await answer(200);
                 return;
             }
+            const restMs = model.askForRest(this.instance);
+            if (restMs !== undefined) {
+                model.sheds += 1;
+                await answer(503, restMs);
+                return;
+            }
             leave = model.take(() => void answer(200));
             if (leave === undefined) {
                 await answer(503);
--- a/packages/daemon/test/model/model-upstream.ts
+++ b/packages/daemon/test/model/model-upstream.ts
@@ -23,6 +23,16 @@
     readonly tellsLoad?: boolean;
 }
 
+/** A time in which an upstream turns all requests away. */
+export interface TurnAway {
+    readonly untilMs: number;
+    /** For how long it wants nothing more from whoever it turns away. */
+    readonly restMs: number;
+}
+
+/** Time after an answer within which requests may still arrive that were on their way when it was sent, in milliseconds. */
+const onTheWayMs = 3;
+
 /** One request at a modelled upstream. */
 interface Job {
     readonly onEnd: () => void;
@@ -34,6 +44,12 @@
     probes = 0;
     sheds = 0;
     mostInFlight = 0;
+    /** Requests and probes that came from an instance which it had asked for a rest. */
+    disturbed = 0;
+    /** Set while it turns all requests away. */
+    turnAway: TurnAway | undefined;
+    /** The rests that it asked for, by instance. */
+    private readonly rests = new Map<string, { readonly askedAtMs: number; readonly untilMs: number; }>();
     private readonly running = new Map<Job, Timer>();
     private readonly waiting: Job[] = [];
     private slownessNow = 1;
@@ -49,6 +65,26 @@
         return [this.running.size, this.waiting.length, this.options.slots, this.slowness].join(",");
     }
 
+    /** Milliseconds for which it wants nothing more from an instance whose request it turns away; `undefined` while it takes them. */
+    askForRest(instance: string): number | undefined {
+        const nowMs = this.options.clock.nowMs();
+        if (this.turnAway === undefined || nowMs >= this.turnAway.untilMs) {
+            return undefined;
+        }
+        const { restMs } = this.turnAway;
+        this.rests.set(instance, { askedAtMs: nowMs, untilMs: nowMs + restMs });
+        return restMs;
+    }
+
+    /** Notes that a request or a probe has arrived from an instance. */
+    noteArrival(instance: string): void {
+        const nowMs = this.options.clock.nowMs();
+        const rest = this.rests.get(instance);
+        if (rest !== undefined && nowMs > rest.askedAtMs + onTheWayMs && nowMs < rest.untilMs) {
+            this.disturbed += 1;
+        }
+    }
+
     /**
      * Takes a request.
      *
--- /dev/null
+++ b/packages/daemon/test/rest.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Two of seven upstreams turned everything away and asked each instance for three seconds of rest; the instances sent them
+ * 231 requests in the next four seconds, and refused 210 callers although the other five had room. An upstream that turns everything
+ * away is idle and tells so, and nothing read that it had asked to be left alone.
+ */
+
+import { SeededRandom } from "@harrierhitch/core";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { ModelFleet } from "./model/model-fleet.js";
+
+const fleetOptions = {
+    instances: 13,
+    upstreams: 7,
+    upstream: { slots: 6, queue: 12, workMs: 70 },
+    targetMs: 300,
+    patienceMs: 1100,
+};
+
+const upstreamsOf = (fleet: ModelFleet) => [...fleet.upstreams.values()];
+const disturbed = (fleet: ModelFleet): number => upstreamsOf(fleet).reduce((sum, upstream) => sum + upstream.disturbed, 0);
+
+describe("upstreams that turn requests away and ask for a rest", () => {
+    test("get nothing from the instances that they asked, and callers are served by the others", async () => {
+        const fleet = new ModelFleet(fleetOptions);
+        await fleet.load(60, 3000);
+        upstreamsOf(fleet).slice(0, 2).forEach(upstream => {
+            upstream.turnAway = { untilMs: 12_000, restMs: 3000 };
+        });
+        await fleet.load(60, 9000);
+        await fleet.clock.advance(4000);
+        assert.equal(disturbed(fleet), 0);
+        const inTime = fleet.inTime(3000, 12_000);
+        assert.ok(inTime > 0.97, `in time: ${inTime}`);
+    });
+
+    test("take work again after it", async () => {
+        const fleet = new ModelFleet(fleetOptions);
+        await fleet.load(60, 1000);
+        const [first] = upstreamsOf(fleet);
+        first!.turnAway = { untilMs: 2000, restMs: 1000 };
+        await fleet.load(60, 3000);
+        const before = first!.arrivals;
+        await fleet.load(60, 4000);
+        assert.ok(first!.arrivals - before > 10, `${first!.arrivals - before} requests after the rest`);
+    });
+
+    Array.from({ length: 20 }, (_, seed) => seed + 1).forEach(seed => {
+        test(`are left alone at whatever moments they ask, seed ${seed}`, async () => {
+            const random = new SeededRandom(seed);
+            const fleet = new ModelFleet({ ...fleetOptions, seed });
+            for (let round = 0; round < 8; round += 1) {
+                const nowMs = fleet.clock.nowMs();
+                upstreamsOf(fleet).filter(() => random.next() < 0.5).forEach(upstream => {
+                    upstream.turnAway = { untilMs: nowMs + 1500 * random.next(), restMs: 100 + 2000 * random.next() };
+                });
+                await fleet.load(20 + 100 * random.next(), 500 + 1500 * random.next());
+            }
+            await fleet.clock.advance(4000);
+            assert.equal(disturbed(fleet), 0);
+            assert.equal(fleet.results.length, fleet.callersBegun);
+        });
+    });
+});
+
+describe("while all upstreams rest", () => {
+    test("callers are turned away at once, and told when the rest ends, not all the same moment", async () => {
+        const fleet = new ModelFleet({ ...fleetOptions, instances: 1 });
+        await fleet.load(60, 2000);
+        upstreamsOf(fleet).forEach(upstream => {
+            upstream.turnAway = { untilMs: fleet.clock.nowMs() + 1000, restMs: 30_000 };
+        });
+        await fleet.load(60, 1000);
+        const asked = () => upstreamsOf(fleet).map(({ arrivals, probes }) => [arrivals, probes]);
+        const before = asked();
+        const askedAtMs = fleet.clock.nowMs();
+        const asks = Array.from({ length: 20 }, () => fleet.ask(1100).then(answer => ({ ...answer, atMs: fleet.clock.nowMs() })));
+        await fleet.clock.advance(0);
+        await fleet.clock.advance(2000);
+        const answers = await Promise.all(asks);
+        assert.deepEqual(asked(), before);
+        assert.deepEqual(answers.map(({ status, atMs }) => [status, atMs - askedAtMs]), answers.map(() => [503, 0]));
+        const waitsMs = answers.map(({ retryAfterMs }) => retryAfterMs);
+        assert.ok(Math.min(...waitsMs) > 28_000, `told to come back after ${Math.min(...waitsMs)} ms`);
+        assert.ok(new Set(waitsMs).size > 15, "told to come back at the same moment");
+    });
+
+    test("a caller waits where the rest ends in time", async () => {
+        const fleet = new ModelFleet({ ...fleetOptions, instances: 1, upstreams: 1 });
+        await fleet.load(20, 4000);
+        await fleet.clock.advance(1000);
+        const [only] = upstreamsOf(fleet);
+        only!.turnAway = { untilMs: fleet.clock.nowMs() + 50, restMs: 60 };
+        const askedAtMs = fleet.clock.nowMs();
+        const ask = fleet.ask(1100).then(({ status }) => ({ status, tookMs: fleet.clock.nowMs() - askedAtMs }));
+        await fleet.clock.advance(0);
+        await fleet.clock.advance(2000);
+        const { status, tookMs } = await ask;
+        assert.equal(only!.sheds, 1);
+        assert.equal(status, 200);
+        assert.ok(tookMs > 60 && tookMs < fleetOptions.targetMs, `${tookMs} ms`);
+        assert.equal(disturbed(fleet), 0);
+    });
+});
