Heed upstreams that say in their answers that they leave, for as long as that start of them lives

What callers saw: nothing yet, but requests went on reaching an upstream that was about to end, 2.5 s after the instance that sent them had passed on its word; 64 in the thirteen seconds in which the platform could not tell of its leaving.

Cause: of an answer's head only status, load and coldness were read. That an upstream leaves came from the list and from other instances alone, which both need the platform or another observer. Its class: what a peer says of itself in passing is handed on and not taken in. And where it was known, it was known to the entry: one that lapsed and came back, or could not be read for a while, was believed nothing of.

Why it holds: answers and probes are heeded at their heads, before anything else is decided by them, also those that answer another request. What is noted is kept by start, apart from entries and services (UpstreamNotices): the same start is believed to leave whenever it is listed again. Another start is known by its later beginning; an answer that was given after a start had begun was that start's own, whichever was listed then (clocks a second apart). Any order of news ends the same (property test, 500 runs). Starts without a name count as the same for a minute.

Ruled out: more frequent reads of the platform (it was silent).

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Generation, type InstanceId, instanceId, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { SharedColdAdmission } from "@harrierhitch/decision";
+import { SharedColdAdmission, UpstreamNotices } from "@harrierhitch/decision";
 import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, type DirectoryChange, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
@@ -72,6 +72,7 @@
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
+            notices: new UpstreamNotices({ clock }),
             coldAdmission: new SharedColdAdmission({ clock, sharersOf: upstream => this.coldSharersOf(upstream) }),
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
@@ -202,7 +203,7 @@
     /** Takes in what another instance learned of an upstream. */
     takeRumor({ upstream, startedAtMs, atMs }: HeardRumor): void {
         this.hearing = true;
-        this.services.observe(upstreamId(upstream), { type: "draining", atMs }, startedAtMs);
+        this.services.noteLeaving(upstreamId(upstream), startedAtMs, atMs);
         this.hearing = false;
     }
 
--- a/packages/daemon/src/request/dialect.ts
+++ b/packages/daemon/src/request/dialect.ts
@@ -54,8 +54,6 @@
     readonly retryable: boolean;
     /** Whether the caller may get this answer as it is. */
     readonly mayPassOn: boolean;
-    /** Whether the upstream says that it leaves. */
-    readonly leaving: boolean;
     /** What it wants heeded after this answer. */
     readonly notice: AnswerNotice;
     readonly load: LoadReport | undefined;
--- a/packages/daemon/src/request/header-dialect.ts
+++ b/packages/daemon/src/request/header-dialect.ts
@@ -49,7 +49,6 @@
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
             mayPassOn: true,
-            leaving,
             notice: { leaving, ...readRest(status, headers) },
             load: readLoad(headers[service.loadHeader]),
             coldMs: undefined,
--- a/packages/daemon/src/request/learn.ts
+++ b/packages/daemon/src/request/learn.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { Clock } from "@harrierhitch/core";
 import { type KnownUpstream, type Observation, workTime } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
@@ -31,13 +32,8 @@
 ): void => {
     const atMs = clock.nowMs();
     const observe = (observation: Observation): void => beliefs.observe(upstream.id, observation, upstream.startedAtMs);
-    if (reading.foreign !== undefined) {
-        return;
-    }
-    if (reading.leaving || reading.misdirected) {
-        observe({ type: "draining", atMs });
-    }
-    if (reading.misdirected) {
+    heedNotice(clock, reading, observe);
+    if (reading.foreign !== undefined || reading.misdirected) {
         return;
     }
     if (reading.coldMs !== undefined && reading.coldMs > 0) {
@@ -63,6 +59,30 @@
     observe({ type: "answered", atMs, latencyMs, failed: reading.failed, reportedInFlight, ...load });
 };
 
+/**
+ * Takes in what the head of an answer or of a probe's answer says of its sender's future, whichever request it answers.
+ *
+ * While the platform was silent for 13 s, an upstream whose answers said that it leaves got 64 requests more; now none, from
+ * an instance that has passed on one such answer.
+ *
+ * @param clock - The clock.
+ * @param reading - What the head says.
+ * @param observe - Takes what is learned of the upstream.
+ */
+export const heedNotice = (
+    clock: Clock,
+    { misdirected, notice }: Pick<AnswerReading, "misdirected" | "notice">,
+    observe: (observation: Observation) => void,
+): void => {
+    const atMs = clock.nowMs();
+    if (misdirected) {
+        observe({ type: "draining", atMs });
+    }
+    else if (notice.leaving) {
+        observe({ type: "draining", atMs, saidAtUnixMs: clock.wallMs() });
+    }
+};
+
 /** How long an upstream has worked on a request. */
 export interface Work {
     readonly runtime: ServiceRuntime;
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -10,6 +10,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { HeardNotice } from "../request/answer-notice.js";
 import type { Dialect } from "../request/dialect.js";
+import { heedNotice } from "../request/learn.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 import { SilentServices } from "./silent-services.js";
@@ -135,19 +136,18 @@
         headers: IncomingHttpHeaders,
     ): boolean {
         const { clock, dialect, onNotice } = this.options;
-        const { load, leaving, misdirected, coldMs, notice } = dialect.readAnswer({
+        const reading = dialect.readAnswer({
             status,
             headers,
             service,
             requestHeaders: undefined,
         });
-        onNotice({ service: service.name, upstream, notice, request: undefined });
+        const { load, coldMs } = reading;
+        onNotice({ service: service.name, upstream, notice: reading.notice, request: undefined });
         const atMs = clock.nowMs();
         const observe = (observation: Observation): void =>
             runtime.beliefs.observe(upstream.id, observation, upstream.startedAtMs);
-        if (leaving || misdirected) {
-            observe({ type: "draining", atMs });
-        }
+        heedNotice(clock, reading, observe);
         if (coldMs !== undefined && coldMs > 0) {
             observe({ type: "cooled", atMs, coldMs });
         }
--- a/packages/daemon/src/upstream/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -10,9 +10,9 @@
     type Belief,
     type ColdAdmission,
     type KnownUpstream,
-    type Observation,
     RetryBudget,
     ServiceBeliefs,
+    type UpstreamNotices,
 } from "@harrierhitch/decision";
 import { HoldQueue } from "../request/hold-queue.js";
 import { ServiceRuntime } from "./service-runtime.js";
@@ -39,6 +39,8 @@
     readonly onStateChange: (change: StateChange) => void;
     /** Admits requests to cold upstreams. */
     readonly coldAdmission: ColdAdmission;
+    /** What upstreams told of themselves; it outlives services. */
+    readonly notices: UpstreamNotices;
 }
 
 /** What a registry is brought up to date by. */
@@ -74,14 +76,18 @@
     }
 
     /**
-     * Takes in an observation of an upstream, whichever service it belongs to.
+     * Takes in that an upstream leaves, whichever service it belongs to, and also while its entry has lapsed.
      *
      * @param upstream - The upstream.
-     * @param observation - What was learned.
-     * @param startedAtMs - The start that it was learned of; 0 when it is not known.
+     * @param startedAtMs - The start that leaves, in milliseconds since the Unix epoch; 0 when it is not known.
+     * @param atMs - When that was learned, on this instance's clock.
      */
-    observe(upstream: UpstreamId, observation: Observation, startedAtMs: number): void {
-        this.runtimes.forEach(runtime => runtime.beliefs.observe(upstream, observation, startedAtMs));
+    noteLeaving(upstream: UpstreamId, startedAtMs: number, atMs: number): void {
+        const owner = this.all().find(({ beliefs }) => beliefs.find(upstream) !== undefined);
+        if (owner === undefined) {
+            this.options.notices.noteLeaving({ id: upstream, startedAtMs }, 0);
+        }
+        owner?.beliefs.observe(upstream, { type: "draining", atMs }, startedAtMs);
     }
 
     /** The runtime of a service. */
@@ -95,11 +101,12 @@
     }
 
     private create(name: ServiceName): ServiceRuntime {
-        const { clock, availabilityZone, onStateChange, coldAdmission } = this.options;
+        const { clock, availabilityZone, onStateChange, coldAdmission, notices } = this.options;
         const beliefs = new ServiceBeliefs({
             clock,
             availabilityZone,
             coldAdmission,
+            notices,
             onStateChange: ({ id, startedAtMs = 0 }, before, after) =>
                 onStateChange({ service: name, upstream: id, startedAtMs, before, after }),
         });
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -44,7 +44,6 @@
             failed: false,
             retryable: shed,
             mayPassOn: !shed,
-            leaving: false,
             notice: { leaving: headers[modelLeavingHeader] !== undefined, ...readRest(status, headers) },
             load: readLoad(headers[modelLoadHeader]),
             coldMs: undefined,
--- a/packages/decision/src/observation.ts
+++ b/packages/decision/src/observation.ts
@@ -12,6 +12,14 @@
     readonly slowness?: number | undefined;
 }
 
+/** The upstream is leaving, by its own word, the list's or another instance's. */
+export interface LeavingObservation {
+    readonly type: "draining";
+    readonly atMs: number;
+    /** When the upstream said so itself, in milliseconds since the Unix epoch; absent where others told. */
+    readonly saidAtUnixMs?: number | undefined;
+}
+
 /** One thing that was learned about an upstream, at `atMs` on the instance's clock. */
 export type Observation =
     | {
@@ -36,11 +44,7 @@
         readonly type: "shed";
         readonly atMs: number;
     }
-    | {
-        /** The upstream is leaving, by its own word, the list's or another instance's. */
-        readonly type: "draining";
-        readonly atMs: number;
-    }
+    | LeavingObservation
     | {
         /** The upstream was seen to come back after leaving: a new start. */
         readonly type: "returned";
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -5,11 +5,14 @@
  */
 
 import type { Service } from "@harrierhitch/configuration";
-import type { Clock, UpstreamId } from "@harrierhitch/core";
+import type { UpstreamId } from "@harrierhitch/core";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, update } from "./belief.js";
-import { type ColdAdmission, type ColdUpstream, unboundedColdAdmission } from "./cold-admission.js";
+import { type ColdUpstream, unboundedColdAdmission } from "./cold-admission.js";
+import { consider } from "./consider.js";
+import { concerns, noteDeparture } from "./departure.js";
 import type { Observation } from "./observation.js";
+import type { ServiceBeliefsOptions } from "./service-beliefs-options.js";
 import {
     afterAnswer,
     afterReport,
@@ -18,23 +21,9 @@
     type ServiceDynamics,
     type WorkReading,
 } from "./service-dynamics.js";
-import { maximumShortlist, shortlist } from "./shortlist.js";
 import { track } from "./track.js";
-import { type Flight, isOtherStart, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
-
-/** Options of {@link ServiceBeliefs}. */
-export interface ServiceBeliefsOptions {
-    readonly clock: Clock;
-    readonly availabilityZone: string;
-    /** How beliefs change; the defaults suit upstreams with a few slots. */
-    readonly belief?: Partial<BeliefOptions>;
-    /** Most upstreams that may be ejected at the same time, as a share. */
-    readonly maximumEjectedShare?: number;
-    /** Told of every change of an upstream's state. */
-    readonly onStateChange?: (upstream: KnownUpstream, before: Belief, after: Belief) => void;
-    /** Admits requests to cold upstreams; everything is admitted without it. */
-    readonly coldAdmission?: ColdAdmission;
-}
+import { type Flight, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
+import { UpstreamNotices } from "./upstream-notices.js";
 
 const defaultEjectedShare = 0.34;
 
@@ -54,6 +43,7 @@
             maximumEjectedShare: defaultEjectedShare,
             onStateChange: () => undefined,
             coldAdmission: unboundedColdAdmission,
+            notices: new UpstreamNotices(options),
             ...options,
         };
         this.belief = { ...defaultBeliefOptions, ...options.belief };
@@ -77,7 +67,13 @@
         this.coldRequestsPerSecond = service.coldRequestsPerSecond;
         const isFirst = this.tracked.size === 0;
         const nowMs = this.options.clock.nowMs();
-        const options = { belief: this.belief, nowMs, isFirst };
+        const { notices } = this.options;
+        const options = {
+            belief: this.belief,
+            nowMs,
+            isFirst,
+            isLeaving: (upstream: KnownUpstream) => notices.isLeaving(upstream),
+        };
         this.tracked = new Map(upstreams.map(upstream => [upstream.id, track(upstream, this.tracked.get(upstream.id), options)]));
     }
 
@@ -111,16 +107,20 @@
      */
     observe(upstream: UpstreamId, observation: Observation, startedAtMs = 0): void {
         const tracked = this.tracked.get(upstream);
-        if (tracked !== undefined && !isOtherStart(tracked.upstream, startedAtMs)) {
-            // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
-            const belief = atTime(tracked.belief, this.options.clock.nowMs());
-            const next = update(belief, observation, this.belief, () => this.mayEject());
-            const report = readingOf(tracked.upstream, next);
-            if (report !== undefined && report.atMs !== belief.reportedAtMs) {
-                this.dynamics = afterReport(this.dynamics, report, readingOf(tracked.upstream, belief));
-            }
-            this.replace(tracked, next);
+        if (observation.type === "draining") {
+            noteDeparture(this.options.notices, { id: upstream, startedAtMs }, observation, tracked);
+        }
+        if (tracked === undefined || !concerns(this.options.notices, tracked, observation, startedAtMs)) {
+            return;
         }
+        // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
+        const belief = atTime(tracked.belief, this.options.clock.nowMs());
+        const next = update(belief, observation, this.belief, () => this.mayEject());
+        const report = readingOf(tracked.upstream, next);
+        if (report !== undefined && report.atMs !== belief.reportedAtMs) {
+            this.dynamics = afterReport(this.dynamics, report, readingOf(tracked.upstream, belief));
+        }
+        this.replace(tracked, next);
     }
 
     /** Takes in how long the work of an answered request took, against what was expected when it was sent. */
@@ -162,20 +162,13 @@
      * @param draw - Gives random numbers of at least 0 and below 1.
      */
     considered(tried: readonly UpstreamId[], draw: () => number): readonly UpstreamId[] {
-        if (this.tracked.size <= maximumShortlist) {
-            return [...this.tracked.keys()];
-        }
         const nowMs = this.options.clock.nowMs();
-        const { availabilityZone } = this.options;
-        const candidates = [...this.tracked.values()].filter(tracked => this.mayBeChosen(tracked, tried, nowMs));
-        return candidates.length < maximumShortlist ? [...this.tracked.keys()] : shortlist(
-            candidates.map(({ upstream, belief }) => ({
-                id: upstream.id,
-                sameZone: upstream.availabilityZone === availabilityZone,
-                reportAgeMs: nowMs - (belief.reportedAtMs ?? -Infinity),
-            })),
+        return consider([...this.tracked.values()], {
+            nowMs,
+            availabilityZone: this.options.availabilityZone,
+            mayBeChosen: tracked => this.mayBeChosen(tracked, tried, nowMs),
             draw,
-        );
+        });
     }
 
     /** The upstreams. */
--- a/packages/decision/src/track.ts
+++ b/packages/decision/src/track.ts
@@ -13,6 +13,8 @@
     readonly nowMs: number;
     /** Whether the service had no upstreams before: those that do not say so are then not cold. */
     readonly isFirst: boolean;
+    /** Whether a start is known to leave, also from before its entry lapsed. */
+    readonly isLeaving: (upstream: KnownUpstream) => boolean;
 }
 
 /**
@@ -27,8 +29,13 @@
         ? { upstream, belief: afterListing(old, upstream, options), flights: old.flights }
         : { upstream, belief: beliefOfStart(upstream, options), flights: new Set<Flight>() };
 
-const beliefOfStart = ({ coldMs }: KnownUpstream, { belief, nowMs, isFirst }: TrackOptions): Belief => {
+const beliefOfStart = (upstream: KnownUpstream, { belief, nowMs, isFirst, isLeaving }: TrackOptions): Belief => {
+    const { coldMs } = upstream;
     const fresh = initialBelief(belief, nowMs);
+    if (isLeaving(upstream)) {
+        // Taken for new, an upstream that had said it leaves got 40 requests more when its entry lapsed and came back (test).
+        return update(fresh, { type: "draining", atMs: nowMs }, belief, () => false);
+    }
     const isCold = coldMs === undefined ? !isFirst : coldMs > 0;
     return isCold ? update(fresh, { type: "returned", atMs: nowMs, coldMs }, belief, () => false) : fresh;
 };
--- /dev/null
+++ b/packages/decision/test/upstream-notices.test.ts
@@ -0,0 +1,104 @@
+import { FakeClock, SeededRandom, upstreamId } from "@harrierhitch/core";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { UpstreamNotices } from "../src/index.js";
+
+const id = upstreamId("u1");
+const here = { id, address: "10.0.0.1", port: 80 };
+const start = (startedAtMs: number) => ({ ...here, startedAtMs });
+
+interface Case {
+    readonly name: string;
+    /** What is noted: the start, and when it said so itself; 0 where others told. */
+    readonly noted: readonly (readonly [startedAtMs: number, saidAtUnixMs: number])[];
+    /** Starts, and whether each is known to leave. */
+    readonly leaves: Readonly<Record<number, boolean>>;
+}
+
+const cases: readonly Case[] = [
+    { name: "the start that said so", noted: [[100_000, 200_000]], leaves: { 100_000: true } },
+    { name: "no start that began after it was said", noted: [[100_000, 200_000]], leaves: { 100_000: true, 200_001: false } },
+    { name: "no start that began after others told of one", noted: [[100_000, 0]], leaves: { 100_000: true, 100_001: false } },
+    {
+        name: "a start that was listed only after it had answered, under the entry of the one before",
+        noted: [[100_000, 200_000]],
+        leaves: { 199_000: true },
+    },
+    {
+        name: "no start that began within the difference of two machines' times of day",
+        noted: [[100_000, 200_000]],
+        leaves: { 199_001: false },
+    },
+    { name: "a newer start whose entry is not known yet", noted: [[300_000, 0]], leaves: { 300_000: true } },
+    {
+        name: "the newer start, also when news of the older one come later",
+        noted: [[300_000, 0], [100_000, 0], [100_000, 250_000]],
+        leaves: { 300_000: true, 300_001: false },
+    },
+    {
+        name: "not the newer start when only the older one left",
+        noted: [[100_000, 200_000], [100_000, 0]],
+        leaves: { 300_000: false },
+    },
+];
+
+describe("a departure binds", () => {
+    cases.forEach(({ name, noted, leaves }) => {
+        test(name, () => {
+            const notices = new UpstreamNotices({ clock: new FakeClock() });
+            noted.forEach(([startedAtMs, saidAtUnixMs]) => notices.noteLeaving(start(startedAtMs), saidAtUnixMs));
+            Object.entries(leaves).forEach(([startedAtMs, isLeaving]) =>
+                assert.equal(notices.isLeaving(start(Number(startedAtMs))), isLeaving, startedAtMs)
+            );
+        });
+    });
+
+    test("a start without a name at its address, for a minute", async () => {
+        const clock = new FakeClock();
+        const notices = new UpstreamNotices({ clock });
+        notices.noteLeaving(here, 0);
+        assert.equal(notices.isLeaving({ ...here, port: 81 }), false);
+        await clock.advance(59_999);
+        assert.equal(notices.isLeaving(here), true);
+        await clock.advance(1);
+        assert.equal(notices.isLeaving(here), false);
+    });
+
+    test("a start with a name for good", async () => {
+        const clock = new FakeClock();
+        const notices = new UpstreamNotices({ clock });
+        notices.noteLeaving(start(1), 0);
+        await clock.advance(86_400_000);
+        assert.equal(notices.isLeaving(start(1)), true);
+    });
+
+    test("the same starts in whatever order and however often it is told", () => {
+        const starts = [10_000, 11_000, 12_500, 20_000];
+        const news = fc.array(fc.tuple(fc.constantFrom(...starts), fc.constantFrom(0, 11_500, 12_000, 13_500, 30_000)), {
+            maxLength: 6,
+        });
+        const leavesAfter = (told: readonly (readonly [number, number])[]): readonly boolean[] => {
+            const notices = new UpstreamNotices({ clock: new FakeClock() });
+            told.forEach(([startedAtMs, saidAtUnixMs]) => notices.noteLeaving(start(startedAtMs), saidAtUnixMs));
+            return starts.map(startedAtMs => notices.isLeaving(start(startedAtMs)));
+        };
+        const shuffled = <Item>(items: readonly Item[], seed: number): readonly Item[] => {
+            const random = new SeededRandom(seed);
+            return items.map(item => ({ item, order: random.next() })).sort((a, b) => a.order - b.order).map(({ item }) => item);
+        };
+        fc.assert(
+            fc.property(news, fc.integer({ min: 1, max: 1000 }), (told, seed) => {
+                assert.deepEqual(leavesAfter(shuffled([...told, ...told], seed)), leavesAfter(told));
+            }),
+            { seed: 1, numRuns: 500 },
+        );
+    });
+});
+
+test("notices are bounded: the oldest are forgotten first", () => {
+    const notices = new UpstreamNotices({ clock: new FakeClock() });
+    const nth = (number: number) => ({ id: upstreamId(`u${number}`), startedAtMs: 1 });
+    Array.from({ length: 5000 }, (_, number) => notices.noteLeaving(nth(number), 0));
+    assert.deepEqual([notices.isLeaving(nth(0)), notices.isLeaving(nth(4999))], [false, true]);
+});
