Take a request back whose upstream stops taking work while it waits for a connection

What callers saw: nothing; a request that had been chosen before its upstream asked for a rest, or said that it leaves, still went there once a connection was free or open, up to the time that opening one may take.

Cause: the last look at what is believed of an upstream came before the wait for its connection.

Why it holds: the transport asks once more when the connection is there, just before the first byte is written. What is withdrawn was not sent, so it is not run, free of the retry budget, and no failure of the upstream; probes are asked the same way. It covers what else takes an upstream out of use meanwhile: an entry that is gone, another start, a zone out of service.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Outcome } from "@harrierhitch/core";
-import { type AttemptResult, type Flight, type KnownUpstream, outcomeOf } from "@harrierhitch/decision";
+import { type AttemptEnd, type AttemptResult, type Flight, type KnownUpstream, outcomeOf } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
 import { newSpanId, toTraceparent } from "../telemetry/trace-context.js";
@@ -56,6 +56,9 @@
 /** Most bytes of an answer that is not passed on, read so that its connection can be used again. */
 const maximumDiscardedBytes = 65_536;
 
+/** Ends of attempts that say nothing against the upstream. */
+const blameless: ReadonlySet<AttemptEnd> = new Set<AttemptEnd>(["answered", "cancelled", "withdrawn"]);
+
 /** Runs one attempt to its end. */
 export class AttemptTask implements AnswerSink {
     /** Fulfilled, never rejected, when the attempt has ended. */
@@ -153,7 +156,7 @@
         runtime.queue.wake();
         const atMs = services.clock.nowMs();
         const isForeign = reading?.foreign !== undefined;
-        if (isForeign || result.end !== "answered" && result.end !== "cancelled") {
+        if (isForeign || !blameless.has(result.end)) {
             runtime.beliefs.observe(upstream.id, { type: "failed", atMs }, upstream.startedAtMs);
         }
         const outcome = this.outcomeOf(result);
@@ -219,7 +222,7 @@
     }
 
     private upstreamRequest() {
-        const { body, progress, services, upstream } = this.options;
+        const { body, progress, runtime, services, upstream } = this.options;
         const { request, arrival, trace } = progress;
         const { configuration } = progress.record;
         const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
@@ -228,6 +231,7 @@
             ...own,
             traceparent: toTraceparent(trace, this.record.spanId),
         });
-        return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open() };
+        const mayBegin = (): boolean => runtime.beliefs.takesWork(upstream);
+        return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open(), mayBegin };
     }
 }
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -225,7 +225,7 @@
             return progress.giveUpAtDeadline();
         }
         // An attempt that never reached its upstream is no further load on the service.
-        const isFree = result.end === "connect-failed";
+        const isFree = result.end === "connect-failed" || result.end === "withdrawn";
         if (mayRetry(progress, body, outcome !== "not-run") && (isFree || runtime.retryBudget.take())) {
             return false;
         }
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -32,6 +32,15 @@
     }
 }
 
+/** The upstream stopped taking new work before anything of the request was written. */
+export class AttemptWithdrawnError extends HarrierhitchError {
+    readonly code = "attempt-withdrawn";
+
+    constructor() {
+        super("the upstream takes no new work any more");
+    }
+}
+
 /** Limit on the head of an answer. */
 const maximumAnswerHeadBytes = 32_768;
 
@@ -55,7 +64,7 @@
     constructor(
         private readonly target: UpstreamTarget,
         private readonly agent: UpstreamAgent,
-        outgoing: UpstreamRequest,
+        private readonly outgoing: UpstreamRequest,
         private readonly sink: AnswerSink,
     ) {
         this.result = new Promise(resolve => {
@@ -104,7 +113,19 @@
         }
     }
 
+    /** Takes the request back where its upstream may no longer get it; a request may have waited for its connection. */
+    private withdrawIfLate(): boolean {
+        const mayBegin = this.outgoing.mayBegin?.() ?? true;
+        if (!mayBegin) {
+            this.request.destroy(new AttemptWithdrawnError());
+        }
+        return !mayBegin;
+    }
+
     private onSocket(socket: Socket): void {
+        if (this.withdrawIfLate()) {
+            return;
+        }
         if (!socket.connecting) {
             this.sent = true;
             return;
@@ -114,7 +135,7 @@
         socket.setNoDelay(true);
         socket.once("connect", () => {
             clearTimeout(this.connectTimer);
-            this.sent = !this.finished;
+            this.sent = !this.finished && !this.withdrawIfLate();
         });
     }
 
@@ -165,7 +186,7 @@
 
     private endOf(error: Error): AttemptEnd {
         if (!this.sent) {
-            return "connect-failed";
+            return error instanceof AttemptWithdrawnError ? "withdrawn" : "connect-failed";
         }
         return codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
     }
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -112,6 +112,7 @@
             path: service.probePath ?? "/",
             headers: ["host", `${upstream.address}:${upstream.port}`],
             body: undefined,
+            mayBegin: () => runtime.beliefs.takesWork(upstream),
         };
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -18,6 +18,8 @@
     /** Names and values in turn. */
     readonly headers: readonly string[];
     readonly body: Buffer | Readable | undefined;
+    /** Asked when a connection is there, just before anything is written: whether the upstream may still get the request. */
+    readonly mayBegin?: () => boolean;
 }
 
 /** Takes the answer of one attempt as it arrives. */
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -27,6 +27,8 @@
     readonly seed?: number;
     /** How unevenly callers are spread over the instances: 1 is evenly, 2 gives the first tenth of them a third. */
     readonly skew?: number;
+    /** Time until a connection to an upstream is there. */
+    readonly connectMs?: number;
     /** Whether the instances know no configuration until {@link ModelFleet.publish}, as after their start. */
     readonly startsUnconfigured?: boolean;
 }
@@ -132,7 +134,7 @@
             settings,
             clock,
             random: new SeededRandom(index + 1),
-            transport: new ModelTransport(clock, this.upstreams, `entry-${index}`),
+            transport: new ModelTransport(clock, this.upstreams, `entry-${index}`, this.options.connectMs),
             dialect: modelDialect,
             syntax: {
                 configuration: checkConfiguration,
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -26,6 +26,8 @@
         private readonly clock: Clock,
         private readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>,
         private readonly instance: string,
+        /** Time until a connection is there. */
+        private readonly connectMs = 0,
     ) {}
 
     send(upstream: Upstream, request: UpstreamRequest, sink: AnswerSink): Attempt {
@@ -50,6 +52,11 @@
             settle({ end: "answered", status, detail: "", sent: true });
         };
         const arrive = async (): Promise<void> => {
+            await sleep(this.clock, this.connectMs);
+            if (request.mayBegin?.() === false) {
+                settle({ end: "withdrawn", status: undefined, detail: "", sent: false });
+                return;
+            }
             await sleep(this.clock, wayMs);
             model.noteArrival(this.instance);
             if (request.path === modelProbePath) {
--- a/packages/daemon/test/rest.test.ts
+++ b/packages/daemon/test/rest.test.ts
@@ -45,6 +45,21 @@
         assert.ok(first!.arrivals - before > 10, `${first!.arrivals - before} requests after the rest`);
     });
 
+    test("get nothing that was still waiting for its connection when they asked", async () => {
+        const fleet = new ModelFleet({ ...fleetOptions, instances: 1, upstreams: 1, connectMs: 20 });
+        const [only] = upstreamsOf(fleet);
+        await fleet.load(20, 4000);
+        await fleet.clock.advance(1000);
+        const { arrivals, probes } = only!;
+        only!.turnAway = { untilMs: fleet.clock.nowMs() + 1000, restMs: 30_000 };
+        await fleet.callers(1);
+        await fleet.clock.advance(35);
+        await fleet.callers(1);
+        await fleet.clock.advance(8000);
+        assert.deepEqual([only!.disturbed, only!.sheds, only!.arrivals - arrivals], [0, 1, 0]);
+        assert.ok(only!.probes - probes <= 2);
+    });
+
     Array.from({ length: 20 }, (_, seed) => seed + 1).forEach(seed => {
         test(`are left alone at whatever moments they ask, seed ${seed}`, async () => {
             const random = new SeededRandom(seed);
--- a/packages/decision/src/attempt-result.ts
+++ b/packages/decision/src/attempt-result.ts
@@ -12,12 +12,13 @@
  * - `answered`: a whole answer, or the head of one that is being passed on.
  * - `shed`: the upstream said that it did not run the request.
  * - `connect-failed`: no connection; nothing was sent.
+ * - `withdrawn`: this side took it back before anything was sent, since the upstream takes no new work any more.
  * - `reset`: the connection broke after the request may have been sent.
  * - `garbled`: the answer broke the rules of HTTP.
  * - `timed-out`: no answer before the deadline.
  * - `cancelled`: this side gave up, for example because the caller left.
  */
-export type AttemptEnd = "answered" | "shed" | "connect-failed" | "reset" | "garbled" | "timed-out" | "cancelled";
+export type AttemptEnd = "answered" | "shed" | "connect-failed" | "withdrawn" | "reset" | "garbled" | "timed-out" | "cancelled";
 
 /** The result of one attempt. */
 export interface AttemptResult {
