Read whose answer to a probe it is: another upstream at a reused address says nothing of the one that was asked

What callers saw: an upstream whose address had gone to another one looked as idle as that one, and drew requests that came back misdirected (421) one after the other, each at the cost of a round trip and a retry.

Why it holds: such an answer counts as misdirected: its load, rest and coldness are left out, and the upstream that is gone is taken for leaving, as with 421. An answer that only asks for a rest no longer counts towards taking a service for one that tells no load.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -103,7 +103,8 @@
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
         const { services, runtime, progress, upstream } = this.options;
         const { service } = progress.route;
-        const reading = services.dialect.readAnswer({ status, headers, service, requestHeaders: progress.request.headers });
+        const requestHeaders = progress.request.headers;
+        const reading = services.dialect.readAnswer({ status, headers, service, upstream: upstream.id, requestHeaders });
         this.reading = reading;
         services.onNotice({ service: service.name, upstream, notice: reading.notice, request: progress.record.id });
         learnFromAnswer(services, runtime, upstream, reading, this.startedAtMs);
--- a/packages/daemon/src/request/dialect.ts
+++ b/packages/daemon/src/request/dialect.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Configuration, Kind, Service, Upstream } from "@harrierhitch/configuration";
-import type { Outcome } from "@harrierhitch/core";
+import type { Outcome, UpstreamId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { AnswerNotice } from "./answer-notice.js";
 import type { Arrival } from "./arrival.js";
@@ -25,6 +25,8 @@
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     readonly service: Service;
+    /** Whom the request was sent to. */
+    readonly upstream: UpstreamId;
     /** Headers of the caller's request; `undefined` for a probe. */
     readonly requestHeaders: IncomingHttpHeaders | undefined;
 }
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -29,7 +29,10 @@
 }
 
 /** How a probe ended. */
-export type ProbeResult = "told" | "silent" | "failed" | "over-budget";
+export type ProbeResult = ProbeOutcome | "over-budget";
+
+/** How a probe that was sent ended. */
+export type ProbeOutcome = "told" | "silent" | "failed";
 
 /** One question to several upstreams. */
 export interface ProbeQuestion {
@@ -106,7 +109,7 @@
 
     private async send({ service, runtime }: ProbeQuestion, upstream: KnownUpstream): Promise<void> {
         const { clock, transport, onProbe } = this.options;
-        const probe = { told: false };
+        const answer: { outcome: ProbeOutcome; } = { outcome: "failed" };
         const request = {
             method: "GET",
             path: service.probePath ?? "/",
@@ -116,7 +119,7 @@
         };
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
-                probe.told = this.learn(service, runtime, upstream, status, headers);
+                answer.outcome = this.learn(service, runtime, upstream, status, headers);
                 return true;
             },
             onData: () => true,
@@ -124,7 +127,8 @@
         const timer = clock.after(abandonMs, () => attempt.cancel("timed-out"));
         const { end } = await attempt.result;
         timer.cancel();
-        const result = probe.told ? "told" : end === "answered" ? "silent" : "failed";
+        // A load that was told holds whatever becomes of the rest of the answer.
+        const result = end === "answered" || answer.outcome === "told" ? answer.outcome : "failed";
         this.silence.note(service.name, result);
         onProbe(service, result);
     }
@@ -135,26 +139,34 @@
         upstream: KnownUpstream,
         status: number,
         headers: IncomingHttpHeaders,
-    ): boolean {
+    ): ProbeOutcome {
         const { clock, dialect, onNotice } = this.options;
         const reading = dialect.readAnswer({
             status,
             headers,
             service,
+            upstream: upstream.id,
             requestHeaders: undefined,
         });
-        const { load, coldMs } = reading;
-        onNotice({ service: service.name, upstream, notice: reading.notice, request: undefined });
+        const { load, coldMs, misdirected, notice } = reading;
+        onNotice({ service: service.name, upstream, notice, request: undefined });
         const atMs = clock.nowMs();
         const observe = (observation: Observation): void =>
             runtime.beliefs.observe(upstream.id, observation, upstream.startedAtMs);
         heedNotice(clock, reading, observe);
+        if (misdirected) {
+            return "failed";
+        }
         if (coldMs !== undefined && coldMs > 0) {
             observe({ type: "cooled", atMs, coldMs });
         }
         if (load !== undefined) {
             observe({ type: "reported", atMs, ...load });
         }
-        return load !== undefined;
+        if (load !== undefined) {
+            return "told";
+        }
+        // One that asks to be left alone says nothing of whether its service tells its load.
+        return notice.restMs === undefined ? "silent" : "failed";
     }
 }
