Try what is withheld once after half a minute, at one instance

What callers saw: a request that an outage had caught at three upstreams in a row, and that nobody had answered since, was refused for an hour, although it harms nothing: it was never tried again.

Cause: a verdict had no way to be wrong. Answers free a request, and what is withheld gets none.

Why it holds: thirty seconds after an upstream last ended under it, the instance that all members agree on (rendezvous over those that have not left, as for cold upstreams) lets one request through, with no second attempt and no retry once it may have run. Its answer frees the request everywhere; an end is a run like others, which shows every instance that it was tried. A trial that was not run leaves it to the next one. Events 324 and 325 tell.

Two ways: every instance for itself would end one upstream each.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
-import { type Generation, type InstanceId, instanceId, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
 import { SharedColdAdmission, UpstreamNotices } from "@harrierhitch/decision";
 import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, type DirectoryChange, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
+import { ChosenDuties } from "./chosen-duties.js";
 import { FirstRead } from "./first-read.js";
 import type { InstanceParts } from "./instance-parts.js";
 import { openDirectory } from "./open-directory.js";
@@ -68,12 +69,19 @@
             maximumEntries: settings.limits.recordEntries,
             maximumBytes: settings.limits.recordBytes,
         });
-        this.crashes = new CrashWatch({ clock, log: parts.log, metrics: parts.metrics, onNews: () => this.fleet?.wakeLinks() });
+        const duties = new ChosenDuties({ isAlone: settings.peers === undefined, chosen: () => this.fleet?.chosen });
+        this.crashes = new CrashWatch({
+            clock,
+            log: parts.log,
+            metrics: parts.metrics,
+            onNews: () => this.fleet?.wakeLinks(),
+            isChosenToTry: pattern => duties.mayTry(pattern),
+        });
         this.services = new ServiceRegistry({
             clock,
             availabilityZone: settings.instance.availabilityZone,
             notices: new UpstreamNotices({ clock }),
-            coldAdmission: new SharedColdAdmission({ clock, sharersOf: upstream => this.coldSharersOf(upstream) }),
+            coldAdmission: new SharedColdAdmission({ clock, sharersOf: upstream => duties.sharersOf(upstream) }),
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
                 if (change.after.state === "draining" && !this.hearing) {
@@ -225,12 +233,6 @@
         this.parts.onConfigured?.(update);
     }
 
-    /** How many instances share a cold upstream; an instance that is no part of a fleet has it for itself. */
-    private coldSharersOf(upstream: UpstreamId): number {
-        const isAlone = this.parts.settings.peers === undefined;
-        return isAlone ? 1 : this.fleet?.coldSharers.of(upstream) ?? 0;
-    }
-
     /** Brings this instance's shares of the fleet's budgets up to date. */
     applyShares(): void {
         const { configuration, fleet } = this;
--- a/packages/daemon/src/request/crash-watch.ts
+++ b/packages/daemon/src/request/crash-watch.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
 import type { Metrics } from "../telemetry/metrics.js";
+import { CrashTrials } from "./crash-trials.js";
 
 /** Options of {@link CrashWatch}. */
 export interface CrashWatchOptions {
@@ -17,6 +18,8 @@
     readonly metrics: Metrics;
     /** Tells other instances that there is something new. */
     readonly onNews: () => void;
+    /** Whether this instance alone is to try what is withheld. */
+    readonly isChosenToTry: (pattern: RequestPattern) => boolean;
 }
 
 /** A run whose upstream has ended, as this instance saw it. */
@@ -51,22 +54,57 @@
 export class CrashWatch {
     /** What the fleet remembers; kept up to date by what others tell, too. */
     readonly ledger: CrashLedger;
+    private readonly trials: CrashTrials;
     private abandoned: readonly AbandonedRun[] = [];
 
     /** @param options - Clock, log and listener. */
     constructor(private readonly options: CrashWatchOptions) {
-        const { clock } = options;
-        this.ledger = new CrashLedger({ clock, onWithheld: (pattern, runs) => this.tellWithheld(pattern, runs) });
+        const { clock, log } = options;
+        this.ledger = new CrashLedger({
+            clock,
+            onWithheld: (pattern, runs) => this.tellWithheld(pattern, runs),
+            onReleased: pattern => this.release(pattern),
+        });
+        this.trials = new CrashTrials({
+            mayTry: pattern => this.ledger.isDueForTrial(pattern) && options.isChosenToTry(pattern),
+            onTrial: (request, patterns) => log.write(events.withheldTried, { request, patterns }),
+        });
+    }
+
+    /**
+     * Whether a request is not to be sent; its key is asked for only where something is remembered.
+     *
+     * @param request - The request, which is sent all the same where it is the one that tries.
+     * @param key - What it asks for.
+     */
+    isWithheld(request: RequestId, key: () => RequestKey): boolean {
+        const patterns = this.ledger.size > 0 ? this.ledger.withholding(key()) : [];
+        return patterns.length > 0 && !this.trials.admits(request, patterns);
     }
 
-    /** Whether a request is not to be sent; its key is asked for only where something is remembered. */
-    isWithheld(key: () => RequestKey): boolean {
-        return this.ledger.size > 0 && this.ledger.isWithheld(key());
+    /** Whether a request is the one that tries what is withheld. */
+    isTrial(request: RequestId): boolean {
+        return this.trials.includes(request);
     }
 
-    /** Whether an upstream has ended under a request that was not answered since. */
-    isSuspect(key: () => RequestKey): boolean {
-        return this.ledger.size > 0 && this.ledger.isSuspect(key());
+    /**
+     * Notes that a request has got its answer.
+     *
+     * @param request - The request.
+     * @param mayHaveRun - Whether an upstream may have run it; otherwise another one may try in its place.
+     */
+    noteSettled(request: RequestId, mayHaveRun: boolean): void {
+        this.trials.noteSettled(request, mayHaveRun);
+    }
+
+    /**
+     * Whether a second attempt may run beside the first: two upstreams would end where one shows as much.
+     *
+     * @param request - The request.
+     * @param key - What it asks for.
+     */
+    allowsSecond(request: RequestId, key: () => RequestKey): boolean {
+        return !this.trials.includes(request) && !(this.ledger.size > 0 && this.ledger.isSuspect(key()));
     }
 
     /** Notes a run that is given up before anything is known of its end. */
@@ -115,6 +153,11 @@
         }
     }
 
+    private release(pattern: RequestPattern): void {
+        this.trials.forget(pattern);
+        this.options.log.write(events.withheldReleased, { pattern });
+    }
+
     private tellWithheld(pattern: RequestPattern, runs: readonly EndedRun[]): void {
         const { clock, log, metrics } = this.options;
         const nowMs = clock.nowMs();
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -6,7 +6,6 @@
 
 import type { Route } from "@harrierhitch/configuration";
 import type { Outcome, RequestKey } from "@harrierhitch/core";
-import { comeBackMs, restOfAllMs, retryAfterOf } from "@harrierhitch/decision";
 import type { RequestFacts } from "@harrierhitch/policy";
 import type { IncomingMessage } from "node:http";
 import { events } from "../telemetry/event.js";
@@ -20,6 +19,7 @@
 import type { RequestBody } from "./request-body.js";
 import { requestKeyOf } from "./request-key.js";
 import type { RequestServices } from "./request-services.js";
+import { returnAfterMs } from "./return-after.js";
 import type { RoutedRequest } from "./routed-request.js";
 import { Urgency } from "./urgency.js";
 
@@ -173,6 +173,11 @@
         return outcomes.find(outcome => outcome === "ran") ?? outcomes.find(outcome => outcome === "unknown") ?? "not-run";
     }
 
+    /** Whether an upstream may have run it. */
+    get mayHaveRun(): boolean {
+        return this.outcomeSoFar() !== "not-run";
+    }
+
     /** What is asked for, which its repeats have in common. */
     key(body: RequestBody): RequestKey {
         this.knownKey ??= requestKeyOf(this.request, this.callerAddress, body);
@@ -193,21 +198,9 @@
         return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
     }
 
-    /**
-     * When the caller should come back if it is refused: at once where an upstream that has room has just shed it, so that
-     * it was not load that kept it from being served. While all upstreams rest, after that.
-     */
+    /** When the caller should come back if it is refused. */
     get retryAfterMs(): number {
-        const restMs = restOfAllMs(this.runtime.beliefs.rests);
-        if (restMs !== undefined) {
-            return comeBackMs(restMs, this.services.random.next());
-        }
-        const { service } = this.record.steps.at(-1)?.input ?? {};
-        const wasShed = this.record.attempts.at(-1)?.result?.end === "shed";
-        if (wasShed && service !== undefined && service.room >= 1) {
-            return 0;
-        }
-        return retryAfterOf(this.route.policy, { targetMs: this.route.kind.targetLatencyMs });
+        return returnAfterMs(this.record, this.runtime.beliefs.rests, this.services.random);
     }
 
     /** Gives the request its final answer at once. */
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -53,6 +53,7 @@
         if (body !== undefined && await isItsTurn(progress)) {
             await this.serve(body);
         }
+        services.crashes.noteSettled(progress.record.id, progress.mayHaveRun);
         progress.record.durationMs = progress.ageMs;
         services.explanations.finish(progress.record);
         services.onServed(progress.record, progress.trace.sampled);
@@ -169,8 +170,7 @@
         const { progress, runtime, services: { crashes } } = this;
         const canBegin = (): boolean =>
             this.running.size === 1 && this.streaming === undefined && allowsSecond(progress, body)
-            // Two upstreams would end where one shows as much.
-            && !crashes.isSuspect(() => progress.key(body));
+            && crashes.allowsSecond(progress.record.id, () => progress.key(body));
         // While others wait for room, a second attempt would take it from their first.
         if (!canBegin() || runtime.queue.length > 0 || !runtime.retryBudget.canTake()) {
             return;
--- /dev/null
+++ b/packages/daemon/src/request/return-after.ts
@@ -0,0 +1,32 @@
+/**
+ * When a caller that is refused should come back.
+ *
+ * @packageDocumentation
+ */
+
+import type { RandomSource } from "@harrierhitch/core";
+import { comeBackMs, restOfAllMs, retryAfterOf } from "@harrierhitch/decision";
+import type { DecisionRecord } from "./decision-record.js";
+
+/**
+ * When a caller should come back: after the rest where all upstreams have asked for one; at once where an upstream that has
+ * room has just shed its request, so that it was not load that kept it from being served; else as its policy says.
+ *
+ * @param record - What was decided on the request.
+ * @param rests - For how long each upstream of its service rests.
+ * @param random - Keeps callers from coming back at the same moment.
+ * @returns Milliseconds.
+ */
+export const returnAfterMs = (
+    { attempts, route, steps }: DecisionRecord,
+    rests: Parameters<typeof restOfAllMs>[0],
+    random: RandomSource,
+): number => {
+    const restMs = restOfAllMs(rests);
+    if (restMs !== undefined) {
+        return comeBackMs(restMs, random.next());
+    }
+    const wasShed = attempts.at(-1)?.result?.end === "shed";
+    const room = steps.at(-1)?.input.service.room ?? 0;
+    return wasShed && room >= 1 ? 0 : retryAfterOf(route.policy, { targetMs: route.kind.targetLatencyMs });
+};
--- a/packages/daemon/src/request/withheld.ts
+++ b/packages/daemon/src/request/withheld.ts
@@ -20,7 +20,10 @@
  * @returns Whether it is settled so.
  */
 export const giveUpWithheld = (progress: RequestProgress, body: RequestBody, crashes: CrashWatch): boolean => {
-    const isWithheld = crashes.isWithheld(() => progress.key(body));
+    const { id } = progress.record;
+    // One that tries is sent once: a second attempt of it would end a second upstream.
+    const isSpent = crashes.isTrial(id) && progress.mayHaveRun;
+    const isWithheld = isSpent || crashes.isWithheld(id, () => progress.key(body));
     if (isWithheld) {
         const detail = "upstreams have ended one after the other under this request";
         progress.giveUp({ kind: "withheld", detail, outcome: progress.outcomeSoFar(), retryAfterMs });
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -45,6 +45,8 @@
     retryAfterUnreadable: { number: 323, level: "warn", message: "upstream's Retry-After cannot be read; it is left out" },
     endedUnder: { number: 320, level: "info", message: "upstream ended while a request was under way there" },
     requestWithheld: { number: 321, level: "warn", message: "request is withheld: upstreams end under it" },
+    withheldTried: { number: 324, level: "info", message: "withheld request is tried once" },
+    withheldReleased: { number: 325, level: "info", message: "request is no longer withheld" },
     policyFailed: { number: 310, level: "error", message: "policy clause failed; the safe default was used" },
     requestProblem: { number: 400, level: "info", message: "request was answered with a problem" },
     answerCutOff: { number: 401, level: "warn", message: "answer broke off and was cut off towards the caller" },
--- a/packages/decision/src/crash-ledger.ts
+++ b/packages/decision/src/crash-ledger.ts
@@ -9,6 +9,7 @@
 
 import type { Clock, RequestKey } from "@harrierhitch/core";
 import { AnsweredKeys } from "./answered-keys.js";
+import { isDueForTrial } from "./crash-trial.js";
 import { withheldRequests } from "./crash-verdict.js";
 import type { EndedRun } from "./ended-run.js";
 import { agreeingSets, pathPartOf, patternOf, type RequestPattern, traitSets } from "./request-traits.js";
@@ -18,6 +19,8 @@
     readonly clock: Clock;
     /** Told of requests that are withheld from now on, with the runs that settled it. */
     readonly onWithheld?: (pattern: RequestPattern, runs: readonly EndedRun[]) => void;
+    /** Told of requests that are no longer withheld. */
+    readonly onReleased?: (pattern: RequestPattern) => void;
 }
 
 interface Entry {
@@ -74,8 +77,25 @@
 
     /** Whether a request is not to be sent, because upstreams end under it. */
     isWithheld(key: RequestKey): boolean {
+        return this.withholding(key).length > 0;
+    }
+
+    /** What a request is withheld for. */
+    withholding(key: RequestKey): readonly RequestPattern[] {
         this.forgetOld();
-        return this.verdicts.size > 0 && traitSets.some(set => this.verdicts.has(patternOf(key, set)));
+        return this.verdicts.size === 0
+            ? []
+            : [...new Set(traitSets.map(set => patternOf(key, set)))].filter(pattern => this.verdicts.has(pattern));
+    }
+
+    /**
+     * Whether what is withheld may be tried once by one instance: some time has passed, and nobody has tried it.
+     *
+     * @param pattern - What is withheld.
+     */
+    isDueForTrial(pattern: RequestPattern): boolean {
+        const own = this.runs.filter(run => isOf(run, pattern));
+        return isDueForTrial(this.verdicts.get(pattern) ?? [], own, this.options.clock.nowMs());
     }
 
     /** Whether an upstream has ended under a request that was not answered since. */
@@ -192,6 +212,7 @@
         this.verdicts.forEach((settling, pattern) =>
             before.has(pattern) ? undefined : this.options.onWithheld?.(pattern, settling)
         );
+        before.forEach((_, pattern) => this.verdicts.has(pattern) ? undefined : this.options.onReleased?.(pattern));
     }
 
     private forgetAtMs(run: EndedRun): number {
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -7,7 +7,7 @@
 import { sleep } from "@harrierhitch/core";
 import type { Member } from "@harrierhitch/protocol";
 import { defaultFleetTimes, type FleetTimes } from "@harrierhitch/published";
-import { ColdSharers } from "./cold-sharers.js";
+import { ChosenMembers } from "./chosen-members.js";
 import { Exchange } from "./exchange.js";
 import type { FleetOptions } from "./fleet-options.js";
 import { Freshness, tellShare } from "./freshness.js";
@@ -35,7 +35,7 @@
     readonly freshness: Freshness;
     readonly times: FleetTimes;
     /** Which cold upstreams this instance shares with a few others. */
-    readonly coldSharers: ColdSharers;
+    readonly chosen: ChosenMembers;
     private readonly ending = new AbortController();
     private readonly links: PeerLinks;
     private readonly calls: PeerCalls;
@@ -57,7 +57,7 @@
             times: this.times,
             readsFromStart: () => this.seeds.includesSelf || this.seeds.all.length === 0,
         });
-        this.coldSharers = new ColdSharers({
+        this.chosen = new ChosenMembers({
             clock,
             members: this.members,
             joinedAtMs: this.roles.joinedAtMs,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 
+export { ChosenMembers } from "./chosen-members.js";
 export { type ExchangeReason } from "./exchange-reason.js";
 export { type FleetOptions } from "./fleet-options.js";
 export { Fleet } from "./fleet.js";
--- a/packages/fleet/test/cold-sharers.test.ts
+++ b/packages/fleet/test/chosen-members.test.ts
@@ -4,7 +4,7 @@
 import { defaultFleetTimes } from "@harrierhitch/published";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { ColdSharers } from "../src/cold-sharers.js";
+import { ChosenMembers } from "../src/chosen-members.js";
 import { Members } from "../src/members.js";
 
 const settleMs = 2500;
@@ -16,9 +16,9 @@
     const clock = new FakeClock();
     const members = new Members({ clock, self: memberOf(self), times: defaultFleetTimes });
     members.merge(known.map(memberOf), "other");
-    const sharers = new ColdSharers({ clock, members, joinedAtMs: 0, settleMs });
+    const sharers = new ChosenMembers({ clock, members, joinedAtMs: 0, settleMs });
     await clock.advance(afterMs);
-    return sharers.of(upstream);
+    return sharers.sharersOf(upstream);
 };
 
 const range = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
