--- a/packages/decision/src/crash-ledger.ts
+++ b/packages/decision/src/crash-ledger.ts
@@ -12,7 +12,7 @@
 import { isDueForTrial } from "./crash-trial.js";
 import { withheldRequests } from "./crash-verdict.js";
 import type { EndedRun } from "./ended-run.js";
-import { agreeingSets, pathPartOf, patternOf, type RequestPattern, traitSets } from "./request-traits.js";
+import { agreeingSets, matches, pathPartOf, patternOf, type RequestPattern, traitSets } from "./request-traits.js";
 
 /** Options of {@link CrashLedger}. */
 export interface CrashLedgerOptions {
@@ -94,7 +94,7 @@
      * @param pattern - What is withheld.
      */
     isDueForTrial(pattern: RequestPattern): boolean {
-        const own = this.runs.filter(run => isOf(run, pattern));
+        const own = this.runs.filter(({ key }) => matches(key, pattern));
         return isDueForTrial(this.verdicts.get(pattern) ?? [], own, this.options.clock.nowMs());
     }
 
@@ -114,7 +114,9 @@
     merge(runs: readonly EndedRun[], withheld: readonly RequestPattern[] = []): boolean {
         this.forgetOld();
         const news = runs.filter(run => this.put(run));
-        const agreed = withheld.filter(pattern => !this.agreed.has(pattern) && this.runs.some(run => isOf(run, pattern)));
+        const agreed = withheld.filter(pattern =>
+            !this.agreed.has(pattern) && this.runs.some(({ key }) => matches(key, pattern))
+        );
         if (news.length > 0 || agreed.length > 0) {
             this.agreed = new Set([...this.agreed, ...agreed]);
             this.keepWithinBound();
@@ -192,10 +194,9 @@
         if (surplus <= 0) {
             return;
         }
-        const isSettling = (run: EndedRun): boolean => traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
-        const order = [...this.runs].sort((a, b) =>
-            Number(isSettling(a)) - Number(isSettling(b)) || a.endedAtUnixMs - b.endedAtUnixMs
-        );
+        const order = this.runs
+            .map(({ id, key, endedAtUnixMs }) => ({ id, isSettling: this.isSettling(key), endedAtUnixMs }))
+            .sort((a, b) => Number(a.isSettling) - Number(b.isSettling) || a.endedAtUnixMs - b.endedAtUnixMs);
         order.slice(0, surplus).forEach(({ id }) => this.entries.delete(id));
     }
 
@@ -204,7 +205,7 @@
         const { runs } = this;
         this.verdicts = withheldRequests(runs, this.agreed);
         this.agreed = new Set(
-            [...this.agreed, ...this.verdicts.keys()].filter(pattern => runs.some(run => isOf(run, pattern))),
+            [...this.agreed, ...this.verdicts.keys()].filter(pattern => runs.some(({ key }) => matches(key, pattern))),
         );
         this.suspects = new Set(runs.filter(run => !run.isAnswered).map(run => run.key));
         this.suspectPaths = new Set(runs.map(run => pathPartOf(run.key)));
@@ -215,9 +216,12 @@
         before.forEach((_, pattern) => this.verdicts.has(pattern) ? undefined : this.options.onReleased?.(pattern));
     }
 
-    private forgetAtMs(run: EndedRun): number {
-        const isSettling = traitSets.some(set => this.verdicts.has(patternOf(run.key, set)));
-        return run.endedAtMs + (isSettling ? withholdMs : suspectMs);
+    private forgetAtMs({ key, endedAtMs }: EndedRun): number {
+        return endedAtMs + (this.isSettling(key) ? withholdMs : suspectMs);
+    }
+
+    private isSettling(key: RequestKey): boolean {
+        return [...this.verdicts.keys()].some(pattern => matches(key, pattern));
     }
 
     private forgetOld(): void {
@@ -229,5 +233,3 @@
         this.judge();
     }
 }
-
-const isOf = (run: EndedRun, pattern: RequestPattern): boolean => traitSets.some(set => patternOf(run.key, set) === pattern);
--- a/packages/decision/src/crash-verdict.ts
+++ b/packages/decision/src/crash-verdict.ts
@@ -12,7 +12,15 @@
  */
 
 import type { EndedRun } from "./ended-run.js";
-import { allTraits, differInOthers, patternOf, type RequestPattern, type TraitSet, traitSets } from "./request-traits.js";
+import {
+    allTraits,
+    differInOthers,
+    pathPartOf,
+    patternOf,
+    type RequestPattern,
+    type TraitSet,
+    traitSets,
+} from "./request-traits.js";
 
 /**
  * Upstreams that end under a request before it is withheld. With two, a request that is sent on after it lost its first
@@ -35,6 +43,16 @@
  */
 const outageMs = 1000;
 
+/**
+ * The runs that can settle anything: those whose path is asked for by enough of them. All others share no pattern with
+ * enough runs, and account for no end.
+ */
+const contested = (runs: readonly EndedRun[]): readonly EndedRun[] => {
+    const counts = new Map<string, number>();
+    runs.forEach(({ key }) => counts.set(pathPartOf(key), (counts.get(pathPartOf(key)) ?? 0) + 1));
+    return runs.filter(({ key }) => (counts.get(pathPartOf(key)) ?? 0) >= endsToWithhold);
+};
+
 interface Candidate {
     readonly pattern: RequestPattern;
     readonly runs: readonly EndedRun[];
@@ -86,7 +104,8 @@
     runs: readonly EndedRun[],
     agreed: ReadonlySet<RequestPattern> = new Set(),
 ): ReadonlyMap<RequestPattern, readonly EndedRun[]> => {
-    const candidates = traitSets.flatMap(set => candidatesFor(runs, set))
+    const mattering = contested(runs);
+    const candidates = traitSets.flatMap(set => candidatesFor(mattering, set))
         .sort((a, b) => b.count - a.count || (a.pattern < b.pattern ? -1 : 1));
     const withheld = new Map<RequestPattern, readonly EndedRun[]>();
     const explained: EndedRun[] = [];
--- a/packages/decision/src/request-traits.ts
+++ b/packages/decision/src/request-traits.ts
@@ -35,6 +35,10 @@
 export const patternOf = (key: RequestKey, set: TraitSet): RequestPattern =>
     pathPartOf(key) + traits.map((trait, index) => (set & trait) === 0 ? blank : traitPartOf(key, index)).join("");
 
+/** Whether a request has in common what a pattern stands for; most differ in their paths, which is found out first. */
+export const matches = (key: RequestKey, pattern: RequestPattern): boolean =>
+    pattern.startsWith(pathPartOf(key)) && traitSets.some(set => patternOf(key, set) === pattern);
+
 /** Whether requests differ in every trait that a set leaves out, so that none of these is what they have in common. */
 export const differInOthers = (keys: readonly RequestKey[], set: TraitSet): boolean =>
     traits.every((trait, index) => (set & trait) !== 0 || new Set(keys.map(key => traitPartOf(key, index))).size > 1);
