Keep what binds a named start when news of one without a name come later; name what decides on a trial for what it does

Such news are now taken to be of the start that is known. CrashWatch.isWithheld let a trial through as a side effect: it is mustWithhold now.

--- a/packages/daemon/src/request/crash-watch.ts
+++ b/packages/daemon/src/request/crash-watch.ts
@@ -72,12 +72,13 @@
     }
 
     /**
-     * Whether a request is not to be sent; its key is asked for only where something is remembered.
+     * Decides whether a request is not to be sent. One that is withheld is let through where a trial is due, and is remembered as the
+     * one that tries.
      *
-     * @param request - The request, which is sent all the same where it is the one that tries.
-     * @param key - What it asks for.
+     * @param request - The request.
+     * @param key - What it asks for; called only where something is remembered.
      */
-    isWithheld(request: RequestId, key: () => RequestKey): boolean {
+    mustWithhold(request: RequestId, key: () => RequestKey): boolean {
         const patterns = this.ledger.size > 0 ? this.ledger.withholding(key()) : [];
         return patterns.length > 0 && !this.trials.admits(request, patterns);
     }
--- a/packages/daemon/src/request/withheld.ts
+++ b/packages/daemon/src/request/withheld.ts
@@ -23,7 +23,7 @@
     const { id } = progress.record;
     // One that tries is sent once: a second attempt of it would end a second upstream.
     const isSpent = crashes.isTrial(id) && progress.mayHaveRun;
-    const isWithheld = isSpent || crashes.isWithheld(id, () => progress.key(body));
+    const isWithheld = isSpent || crashes.mustWithhold(id, () => progress.key(body));
     if (isWithheld) {
         const detail = "upstreams have ended one after the other under this request";
         progress.giveUp({ kind: "withheld", detail, outcome: progress.outcomeSoFar(), retryAfterMs });
--- a/packages/daemon/test/crash-trials.test.ts
+++ b/packages/daemon/test/crash-trials.test.ts
@@ -41,7 +41,7 @@
     }
 
     isSent(index: number, request = this.newRequest()): boolean {
-        return !this.watches[index]!.isWithheld(request, asked);
+        return !this.watches[index]!.mustWithhold(request, asked);
     }
 
     /** An upstream ends under the request at an instance. */
--- a/packages/decision/src/upstream-notices.ts
+++ b/packages/decision/src/upstream-notices.ts
@@ -94,7 +94,8 @@
         if (isOutdated) {
             return;
         }
-        const before = this.binding(start);
+        // News of a start without a name are taken to be of the one that is known: they must not displace what binds it.
+        const before = startedAtMs === 0 && known !== undefined && known.startedAtMs > 0 ? known : this.binding(start);
         // Noted last, so that the oldest are dropped first.
         this.notices.delete(start.id);
         this.notices.set(start.id, {
--- a/packages/decision/test/upstream-notices.test.ts
+++ b/packages/decision/test/upstream-notices.test.ts
@@ -65,6 +65,15 @@
         assert.equal(notices.isLeaving(here), false);
     });
 
+    test("a start with a name also when others tell of one without a name later", async () => {
+        const clock = new FakeClock();
+        const notices = new UpstreamNotices({ clock });
+        notices.noteLeaving(start(100_000), 200_000);
+        await clock.advance(120_000);
+        notices.noteLeaving({ id }, 0);
+        assert.equal(notices.isLeaving(start(100_000)), true);
+    });
+
     test("a start with a name for good", async () => {
         const clock = new FakeClock();
         const notices = new UpstreamNotices({ clock });
