--- a/packages/daemon/src/peers/join-fleet.ts
+++ b/packages/daemon/src/peers/join-fleet.ts
@@ -19,8 +19,11 @@
     readonly log: EventLog;
 }
 
-/** Exchanges held back within {@link limitedIntervalMs} that are told: a few are usual when several things change at once. */
-const limitedThreshold = 10;
+/**
+ * Exchanges held back within {@link limitedIntervalMs} that are told: half of what one link makes at its limit. Ten within two
+ * seconds are usual when entries of many upstreams change at once (7 times on a day of trouble of 13 instances).
+ */
+const limitedThreshold = 50;
 const limitedIntervalMs = 10_000;
 
 /** Makes the fleet's part on one instance. */
