A fault soak: real programs, faults from outside them, checks of what callers and upstreams see

Entry instances run as processes of their own and are paused, killed, stopped as planned and started again; upstreams hang, break, fail, slow down, ask for rests and leave; proxies on the way delay, silence and reset connections; the platform fails, lies and publishes older generations. Faults are drawn from a seed and overlap. Callers keep their connections until the process is gone. Checked: whole own answers, an answer at all, not twice, a true not-run, no cut at planned stops, rests and departures heeded, no configuration that goes back, everyone served again after the last fault.

Each check finds a planted break of its promise (15 cases).

--- a/packages/standin/src/bench-decisions.ts
+++ b/packages/standin/src/bench-decisions.ts
@@ -10,7 +10,8 @@
 import { request } from "undici";
 import { type Figures, runArrivals } from "./bench-arrivals.js";
 import { type Child, programs, startChild } from "./child.js";
-import { behaviourPath, calmBehaviour, type UpstreamBehaviour } from "./upstream-standin.js";
+import { calmBehaviour, type UpstreamBehaviour } from "./upstream-behaviour.js";
+import { behaviourPath } from "./upstream-standin.js";
 
 /** What is run; the environment variables of the same names in capitals change it. */
 const options = {
--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -12,7 +12,9 @@
 import { hostEntries, hostUpstreams } from "./host.js";
 import { startPassThrough } from "./pass-through.js";
 import { PlatformStandin } from "./platform-standin.js";
-import { calmBehaviour, UpstreamStandin } from "./upstream-standin.js";
+import { runSoak } from "./soak/soak.js";
+import { calmBehaviour } from "./upstream-behaviour.js";
+import { UpstreamStandin } from "./upstream-standin.js";
 
 const platform = defineCommand({
     meta: { name: "platform", description: "Serve the files of a directory as the platform would" },
@@ -104,10 +106,39 @@
     run: () => runBench(),
 });
 
+const soak = defineCommand({
+    meta: { name: "soak", description: "Run real programs under faults, and check what callers and upstreams see" },
+    args: {
+        seed: { type: "string", default: "1", description: "Seed of the faults; further ones follow with --runs" },
+        runs: { type: "string", default: "1", description: "How many seeds" },
+        seconds: { type: "string", default: "20", description: "For how long faults begin, for each seed" },
+        entries: { type: "string", default: "4", description: "Entry instances" },
+        upstreams: { type: "string", default: "5", description: "Upstreams" },
+        callers: { type: "string", default: "16", description: "Callers" },
+        basePort: { type: "string", default: "23000", description: "First of the ports of the instances" },
+    },
+    run: async ({ args }) => {
+        const first = Number(args.seed);
+        for (let seed = first; seed < first + Number(args.runs); seed += 1) {
+            const result = await runSoak({
+                seed,
+                seconds: Number(args.seconds),
+                entries: Number(args.entries),
+                upstreams: Number(args.upstreams),
+                callers: Number(args.callers),
+                basePort: Number(args.basePort),
+            });
+            process.stdout.write(`${JSON.stringify({ seed, ...result })}\n`);
+            process.exitCode = result.violations.length > 0 ? 1 : process.exitCode ?? 0;
+        }
+    },
+});
+
 const main = defineCommand({
     meta: { name: "standin", description: "Stand-ins for tests, quickstart and benchmarks" },
     subCommands: {
         platform,
+        soak,
         upstream,
         "fast-upstreams": fastUpstreams,
         "pass-through": passThrough,
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -8,52 +8,7 @@
 import { type RandomSource, SeededRandom } from "@harrierhitch/core";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-
-/** How an upstream behaves; each part can be changed while it runs. */
-export interface UpstreamBehaviour {
-    /** Requests served at the same time. */
-    readonly slots: number;
-    /** Requests that wait for a slot; further ones are shed. */
-    readonly queue: number;
-    /** Mean service time; service times are distributed exponentially above half of it. */
-    readonly meanServiceMs: number;
-    /** Factor on service times, for sudden slowness. */
-    readonly slowness: number;
-    /** Answers at once with this status instead of serving; 0 serves. */
-    readonly failStatus: number;
-    /** Breaks the connection of every request that it has read. */
-    readonly reset: boolean;
-    /** Ends, as a process that crashes, a moment after it began to run a request whose URL contains this; empty never does. */
-    readonly endsOn: string;
-    /** Time for which it is gone then. */
-    readonly endedMs: number;
-    /** Never answers. */
-    readonly hang: boolean;
-    /** Leaving: sheds new requests and says so. */
-    readonly draining: boolean;
-    /** What it reports as its load; `undefined` is the truth. */
-    readonly reportedInFlight: number | undefined;
-    /** Time for which service is slow after the start, by the factor `coldFactor`. */
-    readonly coldMs: number;
-    readonly coldFactor: number;
-}
-
-/** A calm upstream with three slots. */
-export const calmBehaviour: UpstreamBehaviour = {
-    slots: 3,
-    queue: 12,
-    meanServiceMs: 10,
-    slowness: 1,
-    failStatus: 0,
-    reset: false,
-    endsOn: "",
-    endedMs: 400,
-    hang: false,
-    draining: false,
-    reportedInFlight: undefined,
-    coldMs: 0,
-    coldFactor: 3,
-};
+import { calmBehaviour, type UpstreamBehaviour } from "./upstream-behaviour.js";
 
 /** Path on which the behaviour is read (GET) and changed (POST, JSON). */
 export const behaviourPath = "/standin/behaviour";
@@ -80,6 +35,9 @@
     lastTraceparent = "";
     /** How often it has ended under a request. */
     ends = 0;
+    /** Told of each request that arrives, with what its answer asks for if it is turned away. */
+    onArrival: (request: IncomingMessage, asks: { readonly restMs: number; readonly leaving: boolean; }) => void = () =>
+        undefined;
     /** Requests whose caller gave up before the answer. */
     cancelled = 0;
     private server: Server;
@@ -146,7 +104,9 @@
         });
         this.arrived += 1;
         this.lastTraceparent = String(request.headers["traceparent"] ?? "");
-        const { slots, queue, draining, failStatus, hang, reset } = this.behaviour;
+        const { slots, queue, draining, failStatus, hang, reset, restMs } = this.behaviour;
+        const isAnswered = !reset && failStatus === 0;
+        this.onArrival(request, { restMs: isAnswered && !draining ? restMs : 0, leaving: isAnswered && draining });
         if (reset) {
             await body;
             request.socket.destroy();
@@ -154,6 +114,10 @@
         else if (failStatus !== 0) {
             response.writeHead(failStatus, this.headers()).end();
         }
+        else if (restMs > 0 && !draining) {
+            const headers = { ...this.headers(), "x-request-outcome": "not-run", "retry-after": String(restMs / 1000) };
+            response.writeHead(503, headers).end();
+        }
         else if (draining || this.running >= slots && this.waiting.length >= queue) {
             response.writeHead(503, { ...this.headers(), "x-request-outcome": "not-run" }).end();
         }
--- /dev/null
+++ b/packages/standin/test/soak-judge.test.ts
@@ -0,0 +1,127 @@
+/**
+ * Each promise that a soak checks, with a planted break of it that has to be found, and what looks like one and is none.
+ */
+
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { type SeenAnswer, SoakJudge } from "../src/soak/judge.js";
+
+const answer = (change: Partial<SeenAnswer> = {}): SeenAnswer => ({
+    number: "r1",
+    method: "GET",
+    entry: "entry-1",
+    incarnation: 1,
+    status: 200,
+    outcome: "ran",
+    isOwn: true,
+    tookMs: 10,
+    duringPlannedStop: false,
+    ...change,
+});
+
+interface Case {
+    readonly name: string;
+    readonly act: (judge: SoakJudge) => void;
+    /** How often upstreams ran the request. */
+    readonly runs?: number;
+    readonly broken: readonly string[];
+}
+
+const here = { name: "entry-1", incarnation: 1 };
+const nothing = { restMs: 0, leaving: false };
+
+const arrivals = (judge: SoakJudge, count: number, atMs: number, entry = here): void =>
+    Array.from({ length: count }).forEach(() => judge.noteArrival("u1", entry, atMs, nothing));
+
+const cases: readonly Case[] = [
+    { name: "a whole answer", act: judge => judge.noteAnswer(answer()), runs: 1, broken: [] },
+    { name: "another request's answer", act: judge => judge.noteAnswer(answer({ isOwn: false })), runs: 1, broken: ["whole"] },
+    { name: "an issue that ran twice", act: judge => judge.noteAnswer(answer({ method: "POST" })), runs: 2, broken: ["once"] },
+    { name: "a read that ran twice", act: judge => judge.noteAnswer(answer()), runs: 2, broken: [] },
+    {
+        name: "a not-run that ran",
+        act: judge => judge.noteAnswer(answer({ status: 503, outcome: "not-run" })),
+        runs: 1,
+        broken: ["not-run"],
+    },
+    { name: "a true not-run", act: judge => judge.noteAnswer(answer({ status: 503, outcome: "not-run" })), runs: 0, broken: [] },
+    {
+        name: "a request that a planned stop cut off",
+        act: judge => judge.noteAnswer(answer({ status: undefined, duringPlannedStop: true })),
+        runs: 1,
+        broken: ["stop"],
+    },
+    {
+        name: "a connection that was closed before its request was read",
+        act: judge => judge.noteAnswer(answer({ status: undefined, duringPlannedStop: true })),
+        runs: 0,
+        broken: [],
+    },
+    {
+        name: "an answer that never came",
+        act: judge => judge.noteAnswer(answer({ tookMs: 9000 })),
+        runs: 1,
+        broken: ["answered"],
+    },
+    {
+        name: "a third request to a resting upstream",
+        act: judge => {
+            judge.noteArrival("u1", here, 0, { restMs: 2000, leaving: false });
+            arrivals(judge, 9, 400);
+            arrivals(judge, 3, 1000);
+        },
+        broken: ["rest"],
+    },
+    {
+        name: "requests on their way, two more, those of others, and those after the rest",
+        act: judge => {
+            judge.noteArrival("u1", here, 0, { restMs: 2000, leaving: false });
+            arrivals(judge, 9, 500);
+            arrivals(judge, 2, 1000);
+            arrivals(judge, 9, 1000, { name: "entry-2", incarnation: 1 });
+            arrivals(judge, 9, 1000, { name: "entry-1", incarnation: 2 });
+            arrivals(judge, 9, 2000);
+        },
+        broken: [],
+    },
+    {
+        name: "a request to an upstream that left",
+        act: judge => {
+            judge.noteArrival("u1", here, 0, { restMs: 0, leaving: true });
+            arrivals(judge, 1, 2000);
+            arrivals(judge, 1, 2001);
+        },
+        broken: ["leaving"],
+    },
+    {
+        name: "a configuration that goes back",
+        act: judge => {
+            judge.noteGeneration("entry-1", 1, 5);
+            judge.noteGeneration("entry-1", 1, 4);
+        },
+        broken: ["configuration"],
+    },
+    {
+        name: "an instance that has started again and knows less at first",
+        act: judge => {
+            judge.noteGeneration("entry-1", 1, 5);
+            judge.noteGeneration("entry-1", 2, 4);
+        },
+        broken: [],
+    },
+    {
+        name: "callers that are not served after the last fault",
+        act: judge => judge.noteRecovery([answer(), answer({ status: 503 })]),
+        broken: ["recovery"],
+    },
+];
+
+describe("a soak finds", () => {
+    cases.forEach(({ name, act, runs = 0, broken }) => {
+        test(`${broken.length === 0 ? "nothing wrong with " : ""}${name}`, () => {
+            const judge = new SoakJudge(7000);
+            act(judge);
+            assert.deepEqual(judge.finish(() => runs).map(({ promise }) => promise), broken);
+        });
+    });
+});
--- /dev/null
+++ b/packages/standin/test/soak.test.ts
@@ -0,0 +1,24 @@
+/**
+ * A short soak with a seed of its own; longer ones are started by hand (`npm run soak`).
+ */
+
+import { SeededRandom } from "@harrierhitch/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { drawFaults, faultKinds } from "../src/soak/schedule.js";
+import { runSoak } from "../src/soak/soak.js";
+
+const seed = 1;
+const seconds = 10;
+
+test("three instances and four upstreams keep every promise under overlapping faults", async () => {
+    const result = await runSoak({ seed, seconds, entries: 3, upstreams: 4, callers: 12, basePort: 23_000 });
+    assert.deepEqual(result.violations, []);
+    assert.ok(result.served > result.requests / 2, `${result.served} of ${result.requests} served`);
+});
+
+test("the same seed draws the same faults, and every kind in the end", () => {
+    assert.deepEqual(drawFaults(new SeededRandom(7), 60_000), drawFaults(new SeededRandom(7), 60_000));
+    const kinds = new Set(drawFaults(new SeededRandom(7), 600_000).map(({ kind }) => kind));
+    assert.deepEqual([...kinds].sort(), [...faultKinds].sort());
+});
