--- a/packages/standin/src/child.ts
+++ b/packages/standin/src/child.ts
@@ -68,10 +68,12 @@
 };
 
 const running = new Set<ChildProcess>();
+let isWatching = false;
 
 /** Children never outlive the tool that started them, also when it is stopped or fails. */
 const endWithThisProcess = (child: ChildProcess): void => {
-    if (running.size === 0) {
+    if (!isWatching) {
+        isWatching = true;
         process.once("exit", () => running.forEach(other => other.kill("SIGKILL")));
         process.once("SIGTERM", () => process.exit(1));
     }
