--- a/packages/standin/src/soak/faults.ts
+++ b/packages/standin/src/soak/faults.ts
@@ -13,6 +13,9 @@
 /** Time after which an instance that was killed is started again, in milliseconds. */
 const restartMs = 200;
 
+/** Time for which a leaving upstream serves on, in milliseconds, beyond the fault's own. */
+const leavingMs = 3000;
+
 /** Longest delay of a part on its way, in milliseconds: below what a caller notices as an outage. */
 const delayMs = 120;
 
@@ -143,6 +146,3 @@
         this.servers.publish();
     }
 }
-
-/** Time for which a leaving upstream serves on, in milliseconds, beyond the fault's own. */
-const leavingMs = 3000;
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -11,6 +11,7 @@
 import { EntryProcess } from "./entry-process.js";
 import { SoakFaults } from "./faults.js";
 import { SoakJudge, type Violation } from "./judge.js";
+import { LagWatch } from "./lag.js";
 import { drawFaults } from "./schedule.js";
 import { SoakCallers } from "./soak-callers.js";
 import { SoakServers } from "./soak-servers.js";
@@ -50,7 +51,8 @@
 /** Runs one soak to its end. */
 export const runSoak = async ({ seed, seconds, entries, upstreams, callers, basePort }: SoakOptions): Promise<SoakResult> => {
     const directory = await mkdtemp(join(tmpdir(), "soak-"));
-    const judge = new SoakJudge(longestAnswerMs);
+    const lag = new LagWatch();
+    const judge = new SoakJudge(longestAnswerMs, () => lag.lagMs);
     const servers = new SoakServers({ upstreams, entries, judge });
     const { platformPort } = await servers.start();
     const processes = Array.from({ length: entries }, (_, index) =>
@@ -81,6 +83,7 @@
     finally {
         await Promise.all(processes.map(process => process.stop()));
         await servers.close();
+        lag.stop();
         await rm(directory, { recursive: true });
     }
 };
--- a/packages/standin/test/soak-judge.test.ts
+++ b/packages/standin/test/soak-judge.test.ts
@@ -116,6 +116,16 @@
     },
 ];
 
+test("a soak counts its own stalls against nobody", () => {
+    const judge = new SoakJudge(7000, () => 800);
+    judge.noteArrival("u1", here, 0, { restMs: 3000, leaving: false });
+    arrivals(judge, 9, 1200);
+    arrivals(judge, 2, 1400);
+    assert.deepEqual(judge.violations, []);
+    arrivals(judge, 1, 1400);
+    assert.equal(judge.violations.length, 1);
+});
+
 describe("a soak finds", () => {
     cases.forEach(({ name, act, runs = 0, broken }) => {
         test(`${broken.length === 0 ? "nothing wrong with " : ""}${name}`, () => {
