--- a/packages/standin/src/soak/entry-process.ts
+++ b/packages/standin/src/soak/entry-process.ts
@@ -28,6 +28,8 @@
     state: EntryState = "down";
     /** Number of its start; a pause counts as one, since users excuse what a machine does right after one. */
     incarnation = 0;
+    /** The start that was stopped as planned last; remembered beyond its end, when its connections are seen to break. */
+    stoppedIncarnation: number | undefined;
     private child: Child | undefined;
 
     /** @param options - Name and ports. */
@@ -70,6 +72,7 @@
     /** Stops it as planned, and waits for its end. */
     async stop(): Promise<void> {
         this.state = "stopping";
+        this.stoppedIncarnation = this.incarnation;
         await this.child?.stop();
     }
 
--- a/packages/standin/src/soak/faults.ts
+++ b/packages/standin/src/soak/faults.ts
@@ -86,7 +86,7 @@
             case "kill":
             case "stop":
                 await this.strikeEntry(kind, forMs, target);
-                break;
+                return;
             case "platform-fails":
                 platform.behaviour = { failStatus: 503 };
                 break;
@@ -98,9 +98,10 @@
                 break;
             case "publish-older":
                 this.servers.publishOlder();
-                break;
+                return;
             default:
                 this.servers.publish();
+                return;
         }
         await wait(forMs);
         platform.behaviour = {};
--- a/packages/standin/src/soak/judge.ts
+++ b/packages/standin/src/soak/judge.ts
@@ -114,8 +114,8 @@
         }
     }
 
-    /** Notes that an upstream has started anew and no longer leaves, nor rests. */
-    noteUpstreamReturned(upstream: string): void {
+    /** Forgets what an upstream asked for: the answers that said so may have been lost on their way. */
+    forgetAsked(upstream: string): void {
         [this.rests, this.leaving].forEach(asked =>
             [...asked.keys()].filter(pair => pair.endsWith(` ${upstream}`)).forEach(pair => asked.delete(pair))
         );
--- a/packages/standin/src/soak/soak-callers.ts
+++ b/packages/standin/src/soak/soak-callers.ts
@@ -83,7 +83,7 @@
             outcome,
             isOwn,
             tookMs: performance.now() - sentAtMs,
-            duringPlannedStop: entry.state === "stopping" && entry.incarnation === incarnation,
+            duringPlannedStop: entry.stoppedIncarnation === incarnation,
         };
         this.options.judge.noteAnswer(answer);
         return answer;
