Sight: tell each answer in which an upstream names how many requests a second it takes

Nothing of an answer's head but status, load, departure and rest was written anywhere, so the logs could not tell whether a limit was not read, not divided or forgotten. Events 326 and 327 and two kinds of harrierhitch_upstream_notices_total name the answer that said so. What is no limit (negative, not a decimal, empty, given twice with different figures, absurdly large) is told and left out. No decision changes.

--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -165,6 +165,10 @@
             "x-request-outcome",
         ),
         drainHeader: headerKey("Header by which an upstream says that it is leaving; its value is draining.", "x-upstream-state"),
+        limitHeader: headerKey(
+            "Header with the requests a second that an upstream takes from the whole fleet; absent while it names no limit.",
+            "x-upstream-limit",
+        ),
         loadHeader: headerKey("Header with the upstream's requests in flight.", "x-upstream-in-flight"),
         coldRequestsPerSecond: numberKey({
             description:
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,6 +21,7 @@
 export { type AnswerNotice, noNotice, readRest } from "./request/answer-notice.js";
 export { type Arrival, numberHeader, pathOf, textHeader } from "./request/arrival.js";
 export { type AnswerHead, type AnswerReading, type Dialect, type LoadReport, type OutgoingAttempt } from "./request/dialect.js";
+export { type LimitReading, noLimit, readLimit } from "./request/named-limit.js";
 export { EventLog, type EventLogOptions } from "./telemetry/event-log.js";
 export { type EventKind, events } from "./telemetry/event.js";
 export { Metrics } from "./telemetry/metrics.js";
--- a/packages/daemon/src/request/answer-notice.ts
+++ b/packages/daemon/src/request/answer-notice.ts
@@ -7,6 +7,7 @@
 import type { RequestId, ServiceName } from "@harrierhitch/core";
 import type { KnownUpstream } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
+import { type LimitReading, noLimit } from "./named-limit.js";
 import { readRetryAfter, type RetryAfterReading } from "./retry-after.js";
 
 /** What the head of an answer asks of this instance, whichever request it answers. */
@@ -15,12 +16,14 @@
     readonly leaving: boolean;
     /** Milliseconds for which it wants nothing from this instance; `undefined` where it does not ask for that. */
     readonly restMs: number | undefined;
+    /** How much it takes from all instances together. */
+    readonly limit: LimitReading;
     /** A `Retry-After` that cannot be read; the rest of the answer holds all the same. */
     readonly unreadable: string | undefined;
 }
 
 /** The notice of an answer that asks for nothing. */
-export const noNotice: AnswerNotice = { leaving: false, restMs: undefined, unreadable: undefined };
+export const noNotice: AnswerNotice = { leaving: false, restMs: undefined, limit: noLimit, unreadable: undefined };
 
 /** A notice with whom it came from. */
 export interface HeardNotice {
--- a/packages/daemon/src/request/header-dialect.ts
+++ b/packages/daemon/src/request/header-dialect.ts
@@ -10,6 +10,7 @@
 import { readRest } from "./answer-notice.js";
 import { type Arrival, numberHeader, pathOf, textHeader } from "./arrival.js";
 import type { AnswerHead, AnswerReading, Dialect, LoadReport, OutgoingAttempt } from "./dialect.js";
+import { readLimit } from "./named-limit.js";
 import { outcomeHeader } from "./problem.js";
 
 /** Statuses by which a gateway says that it could not answer; they do not tell whether the request ran. */
@@ -49,7 +50,7 @@
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
             mayPassOn: true,
-            notice: { leaving, ...readRest(status, headers) },
+            notice: { leaving, limit: readLimit(headers[service.limitHeader]), ...readRest(status, headers) },
             load: readLoad(headers[service.loadHeader]),
             coldMs: undefined,
         };
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -48,10 +48,10 @@
         ["service", "state"],
     );
 
-    /** Answers in which upstreams said that they leave, asked for a rest, or sent a `Retry-After` that cannot be read. */
+    /** Answers in which upstreams said that they leave, asked for a rest, named a limit, or said so in a way that cannot be read. */
     readonly upstreamNotices = this.counter(
         "harrierhitch_upstream_notices_total",
-        "Answers in which upstreams leave, ask for a rest, or ask in a way that cannot be read",
+        "Answers in which upstreams leave, ask for a rest, name a limit, or say so in a way that cannot be read",
         ["service", "notice"],
     );
 
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -88,7 +88,7 @@
 
     /** Tells what an upstream asked of this instance in the head of an answer. */
     noticed({ service, upstream, notice, request }: HeardNotice): void {
-        const { leaving, restMs, unreadable } = notice;
+        const { leaving, restMs, limit, unreadable } = notice;
         const from = { service, upstream: upstream.id, startedAtMs: upstream.startedAtMs, request };
         const count = (name: string): void => this.metrics.upstreamNotices.inc({ service, notice: name });
         if (leaving) {
@@ -100,6 +100,14 @@
         if (leaving || restMs !== undefined) {
             this.log.write(events.noticeHeard, { ...from, leaving, restMs });
         }
+        if (limit.type === "named") {
+            count("limit");
+            this.log.write(events.limitHeard, { ...from, perSecond: limit.perSecond });
+        }
+        if (limit.type === "unreadable") {
+            count("unreadable-limit");
+            this.log.write(events.limitUnreadable, { ...from, text: limit.text });
+        }
         if (unreadable !== undefined) {
             count("unreadable");
             this.log.write(events.retryAfterUnreadable, { ...from, text: unreadable });
--- a/packages/daemon/test/model/model-dialect.ts
+++ b/packages/daemon/test/model/model-dialect.ts
@@ -7,7 +7,8 @@
 import { readRest } from "../../src/request/answer-notice.js";
 import { type Arrival, numberHeader, pathOf } from "../../src/request/arrival.js";
 import type { AnswerHead, AnswerReading, Dialect, LoadReport } from "../../src/request/dialect.js";
-import { modelLeavingHeader, modelLoadHeader } from "./model-transport.js";
+import { readLimit } from "../../src/request/named-limit.js";
+import { modelLeavingHeader, modelLimitHeader, modelLoadHeader } from "./model-transport.js";
 
 /** Header with the milliseconds for which a caller will wait. */
 export const modelPatienceHeader = "patience-ms";
@@ -44,7 +45,11 @@
             failed: false,
             retryable: shed,
             mayPassOn: !shed,
-            notice: { leaving: headers[modelLeavingHeader] !== undefined, ...readRest(status, headers) },
+            notice: {
+                leaving: headers[modelLeavingHeader] !== undefined,
+                limit: readLimit(headers[modelLimitHeader]),
+                ...readRest(status, headers),
+            },
             load: readLoad(headers[modelLoadHeader]),
             coldMs: undefined,
         };
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -17,6 +17,9 @@
 /** Header of an upstream that leaves. */
 export const modelLeavingHeader = "leaving";
 
+/** Header of an upstream that names how much it takes. */
+export const modelLimitHeader = "limit";
+
 /** Time from an instance to an upstream. */
 const wayMs = 1;
 
