Share among all instances what an upstream in need says that it takes

Callers saw nothing; upstreams in need did: one that named 3.6 requests a second got 39 in four seconds from instances that it had told (27 tolerated), on and on.

Cause: the header with the limit was not read. Of what an answer says, each field was taken in by hand in two places (answers and probes), and nothing failed for one that was taken in nowhere. Ruled out: limits that are read and not divided, or forgotten (no rate changed at the moment at which they were named, and no line told of one).

The mend: one place (take-in.ts) turns readings into beliefs, with a taker for each field; a field without one does not compile. Limits are kept by start, apart from entries, and told to all instances as words with an order that no way of a message changes. As many instances share a limit as send one request in two seconds each, with even gaps of their own, chosen by rendezvous among all members, silent ones too; whoever has heard of nobody sends nothing but a careful trial after half a minute. So four seconds bring 4 L + 2 L + 2 requests at most, whatever the moments, where 6 L + 5 are tolerated. It holds for every way to an upstream, since the one place where an attempt begins asks, and once more when its connection is there. An answer without the limit ends it only if its request was sent after it was last heard of. While all are limited, a request waits if its turn comes in time, and its caller else is told at once when there is room, each a turn of its own.

Also: two requests decided in the same moment could both take a cold upstream's turn; the same look ends that.

Undoes the circle of learn, request-services and prober.

--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -24,6 +24,9 @@
 const number = (description: string, defaultValue: number, unit?: string) =>
     numberKey({ description, defaultValue, minimum: 0, maximum: 1_000_000_000, ...(unit === undefined ? {} : { unit }) });
 
+const signed = (description: string, defaultValue: number) =>
+    numberKey({ description, defaultValue, minimum: -1, maximum: 1_000_000_000 });
+
 /** Schema of a scenario file. */
 export const scenarioSchema = z.strictObject({
     request: optionalSection({
@@ -50,6 +53,7 @@
         name: text("Name of the service.", "service"),
         inFlight: number("Requests in flight from this instance.", 0),
         queued: number("Requests held back.", 0),
+        returnInMs: number("Time until there is room for one more caller that is turned away because of limits.", 0, "ms"),
     }),
     upstream: z.record(
         z.string().regex(namePattern, "expected a name of lower-case letters, digits and hyphens"),
@@ -63,6 +67,9 @@
             inFlight: number("Requests in flight from this instance.", 0),
             limit: number("Most requests in flight.", 16),
             restMs: number("Time for which it wants nothing from this instance.", 0, "ms"),
+            takesPerSecond: signed("Requests a second that it takes from all instances, by its own word; -1 for no limit.", -1),
+            shareGapMs: number("Time between two requests of this instance by its share of that.", 0, "ms"),
+            shareInMs: number("Time until this instance may send one more by its share.", 0, "ms"),
             oldestInFlightMs: number("Age of the oldest request in flight.", 0, "ms"),
             latencyMs: number("Decayed latency.", 5, "ms"),
             latencyAgeMs: number("Age of the last answer.", 100, "ms"),
--- a/packages/daemon/src/chosen-duties.ts
+++ b/packages/daemon/src/chosen-duties.ts
@@ -5,7 +5,7 @@
  */
 
 import type { UpstreamId } from "@harrierhitch/core";
-import type { RequestPattern } from "@harrierhitch/decision";
+import { type LimitShare, type RequestPattern, wholeShare } from "@harrierhitch/decision";
 import type { ChosenMembers } from "@harrierhitch/fleet";
 
 /** Options of {@link ChosenDuties}. */
@@ -26,6 +26,14 @@
         return this.options.isAlone ? 1 : this.options.chosen()?.sharersOf(upstream) ?? 0;
     }
 
+    /** This instance's share of what an upstream takes; it sends nothing before it knows others. */
+    limitShareOf(upstream: UpstreamId, wanted: number): LimitShare {
+        const { isAlone, chosen } = this.options;
+        return isAlone
+            ? wholeShare
+            : chosen()?.limitShare(upstream, wanted) ?? { isSharer: false, sharers: wanted, members: wanted };
+    }
+
     /** Whether this instance is to try what is withheld. */
     mayTry(pattern: RequestPattern): boolean {
         return this.options.isAlone || this.options.chosen()?.mayTry(pattern) === true;
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
-import { SharedColdAdmission, UpstreamNotices } from "@harrierhitch/decision";
+import type { UpstreamLimits } from "@harrierhitch/decision";
 import type { Fleet, HeardRumor } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, type DirectoryChange, type OfferResult, type UpstreamDirectory } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
@@ -22,8 +22,9 @@
 import { SpreadDraws } from "./spread-draws.js";
 import { events } from "./telemetry/event.js";
 import { Telemetry } from "./telemetry/telemetry.js";
+import { openRegistry } from "./upstream/open-registry.js";
 import { ProbeBudget } from "./upstream/probe-budget.js";
-import { type RegistryUpdate, ServiceRegistry, toTargets } from "./upstream/service-registry.js";
+import { type RegistryUpdate, type ServiceRegistry, toTargets } from "./upstream/service-registry.js";
 import { sharesOf } from "./upstream/shares.js";
 import { WakeRefresh } from "./wake-refresh.js";
 
@@ -38,6 +39,8 @@
     /** Which requests are withheld, and why. */
     readonly crashes: CrashWatch;
     readonly services: ServiceRegistry;
+    /** How much upstreams say that they take. */
+    readonly limits: UpstreamLimits;
     readonly accepted: AcceptedConfiguration;
     readonly directory: UpstreamDirectory;
     /** This instance's part in the fleet; `undefined` while it works alone. */
@@ -77,18 +80,19 @@
             onNews: () => this.fleet?.wakeLinks(),
             isChosenToTry: pattern => duties.mayTry(pattern),
         });
-        this.services = new ServiceRegistry({
-            clock,
-            availabilityZone: settings.instance.availabilityZone,
-            notices: new UpstreamNotices({ clock }),
-            coldAdmission: new SharedColdAdmission({ clock, sharersOf: upstream => duties.sharersOf(upstream) }),
+        ({ services: this.services, limits: this.limits } = openRegistry({
+            parts,
+            instance: this.id,
+            duties,
+            telemetry: this.telemetry,
+            onUrgentWord: () => this.fleet?.wakeLinks(),
             onStateChange: change => {
                 this.telemetry.stateChanged(change);
                 if (change.after.state === "draining" && !this.hearing) {
                     this.fleet?.tellLeaving(change.upstream, change.startedAtMs);
                 }
             },
-        });
+        }));
         this.probeBudget = new ProbeBudget(clock);
         const services = makeRequestServices({
             parts,
--- a/packages/daemon/src/peers/instance-fleet.ts
+++ b/packages/daemon/src/peers/instance-fleet.ts
@@ -17,6 +17,7 @@
     | "accepted"
     | "directory"
     | "crashes"
+    | "limits"
     | "onConfiguration"
     | "onDirectory"
     | "onSizeChange"
@@ -36,6 +37,7 @@
     accepted: instance.accepted,
     directory: instance.directory,
     crashes: instance.crashes.ledger,
+    limits: instance.limits,
     onConfiguration: (source, text) => void instance.offerConfiguration(source, text),
     onDirectory: () => instance.apply(),
     onSizeChange: () => instance.applyShares(),
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -15,10 +15,11 @@
 import type { AttemptRecord } from "./decision-record.js";
 import type { AnswerReading } from "./dialect.js";
 import { requestHeaders } from "./headers.js";
-import { learnFromAnswer, learnFromOvertaken, learnFromWork, type Work } from "./learn.js";
+import { learnFromOvertaken, learnFromWork, type Work } from "./learn.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
+import { takeIn } from "./take-in.js";
 import { AnswerBuffer, type WholeAnswer } from "./whole-answer.js";
 
 /** Everything that one attempt needs. */
@@ -107,7 +108,8 @@
         const reading = services.dialect.readAnswer({ status, headers, service, upstream: upstream.id, requestHeaders });
         this.reading = reading;
         services.onNotice({ service: service.name, upstream, notice: reading.notice, request: progress.record.id });
-        learnFromAnswer(services, runtime, upstream, reading, this.startedAtMs);
+        const { clock } = services;
+        takeIn({ clock, beliefs: runtime.beliefs, upstream, reading, sentAtMs: this.startedAtMs, isProbe: false });
         if (reading.foreign !== undefined) {
             return false;
         }
@@ -232,7 +234,7 @@
             ...own,
             traceparent: toTraceparent(trace, this.record.spanId),
         });
-        const mayBegin = (): boolean => runtime.beliefs.takesWork(upstream);
+        const mayBegin = (): boolean => runtime.beliefs.mayBegin(upstream, this.flight);
         return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open(), mayBegin };
     }
 }
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -200,7 +200,7 @@
 
     /** When the caller should come back if it is refused. */
     get retryAfterMs(): number {
-        return returnAfterMs(this.record, this.runtime.beliefs.rests, this.services.random);
+        return returnAfterMs(this.record, this.runtime.beliefs.waits, this.services.random);
     }
 
     /** Gives the request its final answer at once. */
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -13,6 +13,7 @@
 import type { AnswerReading } from "./dialect.js";
 import { Mailbox } from "./mailbox.js";
 import { mayRetry } from "./may-retry.js";
+import { refuse } from "./refuse.js";
 import type { RequestBody } from "./request-body.js";
 import { isPromising, RequestChoice } from "./request-choice.js";
 import type { RequestEvent } from "./request-event.js";
@@ -88,12 +89,9 @@
                 return this.beginAttempt(decision, body);
             case "hold":
                 return await holdBack(this.progress, this.runtime, this.services.clock);
-            case "refuse": {
-                const { cause, reason, retryAfterMs } = decision;
-                const kind = cause === "policy" ? "refused" : "no-upstream";
-                this.progress.giveUp({ kind, detail: reason, outcome: this.progress.outcomeSoFar(), retryAfterMs });
+            case "refuse":
+                refuse(this.progress, this.runtime, decision);
                 return true;
-            }
         }
     }
 
@@ -140,8 +138,8 @@
     private start(id: UpstreamId, body: RequestBody): boolean {
         const { services, runtime, progress } = this;
         const upstream = runtime.beliefs.find(id);
-        if (upstream === undefined || !runtime.beliefs.takesWork(upstream)) {
-            // It is gone, leaves, rests, or its zone was taken out of service since the decision: the next one knows.
+        if (upstream === undefined || !runtime.beliefs.admits(upstream)) {
+            // It is gone, leaves, rests, takes no more now, or its zone was taken out of service since the decision.
             return false;
         }
         const mayStream = (reading: AnswerReading): boolean => this.mayStream(reading, task, body);
--- a/packages/daemon/src/request/return-after.ts
+++ b/packages/daemon/src/request/return-after.ts
@@ -5,26 +5,26 @@
  */
 
 import type { RandomSource } from "@harrierhitch/core";
-import { comeBackMs, restOfAllMs, retryAfterOf } from "@harrierhitch/decision";
+import { comeBackMs, retryAfterOf, waitForAllMs, type Waiting } from "@harrierhitch/decision";
 import type { DecisionRecord } from "./decision-record.js";
 
 /**
- * When a caller should come back: after the rest where all upstreams have asked for one; at once where an upstream that has
+ * When a caller should come back: when one of them takes requests again, where all upstreams rest or name limits; at once where an upstream that has
  * room has just shed its request, so that it was not load that kept it from being served; else as its policy says.
  *
  * @param record - What was decided on the request.
- * @param rests - For how long each upstream of its service rests.
+ * @param waits - For how long each upstream of its service takes nothing.
  * @param random - Keeps callers from coming back at the same moment.
  * @returns Milliseconds.
  */
 export const returnAfterMs = (
     { attempts, route, steps }: DecisionRecord,
-    rests: Parameters<typeof restOfAllMs>[0],
+    waits: readonly Waiting[],
     random: RandomSource,
 ): number => {
-    const restMs = restOfAllMs(rests);
-    if (restMs !== undefined) {
-        return comeBackMs(restMs, random.next());
+    const waitMs = waitForAllMs(waits);
+    if (waitMs !== undefined) {
+        return comeBackMs(waitMs, random.next());
     }
     const wasShed = attempts.at(-1)?.result?.end === "shed";
     const room = steps.at(-1)?.input.service.room ?? 0;
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -48,7 +48,7 @@
     upstreamStateChanged: { number: 300, level: "info", message: "upstream changed state" },
     noticeHeard: { number: 322, level: "info", message: "upstream said that it leaves, or asked for a rest" },
     retryAfterUnreadable: { number: 323, level: "warn", message: "upstream's Retry-After cannot be read; it is left out" },
-    limitHeard: { number: 326, level: "info", message: "upstream named how many requests a second it takes" },
+    limitChanged: { number: 326, level: "info", message: "upstream's limit on requests a second came, changed or went" },
     limitUnreadable: { number: 327, level: "warn", message: "upstream's limit cannot be read; it is left out" },
     endedUnder: { number: 320, level: "info", message: "upstream ended while a request was under way there" },
     requestWithheld: { number: 321, level: "warn", message: "request is withheld: upstreams end under it" },
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -6,6 +6,7 @@
 
 import { formatFinding } from "@harrierhitch/configuration";
 import type { Generation } from "@harrierhitch/core";
+import type { LimitChange, LimitPace } from "@harrierhitch/decision";
 import type { DirectoryChange, OfferResult, UpstreamDirectory, ZoneListing } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import type { HeardNotice } from "../request/answer-notice.js";
@@ -102,7 +103,6 @@
         }
         if (limit.type === "named") {
             count("limit");
-            this.log.write(events.limitHeard, { ...from, perSecond: limit.perSecond });
         }
         if (limit.type === "unreadable") {
             count("unreadable-limit");
@@ -114,6 +114,28 @@
         }
     }
 
+    /**
+     * Tells of a limit that an upstream named, changed or took back, whoever heard it.
+     *
+     * @param change - What changed.
+     * @param pace - How fast this instance may send there now; `undefined` where no limit holds.
+     */
+    limitChanged({ upstream, startedAtMs, before, word }: LimitChange, pace: LimitPace | undefined): void {
+        const { perSecond, sinceUnixMs, saidAtUnixMs, heardBy } = word;
+        this.log.write(events.limitChanged, {
+            upstream,
+            startedAtMs,
+            before,
+            perSecond,
+            sinceUnixMs,
+            saidAtUnixMs,
+            heardBy,
+            isSharer: pace?.isSharer,
+            sharers: pace?.sharers,
+            gapMs: pace === undefined ? undefined : Math.round(pace.gapMs),
+        });
+    }
+
     /** Counts a request that was answered. */
     served(record: DecisionRecord): void {
         const { route } = record;
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -6,11 +6,11 @@
 
 import type { Service } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
-import type { KnownUpstream, Observation } from "@harrierhitch/decision";
+import type { KnownUpstream } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { HeardNotice } from "../request/answer-notice.js";
 import type { Dialect } from "../request/dialect.js";
-import { heedNotice } from "../request/learn.js";
+import { takeIn } from "../request/take-in.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { ServiceRuntime } from "./service-runtime.js";
 import { SilentServices } from "./silent-services.js";
@@ -110,6 +110,7 @@
     private async send({ service, runtime }: ProbeQuestion, upstream: KnownUpstream): Promise<void> {
         const { clock, transport, onProbe } = this.options;
         const answer: { outcome: ProbeOutcome; } = { outcome: "failed" };
+        const sentAtMs = clock.nowMs();
         const request = {
             method: "GET",
             path: service.probePath ?? "/",
@@ -119,7 +120,7 @@
         };
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
-                answer.outcome = this.learn(service, runtime, upstream, status, headers);
+                answer.outcome = this.learn({ service, runtime }, upstream, status, headers, sentAtMs);
                 return true;
             },
             onData: () => true,
@@ -134,11 +135,11 @@
     }
 
     private learn(
-        service: Service,
-        runtime: ServiceRuntime,
+        { service, runtime: { beliefs } }: Pick<ProbeQuestion, "service" | "runtime">,
         upstream: KnownUpstream,
         status: number,
         headers: IncomingHttpHeaders,
+        sentAtMs: number,
     ): ProbeOutcome {
         const { clock, dialect, onNotice } = this.options;
         const reading = dialect.readAnswer({
@@ -148,21 +149,12 @@
             upstream: upstream.id,
             requestHeaders: undefined,
         });
-        const { load, coldMs, misdirected, notice } = reading;
+        const { load, misdirected, notice } = reading;
         onNotice({ service: service.name, upstream, notice, request: undefined });
-        const atMs = clock.nowMs();
-        const observe = (observation: Observation): void =>
-            runtime.beliefs.observe(upstream.id, observation, upstream.startedAtMs);
-        heedNotice(clock, reading, observe);
+        takeIn({ clock, beliefs, upstream, reading, sentAtMs, isProbe: true });
         if (misdirected) {
             return "failed";
         }
-        if (coldMs !== undefined && coldMs > 0) {
-            observe({ type: "cooled", atMs, coldMs });
-        }
-        if (load !== undefined) {
-            observe({ type: "reported", atMs, ...load });
-        }
         if (load !== undefined) {
             return "told";
         }
--- a/packages/daemon/src/upstream/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -10,8 +10,10 @@
     type Belief,
     type ColdAdmission,
     type KnownUpstream,
+    type LimitAdmission,
     RetryBudget,
     ServiceBeliefs,
+    type UpstreamLimits,
     type UpstreamNotices,
 } from "@harrierhitch/decision";
 import { HoldQueue } from "../request/hold-queue.js";
@@ -41,6 +43,12 @@
     readonly coldAdmission: ColdAdmission;
     /** What upstreams told of themselves; it outlives services. */
     readonly notices: UpstreamNotices;
+    /** How much they say that they take; it outlives services, too. */
+    readonly limits: UpstreamLimits;
+    /** Admits requests to those that do. */
+    readonly limitAdmission: LimitAdmission;
+    /** Told that an upstream said something that other instances should hear at once. */
+    readonly onUrgentWord: () => void;
 }
 
 /** What a registry is brought up to date by. */
@@ -101,12 +109,9 @@
     }
 
     private create(name: ServiceName): ServiceRuntime {
-        const { clock, availabilityZone, onStateChange, coldAdmission, notices } = this.options;
+        const { clock, onStateChange } = this.options;
         const beliefs = new ServiceBeliefs({
-            clock,
-            availabilityZone,
-            coldAdmission,
-            notices,
+            ...this.options,
             onStateChange: ({ id, startedAtMs = 0 }, before, after) =>
                 onStateChange({ service: name, upstream: id, startedAtMs, before, after }),
         });
--- a/packages/daemon/src/upstream/service-runtime.ts
+++ b/packages/daemon/src/upstream/service-runtime.ts
@@ -17,6 +17,7 @@
 } from "@harrierhitch/decision";
 import type { ServiceFacts, UpstreamFacts } from "@harrierhitch/policy";
 import type { HoldQueue } from "../request/hold-queue.js";
+import { ReturnTurns } from "./return-turns.js";
 
 /** Beliefs, queue and turn of one service; it outlives configurations. */
 export class ServiceRuntime {
@@ -24,6 +25,8 @@
     readonly usualTimes: UsualTimes;
     /** How long callers usually wait, by kind. */
     readonly usualPatience = new UsualPatience();
+    /** When callers come back that are turned away because upstreams name limits. */
+    readonly returns: ReturnTurns;
     private turns = 0;
 
     /**
@@ -41,6 +44,7 @@
         clock: Clock,
     ) {
         this.usualTimes = new UsualTimes(clock);
+        this.returns = new ReturnTurns(clock);
     }
 
     /** Time until an upstream is expected to have room, if nobody else sends anything, in milliseconds. */
@@ -74,7 +78,14 @@
             bestTime: bestTime(upstreams, tried),
             ...roomAtBest(upstreams, tried),
             askable,
+            returnInMs: this.returnInMs,
             upstreams: this.beliefs.size,
         };
     }
+
+    /** Milliseconds until there is room for one more caller that is turned away; 0 where no upstream names a limit. */
+    private get returnInMs(): number {
+        const { limitedPerSecond } = this.beliefs;
+        return limitedPerSecond === undefined ? 0 : this.returns.nextInMs(limitedPerSecond);
+    }
 }
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -4,7 +4,7 @@
  */
 
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import { CrashLedger } from "@harrierhitch/decision";
+import { CrashLedger, UpstreamLimits } from "@harrierhitch/decision";
 import { Fleet, peerService } from "@harrierhitch/fleet";
 import { AcceptedConfiguration, fleetTimesFor, UpstreamDirectory } from "@harrierhitch/published";
 import { PlatformLink } from "../../src/platform/platform-link.js";
@@ -195,6 +195,7 @@
             accepted: new AcceptedConfiguration(),
             directory,
             crashes: new CrashLedger({ clock: this.clock }),
+            limits: new UpstreamLimits({ clock, instance: `n${id}` }),
             times: fleetTimesFor(this.boundMs),
             onConfiguration: () => undefined,
             onDirectory: () => undefined,
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -1,6 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { FakeClock, instanceId, SeededRandom, upstreamId } from "@harrierhitch/core";
-import { CrashLedger } from "@harrierhitch/decision";
+import { CrashLedger, UpstreamLimits } from "@harrierhitch/decision";
 import { Fleet, readersOf } from "@harrierhitch/fleet";
 import { MemberSchema } from "@harrierhitch/protocol";
 import { AcceptedConfiguration, defaultFleetTimes } from "@harrierhitch/published";
@@ -81,6 +81,7 @@
         accepted: new AcceptedConfiguration(),
         directory,
         crashes: new CrashLedger({ clock }),
+        limits: new UpstreamLimits({ clock, instance: "self" }),
         onConfiguration: () => undefined,
         onDirectory: () => undefined,
         onSizeChange: () => undefined,
--- a/packages/decision/src/admission.ts
+++ b/packages/decision/src/admission.ts
@@ -6,13 +6,17 @@
 
 import { atTime } from "./belief.js";
 import type { ColdAdmission } from "./cold-admission.js";
-import type { KnownUpstream, Tracked } from "./tracked-upstream.js";
+import type { LimitAdmission, LimitPace } from "./limit-admission.js";
+import type { Waiting } from "./resting.js";
+import { type Flight, isSameStart, type KnownUpstream, type Tracked } from "./tracked-upstream.js";
 import type { UpstreamNotices } from "./upstream-notices.js";
 
 /** Options of {@link Admission}. */
 export interface AdmissionOptions {
     /** Bounds what cold upstreams get from all instances. */
     readonly coldAdmission: ColdAdmission;
+    /** Bounds what upstreams get that name how much they take. */
+    readonly limitAdmission: LimitAdmission;
     /** What upstreams told of themselves. */
     readonly notices: UpstreamNotices;
 }
@@ -21,6 +25,8 @@
 export class Admission {
     /** Requests a second that a cold upstream bears from all instances together; 0 where that is not bounded. */
     coldRequestsPerSecond = 0;
+    /** Requests that count against a limit that their upstream names. */
+    private readonly counted = new WeakSet<Flight>();
 
     /** @param options - What binds it. */
     constructor(private readonly options: AdmissionOptions) {}
@@ -30,16 +36,60 @@
         return this.options.notices.restLeftMs(upstream);
     }
 
-    /** Whether an upstream is not cold, or bears one more request of this instance all the same. */
-    admitsCold({ upstream, belief: { state } }: Tracked): boolean {
-        return state !== "cold" || this.options.coldAdmission.mayTake(this.coldUpstream(upstream));
+    /** Whether the start of an upstream that is tracked is a given one, stays, and does not rest. */
+    takes(tracked: Tracked | undefined, upstream: KnownUpstream): tracked is Tracked {
+        return tracked !== undefined && isSameStart(tracked.upstream, upstream)
+            && tracked.belief.state !== "draining" && this.restMs(upstream) === 0;
+    }
+
+    /** How fast this instance may send to an upstream; `undefined` where that names no limit. */
+    paceOf(upstream: KnownUpstream): LimitPace | undefined {
+        return this.options.limitAdmission.paceOf(upstream);
+    }
+
+    /** Whether an upstream bears one more request of this instance, cold or limited as it may be. */
+    admits({ upstream, belief: { state } }: Tracked): boolean {
+        const { coldAdmission } = this.options;
+        return (state !== "cold" || coldAdmission.mayTake(this.coldUpstream(upstream))) && !this.isLimited(upstream);
     }
 
     /** Notes that a request goes to an upstream. */
-    noteSent({ upstream, belief: { state } }: Tracked): void {
+    noteSent({ upstream, belief: { state } }: Tracked, flight: Flight): void {
         if (state === "cold") {
             this.options.coldAdmission.noteSent(this.coldUpstream(upstream));
         }
+        this.count(upstream, flight);
+    }
+
+    /** Whether a request that was chosen before may be sent now: a limit may have been named since, in which it has no part yet. */
+    mayBegin({ upstream }: Tracked, flight: Flight): boolean {
+        const mayBegin = this.counted.has(flight) || !this.isLimited(upstream);
+        if (mayBegin && !this.counted.has(flight)) {
+            this.count(upstream, flight);
+        }
+        return mayBegin;
+    }
+
+    /** For how long an upstream takes nothing from this instance. */
+    waitOf({ upstream, belief: { state } }: Tracked): Waiting {
+        return { state, restMs: this.restMs(upstream), shareInMs: this.paceOf(upstream)?.waitMs ?? 0 };
+    }
+
+    /** This instance's even part of what some upstreams take, in requests a second; `undefined` where none names a limit. */
+    limitedPerSecond(upstreams: readonly KnownUpstream[]): number | undefined {
+        const paces = upstreams.flatMap(upstream => this.paceOf(upstream) ?? []);
+        return paces.length === 0 ? undefined : paces.reduce((sum, { perSecond, members }) => sum + perSecond / members, 0);
+    }
+
+    /** Whether an upstream names a limit that leaves nothing to this instance now. */
+    private isLimited(upstream: KnownUpstream): boolean {
+        return (this.paceOf(upstream)?.waitMs ?? 0) > 0;
+    }
+
+    private count(upstream: KnownUpstream, flight: Flight): void {
+        if (this.options.limitAdmission.noteSent(upstream)) {
+            this.counted.add(flight);
+        }
     }
 
     /** Whether an upstream may be chosen as things are at some time. */
@@ -47,7 +97,7 @@
         const { upstream, flights } = tracked;
         const belief = atTime(tracked.belief, nowMs);
         const isOut = belief.state === "draining" || belief.state === "ejected" || this.restMs(upstream) > 0;
-        return !isOut && flights.size < Math.floor(belief.limit) && this.admitsCold({ ...tracked, belief });
+        return !isOut && flights.size < Math.floor(belief.limit) && this.admits({ ...tracked, belief });
     }
 
     private coldUpstream({ id }: KnownUpstream) {
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -11,13 +11,16 @@
 import { choosers } from "./choosers.js";
 import type { DecisionInput } from "./decision-input.js";
 import type { Decision, Exclusion, PolicyFailure } from "./decision.js";
-import { comeBackMs, restOfAllMs } from "./resting.js";
+import { comeBackMs, isLimited, turnInMs, waitForAllMs } from "./resting.js";
 
 /** What a decision needs of a policy. */
 export type DecisionPolicy =
     & Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs">
     & Partial<Pick<ServicePolicy, "refuseRetryAfterPercent">>;
 
+/** Earliest return of a caller, as a share of the time until there is room for it: instances that turn callers away do so alike. */
+const leastReturnShare = 0.75;
+
 /** When a caller should come back after a refusal for lack of upstreams. */
 const noUpstreamRetryAfterMs = 1000;
 
@@ -51,9 +54,9 @@
         // Waiting brings nothing: all are leaving, or their availability zones are out of service.
         return withoutCandidates(input.upstreams.map(exclusionOf), undefined);
     }
-    const restMs = restOfAllMs(input.upstreams);
-    if (restMs !== undefined) {
-        return duringRest(input, restMs);
+    const waitMs = waitForAllMs(input.upstreams);
+    if (waitMs !== undefined) {
+        return isLimited(input.upstreams) ? underLimits(input, waitMs) : duringRest(input, waitMs);
     }
     const reason = policy.refuse(request, service);
     if (reason !== undefined) {
@@ -101,6 +104,9 @@
     if (upstream.restMs > 0) {
         return "resting";
     }
+    if (upstream.shareInMs > 0) {
+        return "limited";
+    }
     return upstream.inFlight >= upstream.limit ? "at-limit" : undefined;
 };
 
@@ -139,6 +145,21 @@
     return { ...decision, action: "refuse", cause: "no-upstream", reason, retryAfterMs: comeBackMs(restMs, draw) };
 };
 
+/**
+ * While all upstreams name limits that leave nothing to this instance now, a request waits where its turn comes in time, and else is
+ * told at once when there is room for one more caller.
+ */
+const underLimits = ({ request, service, upstreams, draws }: DecisionInput, waitMs: number): Decision => {
+    const decision = { exclusions: upstreams.map(exclusionOf), scores: [], policyFailure: undefined };
+    if (request.holdLeftMs >= turnInMs(waitMs, request.ahead, upstreams)) {
+        return { ...decision, action: "hold", cause: "limited" };
+    }
+    const reason = "all upstreams of the service name how much they take, and that is used up";
+    const [draw = 0] = draws;
+    const retryAfterMs = service.returnInMs * (leastReturnShare + draw * (1 - leastReturnShare) * 2);
+    return { ...decision, action: "refuse", cause: "limited", reason, retryAfterMs };
+};
+
 const chooseAmong = (
     chooserName: keyof typeof choosers,
     input: DecisionInput,
--- a/packages/decision/src/decision.ts
+++ b/packages/decision/src/decision.ts
@@ -8,7 +8,7 @@
 import type { UpstreamId } from "@harrierhitch/core";
 
 /** Why a candidate was not considered. */
-export type Exclusion = "draining" | "ejected" | "resting" | "at-limit" | "tried" | "filtered";
+export type Exclusion = "draining" | "ejected" | "resting" | "limited" | "at-limit" | "tried" | "filtered";
 
 /** A policy clause that failed while deciding, and what was done instead. */
 export interface PolicyFailure {
@@ -35,14 +35,14 @@
 /** The request waits. */
 export interface HoldDecision extends DecisionBase {
     readonly action: "hold";
-    /** Whether the policy, the limits, or a rest of all upstreams that ends in time hold it back. */
-    readonly cause: "policy" | "at-limit" | "resting";
+    /** Whether the policy, the limits here, or a rest or a limit of all upstreams that lets it through in time hold it back. */
+    readonly cause: "policy" | "at-limit" | "resting" | "limited";
 }
 
 /** The request is refused; it has not run. */
 export interface RefuseDecision extends DecisionBase {
     readonly action: "refuse";
-    readonly cause: "policy" | "no-upstream";
+    readonly cause: "policy" | "no-upstream" | "limited";
     /** Reason for the caller. */
     readonly reason: string;
     /** When coming back makes sense, in milliseconds. */
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -30,15 +30,24 @@
 export { type EndedRun } from "./ended-run.js";
 export { toExpectation } from "./expectation.js";
 export { workTime } from "./expected-time-chooser.js";
+export { LimitAdmission, type LimitAdmissionOptions, type LimitPace, type LimitShare, wholeShare } from "./limit-admission.js";
 export { type LoadFigures, type Observation } from "./observation.js";
 export { bestTime, isGoodNow, mayBeChosen, probeTargets, type Room, roomAtBest, roomInMs } from "./probe-targets.js";
 export { type RequestPattern } from "./request-traits.js";
-export { comeBackMs, restOfAllMs } from "./resting.js";
+export { comeBackMs, waitForAllMs, type Waiting } from "./resting.js";
 export { RetryBudget, type RetryBudgetOptions } from "./retry-budget.js";
 export { type ServiceBeliefsOptions } from "./service-beliefs-options.js";
 export { ServiceBeliefs } from "./service-beliefs.js";
 export { initialDynamics, type WorkReading } from "./service-dynamics.js";
 export { type Flight, isSameStart, type KnownUpstream } from "./tracked-upstream.js";
+export {
+    type KnownLimit,
+    type LimitChange,
+    type LimitWord,
+    type ToldLimit,
+    UpstreamLimits,
+    type UpstreamLimitsOptions,
+} from "./upstream-limits.js";
 export { UpstreamNotices, type UpstreamNoticesOptions } from "./upstream-notices.js";
 export { UsualPatience } from "./usual-patience.js";
 export { UsualTimes } from "./usual-time.js";
--- a/packages/decision/src/observation.ts
+++ b/packages/decision/src/observation.ts
@@ -29,6 +29,19 @@
     readonly saidAtUnixMs: number;
 }
 
+/** The upstream said how much it takes from all instances together, or nothing of it. */
+export interface LimitObservation {
+    readonly type: "limited";
+    readonly atMs: number;
+    /** Requests a second; `undefined` where its answer names no limit. */
+    readonly perSecond: number | undefined;
+    /** When the request was sent that was answered so. */
+    readonly sentAtMs: number;
+}
+
+/** What an upstream said of itself that outlives its entry. */
+export type WordObservation = LeavingObservation | RestObservation | LimitObservation;
+
 /** One thing that was learned about an upstream, at `atMs` on the instance's clock. */
 export type Observation =
     | {
@@ -53,8 +66,7 @@
         readonly type: "shed";
         readonly atMs: number;
     }
-    | LeavingObservation
-    | RestObservation
+    | WordObservation
     | {
         /** The upstream was seen to come back after leaving: a new start. */
         readonly type: "returned";
--- a/packages/decision/src/service-beliefs-options.ts
+++ b/packages/decision/src/service-beliefs-options.ts
@@ -4,11 +4,13 @@
  * @packageDocumentation
  */
 
-import type { Clock } from "@harrierhitch/core";
+import { type Clock, SeededRandom } from "@harrierhitch/core";
 import type { Belief, BeliefOptions } from "./belief.js";
-import type { ColdAdmission } from "./cold-admission.js";
+import { type ColdAdmission, unboundedColdAdmission } from "./cold-admission.js";
+import { LimitAdmission, wholeShare } from "./limit-admission.js";
 import type { KnownUpstream } from "./tracked-upstream.js";
-import type { UpstreamNotices } from "./upstream-notices.js";
+import { UpstreamLimits } from "./upstream-limits.js";
+import { UpstreamNotices } from "./upstream-notices.js";
 
 /** Options of `ServiceBeliefs`. */
 export interface ServiceBeliefsOptions {
@@ -24,4 +26,28 @@
     readonly coldAdmission?: ColdAdmission;
     /** What upstreams told of themselves, shared by all services of an instance, since it outlives entries and services. */
     readonly notices?: UpstreamNotices;
+    /** How many requests a second upstreams say that they take, shared in the same way. */
+    readonly limits?: UpstreamLimits;
+    /** Admits requests to those; without it this instance takes all that they take. */
+    readonly limitAdmission?: LimitAdmission;
+    /** Told that an upstream said something that other instances should hear at once. */
+    readonly onUrgentWord?: () => void;
 }
+
+const defaultEjectedShare = 0.34;
+
+/** The options with defaults for those that are left out. */
+export const withDefaults = (options: ServiceBeliefsOptions): Required<Omit<ServiceBeliefsOptions, "belief">> => {
+    const { clock } = options;
+    const limits = options.limits ?? new UpstreamLimits({ clock, instance: "" });
+    return {
+        maximumEjectedShare: defaultEjectedShare,
+        onStateChange: () => undefined,
+        onUrgentWord: () => undefined,
+        coldAdmission: unboundedColdAdmission,
+        notices: new UpstreamNotices(options),
+        limits,
+        limitAdmission: new LimitAdmission({ clock, random: new SeededRandom(1), limits, shareOf: () => wholeShare }),
+        ...options,
+    };
+};
--- a/packages/decision/src/service-beliefs.ts
+++ b/packages/decision/src/service-beliefs.ts
@@ -9,11 +9,11 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import { Admission } from "./admission.js";
 import { atTime, type Belief, type BeliefOptions, defaultBeliefOptions, update } from "./belief.js";
-import { unboundedColdAdmission } from "./cold-admission.js";
 import { consider } from "./consider.js";
 import type { Observation } from "./observation.js";
-import { concerns, remember } from "./remember.js";
-import type { ServiceBeliefsOptions } from "./service-beliefs-options.js";
+import { concerns, isWord, remember } from "./remember.js";
+import type { Waiting } from "./resting.js";
+import { type ServiceBeliefsOptions, withDefaults } from "./service-beliefs-options.js";
 import {
     afterAnswer,
     afterReport,
@@ -23,10 +23,7 @@
     type WorkReading,
 } from "./service-dynamics.js";
 import { track } from "./track.js";
-import { type Flight, isSameStart, type KnownUpstream, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
-import { UpstreamNotices } from "./upstream-notices.js";
-
-const defaultEjectedShare = 0.34;
+import { type Flight, type KnownUpstream, mayEject, readingOf, toFacts, type Tracked } from "./tracked-upstream.js";
 
 /** Keeps the beliefs about a service's upstreams and their requests in flight. */
 export class ServiceBeliefs {
@@ -40,13 +37,7 @@
 
     /** @param options - Clock, place and limits. */
     constructor(options: ServiceBeliefsOptions) {
-        this.options = {
-            maximumEjectedShare: defaultEjectedShare,
-            onStateChange: () => undefined,
-            coldAdmission: unboundedColdAdmission,
-            notices: new UpstreamNotices(options),
-            ...options,
-        };
+        this.options = withDefaults(options);
         this.belief = { ...defaultBeliefOptions, ...options.belief };
         this.admission = new Admission(this.options);
     }
@@ -82,7 +73,7 @@
         }
         if (tracked !== undefined) {
             tracked.flights.add(flight);
-            this.admission.noteSent(tracked);
+            this.admission.noteSent(tracked, flight);
         }
         this.observe(upstream, { type: "started", atMs: flight.startedAtMs });
         return flight;
@@ -103,15 +94,20 @@
      */
     observe(upstream: UpstreamId, observation: Observation, startedAtMs = 0): void {
         const tracked = this.tracked.get(upstream);
-        if (observation.type === "draining" || observation.type === "resting") {
-            remember(this.options.notices, { id: upstream, startedAtMs }, observation, tracked);
+        if (isWord(observation) && remember(this.options, { id: upstream, startedAtMs }, observation, tracked)) {
+            this.options.onUrgentWord();
         }
-        if (tracked === undefined || !concerns(this.options.notices, tracked, observation, startedAtMs)) {
+        if (tracked === undefined || !concerns(this.options, tracked, observation, startedAtMs)) {
             return;
         }
         // An ejection may have run out since anyone looked; the observation then belongs to the trial after it.
         const belief = atTime(tracked.belief, this.options.clock.nowMs());
-        const next = update(belief, observation, this.belief, () => this.mayEject());
+        const next = update(
+            belief,
+            observation,
+            this.belief,
+            () => mayEject([...this.tracked.values()], this.options.maximumEjectedShare),
+        );
         const report = readingOf(tracked.upstream, next);
         if (report !== undefined && report.atMs !== belief.reportedAtMs) {
             this.dynamics = afterReport(this.dynamics, report, readingOf(tracked.upstream, belief));
@@ -145,10 +141,7 @@
      * @param isTrial - As for {@link facts}.
      */
     factsOf(ids: readonly UpstreamId[], isTrial = false): readonly UpstreamFacts[] {
-        return ids.flatMap(id => {
-            const tracked = this.tracked.get(id);
-            return tracked === undefined ? [] : [this.factsNow(tracked, isTrial)];
-        });
+        return ids.flatMap(id => this.tracked.get(id) ?? []).map(tracked => this.factsNow(tracked, isTrial));
     }
 
     /**
@@ -179,17 +172,29 @@
 
     /** Whether a start of an upstream may still get requests of this instance: it is there, stays, and does not rest. */
     takesWork(upstream: KnownUpstream): boolean {
+        return this.admission.takes(this.tracked.get(upstream.id), upstream);
+    }
+
+    /** Whether one more request of this instance may go to a start of an upstream now, which may be cold, or name a limit. */
+    admits(upstream: KnownUpstream): boolean {
         const tracked = this.tracked.get(upstream.id);
-        return tracked !== undefined && isSameStart(tracked.upstream, upstream)
-            && tracked.belief.state !== "draining" && this.admission.restMs(upstream) === 0;
+        return this.admission.takes(tracked, upstream) && this.admission.admits(tracked);
     }
 
-    /** For how long each upstream rests, with its state. */
-    get rests(): readonly Pick<UpstreamFacts, "state" | "restMs">[] {
-        return [...this.tracked.values()].map(({ upstream, belief: { state } }) => ({
-            state,
-            restMs: this.admission.restMs(upstream),
-        }));
+    /** Whether a request that was chosen for a start of an upstream, and waited for its connection, may be sent now. */
+    mayBegin(upstream: KnownUpstream, flight: Flight): boolean {
+        const tracked = this.tracked.get(upstream.id);
+        return this.admission.takes(tracked, upstream) && this.admission.mayBegin(tracked, flight);
+    }
+
+    /** For how long each upstream takes nothing from this instance, with its state. */
+    get waits(): readonly Waiting[] {
+        return [...this.tracked.values()].map(tracked => this.admission.waitOf(tracked));
+    }
+
+    /** This instance's even part of what all upstreams that name a limit take, in requests a second; `undefined` without any. */
+    get limitedPerSecond(): number | undefined {
+        return this.admission.limitedPerSecond(this.upstreams);
     }
 
     /** When an upstream last reported its load; `undefined` if it never did. */
@@ -229,16 +234,12 @@
             nowMs: clock.nowMs(),
             availabilityZone,
             isTrial,
-            isAdmitted: this.admission.admitsCold(tracked),
+            isAdmitted: this.admission.admits(tracked),
             restMs: this.admission.restMs(tracked.upstream),
+            pace: this.admission.paceOf(tracked.upstream),
         });
     }
 
-    private mayEject(): boolean {
-        const ejected = [...this.tracked.values()].filter(tracked => tracked.belief.state === "ejected").length;
-        return ejected + 1 <= this.tracked.size * this.options.maximumEjectedShare;
-    }
-
     private replace(tracked: Tracked, belief: Belief): void {
         const before = tracked.belief;
         tracked.belief = belief;
--- a/packages/decision/src/tracked-upstream.ts
+++ b/packages/decision/src/tracked-upstream.ts
@@ -9,6 +9,7 @@
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { Belief } from "./belief.js";
 import { toExpectation } from "./expectation.js";
+import type { LimitPace } from "./limit-admission.js";
 import type { LoadReading, ServiceDynamics } from "./service-dynamics.js";
 
 /** One request in flight to an upstream. */
@@ -40,6 +41,15 @@
     readonly flights: Set<Flight>;
 }
 
+/**
+ * Whether one more upstream of a service may be ejected.
+ *
+ * @param all - Its upstreams.
+ * @param maximumShare - Most of them that may be ejected at the same time, as a share.
+ */
+export const mayEject = (all: readonly Tracked[], maximumShare: number): boolean =>
+    all.filter(({ belief }) => belief.state === "ejected").length + 1 <= all.length * maximumShare;
+
 /** What the facts of an upstream depend on besides itself. */
 export interface FactsContext {
     readonly dynamics: ServiceDynamics;
@@ -48,8 +58,10 @@
     readonly availabilityZone: string;
     /** Whether to take fuller upstreams for as good as others where too little is known of them. */
     readonly isTrial: boolean;
-    /** Whether a request of this instance may go there now, if it is cold. */
+    /** Whether a request of this instance may go there now, if it is cold or names a limit. */
     readonly isAdmitted: boolean;
+    /** How fast this instance may send there; `undefined` where it names no limit. */
+    readonly pace: LimitPace | undefined;
     /** Milliseconds for which it wants nothing from this instance; 0 when it takes requests. */
     readonly restMs: number;
 }
@@ -73,7 +85,7 @@
  */
 export const toFacts = (
     { upstream, belief, flights }: Tracked,
-    { dynamics, nowMs, availabilityZone, isTrial, isAdmitted, restMs }: FactsContext,
+    { dynamics, nowMs, availabilityZone, isTrial, isAdmitted, pace, restMs }: FactsContext,
 ): UpstreamFacts => {
     const [oldest] = flights;
     const known = {
@@ -95,6 +107,9 @@
         latencyAgeMs: belief.answeredAtMs === undefined ? -1 : nowMs - belief.answeredAtMs,
         failureRate: belief.failureRate,
         restMs,
+        takesPerSecond: pace?.perSecond ?? -1,
+        shareGapMs: pace?.gapMs ?? 0,
+        shareInMs: pace?.waitMs ?? 0,
         ...known,
         ...toExpectation(known, dynamics, isTrial),
     };
--- a/packages/decision/test/beliefs.test.ts
+++ b/packages/decision/test/beliefs.test.ts
@@ -46,6 +46,8 @@
             return { type, atMs, coldMs: 2000 };
         case "resting":
             return { type, atMs, restMs: 3000, saidAtUnixMs: 0 };
+        case "limited":
+            return { type, atMs, perSecond: 0.01, sentAtMs: 0 };
         default:
             return { type, atMs };
     }
--- a/packages/decision/test/decision-input.ts
+++ b/packages/decision/test/decision-input.ts
@@ -38,6 +38,7 @@
         room: 1,
         freeShare: 1,
         askable: 1,
+        returnInMs: 0,
         upstreams: upstreams.length,
     },
     upstreams,
--- a/packages/fleet/src/chosen-members.ts
+++ b/packages/fleet/src/chosen-members.ts
@@ -5,6 +5,7 @@
  */
 
 import { type Clock, rendezvous } from "@harrierhitch/core";
+import type { LimitShare } from "@harrierhitch/decision";
 import type { Members } from "./members.js";
 
 /**
@@ -13,6 +14,9 @@
  */
 const sharersPerUpstream = 3;
 
+/** Instances that an instance reckons with at least: it is one of several, or it would have no fleet. */
+const fewestMembers = 2;
+
 /** Options of {@link ChosenMembers}. */
 export interface ChosenMembersOptions {
     readonly clock: Clock;
@@ -46,6 +50,20 @@
         return this.chosenFor(`trial ${pattern}`, 1) > 0;
     }
 
+    /**
+     * This instance's share of what an upstream takes from all instances together. Silent members count, and so does one at least
+     * beside an instance that has heard of nobody: whoever does not know with whom it shares sends less.
+     *
+     * @param upstream - Id of the upstream.
+     * @param wanted - How many instances should share it.
+     */
+    limitShare(upstream: string, wanted: number): LimitShare {
+        const { self, possible } = this.options.members;
+        const members = Math.max(possible, fewestMembers);
+        const isSharer = possible > 1 && !self.leaving && this.chosenFor(`limit ${upstream}`, wanted) > 0;
+        return { isSharer, sharers: Math.min(wanted, members), members };
+    }
+
     private chosenFor(key: string, count: number): number {
         const { clock, members, joinedAtMs, settleMs } = this.options;
         if (clock.nowMs() - joinedAtMs < settleMs) {
@@ -55,8 +73,9 @@
             this.version = members.version;
             this.found.clear();
         }
-        const known = this.found.get(key) ?? this.find(key, count);
-        this.found.set(key, known);
+        const entry = `${count} ${key}`;
+        const known = this.found.get(entry) ?? this.find(key, count);
+        this.found.set(entry, known);
         return known;
     }
 
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -22,6 +22,7 @@
 import type { ExchangeAnswer, ExchangeManner, SendExchange } from "./exchange-manner.js";
 import type { FleetOptions } from "./fleet-options.js";
 import { type Freshness, tellShare } from "./freshness.js";
+import { takeInLimits, writeLimits } from "./limit-message.js";
 import type { Members } from "./members.js";
 import type { NewsReach } from "./news-reach.js";
 import type { Roles } from "./roles.js";
@@ -31,7 +32,7 @@
 export interface ExchangeOptions extends
     Pick<
         FleetOptions,
-        "clock" | "fleet" | "directory" | "accepted" | "crashes" | "onConfiguration" | "onDirectory" | "onRumor"
+        "clock" | "fleet" | "directory" | "accepted" | "crashes" | "limits" | "onConfiguration" | "onDirectory" | "onRumor"
     > {
     /** How old what is told is; brought up to date by what is heard. */
     readonly freshness: Freshness;
@@ -92,7 +93,7 @@
     async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
         const asking = request.sender?.instance ?? "";
         this.takeIn(asking, request);
-        const { clock, members, roles, rumors, crashes, freshness } = this.options;
+        const { clock, members, roles, rumors, crashes, limits, freshness } = this.options;
         if (request.role !== Role.UNSPECIFIED) {
             roles.noteAsked(request.role);
         }
@@ -108,6 +109,7 @@
             observations: request.brief ? [] : [...rumors.news()],
             directory: this.directoryFor(Number(request.directory?.revision ?? 0n)),
             heldMs,
+            limits: writeLimits(limits, request.brief),
             ...writeCrashNews(crashes, clock.nowMs(), request.withheld, request.brief),
         });
     }
@@ -143,7 +145,7 @@
         directory: Directory,
         { waitMs = 0, isBrief = false, role = Role.UNSPECIFIED, receiver = "" }: ExchangeManner = {},
     ): { readonly request: ExchangeRequest; readonly told: MemberCursor; } {
-        const { clock, fleet, members, rumors, crashes } = this.options;
+        const { clock, fleet, members, rumors, crashes, limits } = this.options;
         const news = members.newsAfter(this.told.get(receiver), receiver);
         const heard = this.heard.get(receiver);
         const request = create(ExchangeRequestSchema, {
@@ -157,6 +159,7 @@
             waitMs,
             brief: isBrief,
             role,
+            limits: writeLimits(limits, isBrief),
             ...(heard && { heard }),
             ...writeCrashNews(crashes, clock.nowMs(), this.withheld.get(receiver) ?? [], isBrief),
         });
@@ -164,7 +167,7 @@
     }
 
     private takeIn(source: string, news: ExchangeRequest | ExchangeResponse, isFromSource = false): void {
-        const { clock, members, rumors, crashes, accepted, directory, onConfiguration, onRumor, onNews, onLeaving } =
+        const { clock, members, rumors, crashes, limits, accepted, directory, onConfiguration, onRumor, onNews, onLeaving } =
             this.options;
         const told = news.sender === undefined ? news.members : [news.sender, ...news.members];
         const leaving = told.filter(member => member.leaving && members.stateOf(member.instance) !== "left");
@@ -180,7 +183,8 @@
         const heard = rumors.merge(news.observations);
         heard.forEach(onRumor);
         this.withheld.set(source, news.withheld);
-        const isUrgent = takeInCrashNews(crashes, news, clock.nowMs()) || heard.length > 0;
+        const isLimitNews = takeInLimits(limits, news.limits);
+        const isUrgent = takeInCrashNews(crashes, news, clock.nowMs()) || heard.length > 0 || isLimitNews;
         if (leaving.length > 0) {
             onLeaving(leaving);
         }
--- a/packages/fleet/src/fleet-options.ts
+++ b/packages/fleet/src/fleet-options.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock, InstanceId, RandomSource } from "@harrierhitch/core";
-import type { CrashLedger } from "@harrierhitch/decision";
+import type { CrashLedger, UpstreamLimits } from "@harrierhitch/decision";
 import type { AcceptedConfiguration } from "@harrierhitch/published";
 import type { FleetTimes } from "@harrierhitch/published";
 import type { UpstreamDirectory } from "@harrierhitch/published";
@@ -31,6 +31,8 @@
     readonly directory: UpstreamDirectory;
     /** What is remembered of upstreams that ended under requests. */
     readonly crashes: CrashLedger;
+    /** What upstreams say of how much they take. */
+    readonly limits: UpstreamLimits;
     readonly times?: Partial<FleetTimes>;
     /** Offers a configuration document that another instance passed on. */
     readonly onConfiguration: (source: string, text: string) => void;
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -46,7 +46,7 @@
 
     /** @param options - Parts of the instance. */
     constructor(private readonly options: FleetOptions) {
-        const { clock, random, fleet, accepted, directory, crashes, address, port } = options;
+        const { clock, random, address, port } = options;
         this.times = { ...defaultFleetTimes, ...options.times };
         this.seeds = new Seeds({ random, self: { address, port }, addresses: options.seeds });
         this.freshness = new Freshness(clock, this.times.confirmMs * tellShare, this.times.batchMs);
@@ -74,19 +74,12 @@
             onLimited: () => options.onLimited(),
         });
         this.exchange = new Exchange({
-            clock,
-            fleet,
+            ...options,
             freshness: this.freshness,
             confirmMs: this.times.confirmMs,
             members: this.members,
             roles: this.roles,
             rumors: this.rumors,
-            directory,
-            accepted,
-            crashes,
-            onConfiguration: options.onConfiguration,
-            onDirectory: options.onDirectory,
-            onRumor: options.onRumor,
             onNews: reach => this.tell(reach),
             onLeaving: leaving => this.replaceLeaving(leaving),
         });
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -45,6 +45,7 @@
     room: "double",
     freeShare: "double",
     askable: "double",
+    returnInMs: "double",
     upstreams: "double",
 };
 
@@ -56,6 +57,9 @@
     inFlight: "double",
     limit: "double",
     restMs: "double",
+    takesPerSecond: "double",
+    shareGapMs: "double",
+    shareInMs: "double",
     oldestInFlightMs: "double",
     latencyMs: "double",
     latencyAgeMs: "double",
--- a/packages/policy/src/service-facts.ts
+++ b/packages/policy/src/service-facts.ts
@@ -28,6 +28,8 @@
     readonly freeShare: number;
     /** Upstreams that may be asked for their load now: while it is 0, waiting brings no news but by answers. */
     readonly askable: number;
+    /** Milliseconds until there is room for one more caller that is turned away because upstreams name limits. */
+    readonly returnInMs: number;
     /** All upstreams of the service. */
     readonly upstreams: number;
 }
--- a/packages/policy/src/upstream-facts.ts
+++ b/packages/policy/src/upstream-facts.ts
@@ -31,6 +31,12 @@
     readonly limit: number;
     /** Milliseconds for which it wants nothing from this instance, by its own word; 0 when it takes requests. */
     readonly restMs: number;
+    /** Requests a second that it takes from all instances together, by its own word; -1 where it names no limit. */
+    readonly takesPerSecond: number;
+    /** Milliseconds between two requests of this instance by its share of that; 0 where it names no limit. */
+    readonly shareGapMs: number;
+    /** Milliseconds until this instance may send one more by its share; 0 where it may now, or it names no limit. */
+    readonly shareInMs: number;
     /** Milliseconds for which the oldest request in flight there has waited; 0 without one. */
     readonly oldestInFlightMs: number;
     /** Decayed average latency in milliseconds; 0 before the first answer. */
