--- a/packages/daemon/test/model/model-peers.ts
+++ b/packages/daemon/test/model/model-peers.ts
@@ -29,6 +29,11 @@
         return this.network.exchanges;
     }
 
+    /** Bytes that these and their answers had. */
+    get exchangedBytes(): number {
+        return this.network.bytes;
+    }
+
     /** Joins an instance to the others. */
     join(index: number, instance: Instance): void {
         const never = (): never => {
--- a/packages/daemon/test/model/store-network.ts
+++ b/packages/daemon/test/model/store-network.ts
@@ -19,6 +19,8 @@
 export class StoreNetwork {
     /** Exchanges that arrived. */
     exchanges = 0;
+    /** Bytes that they and their answers had. */
+    bytes = 0;
     private readonly services = new Map<number, Service>();
 
     constructor(
@@ -58,12 +60,16 @@
                         return;
                     }
                     this.exchanges += 1;
-                    const received = fromBinary(input, toBinary(input, request));
+                    const sent = toBinary(input, request);
+                    this.bytes += sent.length;
+                    const received = fromBinary(input, sent);
                     const response = await (service.exchange as (message: unknown) => unknown)(received);
                     await hop();
                     if (!isCut()) {
                         const message = { $typeName: output.typeName, ...response as object } as never;
-                        resolve(fromBinary(output, toBinary(output, message)));
+                        const answered = toBinary(output, message);
+                        this.bytes += answered.length;
+                        resolve(fromBinary(output, answered));
                     }
                 }).catch(reject);
             });
