--- a/packages/decision/src/expected-time-chooser.ts
+++ b/packages/decision/src/expected-time-chooser.ts
@@ -37,13 +37,20 @@
     }
 }
 
+/**
+ * What a turn at an upstream that names a limit counts, in times of usual work: among upstreams that are about as good it goes first, or
+ * the upstream would not get what it takes.
+ */
+const turnWeight = 0.3;
+
 /** What a candidate is compared by: the time until its answer, and what speaks against it besides. */
 export const expectedTime = (candidate: UpstreamFacts): number =>
     workTime(candidate)
     + candidate.expectedInFlight / Math.max(1, candidate.slots) * busyWeight
     + (candidate.sameZone ? 0 : zoneWeight)
     + failureWeight * candidate.failureRate
-    + (candidate.state === "suspect" ? suspectWeight : 0);
+    + (candidate.state === "suspect" ? suspectWeight : 0)
+    - (candidate.shareGapMs > 0 ? turnWeight : 0);
 
 /** Time until an answer is expected, in times of usual work, whatever else speaks against the candidate. */
 export const workTime = (candidate: UpstreamFacts): number => {
