Tell why a limited upstream got no more: event 328, a counter, and status with by whose word and since when

Cause: a decision that left an upstream out for its limit showed in explanations of single requests only. Before: no line tells why an upstream gets no more. Now one line a second and upstream with limit, gap, next turn and how often it was left out, a counter, and `status` with the limit, who heard it and since when.

Conclusion: bounded, and enough to see the reason from logs alone.

--- a/packages/daemon/src/operators/operator-service.ts
+++ b/packages/daemon/src/operators/operator-service.ts
@@ -6,7 +6,8 @@
 
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
-import { type Clock, requestId } from "@harrierhitch/core";
+import { type Clock, requestId, upstreamId } from "@harrierhitch/core";
+import type { KnownLimit } from "@harrierhitch/decision";
 import { callWithin, type PeerClients } from "@harrierhitch/fleet";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import {
@@ -131,23 +132,39 @@
         configurationHash: instance.configuration?.hash ?? "",
         uptimeMs: process.uptime() * 1000,
         requestsInFlight: requestsInFlight(),
-        upstreams: instance.services.all().flatMap(toUpstreamStatuses),
+        upstreams: instance.services.all().flatMap(runtime => toUpstreamStatuses(instance, runtime)),
         platformAgeMs: platformAgeMs(),
         records: instance.explanations.entries,
         recordBytes: instance.explanations.bytes,
         zonesOut: [...instance.directory.zonesOut],
     });
 
-const toUpstreamStatuses = (runtime: ServiceRuntime): readonly UpstreamStatus[] =>
+const toUpstreamStatuses = (instance: Instance, runtime: ServiceRuntime): readonly UpstreamStatus[] =>
     runtime.beliefs.facts().map(facts =>
-        create(UpstreamStatusSchema, { service: runtime.name, facts: toCandidate(facts), why: whyOf(facts) })
+        create(UpstreamStatusSchema, {
+            service: runtime.name,
+            facts: toCandidate(facts),
+            why: whyOf(facts, limitOf(instance, runtime, facts)),
+        })
     );
 
+const limitOf = ({ limits }: Instance, { beliefs }: ServiceRuntime, { id }: UpstreamFacts): KnownLimit | undefined => {
+    const upstream = beliefs.find(upstreamId(id));
+    return upstream === undefined ? undefined : limits.find(upstream);
+};
+
 /** Says in a few words why an upstream is in its state. */
-const whyOf = (facts: UpstreamFacts): string =>
-    facts.restMs > 0 && facts.state !== "draining"
-        ? `asked this instance for a rest, ${Math.ceil(facts.restMs)} ms are left`
-        : whyInState(facts);
+const whyOf = (facts: UpstreamFacts, limit: KnownLimit | undefined): string => {
+    const resting = facts.restMs > 0 && facts.state !== "draining"
+        ? [`asked this instance for a rest, ${Math.ceil(facts.restMs)} ms are left`]
+        : [];
+    return [...resting, ...limit === undefined ? [] : [limitText(facts, limit)], whyInState(facts)].filter(Boolean).join("; ");
+};
+
+/** Says to what an upstream is limited, by whose word and since when, and what of it is left to this instance. */
+const limitText = ({ shareGapMs, shareInMs }: UpstreamFacts, { perSecond, heardBy, sinceUnixMs }: KnownLimit): string =>
+    `takes ${perSecond} a second from all instances, by its word to ${heardBy}, since ${new Date(sinceUnixMs).toISOString()}; `
+    + `this instance may send one every ${Math.ceil(shareGapMs)} ms, the next in ${Math.ceil(shareInMs)} ms`;
 
 const whyInState = (facts: UpstreamFacts): string => {
     switch (facts.state) {
--- a/packages/daemon/src/request/make-request-services.ts
+++ b/packages/daemon/src/request/make-request-services.ts
@@ -7,6 +7,7 @@
 import type { InstanceId } from "@harrierhitch/core";
 import type { InstanceParts } from "../instance-parts.js";
 import type { ExplanationStore } from "../operators/explanation-store.js";
+import { LimitedLines } from "../telemetry/limited-lines.js";
 import type { Telemetry } from "../telemetry/telemetry.js";
 import type { ProbeBudget } from "../upstream/probe-budget.js";
 import { Prober } from "../upstream/prober.js";
@@ -31,6 +32,7 @@
     const { parts, instance, incarnation, explanations, crashes, probeBudget, telemetry } = options;
     const { settings, clock, random, transport, dialect, log, metrics, onTraced } = parts;
     const { limits, callers, traces } = settings;
+    const limitedLines = new LimitedLines({ clock, log, metrics });
     const onNotice = (notice: HeardNotice): void => telemetry.noticed(notice);
     return {
         clock,
@@ -53,6 +55,7 @@
         log,
         sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
         onNotice,
+        onDecision: (service, input, decision) => limitedLines.note(service, input, decision),
         onAttempt: (record, attempt) => telemetry.attempted(record, attempt),
         onServed: (record, sampled) => {
             telemetry.served(record);
--- a/packages/daemon/src/request/request-choice.ts
+++ b/packages/daemon/src/request/request-choice.ts
@@ -53,6 +53,7 @@
         const { input, decision, isTrial } = this.decideNow(tried);
         runtime.nextTurn();
         progress.record.steps.push({ atMs, tookMs: progress.ageMs - atMs, input, decision, isTrial });
+        services.onDecision(runtime.name, input, decision);
         if (decision.policyFailure !== undefined) {
             services.log.write(events.policyFailed, { request: progress.record.id, ...decision.policyFailure });
         }
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 
-import type { Clock, RandomSource } from "@harrierhitch/core";
+import type { Clock, RandomSource, ServiceName } from "@harrierhitch/core";
+import type { Decision, DecisionInput } from "@harrierhitch/decision";
 import type { ExplanationStore } from "../operators/explanation-store.js";
 import type { EventLog } from "../telemetry/event-log.js";
 import type { Prober } from "../upstream/prober.js";
@@ -34,6 +35,8 @@
     sampleTrace(): boolean;
     /** Told of what an upstream asks of this instance in the head of an answer. */
     onNotice(notice: HeardNotice): void;
+    /** Told of each decision. */
+    onDecision(service: ServiceName, input: DecisionInput, decision: Decision): void;
     /** Told when an attempt has ended. */
     onAttempt(record: DecisionRecord, attempt: AttemptRecord): void;
     /** Told when a request was answered. */
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -50,6 +50,7 @@
     retryAfterUnreadable: { number: 323, level: "warn", message: "upstream's Retry-After cannot be read; it is left out" },
     limitChanged: { number: 326, level: "info", message: "upstream's limit on requests a second came, changed or went" },
     limitUnreadable: { number: 327, level: "warn", message: "upstream's limit cannot be read; it is left out" },
+    leftOutLimited: { number: 328, level: "info", message: "upstream was left out: its limit leaves this instance nothing now" },
     endedUnder: { number: 320, level: "info", message: "upstream ended while a request was under way there" },
     requestWithheld: { number: 321, level: "warn", message: "request is withheld: upstreams end under it" },
     withheldTried: { number: 324, level: "info", message: "withheld request is tried once" },
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -55,6 +55,13 @@
         ["service", "notice"],
     );
 
+    /** Times that a decision left an upstream out because of the limit that it names. */
+    readonly upstreamsLimited = this.counter(
+        "harrierhitch_upstreams_limited_total",
+        "Times that a decision left an upstream out because of the limit that it names",
+        ["service"],
+    );
+
     /** Probes of upstreams, by service and result. */
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
