Leave turns at limited upstreams to callers who can still be in time

While all upstreams name limits below what is asked for, every turn serves one caller; callers whose target had passed took as many as new ones.

--- a/packages/command/src/scenario.ts
+++ b/packages/command/src/scenario.ts
@@ -24,8 +24,8 @@
 const number = (description: string, defaultValue: number, unit?: string) =>
     numberKey({ description, defaultValue, minimum: 0, maximum: 1_000_000_000, ...(unit === undefined ? {} : { unit }) });
 
-const signed = (description: string, defaultValue: number) =>
-    numberKey({ description, defaultValue, minimum: -1, maximum: 1_000_000_000 });
+const signed = (description: string, defaultValue: number, unit?: string) =>
+    numberKey({ description, defaultValue, minimum: -1, maximum: 1_000_000_000, ...(unit === undefined ? {} : { unit }) });
 
 /** Schema of a scenario file. */
 export const scenarioSchema = z.strictObject({
@@ -54,6 +54,11 @@
         inFlight: number("Requests in flight from this instance.", 0),
         queued: number("Requests held back.", 0),
         returnInMs: number("Time until there is room for one more caller that is turned away because of limits.", 0, "ms"),
+        turnedAwayMs: signed(
+            "Time since a caller was turned away because of limits that could be in time; -1 for none.",
+            -1,
+            "ms",
+        ),
     }),
     upstream: z.record(
         z.string().regex(namePattern, "expected a name of lower-case letters, digits and hyphens"),
--- a/packages/daemon/src/request/refuse.ts
+++ b/packages/daemon/src/request/refuse.ts
@@ -20,6 +20,9 @@
     if (cause === "limited" && retryAfterMs < progress.remainingMs) {
         runtime.returns.note(retryAfterMs);
     }
+    if (cause === "limited" && progress.urgency.targetLeftMs >= 0) {
+        runtime.returns.noteTurnedAway();
+    }
     const kind = cause === "policy" ? "refused" : "no-upstream";
     progress.giveUp({ kind, detail: reason, outcome: progress.outcomeSoFar(), retryAfterMs });
 };
--- a/packages/daemon/src/upstream/return-turns.ts
+++ b/packages/daemon/src/upstream/return-turns.ts
@@ -14,6 +14,7 @@
 /** Gives each caller that is turned away a turn of its own, at the rate at which upstreams take requests. */
 export class ReturnTurns {
     private lastAtMs = -Infinity;
+    private turnedAwayAtMs: number | undefined;
 
     /** @param clock - The clock. */
     constructor(private readonly clock: Clock) {}
@@ -28,6 +29,16 @@
         return perSecond <= 0 ? longestMs : Math.min(longestMs, lastInMs + secondMs / perSecond);
     }
 
+    /** Milliseconds since a caller who could still be in time was turned away; -1 if none was. */
+    get turnedAwayMs(): number {
+        return this.turnedAwayAtMs === undefined ? -1 : this.clock.nowMs() - this.turnedAwayAtMs;
+    }
+
+    /** Notes that a caller was turned away who could still have been in time. */
+    noteTurnedAway(): void {
+        this.turnedAwayAtMs = this.clock.nowMs();
+    }
+
     /** Notes that a caller was told to come back after some time, and will in its time. */
     note(afterMs: number): void {
         this.lastAtMs = Math.max(this.lastAtMs, this.clock.nowMs() + afterMs);
--- a/packages/daemon/src/upstream/service-runtime.ts
+++ b/packages/daemon/src/upstream/service-runtime.ts
@@ -79,6 +79,7 @@
             ...roomAtBest(upstreams, tried),
             askable,
             returnInMs: this.returnInMs,
+            turnedAwayMs: this.returns.turnedAwayMs,
             upstreams: this.beliefs.size,
         };
     }
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -21,6 +21,9 @@
 /** Earliest return of a caller, as a share of the time until there is room for it: instances that turn callers away do so alike. */
 const leastReturnShare = 0.75;
 
+/** Time after a caller was turned away because of limits for which turns are scarce, in milliseconds. */
+const scarceMs = 1000;
+
 /** When a caller should come back after a refusal for lack of upstreams. */
 const noUpstreamRetryAfterMs = 1000;
 
@@ -55,6 +58,9 @@
         return withoutCandidates(input.upstreams.map(exclusionOf), undefined);
     }
     const waitMs = waitForAllMs(input.upstreams);
+    if (waitMs === undefined && isLeftToOthers(input)) {
+        return underLimits(input, Infinity);
+    }
     if (waitMs !== undefined) {
         return isLimited(input.upstreams) ? underLimits(input, waitMs) : duringRest(input, waitMs);
     }
@@ -145,6 +151,17 @@
     return { ...decision, action: "refuse", cause: "no-upstream", reason, retryAfterMs: comeBackMs(restMs, draw) };
 };
 
+/**
+ * Whether a request whose target has passed has to leave the next turn at an upstream to others, who can still be in time: while all
+ * upstreams name limits, and such callers are turned away.
+ */
+const isLeftToOthers = ({ request, service, upstreams }: DecisionInput): boolean => {
+    const staying = upstreams.filter(({ state }) => state !== "draining");
+    return request.targetMs > 0 && request.targetLeftMs < 0
+        && service.turnedAwayMs >= 0 && service.turnedAwayMs < scarceMs
+        && staying.every(({ takesPerSecond }) => takesPerSecond >= 0);
+};
+
 /**
  * While all upstreams name limits that leave nothing to this instance now, a request waits where its turn comes in time, and else is
  * told at once when there is room for one more caller.
--- a/packages/decision/test/decision-input.ts
+++ b/packages/decision/test/decision-input.ts
@@ -39,6 +39,7 @@
         freeShare: 1,
         askable: 1,
         returnInMs: 0,
+        turnedAwayMs: -1,
         upstreams: upstreams.length,
     },
     upstreams,
--- a/packages/policy/src/environment.ts
+++ b/packages/policy/src/environment.ts
@@ -46,6 +46,7 @@
     freeShare: "double",
     askable: "double",
     returnInMs: "double",
+    turnedAwayMs: "double",
     upstreams: "double",
 };
 
--- a/packages/policy/src/service-facts.ts
+++ b/packages/policy/src/service-facts.ts
@@ -30,6 +30,8 @@
     readonly askable: number;
     /** Milliseconds until there is room for one more caller that is turned away because upstreams name limits. */
     readonly returnInMs: number;
+    /** Milliseconds since a caller who could still be in time was turned away because upstreams name limits; -1 if none was. */
+    readonly turnedAwayMs: number;
     /** All upstreams of the service. */
     readonly upstreams: number;
 }
--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -85,6 +85,7 @@
         freeShare: 1,
         askable: 1,
         returnInMs: 0,
+        turnedAwayMs: -1,
         upstreams: count,
     },
     upstreams: Array.from({ length: count }, (_, index) => benchUpstream(index, random)),
