--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -49,10 +49,11 @@
                 "content-length": "0",
                 ...(load === undefined ? {} : { [modelLoadHeader]: load }),
                 ...(restMs === undefined ? {} : { "retry-after": String(restMs / 1000) }),
+                ...(model.isLeaving ? { [modelLeavingHeader]: "1" } : {}),
                 ...(model.limitHeader === undefined ? {} : { [modelLimitHeader]: model.limitHeader }),
             };
             await sleep(this.clock, wayMs);
-            model.limits.noteTold(this.instance, this.clock.nowMs());
+            model.noteTold(this.instance);
             sink.onHead(status, headers);
             settle({ end: "answered", status, detail: "", sent: true });
         };
@@ -65,7 +66,7 @@
             await sleep(this.clock, wayMs);
             model.noteArrival(this.instance);
             if (request.path !== modelProbePath) {
-                model.limits.noteArrival(this.instance, this.clock.nowMs());
+                model.noteRequest(this.instance);
             }
             if (request.path === modelProbePath) {
                 model.probes += 1;
--- a/packages/daemon/test/model/model-upstream.ts
+++ b/packages/daemon/test/model/model-upstream.ts
@@ -47,6 +47,11 @@
     mostInFlight = 0;
     /** Requests and probes that came from an instance which it had asked for a rest. */
     disturbed = 0;
+    /** Requests that came from an instance to which it had said that it leaves. */
+    late = 0;
+    /** Whether it says that it leaves. */
+    isLeaving = false;
+    private readonly toldLeavingAtMs = new Map<string, number>();
     /** Set while it turns all requests away. */
     turnAway: TurnAway | undefined;
     /** What came while it named how much it takes. */
@@ -96,6 +101,23 @@
         }
     }
 
+    /** Notes that an answer has reached an instance. */
+    noteTold(instance: string): void {
+        this.limits.noteTold(instance, this.options.clock.nowMs());
+        if (this.isLeaving && !this.toldLeavingAtMs.has(instance)) {
+            this.toldLeavingAtMs.set(instance, this.options.clock.nowMs());
+        }
+    }
+
+    /** Notes that a request has arrived from an instance. */
+    noteRequest(instance: string): void {
+        const nowMs = this.options.clock.nowMs();
+        this.limits.noteArrival(instance, nowMs);
+        if (nowMs > (this.toldLeavingAtMs.get(instance) ?? Infinity) + onTheWayMs) {
+            this.late += 1;
+        }
+    }
+
     /**
      * Takes a request.
      *
