Soak: upstreams name limits, answer probes, and say at random what nobody can read

The soak's upstreams said nothing of how much they take and were never probed. Now one at a time names one to five requests a second for some seven seconds, the judge sums what comes from the instances that were told (planted: twelve requests where eleven are tolerated), answers to probes carry the same headers, and 3 in 100 answers close their connection or say what cannot be read.

--- a/packages/standin/src/soak/faults.ts
+++ b/packages/standin/src/soak/faults.ts
@@ -16,6 +16,12 @@
 /** Time for which a leaving upstream serves on, in milliseconds, beyond the fault's own. */
 const leavingMs = 3000;
 
+/** Time for which an upstream names a limit, in milliseconds, beyond the fault's own. */
+const limitedMs = 6000;
+
+/** Time that the fault lasts for each request a second that the upstream takes, in milliseconds: limits from one to five. */
+const limitFactorMs = 300;
+
 /** Longest delay of a part on its way, in milliseconds: below what a caller notices as an outage. */
 const delayMs = 120;
 
@@ -40,6 +46,7 @@
 /** Plays faults at their times, so that they overlap. */
 export class SoakFaults {
     private hasLeft = false;
+    private isLimiting = false;
 
     /**
      * @param entries - The instances.
@@ -74,6 +81,9 @@
         else if (upstream !== undefined && kind === "upstream-leaves") {
             await this.leave(upstream, forMs);
         }
+        else if (upstream !== undefined && kind === "upstream-limits") {
+            await this.limit(upstream, forMs);
+        }
         else {
             await this.strikeOthers(kind, forMs, target);
         }
@@ -135,6 +145,18 @@
         this.servers.behave(upstream, calm);
     }
 
+    /** An upstream names how little it takes, for long enough that it can be judged; one at a time, so that the others serve. */
+    private async limit(upstream: SoakUpstream, forMs: number): Promise<void> {
+        if (this.isLimiting) {
+            return;
+        }
+        this.isLimiting = true;
+        this.servers.behave(upstream, { limitPerSecond: Math.round(forMs) / limitFactorMs });
+        await wait(forMs + limitedMs);
+        this.servers.behave(upstream, { limitPerSecond: undefined });
+        this.isLimiting = false;
+    }
+
     /** One upstream of a soak leaves: it says so for a while, and is then taken out of the configuration. */
     private async leave(upstream: SoakUpstream, forMs: number): Promise<void> {
         if (this.hasLeft) {
--- a/packages/standin/src/soak/judge.ts
+++ b/packages/standin/src/soak/judge.ts
@@ -4,6 +4,9 @@
  * @packageDocumentation
  */
 
+import type { AskedByUpstream } from "../upstream-standin.js";
+import { LimitWatch } from "./limit-watch.js";
+
 /** What a caller saw of one request. */
 export interface SeenAnswer {
     /** Number of the request; each is sent once. */
@@ -24,7 +27,17 @@
 
 /** A promise that was broken. */
 export interface Violation {
-    readonly promise: "whole" | "once" | "not-run" | "stop" | "rest" | "leaving" | "configuration" | "answered" | "recovery";
+    readonly promise:
+        | "whole"
+        | "once"
+        | "not-run"
+        | "stop"
+        | "rest"
+        | "leaving"
+        | "limit"
+        | "configuration"
+        | "answered"
+        | "recovery";
     readonly detail: string;
 }
 
@@ -50,6 +63,7 @@
     private readonly answers: SeenAnswer[] = [];
     private readonly rests = new Map<string, Asked>();
     private readonly leaving = new Map<string, Asked>();
+    private readonly limits = new LimitWatch(detail => this.break("limit", detail));
     private readonly generations = new Map<string, number>();
 
     /**
@@ -92,8 +106,9 @@
         upstream: string,
         entry: { readonly name: string; readonly incarnation: number; },
         atMs: number,
-        asks: { readonly restMs: number; readonly leaving: boolean; },
+        asks: AskedByUpstream,
     ): void {
+        this.limits.note(upstream, `${entry.name} ${entry.incarnation}`, atMs, asks);
         const pair = `${entry.name} ${upstream}`;
         const rest = this.rests.get(pair);
         if (rest?.incarnation === entry.incarnation && atMs > rest.atMs + onTheWayMs + this.lagMs() && atMs < rest.untilMs) {
@@ -116,6 +131,7 @@
 
     /** Forgets what an upstream asked for: the answers that said so may have been lost on their way. */
     forgetAsked(upstream: string): void {
+        this.limits.forget(upstream);
         [this.rests, this.leaving].forEach(asked =>
             [...asked.keys()].filter(pair => pair.endsWith(` ${upstream}`)).forEach(pair => asked.delete(pair))
         );
--- a/packages/standin/src/soak/schedule.ts
+++ b/packages/standin/src/soak/schedule.ts
@@ -17,6 +17,7 @@
     "upstream-slow",
     "upstream-rests",
     "upstream-leaves",
+    "upstream-limits",
     "way-slow",
     "way-deaf",
     "way-mute",
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import { PlatformStandin } from "../platform-standin.js";
 import type { UpstreamBehaviour } from "../upstream-behaviour.js";
-import { UpstreamStandin } from "../upstream-standin.js";
+import { type AskedByUpstream, asksNothing, upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
 import type { EntryProcess } from "./entry-process.js";
 import { FaultProxy, type ProxyFault } from "./fault-proxy.js";
 import type { SoakJudge } from "./judge.js";
@@ -31,7 +31,10 @@
     isListed: boolean;
 }
 
-const calm: Partial<UpstreamBehaviour> = { meanServiceMs: 8 };
+/** Share of the answers in which upstreams say what nobody can read, or close their connection. */
+const chatter = 0.03;
+
+const calm: Partial<UpstreamBehaviour> = { meanServiceMs: 8, chatter };
 
 /** Runs them in this process. */
 export class SoakServers {
@@ -123,11 +126,11 @@
     private noteArrival(
         { name, proxy }: SoakUpstream,
         request: IncomingMessage,
-        asks: { readonly restMs: number; readonly leaving: boolean; },
+        asks: AskedByUpstream,
     ): void {
         const entry = this.entries.find(({ options }) => options.name === request.headers[entryHeader]);
         if (entry !== undefined) {
-            const heard = proxy.fault.isMute || proxy.fault.isDeaf ? { restMs: 0, leaving: false } : asks;
+            const heard = proxy.fault.isMute || proxy.fault.isDeaf ? asksNothing : asks;
             const { incarnation, options } = entry;
             this.options.judge.noteArrival(name, { name: options.name, incarnation }, performance.now(), heard);
         }
@@ -147,8 +150,11 @@
             "timeoutMs = 3000",
             "[policy.main]",
             "chooser = expected-time",
+            "probeCandidates = 2",
+            "probeTimeoutMs = 25",
             "[service.main]",
             "policy = main",
+            `probePath = ${upstreamProbePath}`,
             ...listed.map(({ name, proxyPort }) =>
                 `[upstream.${name}]\nservice = main\naddress = 127.0.0.1\nport = ${proxyPort}\navailabilityZone = zone-0`
             ),
--- a/packages/standin/src/upstream-behaviour.ts
+++ b/packages/standin/src/upstream-behaviour.ts
@@ -28,6 +28,10 @@
     readonly draining: boolean;
     /** Turns all requests away and asks for so long a rest, in milliseconds; 0 takes them. */
     readonly restMs: number;
+    /** Requests a second that it says it takes from all instances together; `undefined` names no limit. */
+    readonly limitPerSecond: number | undefined;
+    /** Share of its answers that close their connection, or say things of it that nobody can read. */
+    readonly chatter: number;
     /** What it reports as its load; `undefined` is the truth. */
     readonly reportedInFlight: number | undefined;
     /** Time for which service is slow after the start, by the factor `coldFactor`. */
@@ -48,6 +52,8 @@
     hang: false,
     draining: false,
     restMs: 0,
+    limitPerSecond: undefined,
+    chatter: 0,
     reportedInFlight: undefined,
     coldMs: 0,
     coldFactor: 3,
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -13,6 +13,29 @@
 /** Path on which the behaviour is read (GET) and changed (POST, JSON). */
 export const behaviourPath = "/standin/behaviour";
 
+/** Path on which its load is asked for. */
+export const upstreamProbePath = "/standin/load";
+
+/** What an upstream's answer to a request asks of the instance that sent it. */
+export interface AskedByUpstream {
+    readonly restMs: number;
+    readonly leaving: boolean;
+    /** Requests a second from all instances together; `undefined` where it names no limit. */
+    readonly limitPerSecond: number | undefined;
+}
+
+/** The asking of an answer that is never given. */
+export const asksNothing: AskedByUpstream = { restMs: 0, leaving: false, limitPerSecond: undefined };
+
+/** Headers in words that mean nothing: each costs itself alone. */
+const unreadable: readonly Readonly<Record<string, string>>[] = [
+    { "x-upstream-limit": "-1" },
+    { "x-upstream-limit": "some" },
+    { "retry-after": "soon" },
+    { "x-upstream-in-flight": "many" },
+    { "x-upstream-state": "fine" },
+];
+
 interface Job {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -35,9 +58,8 @@
     lastTraceparent = "";
     /** How often it has ended under a request. */
     ends = 0;
-    /** Told of each request that arrives, with what its answer asks for if it is turned away. */
-    onArrival: (request: IncomingMessage, asks: { readonly restMs: number; readonly leaving: boolean; }) => void = () =>
-        undefined;
+    /** Told of each request that arrives, with what its answer asks for. */
+    onArrival: (request: IncomingMessage, asks: AskedByUpstream) => void = () => undefined;
     /** Requests whose caller gave up before the answer. */
     cancelled = 0;
     private server: Server;
@@ -99,14 +121,19 @@
             await this.control(request, response, body);
             return;
         }
+        if (request.url === upstreamProbePath) {
+            response.writeHead(200, this.headers()).end();
+            return;
+        }
         response.once("close", () => {
             this.cancelled += response.writableFinished ? 0 : 1;
         });
         this.arrived += 1;
         this.lastTraceparent = String(request.headers["traceparent"] ?? "");
-        const { slots, queue, draining, failStatus, hang, reset, restMs } = this.behaviour;
+        const { slots, queue, draining, failStatus, hang, reset, restMs, limitPerSecond } = this.behaviour;
         const isAnswered = !reset && failStatus === 0;
-        this.onArrival(request, { restMs: isAnswered && !draining ? restMs : 0, leaving: isAnswered && draining });
+        const asks = { restMs: draining ? 0 : restMs, leaving: draining, limitPerSecond: hang ? undefined : limitPerSecond };
+        this.onArrival(request, isAnswered ? asks : asksNothing);
         if (reset) {
             await body;
             request.socket.destroy();
@@ -173,8 +200,12 @@
     }
 
     private headers(): Record<string, string | number> {
-        const { draining, reportedInFlight } = this.behaviour;
+        const { draining, reportedInFlight, limitPerSecond, chatter } = this.behaviour;
+        const isChatting = this.random.next() < chatter;
         return {
+            ...(isChatting ? unreadable[Math.floor(this.random.next() * unreadable.length)] : {}),
+            ...(isChatting ? { connection: "close" } : {}),
+            ...(limitPerSecond === undefined ? {} : { "x-upstream-limit": String(limitPerSecond) }),
             "x-upstream-in-flight": reportedInFlight ?? this.running + this.waiting.length,
             ...(draining ? { "x-upstream-state": "draining" } : {}),
         };
--- a/packages/standin/test/soak-judge.test.ts
+++ b/packages/standin/test/soak-judge.test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { type SeenAnswer, SoakJudge } from "../src/soak/judge.js";
+import { asksNothing } from "../src/upstream-standin.js";
 
 const answer = (change: Partial<SeenAnswer> = {}): SeenAnswer => ({
     number: "r1",
@@ -28,10 +29,19 @@
 }
 
 const here = { name: "entry-1", incarnation: 1 };
-const nothing = { restMs: 0, leaving: false };
-
 const arrivals = (judge: SoakJudge, count: number, atMs: number, entry = here): void =>
-    Array.from({ length: count }).forEach(() => judge.noteArrival("u1", entry, atMs, nothing));
+    Array.from({ length: count }).forEach(() => judge.noteArrival("u1", entry, atMs, asksNothing));
+
+/** An upstream that takes one a second tells two instances, and later gets some requests from them. */
+const limited = (judge: SoakJudge, count: number, atMs: number): void => {
+    const asks = { ...asksNothing, limitPerSecond: 1 };
+    const there = { name: "entry-2", incarnation: 1 };
+    [here, there].forEach(entry => judge.noteArrival("u1", entry, 0, asks));
+    Array.from({ length: 30 }).forEach(() => judge.noteArrival("u1", here, 1000, asks));
+    Array.from({ length: count }).forEach((_, index) =>
+        judge.noteArrival("u1", index % 2 === 0 ? here : there, atMs + 100 * index, asks)
+    );
+};
 
 const cases: readonly Case[] = [
     { name: "a whole answer", act: judge => judge.noteAnswer(answer()), runs: 1, broken: [] },
@@ -66,7 +76,7 @@
     {
         name: "a third request to a resting upstream",
         act: judge => {
-            judge.noteArrival("u1", here, 0, { restMs: 2000, leaving: false });
+            judge.noteArrival("u1", here, 0, { ...asksNothing, restMs: 2000 });
             arrivals(judge, 9, 400);
             arrivals(judge, 3, 1000);
         },
@@ -75,7 +85,7 @@
     {
         name: "requests on their way, two more, those of others, and those after the rest",
         act: judge => {
-            judge.noteArrival("u1", here, 0, { restMs: 2000, leaving: false });
+            judge.noteArrival("u1", here, 0, { ...asksNothing, restMs: 2000 });
             arrivals(judge, 9, 500);
             arrivals(judge, 2, 1000);
             arrivals(judge, 9, 1000, { name: "entry-2", incarnation: 1 });
@@ -87,12 +97,25 @@
     {
         name: "a request to an upstream that left",
         act: judge => {
-            judge.noteArrival("u1", here, 0, { restMs: 0, leaving: true });
+            judge.noteArrival("u1", here, 0, { ...asksNothing, leaving: true });
             arrivals(judge, 1, 2000);
             arrivals(judge, 1, 2001);
         },
         broken: ["leaving"],
     },
+    {
+        name: "more requests than an upstream takes, summed over those that it told",
+        act: judge => limited(judge, 12, 2500),
+        broken: ["limit"],
+    },
+    {
+        name: "as many requests as are tolerated, what comes before all know, and what comes from those that were not told",
+        act: judge => {
+            limited(judge, 11, 2500);
+            arrivals(judge, 9, 5000, { name: "entry-9", incarnation: 1 });
+        },
+        broken: [],
+    },
     {
         name: "a configuration that goes back",
         act: judge => {
@@ -118,7 +141,7 @@
 
 test("a soak counts its own stalls against nobody", () => {
     const judge = new SoakJudge(7000, () => 800);
-    judge.noteArrival("u1", here, 0, { restMs: 3000, leaving: false });
+    judge.noteArrival("u1", here, 0, { ...asksNothing, restMs: 3000 });
     arrivals(judge, 9, 1200);
     arrivals(judge, 2, 1400);
     assert.deepEqual(judge.violations, []);
