--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -99,6 +99,7 @@
     "expected",
     "(times)",
     "failures",
+    "takes",
     "score",
     "left out",
 ];
@@ -119,10 +120,15 @@
     `${candidate.expectedInFlight.toFixed(1)} of ${candidate.bestInFlight}`,
     (candidate.expectedSlowness * candidate.crowding).toFixed(1),
     `${(candidate.failureRate * 100).toFixed(0)} %`,
+    takesText(candidate),
     candidate.score === undefined ? "" : candidate.score.toFixed(2),
     candidate.excluded,
 ];
 
+/** What an upstream takes from all instances by its own word, and when this instance's next turn was. */
+const takesText = ({ takesPerSecond, shareInMs, shareGapMs }: Candidate): string =>
+    shareGapMs === 0 ? "" : `${takesPerSecond} a second, ${shareInMs === 0 ? "now" : `in ${formatMs(shareInMs)}`}`;
+
 const attemptLines = (attempts: readonly Attempt[]): readonly string[] =>
     attempts.length === 0 ? [] : [
         "",
