--- a/packages/core/src/system-clock.ts
+++ b/packages/core/src/system-clock.ts
@@ -22,8 +22,7 @@
 
 /**
  * A {@link Clock} on the machine's monotonic clock and Node's timers, which also counts time during which the machine was
- * suspended: without it a machine that woke after four seconds took requests for 4,000 ms younger, and what it knew for
- * fresh (test with clocks that stand apart).
+ * suspended: without it a machine that wakes takes requests for younger by the time it slept, and what it knows for fresh.
  *
  * Node reads no clock that counts suspensions by itself, so the time of day tells of them. One that was merely set forward
  * looks the same, and is taken for a suspension too: what is known is then asked for once more than needed. Timers are not
--- a/packages/daemon/src/first-read.ts
+++ b/packages/daemon/src/first-read.ts
@@ -17,8 +17,7 @@
  *
  * Load pattern: all instances lost power, and their callers try again while they start. An instance listens some tens of
  * milliseconds before it knows a configuration; whoever was refused then came back a second later, too late for its
- * target. A request waits only while the first call is under way: when it fails, requests are refused at once. In the model of the
- * tests (20 callers, knowledge 80 ms after they came) the median time to the answer fell from 1,109 to 197 ms.
+ * target. A request waits only while the first call is under way: when it fails, requests are refused at once.
  */
 export class FirstRead {
     private readonly waiting = new Set<() => void>();
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -48,8 +48,8 @@
 
 /**
  * The same for an instance that has not joined the others yet, and hears nothing from them. The second or two that a
- * process takes to start on a small core, and to take in a large configuration, come on top; after 1.5 s one of 45 starts
- * still refused a route that had been published three seconds before.
+ * process takes to start on a small core, and to take in a large configuration, come on top: asking later, it would refuse
+ * routes that callers may rely on.
  */
 const firstAskAloneMs = 700;
 
--- a/packages/daemon/src/request/crash-watch.ts
+++ b/packages/daemon/src/request/crash-watch.ts
@@ -48,8 +48,8 @@
 const maximumAbandoned = 256;
 
 /**
- * What this instance knows of requests under which upstreams end. Without it each instance sent such a request on at
- * every repeat: nine repeats at three instances ended upstreams 15 times, and 3 times with it (test on loopback).
+ * What this instance knows of requests under which upstreams end. Without it each instance would send such a request on at
+ * every repeat.
  */
 export class CrashWatch {
     /** What the fleet remembers; kept up to date by what others tell, too. */
--- a/packages/daemon/src/request/request-hold.ts
+++ b/packages/daemon/src/request/request-hold.ts
@@ -20,8 +20,8 @@
     const { service, kind } = progress.route;
     const { holdLeftMs } = progress;
     if (holdLeftMs <= 0 && progress.decidedHoldLeftMs > 0) {
-        // The time ran out after the decision: the policy, told so, may still send it. Refusing here lost such requests
-        // though upstreams had room (seen where a busy process took over a millisecond from the decision to this point).
+        // The time ran out after the decision: the policy, told so, may still send it. Refused here, such requests would be lost
+        // though upstreams have room.
         return false;
     }
     if (holdLeftMs <= 0 || !runtime.queue.makeRoom(kind.weight, service.maximumQueued)) {
--- a/packages/decision/src/belief.ts
+++ b/packages/decision/src/belief.ts
@@ -114,8 +114,7 @@
                 ? belief
                 : withState(belief, "draining", observation.atMs);
         case "resting":
-            // After the rest one request at a time goes there until it answers, since other instances return at about the same
-            // moment: most requests at one upstream then 14 before and 10 after (model, 13 instances, rests of 1 s, mean of 4 seeds).
+            // After the rest one request at a time goes there until it answers, since other instances return at about the same moment.
             return { ...belief, limit: limitAfterRest };
         case "limited":
             return belief;
--- a/packages/decision/src/cold-admission.ts
+++ b/packages/decision/src/cold-admission.ts
@@ -43,9 +43,8 @@
 /**
  * Gives each cold upstream to a few instances, which share its rate in even steps; all others leave it alone.
  *
- * Even steps bound the sum in every second, not on average: with three sharers and 2.5 requests a second each makes one
- * request in 1.2 s at most, so that even three views of the fleet that share no member stay at nine. Random moments at
- * the same rate would reach twelve in some second of some day, with hundreds of upstreams cold on it.
+ * Even steps bound the sum in every second, not on average, also while views of the fleet share no member; random moments at the
+ * same rate would pass it in some second of some day.
  */
 export class SharedColdAdmission implements ColdAdmission {
     private readonly sentAtMs = new Map<UpstreamId, number>();
--- a/packages/decision/src/crowding.ts
+++ b/packages/decision/src/crowding.ts
@@ -2,9 +2,7 @@
  * How much longer work takes as the slots of an upstream fill.
  *
  * An upstream that slows down when it is nearly full answers fewer requests in a given time than one that is kept below that
- * point. Gain in a modelled rush of 2.1 times the load for 4 s, 13 upstreams that slow down above 0.8 of 6 slots, means
- * of 4 seeds: 0.88 of the credit instead of 0.84; upstreams of 3 slots that do not slow down lose 0.03 to
- * 0.09 while that is found out.
+ * point.
  *
  * @packageDocumentation
  */
@@ -74,9 +72,8 @@
  * of them.
  *
  * Between whole requests the curve is a straight line, as an expectation of 1.4 requests means two in two cases of five;
- * what is most likely empty counts as empty. Looked up by steps, 0.002 of a request lifted an empty upstream of two slots
- * over the step that ends at half of them: it counted as 1.5 times slower, and everyone was held though nearly all slots
- * were free (0.78 of the credit of their kind over a day with bursts at 19 instances).
+ * what is most likely empty counts as empty. Looked up by steps, a trace of a request would lift an empty upstream over the
+ * step that ends at half of its slots, and everyone would be held though nearly all are free.
  *
  * @param factors - What is known of the service's upstreams.
  * @param inFlight - Requests expected in flight there, with a fraction.
--- a/packages/decision/src/expectation.ts
+++ b/packages/decision/src/expectation.ts
@@ -23,8 +23,7 @@
  * A report fades towards what is usual in the service: its slowness as fast as slownesses were seen to change, its
  * requests in flight as fast as requests end there. A service that was full a moment ago is so taken for full until
  * something newer is known; fading towards an idle one instead, it was filled far beyond its slots by requests that
- * had only waited until it was forgotten. Gain in a modelled rush of 2.1 times the load for 4 s (17 instances, 13 upstreams,
- * means of 4 seeds): 0.88 of the credit instead of 0.67.
+ * had only waited until it was forgotten.
  *
  * @param known - The last report, and this instance's own requests there.
  * @param dynamics - What is usual in the service.
--- a/packages/decision/src/shortlist.ts
+++ b/packages/decision/src/shortlist.ts
@@ -17,9 +17,8 @@
 
 /**
  * Most upstreams that one decision looks at. Load pattern: hundreds of upstreams, and instances of a quarter of a core
- * that have just started and run cold code. A decision works out what is expected of each upstream that it looks at, some
- * seven times while it asks for loads: over 158 upstreams that took 1.5 ms of a core (mean of 5,000 decisions with warm
- * code; 2.0 ms for the first hundred), over 24 it takes 0.2 ms (0.34 ms).
+ * that have just started and run cold code: a decision works out what is expected of each upstream that it looks at, several
+ * times while it asks for loads.
  */
 export const maximumShortlist = 24;
 
--- a/packages/decision/src/track.ts
+++ b/packages/decision/src/track.ts
@@ -34,7 +34,7 @@
     const { coldMs } = upstream;
     const fresh = initialBelief(belief, nowMs);
     if (notices.isLeaving(upstream)) {
-        // Taken for new, an upstream that had said it leaves got 40 requests more when its entry lapsed and came back (test).
+        // Taken for new, an upstream that has said it leaves would get requests again once its entry lapses and comes back.
         return update(fresh, { type: "draining", atMs: nowMs }, belief, () => false);
     }
     const isCold = coldMs === undefined ? !isFirst : coldMs > 0;
--- a/packages/decision/src/usual-patience.ts
+++ b/packages/decision/src/usual-patience.ts
@@ -19,9 +19,7 @@
 /**
  * Learns from the time that callers are willing to wait when they arrive.
  *
- * Without it, callers who come back late pass for new and take the place of those who can still be in time. Gain in a
- * modelled rush of twice the load for 4 s (18 instances, 10 upstreams of 3 slots, means of 4 seeds): 0.54 instead of 0.47 of the
- * credit, served share and worst seconds taken together.
+ * Without it, callers who come back late pass for new and take the place of those who can still be in time.
  */
 export class UsualPatience {
     private readonly recent = new Map<string, number[]>();
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -143,7 +143,7 @@
 
     /**
      * Tells others what the platform told this instance. A reader leaves it at those who ask it: the other readers read
-     * the same, and pushing it over every link as well made two of five exchanges (1,109 of 2,539 in 42 s of 19 instances).
+     * the same, and pushing it over every link as well would nearly double the exchanges.
      */
     tellPublication(): void {
         this.tell(this.roles.isReader ? "followers" : "everyone");
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -22,8 +22,7 @@
      * @param tellStepMs - How much younger knowledge has to become before those who wait are told of that alone: with
      *   two readers, half of their confirmations bring nothing that anyone needs.
      * @param tellGapMs - Shortest time between two moments at which those who wait are told. Each of them asks again at
-     *   once, and an exchange takes some 4 ms of a core on each side: told of four changes a second, a relay with 23
-     *   followers needs 0.37 of a core, more than small instances have.
+     *   once: told of each change by itself, a relay of many followers would need more than a small instance has.
      */
     constructor(private readonly clock: Clock, private readonly tellStepMs = 0, private readonly tellGapMs = 0) {}
 
--- a/packages/fleet/src/link-task.ts
+++ b/packages/fleet/src/link-task.ts
@@ -29,8 +29,7 @@
 
 /**
  * Shortest time between the beginnings of two exchanges of one kind over one link: whatever comes up, and however wrong
- * it is taken in, a link makes ten a second. Without it, instances that kept telling each other had 2,099 descriptors
- * open at one of them.
+ * it is taken in, a link makes ten a second; instances that keep telling each other would use up their descriptors.
  */
 const exchangeGapMs = 100;
 
--- a/packages/fleet/src/rumors.ts
+++ b/packages/fleet/src/rumors.ts
@@ -3,8 +3,8 @@
  *
  * An observation is a fact that no clock orders: one start of an upstream leaves. Facts of one upstream are ordered by
  * its starts alone, so any order and any number of deliveries ends in the same state, and each instance takes each fact
- * as news once. Ages only end the passing on: ordered by them, four observers of one departure kept 19 instances telling
- * each other for good (69,174 messages in 30 s of a model with ways of 20 ms; 57 now).
+ * as news once. Ages only end the passing on: ordered by them, a few observers of one departure would keep all instances telling
+ * each other for good.
  *
  * @packageDocumentation
  */
