Count members and remember choices once for each change, within a bound; look for limits only where one was ever named

With limits that change all the time each asks for another number of sharers, and each decision counted all members again for each limited upstream: 12,000 at the size to design for. No figure: found by reading.

--- a/packages/decision/src/admission.ts
+++ b/packages/decision/src/admission.ts
@@ -77,6 +77,9 @@
 
     /** This instance's even part of what some upstreams take, in requests a second; `undefined` where none names a limit. */
     limitedPerSecond(upstreams: readonly KnownUpstream[]): number | undefined {
+        if (this.options.limitAdmission.isIdle) {
+            return undefined;
+        }
         const paces = upstreams.flatMap(upstream => this.paceOf(upstream) ?? []);
         return paces.length === 0 ? undefined : paces.reduce((sum, { perSecond, members }) => sum + perSecond / members, 0);
     }
--- a/packages/decision/src/by-start.ts
+++ b/packages/decision/src/by-start.ts
@@ -84,6 +84,11 @@
         [...this.kept.keys()].slice(0, Math.max(0, this.kept.size - maximumKept)).forEach(id => this.kept.delete(id));
     }
 
+    /** Whether nothing is kept. */
+    get isEmpty(): boolean {
+        return this.kept.size === 0;
+    }
+
     /** What is kept of an upstream, if it binds this start of it. */
     find(start: NamedStart): Value | undefined {
         return this.binding(start)?.value;
--- a/packages/decision/src/limit-admission.ts
+++ b/packages/decision/src/limit-admission.ts
@@ -93,6 +93,11 @@
     /** @param options - Limits and who shares them. */
     constructor(private readonly options: LimitAdmissionOptions) {}
 
+    /** Whether no upstream has ever named a limit. */
+    get isIdle(): boolean {
+        return this.options.limits.isEmpty;
+    }
+
     /** How fast this instance may send to a start of an upstream; `undefined` where that names no limit. */
     paceOf(start: NamedStart): LimitPace | undefined {
         const limit = this.options.limits.find(start);
--- a/packages/decision/src/upstream-limits.ts
+++ b/packages/decision/src/upstream-limits.ts
@@ -85,6 +85,11 @@
         this.limits = new ByStart({ clock: options.clock, lastsUntilMs: () => Infinity });
     }
 
+    /** Whether no upstream has ever said anything of it. */
+    get isEmpty(): boolean {
+        return this.limits.isEmpty;
+    }
+
     /** The limit that binds a start; `undefined` where it has named none, or names none any more. */
     find(start: NamedStart): KnownLimit & { readonly perSecond: number; } | undefined {
         const known = this.limits.find(start);
--- a/packages/fleet/src/chosen-members.ts
+++ b/packages/fleet/src/chosen-members.ts
@@ -17,6 +17,9 @@
 /** Instances that an instance reckons with at least: it is one of several, or it would have no fleet. */
 const fewestMembers = 2;
 
+/** Most choices that are remembered: limits that change all the time ask for ever other numbers of members. */
+const maximumFound = 4096;
+
 /** Options of {@link ChosenMembers}. */
 export interface ChosenMembersOptions {
     readonly clock: Clock;
@@ -31,6 +34,7 @@
 export class ChosenMembers {
     private readonly found = new Map<string, number>();
     private version = -1;
+    private count: number | undefined;
 
     /** @param options - Members and times. */
     constructor(private readonly options: ChosenMembersOptions) {}
@@ -58,27 +62,41 @@
      * @param wanted - How many instances should share it.
      */
     limitShare(upstream: string, wanted: number): LimitShare {
-        const { self, possible } = this.options.members;
+        const { self } = this.options.members;
+        const possible = this.possible();
         const members = Math.max(possible, fewestMembers);
         const isSharer = possible > 1 && !self.leaving && this.chosenFor(`limit ${upstream}`, wanted) > 0;
         return { isSharer, sharers: Math.min(wanted, members), members };
     }
 
     private chosenFor(key: string, count: number): number {
-        const { clock, members, joinedAtMs, settleMs } = this.options;
+        const { clock, joinedAtMs, settleMs } = this.options;
         if (clock.nowMs() - joinedAtMs < settleMs) {
             return 0;
         }
-        if (this.version !== members.version) {
-            this.version = members.version;
-            this.found.clear();
-        }
+        this.forgetOutdated();
         const entry = `${count} ${key}`;
         const known = this.found.get(entry) ?? this.find(key, count);
         this.found.set(entry, known);
         return known;
     }
 
+    /** How many instances there may be; counted once for each change, since decisions ask for it many times. */
+    private possible(): number {
+        this.forgetOutdated();
+        this.count ??= this.options.members.possible;
+        return this.count;
+    }
+
+    private forgetOutdated(): void {
+        const { version } = this.options.members;
+        if (this.version !== version || this.found.size > maximumFound) {
+            this.version = version;
+            this.found.clear();
+            this.count = undefined;
+        }
+    }
+
     private find(key: string, count: number): number {
         const { self, others } = this.options.members;
         const staying = [self, ...others.filter(({ leaving }) => !leaving)];
--- a/packages/fleet/test/chosen-members.test.ts
+++ b/packages/fleet/test/chosen-members.test.ts
@@ -11,16 +11,20 @@
 
 const memberOf = (index: number): Member => create(MemberSchema, { instance: instanceId(`n${index}`), incarnation: 1n });
 
-/** What some instance finds that knows these members. */
-const sharersOf = async (self: number, known: readonly number[], upstream: string, afterMs = settleMs): Promise<number> => {
+/** What some instance chooses by that knows these members. */
+const open = async (self: number, known: readonly number[], afterMs = settleMs) => {
     const clock = new FakeClock();
     const members = new Members({ clock, self: memberOf(self), times: defaultFleetTimes });
     members.merge(known.map(memberOf), "other");
-    const sharers = new ChosenMembers({ clock, members, joinedAtMs: 0, settleMs });
+    const chosen = new ChosenMembers({ clock, members, joinedAtMs: 0, settleMs });
     await clock.advance(afterMs);
-    return sharers.sharersOf(upstream);
+    return { chosen, members };
 };
 
+/** What some instance finds that knows these members. */
+const sharersOf = async (self: number, known: readonly number[], upstream: string, afterMs = settleMs): Promise<number> =>
+    (await open(self, known, afterMs)).chosen.sharersOf(upstream);
+
 const range = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
 
 describe("of the instances that know each other", () => {
@@ -48,3 +52,36 @@
         assert.ok(Math.max(...counts) < 12, `up to ${Math.max(...counts)} sharers`);
     });
 });
+
+describe("of the instances that share what an upstream takes", () => {
+    [3, 13, 95, 300].forEach(size =>
+        [2, 9, 42].forEach(wanted => {
+            test(`as many as are wanted, ${wanted} of ${size}, agree who they are and how many`, async () => {
+                const shares = await Promise.all(
+                    range(size).map(async self => (await open(self, range(size))).chosen.limitShare("u1", wanted)),
+                );
+                const sharers = Math.min(wanted, size);
+                assert.equal(shares.filter(({ isSharer }) => isSharer).length, sharers);
+                assert.ok(shares.every(share => share.sharers === sharers && share.members === size));
+            });
+        })
+    );
+
+    test("none is one that has heard of nobody, has just joined, or leaves", async () => {
+        const lonely = await open(0, []);
+        assert.deepEqual(lonely.chosen.limitShare("u1", 9), { isSharer: false, sharers: 2, members: 2 });
+        const early = await open(0, range(3), settleMs - 1);
+        assert.equal(early.chosen.limitShare("u1", 9).isSharer, false);
+        const leaving = await open(0, range(3));
+        assert.equal(leaving.chosen.limitShare("u1", 9).isSharer, true);
+        leaving.members.tell({ leaving: true });
+        assert.equal(leaving.chosen.limitShare("u1", 9).isSharer, false);
+    });
+
+    test("others count that become known later", async () => {
+        const { chosen, members } = await open(0, range(3));
+        assert.equal(chosen.limitShare("u1", 9).sharers, 3);
+        members.merge(range(8).map(memberOf), "other");
+        assert.equal(chosen.limitShare("u1", 9).sharers, 8);
+    });
+});
