--- a/packages/decision/test/cold.test.ts
+++ b/packages/decision/test/cold.test.ts
@@ -81,6 +81,17 @@
         assert.equal(facts().state, "ready");
     });
 
+    test("takes one of two requests that were decided in the same moment", () => {
+        const clock = new FakeClock();
+        const coldAdmission = new SharedColdAdmission({ clock, sharersOf: () => 1 });
+        const beliefs = new ServiceBeliefs({ clock, availabilityZone: "a", coldAdmission });
+        const listed = upstream({ coldMs: 1000 });
+        beliefs.configure({ upstreams: [], maximumConnections: 100, coldRequestsPerSecond: 2.5 }, 10, [listed]);
+        assert.equal(beliefs.admits(listed), true);
+        beliefs.start(listed.id);
+        assert.equal(beliefs.admits(listed), false);
+    });
+
     test("counts what is sent to it", () => {
         const { beliefs, configure, sent } = open();
         configure({ coldMs: 1000 });
