Say in one function how a caller is turned away because of limits; no change of what is decided

Cause: a caller who leaves its turn to others was refused by passing an endless wait to the function that also holds, which a reader has to work out.

--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -18,8 +18,8 @@
     & Pick<ServicePolicy, "policy" | "chooser" | "refuseRetryAfterMs">
     & Partial<Pick<ServicePolicy, "refuseRetryAfterPercent">>;
 
-/** Earliest return of a caller, as a share of the time until there is room for it: instances that turn callers away do so alike. */
-const leastReturnShare = 0.75;
+/** Most by which a caller's return is spread to either side, as a share of the time until there is room for it. */
+const returnSpread = 0.25;
 
 /** Time after a caller was turned away because of limits for which turns are scarce, in milliseconds. */
 const scarceMs = 1000;
@@ -59,7 +59,7 @@
     }
     const waitMs = waitForAllMs(input.upstreams);
     if (waitMs === undefined && isLeftToOthers(input)) {
-        return underLimits(input, Infinity);
+        return turnedAway(input);
     }
     if (waitMs !== undefined) {
         return isLimited(input.upstreams) ? underLimits(input, waitMs) : duringRest(input, waitMs);
@@ -164,17 +164,23 @@
 
 /**
  * While all upstreams name limits that leave nothing to this instance now, a request waits where its turn comes in time, and else is
- * told at once when there is room for one more caller.
+ * turned away at once.
  */
-const underLimits = ({ request, service, upstreams, draws }: DecisionInput, waitMs: number): Decision => {
-    const decision = { exclusions: upstreams.map(exclusionOf), scores: [], policyFailure: undefined };
-    if (request.holdLeftMs >= turnInMs(waitMs, request.ahead, upstreams)) {
-        return { ...decision, action: "hold", cause: "limited" };
-    }
+const underLimits = (input: DecisionInput, waitMs: number): Decision => {
+    const { request, upstreams } = input;
+    const exclusions = upstreams.map(exclusionOf);
+    return request.holdLeftMs >= turnInMs(waitMs, request.ahead, upstreams)
+        ? { action: "hold", cause: "limited", exclusions, scores: [], policyFailure: undefined }
+        : turnedAway(input);
+};
+
+/** Tells a caller when there is room for one more, a little to either side: instances that turn callers away do so alike. */
+const turnedAway = ({ service, upstreams, draws }: DecisionInput): Decision => {
     const reason = "all upstreams of the service name how much they take, and that is used up";
     const [draw = 0] = draws;
-    const retryAfterMs = service.returnInMs * (leastReturnShare + draw * (1 - leastReturnShare) * 2);
-    return { ...decision, action: "refuse", cause: "limited", reason, retryAfterMs };
+    const retryAfterMs = service.returnInMs * (1 + returnSpread * (2 * draw - 1));
+    const exclusions = upstreams.map(exclusionOf);
+    return { action: "refuse", cause: "limited", reason, retryAfterMs, exclusions, scores: [], policyFailure: undefined };
 };
 
 const chooseAmong = (
