Pass over readers that do not reach the platform while a quarter of the members say that they do

Cause: members that do not reach the platform were counted against four, whatever the size of the fleet. With the store silent for 35 of 99, readers and relays noticed together, so six said so within 40 ms, the platform counted as away for all, and the two blind readers stayed the readers; whoever heard from them that they know no better left it to them.

Now the platform counts as away for all only while fewer than a quarter of those that answer say that they reach it; else the next in order read.

--- a/packages/daemon/test/store-third.test.ts
+++ b/packages/daemon/test/store-third.test.ts
@@ -1,7 +1,7 @@
 /**
  * The store fell silent for 35 of 99 instances, both readers and some relays among them. Six had noticed within 40 ms of each other; that
- * was taken for a store that is away for all, so the two blind readers stayed the readers, and everyone who heard from them that
- * they know no better left it to them to try ("event":210 at both readers at 4.62 and 4.64 s, none of 64 others that the store
+ * was taken for a store that is away for all, since it was counted against a fixed number whatever the size of the fleet. So the two blind
+ * readers stayed the readers, and everyone who heard from them that they know no better left it to them to try ("event":210 at both readers at 4.62 and 4.64 s, none of 64 others that the store
  * served asked again for up to 20 s). A version of the configuration was acted on 4.7 s after its acknowledgement.
  */
 
--- a/packages/fleet/src/roles.ts
+++ b/packages/fleet/src/roles.ts
@@ -27,10 +27,11 @@
 }
 
 /**
- * Unreachable members up to which the next in order reads in their place. When more say so, the platform is away for all
- * rather than for some, and one try after the other through the whole fleet would only cost calls.
+ * Share of the members that answer which has to say that it reaches the platform, so that those who do not are passed over as readers.
+ * When fewer say so, the platform is away for all rather than for some, and one try after the other through the whole fleet would
+ * only cost calls.
  */
-const maximumPassedOver = 4;
+const fewestReachableShare = 0.25;
 
 /** Readers and relays as they were found at some moment. */
 interface Sources {
@@ -152,7 +153,7 @@
     private ableAmong(answering: readonly Member[]): readonly Member[] {
         const { self } = this.options.members;
         const reachable = answering.filter(({ instance, platformReachable }) => instance === self.instance || platformReachable);
-        const isAway = answering.length - reachable.length > maximumPassedOver;
+        const isAway = reachable.length < answering.length * fewestReachableShare;
         const able = isAway ? answering : reachable;
         return this.isSettled || able.length === 1 ? able : able.filter(({ instance }) => instance !== self.instance);
     }
