--- a/packages/standin/src/bench-decision-time.ts
+++ b/packages/standin/src/bench-decision-time.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { readScenario } from "@harrierhitch/command";
 import { checkConfiguration, type ChooserName, chooserNames, type ServicePolicy } from "@harrierhitch/configuration";
 import { SeededRandom, serviceName } from "@harrierhitch/core";
 import { decide, type DecisionInput, drawNumbers, initialDynamics, toExpectation } from "@harrierhitch/decision";
@@ -53,46 +54,16 @@
     return policy;
 };
 
-/** An input with some candidates. */
-export const benchInput = (count: number, random: SeededRandom): DecisionInput => ({
-    request: {
-        kind: "read",
-        workspace: "hall-a",
-        method: "GET",
-        path: "/read",
-        weight: 1,
-        repeatable: true,
-        attempt: 1,
-        depth: 0,
-        remainingMs: 900,
-        heldMs: 0,
-        ageMs: 0,
-        targetMs: 0,
-        targetLeftMs: 0,
-        slackMs: 0,
-        holdLeftMs: 0,
-        ahead: 0,
-        waitMs: 0,
-        usualMs: 0,
-    },
-    service: {
-        name: "main",
-        inFlight: 5,
-        queued: 0,
-        candidates: count,
-        bestTime: 1,
-        room: 1,
-        freeShare: 1,
-        askable: 1,
-        returnInMs: 0,
-        turnedAwayMs: -1,
-        upstreams: count,
-    },
-    upstreams: Array.from({ length: count }, (_, index) => benchUpstream(index, random)),
-    tried: [],
-    draws: drawNumbers(random),
-    turn: 1,
-});
+/** An input with some candidates; its request and its service are those of a scenario that says nothing of them. */
+export const benchInput = (count: number, random: SeededRandom): DecisionInput => {
+    const usual = readScenario("bench", "[upstream.main]", 1);
+    return {
+        ...usual,
+        service: { ...usual.service, inFlight: 5, candidates: count, bestTime: 1, room: 1, freeShare: 1, upstreams: count },
+        upstreams: Array.from({ length: count }, (_, index) => benchUpstream(index, random)),
+        draws: drawNumbers(random),
+    };
+};
 
 const benchUpstream = (index: number, random: SeededRandom): UpstreamFacts => {
     const load = {
