Record when a caller leaves, what its request was waiting for, and what was sent or cancelled

Nothing was written when a caller closed its connection, so the hypotheses on GONE could not be told apart. Event 406 gives for each such request its state, when the close was read, how long it may have lain unread (the event loop's last wait), when the request was told, how many requests were ahead on the connection, and when attempts sent their first byte; a counter by state and a histogram of the delay. No logic changes: a request is told as before.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,6 +16,7 @@
 import { PlatformLink } from "./platform/platform-link.js";
 import { platformOptions } from "./platform/platform-options.js";
 import type { Platform, PlatformAdapter } from "./platform/platform.js";
+import { PollMonitor } from "./poll-monitor.js";
 import { CallersServer } from "./request/callers-server.js";
 import { StallDetector } from "./stall-detector.js";
 import { type EventLog, openLog } from "./telemetry/event-log.js";
@@ -40,6 +41,7 @@
     private readonly metrics: Metrics;
     private readonly transport: UpstreamTransport;
     private readonly platform: PlatformLink;
+    private readonly polls = new PollMonitor();
     private readonly stallDetector: StallDetector;
     private readonly callers: CallersServer;
     private readonly operators: OperatorsEndpoint;
@@ -66,7 +68,8 @@
         this.platform = this.createPlatformLink(
             options.platform ?? adapter.open(platformOptions(settings, this.metrics, this.log)),
         );
-        this.stallDetector = new StallDetector({ clock: this.clock, onStall: stallMs => this.resumeAfterStall(stallMs) });
+        const { clock, polls } = this;
+        this.stallDetector = new StallDetector({ clock, polls, onStall: stallMs => this.resumeAfterStall(stallMs) });
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsEndpoint();
         this.peers = this.createPeerJoiner();
@@ -153,6 +156,7 @@
             transport,
             log,
             metrics,
+            polls: this.polls,
             headerProtocol: adapter.headerProtocol,
             parser: adapter.createParser({ policies }),
             removalGraceMs: () => this.platform.removalGraceMs,
@@ -217,7 +221,10 @@
     private async openTracing(): Promise<void> {
         if (this.settings.traces.otlpUrl !== undefined) {
             const { openTracing } = await import("./telemetry/tracing.js");
-            this.tracing = openTracing(this.settings, this.clock, spans => this.onSpansDropped(spans));
+            this.tracing = openTracing(this.settings, this.clock, spans => {
+                this.metrics.spansDropped.inc(spans);
+                this.log.write(events.spansDropped, { spans });
+            });
         }
     }
 
@@ -240,9 +247,4 @@
         this.metrics.peersRefused.inc();
         this.log.write(events.peerRefused, { reason });
     }
-
-    private onSpansDropped(spans: number): void {
-        this.metrics.spansDropped.inc(spans);
-        this.log.write(events.spansDropped, { spans });
-    }
 }
--- a/packages/daemon/src/instance-parts.ts
+++ b/packages/daemon/src/instance-parts.ts
@@ -7,6 +7,7 @@
 import type { Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
 import type { DocumentParser } from "./platform/platform.js";
+import type { PollMonitor } from "./poll-monitor.js";
 import type { DecisionRecord } from "./request/decision-record.js";
 import type { HeaderProtocol } from "./request/header-protocol.js";
 import type { EventLog } from "./telemetry/event-log.js";
@@ -24,6 +25,7 @@
     readonly parser: DocumentParser;
     readonly log: EventLog;
     readonly metrics: Metrics;
+    readonly polls: PollMonitor;
     /** Milliseconds for which removals published by the platform remain unconfirmed. */
     readonly removalGraceMs: () => number;
     /** Called when another configuration has become active. */
--- /dev/null
+++ b/packages/daemon/src/poll-monitor.ts
@@ -0,0 +1,59 @@
+/**
+ * Bounds the age of network events that the event loop has not delivered yet.
+ *
+ * @packageDocumentation
+ */
+
+/** Options of {@link PollMonitor}. */
+export interface PollMonitorOptions {
+    /** Returns the monotonic time in milliseconds. */
+    readonly nowMs?: () => number;
+    /** Returns the total time in milliseconds that the event loop has spent waiting for events. */
+    readonly idleMs?: () => number;
+}
+
+/** Least share of a period that the event loop must have waited in to count as idle; polling alone takes less. */
+const minimumIdleShare = 0.1;
+
+/** Least wait that counts as idle, in milliseconds. */
+const minimumIdleMs = 0.1;
+
+/**
+ * Samples the idle time of the event loop. A loop that waits has nothing left to deliver: no data, no end of a connection and
+ * no new connection. What it has not delivered yet is therefore younger than its last wait.
+ */
+export class PollMonitor {
+    private readonly nowMs: () => number;
+    private readonly idleMs: () => number;
+    private sampledAtMs: number;
+    private sampledIdleMs: number;
+    /** Time after which the loop has waited. */
+    private idleAfterMs: number;
+
+    /** @param options - Time sources; they default to those of the process. */
+    constructor({ nowMs = () => performance.now(), idleMs = () => performance.nodeTiming.idleTime }: PollMonitorOptions = {}) {
+        this.nowMs = nowMs;
+        this.idleMs = idleMs;
+        this.sampledAtMs = nowMs();
+        this.sampledIdleMs = idleMs();
+        this.idleAfterMs = this.sampledAtMs;
+    }
+
+    /** Called regularly, so that {@link unseenMs} is exact to the interval of the calls. */
+    sample(): void {
+        const nowMs = this.nowMs();
+        const idleMs = this.idleMs();
+        const waitedMs = idleMs - this.sampledIdleMs;
+        if (waitedMs >= minimumIdleMs && waitedMs >= (nowMs - this.sampledAtMs) * minimumIdleShare) {
+            this.idleAfterMs = this.sampledAtMs;
+        }
+        this.sampledAtMs = nowMs;
+        this.sampledIdleMs = idleMs;
+    }
+
+    /** Greatest possible age of an event that has not been delivered yet, in milliseconds. */
+    get unseenMs(): number {
+        this.sample();
+        return this.sampledAtMs - this.idleAfterMs;
+    }
+}
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -8,7 +8,7 @@
 import { type AttemptEnd, type AttemptResult, type InFlightRequest, outcomeOf, type UpstreamEntry } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
-import { newSpanId, toTraceparent } from "../telemetry/trace-context.js";
+import { newSpanId } from "../telemetry/trace-context.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { applyResponse } from "./apply-response.js";
@@ -16,11 +16,11 @@
 import type { ObservedCrash } from "./crash-detector.js";
 import type { AttemptRecord } from "./decision-record.js";
 import type { ParsedResponse } from "./header-protocol.js";
-import { requestHeaders } from "./headers.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
+import { buildUpstreamRequest } from "./upstream-request.js";
 
 /** Options of {@link AttemptTask}. */
 export interface AttemptOptions {
@@ -49,9 +49,6 @@
     readonly isForwarded: boolean;
 }
 
-/** Time subtracted from the deadline at each hop, so that the next hop's response arrives before it. */
-const hopMarginMs = 2;
-
 /** Most bytes that are read of a discarded response in order to reuse its connection. */
 const maximumDiscardedBytes = 65_536;
 
@@ -80,12 +77,14 @@
             upstream: upstream.id,
             spanId: newSpanId(),
             startedMs: this.startedAtMs - progress.arrivedAtMs,
+            sentMs: undefined,
             endedMs: undefined,
             result: undefined,
             outcome: undefined,
         };
         progress.record.attempts.push(this.record);
-        this.attempt = services.transport.send(upstream, this.buildUpstreamRequest(), this);
+        progress.stage = progress.stage === "running" ? "running" : "connecting";
+        this.attempt = services.transport.send(upstream, this.buildRequest(), this);
         this.ended = this.attempt.result.then(result => this.finish(result));
     }
 
@@ -151,6 +150,7 @@
     private forwardHead(status: number, headers: IncomingHttpHeaders, response: ParsedResponse): void {
         const { progress } = this.options;
         this.isForwarded = true;
+        progress.stage = "streaming";
         this.buffer = undefined;
         progress.response.writeHead(status, headers, progress.decisionHeaders(response.outcome));
     }
@@ -227,17 +227,19 @@
         return this.response.mismatch === undefined ? this.response.outcome : "unknown";
     }
 
-    private buildUpstreamRequest() {
-        const { body, progress, runtime, services, upstream } = this.options;
-        const { request, metadata, trace } = progress;
-        const { configuration } = progress.record;
-        const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
-        const added = services.headerProtocol.attemptHeaders({ configuration, upstream, remainingMs, depth: metadata.depth + 1 });
-        const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
-            ...added,
-            traceparent: toTraceparent(trace, this.record.spanId),
-        });
-        const mayBegin = (): boolean => runtime.tracker.maySend(upstream, this.inFlightRequest);
-        return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open(), mayBegin };
+    private buildRequest() {
+        const { services, progress, body, upstream } = this.options;
+        return buildUpstreamRequest({ services, progress, body, upstream, spanId: this.record.spanId, mayBegin: this.mayBegin });
     }
+
+    /** Checks just before the first byte is sent whether the upstream may still receive the request. */
+    private readonly mayBegin = (): boolean => {
+        const { runtime, upstream, progress } = this.options;
+        const isAllowed = runtime.tracker.maySend(upstream, this.inFlightRequest);
+        if (isAllowed) {
+            this.record.sentMs = progress.ageMs;
+            progress.stage = "running";
+        }
+        return isAllowed;
+    };
 }
--- /dev/null
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -0,0 +1,61 @@
+/**
+ * The connection of a caller.
+ *
+ * @packageDocumentation
+ */
+
+import type { Socket } from "node:net";
+
+/** Connections with requests, by socket. */
+const connections = new WeakMap<Socket, CallerConnection>();
+
+/** A caller's connection and the requests on it that have no complete response yet. */
+export class CallerConnection {
+    private readonly leaveListeners = new Set<() => void>();
+    private left = false;
+
+    /** Returns the connection of a socket. */
+    static of(socket: Socket): CallerConnection {
+        const connection = connections.get(socket) ?? new CallerConnection(socket);
+        connections.set(socket, connection);
+        return connection;
+    }
+
+    /** @param socket - The caller's socket. */
+    private constructor(private readonly socket: Socket) {
+        // A caller that only shuts down its sending side counts as gone too.
+        socket.once("end", this.leave).once("close", this.leave);
+    }
+
+    /** Whether the caller has closed the connection, as far as it has been read. */
+    get hasLeft(): boolean {
+        return this.left;
+    }
+
+    /** Whether reading is paused, so that a close cannot be noticed. */
+    get isPaused(): boolean {
+        return this.socket.isPaused();
+    }
+
+    /** Number of listeners, one for each request in progress. */
+    get openRequests(): number {
+        return this.leaveListeners.size;
+    }
+
+    /**
+     * Adds a listener for the close of the connection by the caller.
+     *
+     * @returns Removes the listener.
+     */
+    onLeave(listener: () => void): () => void {
+        this.leaveListeners.add(listener);
+        return () => this.leaveListeners.delete(listener);
+    }
+
+    private readonly leave = (): void => {
+        if (!this.left) {
+            this.left = true;
+            [...this.leaveListeners].forEach(listener => listener());
+        }
+    };
+}
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -7,6 +7,7 @@
 import type { RequestId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { BufferedResponse } from "./buffered-response.js";
+import { CallerConnection } from "./caller-connection.js";
 import { responseHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
@@ -17,6 +18,7 @@
 
 /** Sends an upstream's response or a problem; an incomplete response is aborted so that the caller can detect it. */
 export class CallerResponse {
+    readonly connection: CallerConnection;
     private readonly disconnectListeners = new Set<() => void>();
     private disconnected = false;
     private finished = false;
@@ -26,6 +28,7 @@
      * @param response - The response to write.
      */
     constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
+        this.connection = CallerConnection.of(request.socket);
         response.once("close", () => {
             if (!this.finished || !response.writableFinished) {
                 this.disconnected = true;
@@ -34,6 +37,11 @@
         });
     }
 
+    /** Whether the complete response was written. */
+    get isFinished(): boolean {
+        return this.finished;
+    }
+
     /** Whether the caller disconnected before its response was complete. */
     get callerDisconnected(): boolean {
         return this.disconnected;
--- a/packages/daemon/src/request/create-request-services.ts
+++ b/packages/daemon/src/request/create-request-services.ts
@@ -29,7 +29,7 @@
 
 export const createRequestServices = (options: CreateRequestServicesOptions): RequestServices => {
     const { parts, instance, incarnation, explanations, crashes, probeBudget, telemetry } = options;
-    const { settings, clock, random, transport, headerProtocol, log, metrics, onTraced } = parts;
+    const { settings, clock, random, transport, headerProtocol, log, metrics, polls, onTraced } = parts;
     const { limits, callers, traces } = settings;
     const rateLimitLog = new RateLimitLog({ clock, log, metrics });
     const onNotice = (notice: ReceivedNotice): void => telemetry.noticeReceived(notice);
@@ -52,10 +52,12 @@
         bodyLimits: { maximumBytes: callers.maximumBodyBytes, replayBytes: limits.replayBodyBytes },
         responseBufferBytes: limits.answerBufferBytes,
         log,
+        polls,
         sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
         onNotice,
         onDecision: (service, input, decision) => rateLimitLog.record(service, input, decision),
         onAttempt: (record, attempt) => telemetry.attemptEnded(record, attempt),
+        onDeparture: (record, departure) => telemetry.callerLeft(record, departure),
         onServed: (record, sampled) => {
             telemetry.requestServed(record);
             if (sampled) {
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -27,6 +27,8 @@
     readonly spanId: string;
     /** Milliseconds since arrival. */
     readonly startedMs: number;
+    /** Time at which the first byte was sent; `undefined` before. */
+    sentMs: number | undefined;
     endedMs: number | undefined;
     result: AttemptResult | undefined;
     outcome: Outcome | undefined;
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -44,6 +44,7 @@
  * @returns Whether the request may be sent; otherwise it is finished.
  */
 export const awaitPipelineOrder = async (progress: RequestProgress): Promise<boolean> => {
+    progress.stage = "ordering";
     if (progress.route.kind.repeatable || await progress.response.awaitPipelineOrder()) {
         return true;
     }
--- a/packages/daemon/src/request/request-hold.ts
+++ b/packages/daemon/src/request/request-hold.ts
@@ -28,6 +28,7 @@
         return true;
     }
     const heldSinceMs = clock.nowMs();
+    progress.stage = "queued";
     const result = await runtime.queue.wait({
         ...progress.latencyBudget.queuePosition,
         untilMs: Math.min(heldSinceMs + holdLeftMs, progress.deadlineAtMs),
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -14,6 +14,7 @@
 import type { CallerResponse } from "./caller-response.js";
 import { decisionLogFields } from "./decision-log-fields.js";
 import type { DecisionRecord } from "./decision-record.js";
+import type { Departure } from "./departure.js";
 import { LatencyBudget } from "./latency-budget.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import { rejectionRetryAfterMs } from "./rejection-retry-after.js";
@@ -21,6 +22,7 @@
 import { requestKeyOf } from "./request-key.js";
 import type { RequestMetadata } from "./request-metadata.js";
 import type { RequestServices } from "./request-services.js";
+import type { RequestStage } from "./request-stage.js";
 import type { RoutedRequest } from "./routed-request.js";
 
 /** Response header with the request ID. */
@@ -45,6 +47,10 @@
     readonly metadata: RequestMetadata;
     readonly trace: TraceContext;
     readonly record: DecisionRecord;
+    /** What the request is waiting for. */
+    stage: RequestStage = "receiving";
+    /** The caller's departure; `undefined` while the caller is there. */
+    departure: Departure | undefined;
     /** Time for which the request has waited in the queue. */
     heldMs = 0;
     /** Time left until the target, slack and hold time. */
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -7,11 +7,13 @@
 import type { Clock, RandomSource, ServiceName } from "@harrierhitch/core";
 import type { Decision, DecisionInput } from "@harrierhitch/decision";
 import type { ExplanationStore } from "../operators/explanation-store.js";
+import type { PollMonitor } from "../poll-monitor.js";
 import type { EventLog } from "../telemetry/event-log.js";
 import type { Prober } from "../upstream/prober.js";
 import type { UpstreamTransport } from "../upstream/upstream-transport.js";
 import type { CrashDetector } from "./crash-detector.js";
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
+import type { Departure } from "./departure.js";
 import type { HeaderProtocol } from "./header-protocol.js";
 import type { BodyLimits } from "./request-body.js";
 import type { RequestIds } from "./request-id.js";
@@ -30,10 +32,12 @@
     /** Maximum size of a response that is buffered until it is complete. */
     readonly responseBufferBytes: number;
     readonly log: EventLog;
+    readonly polls: PollMonitor;
     /** Decides whether a trace that starts here is sampled. */
     sampleTrace(): boolean;
     onNotice(notice: ReceivedNotice): void;
     onDecision(service: ServiceName, input: DecisionInput, decision: Decision): void;
     onAttempt(record: DecisionRecord, attempt: AttemptRecord): void;
+    onDeparture(record: DecisionRecord, departure: Departure): void;
     onServed(record: DecisionRecord, sampled: boolean): void;
 }
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -8,6 +8,7 @@
 import type { ChooseDecision, Decision } from "@harrierhitch/decision";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import { type AttemptReport, AttemptTask } from "./attempt-task.js";
+import { completeRequest } from "./complete-request.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { allowsHedge, hedgeIntervalMs } from "./hedge.js";
 import { Mailbox } from "./mailbox.js";
@@ -22,6 +23,7 @@
 import type { RequestServices } from "./request-services.js";
 import { endStream, giveUpAfterAttempt, sendResponse } from "./send-response.js";
 import { isHedgeWorthwhile, UpstreamSelection } from "./upstream-selection.js";
+import { watchDeparture } from "./watch-departure.js";
 
 /** Serves one request, with retries and at most one hedge. */
 export class RequestTask {
@@ -48,16 +50,14 @@
     /** Serves the request until it is finished, and completes its record. */
     async run(): Promise<void> {
         const { progress, services } = this;
+        const stopWatching = watchDeparture(progress, services.polls);
         services.explanations.begin(progress.record);
         this.runtime.retryBudget.deposit();
         const body = await receiveBody(progress, services.bodyLimits);
         if (body !== undefined && await awaitPipelineOrder(progress)) {
             await this.serve(body);
         }
-        services.crashes.recordCompleted(progress.record.id, progress.mayHaveRun);
-        progress.record.durationMs = progress.ageMs;
-        services.explanations.finish(progress.record);
-        services.onServed(progress.record, progress.trace.sampled);
+        completeRequest(progress, services, stopWatching);
     }
 
     private async serve(body: RequestBody): Promise<void> {
@@ -77,6 +77,7 @@
         if (rejectQuarantined(this.progress, body, this.services.crashes)) {
             return true;
         }
+        this.progress.stage = "deciding";
         const decision = await this.selection.decide(this.tried);
         // The request may have been quarantined while upstreams were probed.
         return rejectQuarantined(this.progress, body, this.services.crashes) || await this.execute(decision, body);
--- /dev/null
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -0,0 +1,42 @@
+/**
+ * Builds the request of an attempt.
+ *
+ * @packageDocumentation
+ */
+
+import type { UpstreamEntry } from "@harrierhitch/decision";
+import { toTraceparent } from "../telemetry/trace-context.js";
+import type { UpstreamRequest } from "../upstream/upstream-transport.js";
+import { requestHeaders } from "./headers.js";
+import type { RequestBody } from "./request-body.js";
+import type { RequestProgress } from "./request-progress.js";
+import type { RequestServices } from "./request-services.js";
+
+/** Options of {@link buildUpstreamRequest}. */
+export interface UpstreamRequestOptions {
+    readonly services: RequestServices;
+    readonly progress: RequestProgress;
+    readonly body: RequestBody;
+    readonly upstream: UpstreamEntry;
+    /** Span ID of the attempt. */
+    readonly spanId: string;
+    /** Checks just before the first byte is sent whether the attempt may begin. */
+    readonly mayBegin: () => boolean;
+}
+
+/** Time subtracted from the deadline at each hop, so that the next hop's response arrives before it. */
+const hopMarginMs = 2;
+
+/** Returns the request that an attempt sends to its upstream. */
+export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
+    const { services, progress, body, upstream, spanId, mayBegin } = options;
+    const { request, metadata, trace } = progress;
+    const { configuration } = progress.record;
+    const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
+    const added = services.headerProtocol.attemptHeaders({ configuration, upstream, remainingMs, depth: metadata.depth + 1 });
+    const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
+        ...added,
+        traceparent: toTraceparent(trace, spanId),
+    });
+    return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open(), mayBegin };
+};
--- /dev/null
+++ b/packages/daemon/src/request/watch-departure.ts
@@ -0,0 +1,38 @@
+/**
+ * Records that a caller left before its response was complete.
+ *
+ * @packageDocumentation
+ */
+
+import type { PollMonitor } from "../poll-monitor.js";
+import type { RequestProgress } from "./request-progress.js";
+
+/**
+ * Records the departure of a request's caller in {@link RequestProgress.departure}.
+ *
+ * @param progress - The request.
+ * @param polls - Bounds the age of the close when it is read.
+ * @returns Stops watching.
+ */
+export const watchDeparture = (progress: RequestProgress, polls: PollMonitor): () => void => {
+    const { response, response: { connection } } = progress;
+    const ahead = connection.openRequests;
+    const recordClose = (): void => {
+        if (!response.isFinished) {
+            const { stage, ageMs } = progress;
+            progress.departure = { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead, toldMs: undefined };
+        }
+    };
+    const recordTold = (): void => {
+        recordClose();
+        if (progress.departure !== undefined) {
+            progress.departure.toldMs = progress.ageMs;
+        }
+    };
+    const removeLeave = connection.onLeave(recordClose);
+    const removeDisconnect = response.onCallerDisconnect(recordTold);
+    return () => {
+        removeLeave();
+        removeDisconnect();
+    };
+};
--- a/packages/daemon/src/stall-detector.ts
+++ b/packages/daemon/src/stall-detector.ts
@@ -5,12 +5,15 @@
  */
 
 import type { Clock, Timer } from "@harrierhitch/core";
+import type { PollMonitor } from "./poll-monitor.js";
 
 /** Options of {@link StallDetector}. */
 export interface StallDetectorOptions {
     readonly clock: Clock;
     /** Called with the duration of a stall, before other overdue work runs. */
     readonly onStall: (stallMs: number) => void;
+    /** Sampled at each regular check. */
+    readonly polls: PollMonitor;
 }
 
 /** Interval between checks, in milliseconds. */
@@ -56,6 +59,7 @@
         this.dueAtMs = clock.nowMs() + checkIntervalMs;
         this.timer = clock.after(checkIntervalMs, () => {
             this.check();
+            this.options.polls.sample();
             this.timer?.cancel();
             this.schedule();
         });
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -69,6 +69,7 @@
     attemptEnded: { number: 403, level: "info", message: "attempt at an upstream ended" },
     requestServed: { number: 404, level: "debug", message: "request was completed" },
     requestUnrouted: { number: 405, level: "info", message: "no route matches the request" },
+    callerLeft: { number: 406, level: "info", message: "caller disconnected before its response was complete" },
     settingsReloaded: { number: 114, level: "info", message: "settings were reloaded" },
     settingsInvalid: {
         number: 115,
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -34,6 +34,21 @@
     /** Attempts at upstreams, by service and end. */
     readonly attempts = this.counter("harrierhitch_attempts_total", "Attempts at upstreams", ["service", "end"]);
 
+    /** Requests whose callers disconnected early, by what the request was waiting for. */
+    readonly callersLeft = this.counter(
+        "harrierhitch_callers_left_total",
+        "Requests whose callers disconnected before their responses were complete",
+        ["state"],
+    );
+
+    /** Time from the earliest possible arrival of a caller's close until its request was told. */
+    readonly callerLeftDelay = new Histogram({
+        name: "harrierhitch_caller_left_delay_seconds",
+        help: "Time from the earliest possible arrival of a caller's close until its request was told",
+        buckets: latencyBucketsSeconds,
+        registers: [this.registry],
+    });
+
     /** Decisions, by service and action. */
     readonly decisions = this.counter("harrierhitch_decisions_total", "Decisions taken", ["service", "action"]);
 
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -10,6 +10,7 @@
 import type { ApplyResult, DirectoryChange, UpstreamDirectory, ZoneStatus } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
+import type { Departure } from "../request/departure.js";
 import type { ReceivedNotice } from "../request/response-notice.js";
 import type { StateChange } from "../upstream/service-registry.js";
 import type { EventLog } from "./event-log.js";
@@ -87,6 +88,28 @@
         });
     }
 
+    /** Counts and logs a request whose caller left, with what was sent or cancelled because of it. */
+    callerLeft(record: DecisionRecord, { stage, readMs, unseenMs, ahead, toldMs }: Departure): void {
+        const { attempts, durationMs = 0 } = record;
+        this.metrics.callersLeft.inc({ state: stage });
+        this.metrics.callerLeftDelay.observe(((toldMs ?? durationMs) - readMs + unseenMs) / 1000);
+        const round = (timeMs: number | undefined): number | undefined => timeMs === undefined ? undefined : Math.round(timeMs);
+        this.log.write(events.callerLeft, {
+            request: record.id,
+            route: record.route.name,
+            state: stage,
+            readMs: round(readMs),
+            unseenMs: round(unseenMs),
+            ahead,
+            toldMs: round(toldMs),
+            sentMs: attempts.map(({ sentMs }) => round(sentMs)),
+            sentAfter: attempts.filter(({ sentMs }) => sentMs !== undefined && sentMs > readMs).length,
+            ends: attempts.map(({ result }) => result?.end),
+            outcome: record.outcome,
+            durationMs: round(durationMs),
+        });
+    }
+
     /** Counts and logs a notice that an upstream sent in its response headers. */
     noticeReceived({ service, upstream, notice, request }: ReceivedNotice): void {
         const { draining, backoffMs, limit, invalidRetryAfter } = notice;
--- a/packages/daemon/test/components.test.ts
+++ b/packages/daemon/test/components.test.ts
@@ -5,6 +5,7 @@
 import { FakeClock } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { PollMonitor } from "../src/poll-monitor.js";
 import { requestHeaders, responseHeaders } from "../src/request/headers.js";
 import { HoldQueue, type HoldResult } from "../src/request/hold-queue.js";
 import { StallDetector } from "../src/stall-detector.js";
@@ -120,7 +121,11 @@
 test("a stall is detected once, by the next check or the next tick, and a short delay is not a stall", async () => {
     const clock = new FakeClock();
     const stallsMs: number[] = [];
-    const detector = new StallDetector({ clock, onStall: stallMs => stallsMs.push(Math.round(stallMs)) });
+    const detector = new StallDetector({
+        clock,
+        polls: new PollMonitor(),
+        onStall: stallMs => stallsMs.push(Math.round(stallMs)),
+    });
     detector.start();
     await clock.advance(500);
     clock.pause(100);
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -6,6 +6,7 @@
 import { FakeClock, SeededRandom, sleep, type UpstreamId, upstreamId } from "@harrierhitch/core";
 import type { ServerResponse } from "node:http";
 import { Instance } from "../../src/instance.js";
+import { PollMonitor } from "../../src/poll-monitor.js";
 import { CallerResponse } from "../../src/request/caller-response.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
 import { Metrics } from "../../src/telemetry/metrics.js";
@@ -175,6 +176,7 @@
             },
             log: new EventLog({ level: "silent", clock }),
             metrics: new Metrics(false),
+            polls: new PollMonitor(),
             removalGraceMs: () => 0,
         });
         if (this.options.startsUnconfigured !== true) {
--- a/packages/daemon/test/model/model-request.ts
+++ b/packages/daemon/test/model/model-request.ts
@@ -15,7 +15,7 @@
         headers: { host: "model", [modelTimeoutHeader]: String(callerTimeoutMs) },
         rawHeaders: ["host", "model"],
         complete: true,
-        socket: { remoteAddress: "127.0.0.1" },
+        socket: Object.assign(new EventEmitter(), { remoteAddress: "127.0.0.1", isPaused: () => false }),
     }) as unknown as IncomingMessage;
 
 /** Records a response; implements the members of a server response that an instance uses. */
