Failing tests: requests of callers that left are sent on, worked on or never end

An event loop that stands still while callers connect, send and leave sends their requests on afterwards, whatever the kind (also pipelined, with long bodies, over TLS; shutdown, close, reset). Requests behind another one on their connection are not cancelled, and one that is not repeatable waits for its turn without end. So it is with a long body that nobody reads.

--- /dev/null
+++ b/packages/standin/test/stalled-daemon.ts
@@ -0,0 +1,30 @@
+/**
+ * Callers that come and leave while the process of the daemon stands still.
+ */
+
+import { fileURLToPath } from "node:url";
+import { Worker } from "node:worker_threads";
+import type { LeavingCall } from "./leaving-caller.js";
+
+/** Indexes and values of the flags that the threads share. */
+export const flags = { isDone: 0, count: 1 } as const;
+
+/** Shortest standstill, in milliseconds. */
+const stallMs = 400;
+
+/**
+ * Blocks the event loop of this thread until callers in another thread have connected, sent and left.
+ *
+ * @param port - Port of the daemon, which runs in this thread.
+ * @param calls - One for each connection.
+ */
+export const stallDuringCalls = async (port: number, calls: readonly LeavingCall[]): Promise<void> => {
+    const shared = new Int32Array(new SharedArrayBuffer(flags.count * Int32Array.BYTES_PER_ELEMENT));
+    const file = fileURLToPath(new URL("stalled-daemon-callers.js", import.meta.url));
+    const worker = new Worker(file, { workerData: { port, calls, shared } });
+    await new Promise(resolve => worker.once("message", resolve));
+    worker.postMessage("start");
+    Atomics.wait(shared, flags.isDone, 0);
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, stallMs);
+    await worker.terminate();
+};
--- a/packages/standin/test/system.ts
+++ b/packages/standin/test/system.ts
@@ -12,10 +12,14 @@
     readonly upstreams: readonly Partial<UpstreamBehaviour>[];
     /** Lines that are added to the section `[service.main]`. */
     readonly service?: string;
+    /** Lines that are added to the section of each kind. */
+    readonly kind?: string;
     /** Sections that are added to the configuration. */
     readonly configuration?: string;
     /** Lines that are added to the settings. */
     readonly settings?: string;
+    /** Lines that are added to the section `[callers]` of the settings. */
+    readonly callers?: string;
 }
 
 /** A running system. */
@@ -44,7 +48,7 @@
         configurationText(generation, upstreamPorts, options);
     platform.publish("configuration", document(1));
     const platformPort = await platform.listen();
-    const daemon = startDaemon(platformPort, options.settings ?? "");
+    const daemon = startDaemon(platformPort, options.settings ?? "", "entry-1", "", [], options.callers);
     const started = await daemon.start();
     const { callers, operators } = started;
     await waitUntil(() => daemon.instance.stage === "serving");
@@ -72,6 +76,7 @@
     id = "entry-1",
     tls = "",
     seedPorts: readonly number[] = [],
+    callers = "",
 ): Daemon => {
     const text = `
 [instance]
@@ -80,6 +85,7 @@
 [callers]
 address = 127.0.0.1
 port = 0
+${callers}
 [operators]
 address = 127.0.0.1
 port = 0
@@ -109,8 +115,10 @@
 maximumInstances = 1
 [kind.read]
 repeatable = true
+${options.kind ?? ""}
 [kind.issue]
 repeatable = false
+${options.kind ?? ""}
 [route.read]
 method = GET
 path = /read/*
