Tell every request on a connection that its caller has left, not only the one that is being answered

Callers that pipelined and left had their requests worked on, sent again and held until an answer or the deadline; a request that was not repeatable and waited for its turn never ended, so that a planned stop waited for it in vain.

Cause: a request listened for the close of its own response, and Node reports the end of a connection only to the response that holds the socket. Now one object a connection tells all of its requests, at the end of the incoming data or at the close, whichever comes first. Half-closing counts as leaving, as before.

Failed before: callers-that-left (are all cancelled if they were pipelined; do not begin if they wait for earlier ones), three ways of leaving each, and caller-response. pipelined-callers could not fail: its deadline of 2 s cancelled what it waited 20 s for; its deadline is now 600 s. The stalled callers of TLS shake hands before the stall, since they cannot during it.

--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -11,6 +11,8 @@
 
 /** A caller's connection and the requests on it that have no complete response yet. */
 export class CallerConnection {
+    /** Number of requests without a complete response. */
+    openRequests = 0;
     private readonly leaveListeners = new Set<() => void>();
     private left = false;
 
@@ -37,11 +39,6 @@
         return this.socket.isPaused();
     }
 
-    /** Number of listeners, one for each request in progress. */
-    get openRequests(): number {
-        return this.leaveListeners.size;
-    }
-
     /**
      * Adds a listener for the close of the connection by the caller.
      *
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -19,6 +19,8 @@
 /** Sends an upstream's response or a problem; an incomplete response is aborted so that the caller can detect it. */
 export class CallerResponse {
     readonly connection: CallerConnection;
+    /** Number of requests on the connection that had no complete response when this one arrived. */
+    readonly ahead: number;
     private readonly disconnectListeners = new Set<() => void>();
     private disconnected = false;
     private finished = false;
@@ -29,11 +31,14 @@
      */
     constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
         this.connection = CallerConnection.of(request.socket);
+        this.ahead = this.connection.openRequests;
+        this.connection.openRequests += 1;
+        // Node reports the end of a connection only to the response that is being sent, not to those that wait for their turn.
+        const removeListener = this.connection.onLeave(() => this.disconnect());
         response.once("close", () => {
-            if (!this.finished || !response.writableFinished) {
-                this.disconnected = true;
-                this.disconnectListeners.forEach(listener => listener());
-            }
+            removeListener();
+            this.connection.openRequests -= 1;
+            this.disconnect();
         });
     }
 
@@ -76,6 +81,14 @@
         });
     }
 
+    private disconnect(): void {
+        const isComplete = this.finished && this.response.writableFinished;
+        if (!isComplete && !this.disconnected) {
+            this.disconnected = true;
+            this.disconnectListeners.forEach(listener => listener());
+        }
+    }
+
     get headersSent(): boolean {
         return this.response.headersSent;
     }
--- a/packages/daemon/src/request/departure.ts
+++ b/packages/daemon/src/request/departure.ts
@@ -14,7 +14,7 @@
     readonly readMs: number;
     /** How long before {@link readMs} the close may have arrived, in milliseconds. */
     readonly unseenMs: number;
-    /** Number of unfinished requests before this one on the connection. */
+    /** Number of requests on the connection that had no complete response when this one arrived. */
     readonly ahead: number;
     /** Time at which the request was told; `undefined` if it never was. */
     toldMs: number | undefined;
--- a/packages/daemon/src/request/watch-departure.ts
+++ b/packages/daemon/src/request/watch-departure.ts
@@ -15,21 +15,22 @@
  * @returns Stops watching.
  */
 export const watchDeparture = (progress: RequestProgress, polls: PollMonitor): () => void => {
-    const { response, response: { connection } } = progress;
-    const ahead = connection.openRequests;
-    const recordClose = (): void => {
+    const { response } = progress;
+    const recordRead = (): void => {
         if (!response.isFinished) {
             const { stage, ageMs } = progress;
-            progress.departure = { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead, toldMs: undefined };
+            progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead: response.ahead, toldMs: undefined };
         }
     };
     const recordTold = (): void => {
-        recordClose();
+        if (response.connection.hasLeft) {
+            recordRead();
+        }
         if (progress.departure !== undefined) {
             progress.departure.toldMs = progress.ageMs;
         }
     };
-    const removeLeave = connection.onLeave(recordClose);
+    const removeLeave = response.connection.onLeave(recordRead);
     const removeDisconnect = response.onCallerDisconnect(recordTold);
     return () => {
         removeLeave();
--- a/packages/daemon/test/caller-response.test.ts
+++ b/packages/daemon/test/caller-response.test.ts
@@ -13,7 +13,7 @@
     const socket = Object.assign(new EventEmitter(), { destroyed: false });
     const response = Object.assign(new EventEmitter(), { socket: null, writableFinished: false });
     const callerResponse = new CallerResponse({ socket } as unknown as IncomingMessage, response as unknown as ServerResponse);
-    return { response, callerResponse };
+    return { socket, response, callerResponse };
 };
 
 test("a response may be sent once it is assigned the connection", async () => {
@@ -35,3 +35,15 @@
     response.emit("close");
     assert.equal(await callerResponse.awaitPipelineOrder(), false);
 });
+
+test("a response that waits behind others learns that the connection was closed", () => {
+    const { socket, callerResponse } = start();
+    let told = 0;
+    callerResponse.onCallerDisconnect(() => {
+        told += 1;
+    });
+    socket.emit("end");
+    socket.emit("close");
+    assert.equal(told, 1);
+    assert.equal(callerResponse.callerDisconnected, true);
+});
--- a/packages/standin/test/leaving-caller.ts
+++ b/packages/standin/test/leaving-caller.ts
@@ -19,11 +19,19 @@
     readonly isTls: boolean;
 }
 
+/** The TCP connections of TLS connections. */
+const transports = new WeakMap<Socket, Socket>();
+
 /** Opens a connection of a caller. */
 export const openConnection = (port: number, isTls: boolean): Socket => {
     const options = { host: "127.0.0.1", port, allowHalfOpen: true };
-    const socket = isTls ? connectTls({ ...options, rejectUnauthorized: false }) : connect(options);
-    return socket.on("error", () => undefined);
+    const transport = connect(options).on("error", () => undefined);
+    if (!isTls) {
+        return transport;
+    }
+    const socket = connectTls({ socket: transport, rejectUnauthorized: false }).on("error", () => undefined);
+    transports.set(socket, transport);
+    return socket;
 };
 
 /** Closes a caller's connection. */
@@ -36,6 +44,6 @@
             socket.destroy();
             break;
         case "reset":
-            socket.resetAndDestroy();
+            (transports.get(socket) ?? socket).resetAndDestroy();
     }
 };
--- a/packages/standin/test/pipelined-callers.test.ts
+++ b/packages/standin/test/pipelined-callers.test.ts
@@ -13,7 +13,7 @@
 const read = (path: string, headers = host): string => `GET /read/${path} HTTP/1.1\r\n${headers}\r\n`;
 
 const start = (settings: string): Promise<System> =>
-    startSystem({ upstreams: [{ meanServiceMs: 40 }], settings: `[limits]\n${settings}` });
+    startSystem({ upstreams: [{ meanServiceMs: 40 }], settings: `[limits]\n${settings}`, kind: "timeoutMs = 600000\n" });
 
 describe("a caller that pipelines requests", () => {
     let system: System;
--- a/packages/standin/test/stalled-daemon-callers.ts
+++ b/packages/standin/test/stalled-daemon-callers.ts
@@ -2,6 +2,8 @@
  * The thread of the callers of {@link stallDuringCalls}.
  */
 
+import { once } from "node:events";
+import type { Socket } from "node:net";
 import { parentPort, workerData } from "node:worker_threads";
 import { leave, type LeavingCall, openConnection } from "./leaving-caller.js";
 import { flags } from "./stalled-daemon.js";
@@ -17,22 +19,27 @@
 /** Time for the kernel to deliver what was written before a reset, in milliseconds. */
 const deliveryMs = 20;
 
-const call = ({ text, leaving, isTls }: LeavingCall): Promise<void> =>
-    new Promise(resolve => {
-        const socket = openConnection(port, isTls);
-        socket.write(text, () =>
-            setTimeout(() => {
-                leave(socket, leaving);
-                resolve();
-            }, deliveryMs));
-    });
+const call = async ({ text, leaving }: LeavingCall, socket: Socket): Promise<void> => {
+    await new Promise(resolve => socket.write(text, resolve));
+    await wait(deliveryMs);
+    leave(socket, leaving);
+    await wait(deliveryMs);
+};
+
+const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+/** Opens a TLS connection, whose handshake needs the daemon. */
+const openTls = async (): Promise<Socket> => {
+    const socket = openConnection(port, true);
+    await once(socket, "secureConnect");
+    return socket;
+};
 
+const tlsSockets = await Promise.all(calls.filter(({ isTls }) => isTls).map(openTls));
 parentPort?.once("message", () => {
-    void Promise.all(calls.map(call)).then(() => {
-        setTimeout(() => {
-            Atomics.store(shared, flags.isDone, 1);
-            Atomics.notify(shared, flags.isDone);
-        }, deliveryMs);
+    void Promise.all(calls.map((each, index) => call(each, tlsSockets[index] ?? openConnection(port, false)))).then(() => {
+        Atomics.store(shared, flags.isDone, 1);
+        Atomics.notify(shared, flags.isDone);
     });
 });
 parentPort?.postMessage("ready");
--- a/packages/standin/test/stalled-daemon.ts
+++ b/packages/standin/test/stalled-daemon.ts
@@ -13,7 +13,8 @@
 const stallMs = 400;
 
 /**
- * Blocks the event loop of this thread until callers in another thread have connected, sent and left.
+ * Blocks the event loop of this thread until callers in another thread have connected, sent and left. Callers with TLS connect
+ * before.
  *
  * @param port - Port of the daemon, which runs in this thread.
  * @param calls - One for each connection.
