Begin nothing for a caller that has left, whatever its request waits for

A request that may not be repeated and waited for a connection to its upstream was sent when the connection came up, however long its caller was gone. A listener added after the close was never called, so a request queued after it waited for headroom; a departure waited in the mailbox while the request probed upstreams for a hedge; a request that was refused after its caller had left counted as a rejected caller.

Cause: each wait looked for the departure by itself, some of them by an event that had passed. Now the last check before the first byte asks for the caller as well as for the upstream, a departure cancels attempts at once (those of a request that is not repeatable only if nothing was sent), a listener that comes late is called, and every decision ends without effect if the caller left meanwhile.

Models: callers of the simulated fleet leave at random, with pipelined requests of both kinds; DepartureChecker counts what reaches upstreams and is worked on half a second later. The simulated transport used to deliver attempts that were cancelled on their way; it no longer does.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -92,6 +92,11 @@
         return this.options.upstream;
     }
 
+    /** Whether the first byte of the request was sent. */
+    get hasBegun(): boolean {
+        return this.record.sentMs !== undefined;
+    }
+
     /** Cancels the attempt by closing its connection. */
     cancel(end: "timed-out" | "cancelled"): void {
         this.attempt.cancel(end);
@@ -228,18 +233,14 @@
     }
 
     private buildRequest() {
-        const { services, progress, body, upstream } = this.options;
-        return buildUpstreamRequest({ services, progress, body, upstream, spanId: this.record.spanId, mayBegin: this.mayBegin });
-    }
-
-    /** Checks just before the first byte is sent whether the upstream may still receive the request. */
-    private readonly mayBegin = (): boolean => {
-        const { runtime, upstream, progress } = this.options;
-        const isAllowed = runtime.tracker.maySend(upstream, this.inFlightRequest);
-        if (isAllowed) {
+        const { services, runtime, progress, body, upstream } = this.options;
+        const { spanId } = this.record;
+        const mayBegin = (): boolean =>
+            !progress.response.callerDisconnected && runtime.tracker.maySend(upstream, this.inFlightRequest);
+        const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
             progress.stage = "running";
-        }
-        return isAllowed;
-    };
+        };
+        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, onBegin };
+    }
 }
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -53,12 +53,16 @@
     }
 
     /**
-     * Adds a listener for a disconnect of the caller before its response is complete.
+     * Adds a listener for a disconnect of the caller before its response is complete. It is also called, asynchronously, if the
+     * caller has disconnected already.
      *
      * @returns Removes the listener.
      */
     onCallerDisconnect(listener: () => void): () => void {
         this.disconnectListeners.add(listener);
+        if (this.disconnected) {
+            queueMicrotask(() => this.disconnectListeners.has(listener) ? listener() : undefined);
+        }
         return () => this.disconnectListeners.delete(listener);
     }
 
--- a/packages/daemon/src/request/request-dispatcher.ts
+++ b/packages/daemon/src/request/request-dispatcher.ts
@@ -45,6 +45,10 @@
     /** Serves a request until it is finished. */
     async serve({ request, response, arrivedAtMs, hasContactedPeers }: ArrivedRequest): Promise<void> {
         const { services, activeConfiguration: { current }, registry, telemetry } = this.options;
+        if (response.callerDisconnected) {
+            telemetry.callerLeftAtStart(services.clock.nowMs() - arrivedAtMs);
+            return;
+        }
         if (current === undefined || !hasContactedPeers) {
             const detail = current === undefined ? "no configuration has been accepted yet" : "others have not been heard yet";
             response.sendProblem(
--- a/packages/daemon/src/request/request-event.ts
+++ b/packages/daemon/src/request/request-event.ts
@@ -12,5 +12,4 @@
     /** The hedge interval has passed without a response. */
     | { readonly type: "hedge-due"; }
     /** The deadline has passed. */
-    | { readonly type: "expired"; }
-    | { readonly type: "caller-left"; };
+    | { readonly type: "expired"; };
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -21,7 +21,7 @@
 import { holdRequest } from "./request-hold.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-import { endStream, giveUpAfterAttempt, sendResponse } from "./send-response.js";
+import { endStream, endWithoutCaller, giveUpAfterAttempt, sendResponse } from "./send-response.js";
 import { isHedgeWorthwhile, UpstreamSelection } from "./upstream-selection.js";
 import { watchDeparture } from "./watch-departure.js";
 
@@ -64,7 +64,7 @@
         const { clock } = this.services;
         const { progress } = this;
         const expiry = clock.after(progress.remainingMs, () => this.mailbox.post({ type: "expired" }));
-        const removeListener = progress.response.onCallerDisconnect(() => this.mailbox.post({ type: "caller-left" }));
+        const removeListener = progress.response.onCallerDisconnect(() => this.cancelForCaller());
         for (let finished = false; !finished;) {
             finished = this.running.size === 0 ? await this.decideNext(body) : await this.handle(await this.mailbox.take(), body);
         }
@@ -74,6 +74,9 @@
 
     /** Takes and executes the next decision, or rejects a quarantined request; returns whether the request is finished. */
     private async decideNext(body: RequestBody): Promise<boolean> {
+        if (this.progress.response.callerDisconnected) {
+            return endWithoutCaller(this.progress);
+        }
         if (rejectQuarantined(this.progress, body, this.services.crashes)) {
             return true;
         }
@@ -85,6 +88,9 @@
 
     /** Executes a decision; returns whether the request is finished. */
     private async execute(decision: Decision, body: RequestBody): Promise<boolean> {
+        if (this.progress.response.callerDisconnected) {
+            return endWithoutCaller(this.progress);
+        }
         switch (decision.action) {
             case "choose":
                 return this.tryAttempt(decision, body);
@@ -108,18 +114,12 @@
             case "expired":
                 this.cancelAll("timed-out");
                 return this.streaming === undefined && this.progress.giveUpAtDeadline();
-            case "caller-left":
-                return this.handleCallerDisconnect();
         }
     }
 
     /** Starts the attempt of a decision unless it is too late; returns whether the request is finished. */
     private tryAttempt(decision: ChooseDecision, body: RequestBody): boolean {
         const { progress } = this;
-        if (progress.response.callerDisconnected) {
-            progress.record.outcome = progress.outcomeSoFar();
-            return true;
-        }
         if (progress.isLate) {
             return progress.giveUpAtDeadline();
         }
@@ -204,8 +204,7 @@
             return false;
         }
         if (progress.response.callerDisconnected) {
-            progress.record.outcome = progress.outcomeSoFar();
-            return this.running.size === 0;
+            return this.running.size === 0 && endWithoutCaller(this.progress);
         }
         if (report.buffered !== undefined && report.response?.retryable === false && report.response.forwardable) {
             this.cancelAll("cancelled");
@@ -238,12 +237,10 @@
         return true;
     }
 
-    private handleCallerDisconnect(): boolean {
-        // A request that is not repeatable runs to its end so that its outcome is recorded.
-        if (this.progress.route.kind.repeatable) {
-            this.cancelAll("cancelled");
-        }
-        return false;
+    /** Cancels the attempts when the caller has left; a non-repeatable request that has begun runs on to record its outcome. */
+    private cancelForCaller(): void {
+        const { repeatable } = this.progress.route.kind;
+        this.running.forEach(task => repeatable || !task.hasBegun ? task.cancel("cancelled") : undefined);
     }
 
     private readonly cancelAll = (end: "timed-out" | "cancelled") => this.running.forEach(task => task.cancel(end));
--- a/packages/daemon/src/request/send-response.ts
+++ b/packages/daemon/src/request/send-response.ts
@@ -18,6 +18,12 @@
     }
 };
 
+/** Ends a request whose caller has left. */
+export const endWithoutCaller = (progress: RequestProgress): true => {
+    progress.record.outcome = progress.outcomeSoFar();
+    return true;
+};
+
 /** Ends a streamed response, or aborts it if it is incomplete. */
 export const endStream = ({ record, response }: RequestProgress, report: AttemptReport, log: EventLog): void => {
     record.outcome = report.outcome;
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -20,8 +20,6 @@
     readonly upstream: UpstreamEntry;
     /** Span ID of the attempt. */
     readonly spanId: string;
-    /** Checks just before the first byte is sent whether the attempt may begin. */
-    readonly mayBegin: () => boolean;
 }
 
 /** Time subtracted from the deadline at each hop, so that the next hop's response arrives before it. */
@@ -29,7 +27,7 @@
 
 /** Returns the request that an attempt sends to its upstream. */
 export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
-    const { services, progress, body, upstream, spanId, mayBegin } = options;
+    const { services, progress, body, upstream, spanId } = options;
     const { request, metadata, trace } = progress;
     const { configuration } = progress.record;
     const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
@@ -38,5 +36,5 @@
         ...added,
         traceparent: toTraceparent(trace, spanId),
     });
-    return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open(), mayBegin };
+    return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open() };
 };
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -11,6 +11,7 @@
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
 import type { Departure } from "../request/departure.js";
+import type { RequestStage } from "../request/request-stage.js";
 import type { ReceivedNotice } from "../request/response-notice.js";
 import type { StateChange } from "../upstream/service-registry.js";
 import type { EventLog } from "./event-log.js";
@@ -110,6 +111,13 @@
         });
     }
 
+    /** Counts and logs a request that was not routed, since its caller left while the instance was not ready. */
+    callerLeftAtStart(ageMs: number): void {
+        const state: RequestStage = "starting";
+        this.metrics.callersLeft.inc({ state });
+        this.log.write(events.callerLeft, { state, outcome: "not-run", durationMs: Math.round(ageMs) });
+    }
+
     /** Counts and logs a notice that an upstream sent in its response headers. */
     noticeReceived({ service, upstream, notice, request }: ReceivedNotice): void {
         const { draining, backoffMs, limit, invalidRetryAfter } = notice;
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -127,7 +127,7 @@
             return;
         }
         if (!socket.connecting) {
-            this.sent = true;
+            this.begin();
             return;
         }
         const { connectTimeoutMs } = this.target;
@@ -135,10 +135,18 @@
         socket.setNoDelay(true);
         socket.once("connect", () => {
             clearTimeout(this.connectTimer);
-            this.sent = !this.finished && !this.withdrawIfDisallowed();
+            this.begin();
         });
     }
 
+    /** Called just before the first byte is written. */
+    private begin(): void {
+        if (!this.finished && !this.withdrawIfDisallowed()) {
+            this.sent = true;
+            this.outgoing.onBegin?.();
+        }
+    }
+
     private onResponse(response: IncomingMessage): void {
         if (this.finished) {
             response.resume();
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -17,8 +17,10 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer | Readable | undefined;
-    /** Called when a connection is available, just before writing; returns whether the upstream may still receive the request. */
+    /** Returns whether the request may still be sent; called last just before its first byte is written. */
     readonly mayBegin?: () => boolean;
+    /** Called when the first byte is about to be written. */
+    readonly onBegin?: () => void;
 }
 
 /** Receives the response of an attempt. */
--- a/packages/daemon/test/caller-response.test.ts
+++ b/packages/daemon/test/caller-response.test.ts
@@ -47,3 +47,13 @@
     assert.equal(told, 1);
     assert.equal(callerResponse.callerDisconnected, true);
 });
+
+test("a listener that is added after the caller left is called, unless it is removed at once", async () => {
+    const { socket, callerResponse } = start();
+    socket.emit("end");
+    const told: string[] = [];
+    callerResponse.onCallerDisconnect(() => told.push("kept"));
+    callerResponse.onCallerDisconnect(() => told.push("removed"))();
+    await Promise.resolve();
+    assert.deepEqual(told, ["kept"]);
+});
--- a/packages/daemon/test/model/model-configuration.ts
+++ b/packages/daemon/test/model/model-configuration.ts
@@ -31,6 +31,11 @@
         `targetLatencyMs = ${targetMs}`,
         `timeoutMs = ${callerTimeoutMs}`,
         "policy = repeatable",
+        "[kind.issue]",
+        "repeatable = false",
+        `targetLatencyMs = ${targetMs}`,
+        `timeoutMs = ${callerTimeoutMs}`,
+        "policy = repeatable",
         "[service.main]",
         "policy = repeatable",
         "maximumConnections = 1000",
@@ -41,6 +46,11 @@
         "path = /",
         "service = main",
         "kind = read",
+        "[route.issue]",
+        "method = POST",
+        "path = /",
+        "service = main",
+        "kind = issue",
         options.policies ?? readFileSync(deployedPolicies, "utf8"),
     ].join("\n");
 };
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -10,10 +10,11 @@
 import { CallerResponse } from "../../src/request/caller-response.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
 import { Metrics } from "../../src/telemetry/metrics.js";
+import { DepartureChecker } from "./departure-checker.js";
 import { modelConfiguration, modelSettings } from "./model-configuration.js";
 import { modelHeaderProtocol } from "./model-header-protocol.js";
 import { ModelPeers } from "./model-peers.js";
-import { modelRequest, ModelResponse } from "./model-request.js";
+import { modelRequest, ModelResponse, ModelSocket } from "./model-request.js";
 import { ModelTransport } from "./model-transport.js";
 import { ModelUpstream, type ModelUpstreamOptions } from "./model-upstream.js";
 
@@ -50,6 +51,9 @@
 
 const instanceName = (index: number): string => `entry-${index}`;
 
+/** Share of the requests of leaving callers that are not repeatable. */
+const nonRepeatableShare = 0.3;
+
 /** Tries of a caller that is rejected, including the first. */
 const maximumTries = 3;
 
@@ -63,6 +67,8 @@
     /** Number of callers that have sent their first try. */
     callersStarted = 0;
     readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
+    /** Checks what upstreams do for callers that have left. */
+    readonly departures = new DepartureChecker(this.clock);
     /** The membership of the instances. */
     readonly peers: ModelPeers;
     private readonly random: SeededRandom;
@@ -150,14 +156,34 @@
 
     /** Sends one request of a caller to a random instance. */
     async sendRequest(callerTimeoutMs: number): Promise<{ readonly status: number; readonly retryAfterMs: number; }> {
-        const running = [...this.instances.values()];
-        const instance = running[Math.floor(this.random.next() ** (this.options.skew ?? 1) * running.length)];
-        const request = modelRequest(callerTimeoutMs);
+        const instance = this.selectInstance();
+        const request = modelRequest({ callerTimeoutMs });
         const response = new ModelResponse();
         await instance?.serve(request, new CallerResponse(request, response as unknown as ServerResponse));
         return { status: response.status, retryAfterMs: Number(response.headers["retry-after"] ?? 0) * 1000 };
     }
 
+    /** Sends requests of one caller on one connection, and closes it at a random time before its timeout, more often early. */
+    async sendAndLeave(requests: number, callerTimeoutMs: number): Promise<void> {
+        const socket = new ModelSocket();
+        const caller = `leaving-${this.departures.departures}-${this.clock.nowMs()}`;
+        const instance = this.selectInstance();
+        this.clock.after(this.random.next() ** 2 * callerTimeoutMs, () => {
+            this.departures.recordDeparture(caller);
+            socket.close();
+        });
+        await Promise.all(Array.from({ length: requests }, async () => {
+            const method = this.random.next() < nonRepeatableShare ? "POST" : "GET";
+            const request = modelRequest({ callerTimeoutMs, caller, socket, method });
+            await instance?.serve(request, new CallerResponse(request, new ModelResponse() as unknown as ServerResponse));
+        }));
+    }
+
+    private selectInstance(): Instance | undefined {
+        const running = [...this.instances.values()];
+        return running[Math.floor(this.random.next() ** (this.options.skew ?? 1) * running.length)];
+    }
+
     private createInstance(index: number): Instance {
         const { clock } = this;
         const settings = checkSettings("settings.ini", modelSettings(instanceName(index), this.options.isJoined === true)).value;
@@ -168,7 +194,7 @@
             settings,
             clock,
             random: new SeededRandom(index + 1),
-            transport: new ModelTransport(clock, this.upstreams, instanceName(index), this.options.connectMs),
+            transport: new ModelTransport(clock, this.upstreams, instanceName(index), this.options.connectMs, this.departures),
             headerProtocol: modelHeaderProtocol,
             parser: {
                 parseConfiguration: checkConfiguration,
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -6,6 +6,8 @@
 import { type Clock, sleep, type UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult } from "@harrierhitch/decision";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTransport } from "../../src/upstream/upstream-transport.js";
+import type { DepartureChecker } from "./departure-checker.js";
+import { modelCallerHeader } from "./model-request.js";
 import type { ModelUpstream } from "./model-upstream.js";
 
 /** Path at which modelled upstreams report their load. */
@@ -31,6 +33,7 @@
         private readonly instance: string,
         /** Time to open a connection, in milliseconds. */
         private readonly connectMs = 0,
+        private readonly departures?: DepartureChecker,
     ) {}
 
     send(upstream: Upstream, request: UpstreamRequest, sink: ResponseSink): Attempt {
@@ -39,6 +42,8 @@
             throw new RangeError(`there is no model of ${upstream.id}`);
         }
         let abandon: (() => void) | undefined;
+        const state = { isCancelled: false, hasBegun: false };
+        const isCancelled = (): boolean => state.isCancelled;
         let settle: (result: AttemptResult) => void = () => undefined;
         const result = new Promise<AttemptResult>(resolve => {
             settle = resolve;
@@ -59,15 +64,24 @@
         };
         const deliver = async (): Promise<void> => {
             await sleep(this.clock, this.connectMs);
+            if (isCancelled()) {
+                return;
+            }
             if (request.mayBegin?.() === false) {
                 settle({ end: "withdrawn", status: undefined, detail: "", sent: false });
                 return;
             }
+            state.hasBegun = true;
+            request.onBegin?.();
             await sleep(this.clock, oneWayDelayMs);
             model.recordArrival(this.instance);
             if (request.path !== modelProbePath) {
                 model.recordRequest(this.instance);
             }
+            const caller = callerOf(request);
+            if (caller !== undefined) {
+                this.departures?.recordArrival(caller);
+            }
             if (request.path === modelProbePath) {
                 model.probes += 1;
                 await respond(200);
@@ -79,15 +93,30 @@
                 await respond(503, backoffMs);
                 return;
             }
-            abandon = model.accept(() => void respond(200));
+            // The upstream reads the request, and then the end of the connection if it was cancelled meanwhile.
+            const end = this.departures?.recordWork(request.method === "GET" ? caller : undefined) ?? (() => undefined);
+            const stop = model.accept(() => {
+                end();
+                void respond(200);
+            });
+            abandon = stop && (() => {
+                end();
+                stop();
+            });
+            if (isCancelled()) {
+                abandon?.();
+                return;
+            }
             if (abandon === undefined) {
+                end();
                 await respond(503);
             }
         };
         void deliver();
         const cancel = (end: "timed-out" | "cancelled"): void => {
+            state.isCancelled = true;
             abandon?.();
-            settle({ end, status: undefined, detail: "cancelled", sent: true });
+            settle({ end, status: undefined, detail: "cancelled", sent: state.hasBegun });
         };
         return { result, cancel, resume: () => undefined };
     }
@@ -104,3 +133,8 @@
         return Promise.resolve();
     }
 }
+
+const callerOf = ({ headers }: UpstreamRequest): string | undefined => {
+    const index = headers.indexOf(modelCallerHeader);
+    return index < 0 ? undefined : headers[index + 1];
+};
