After a stall, read what has arrived before sending anything on

Cause: the check before sending asks what has been read, and the close has not. Now a monitor of the event loop's idle time bounds how old an event that has not been delivered can be: a loop that waits has nothing left to deliver. Where that is over 100 ms, the first byte waits, in one place of the transport, until the loop has polled once more, and then the caller is asked for. Users allow 500 ms.

Cost without a stall: 0.1 us for each attempt (a loop of a million checks), no system call, no turn of the loop. Ruled out: a turn of the loop for every request, which has a price on fresh connections; /proc/net/tcp, which grows with the connections.

--- a/packages/daemon/src/poll-monitor.ts
+++ b/packages/daemon/src/poll-monitor.ts
@@ -12,6 +12,9 @@
     readonly idleMs?: () => number;
 }
 
+/** Age of undelivered events up to which the event loop counts as up to date, in milliseconds. */
+const maximumUnseenMs = 100;
+
 /** Least share of a period that the event loop must have waited in to count as idle; polling alone takes less. */
 const minimumIdleShare = 0.1;
 
@@ -56,4 +59,17 @@
         this.sample();
         return this.sampledAtMs - this.idleAfterMs;
     }
+
+    /** Whether events that arrived some time ago may not have been delivered yet, such as the close of a connection. */
+    get isBehind(): boolean {
+        return this.unseenMs > maximumUnseenMs;
+    }
+
+    /**
+     * Calls back after the events that have arrived at connections in use have been delivered. The end of a connection is
+     * delivered one turn of the event loop after the data before it.
+     */
+    afterDelivery(action: () => void): void {
+        setImmediate(() => setImmediate(action));
+    }
 }
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -235,12 +235,13 @@
     private buildRequest() {
         const { services, runtime, progress, body, upstream } = this.options;
         const { spanId } = this.record;
+        const { polls } = services;
         const mayBegin = (): boolean =>
             !progress.response.callerDisconnected && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
             progress.stage = "running";
         };
-        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, onBegin };
+        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, polls, onBegin };
     }
 }
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -127,15 +127,31 @@
             return;
         }
         if (!socket.connecting) {
-            this.begin();
+            this.beginOn(socket);
             return;
         }
         const { connectTimeoutMs } = this.target;
         this.connectTimer = setTimeout(() => this.request.destroy(new ConnectTimeoutError(connectTimeoutMs)), connectTimeoutMs);
         socket.setNoDelay(true);
+        socket.cork();
         socket.once("connect", () => {
             clearTimeout(this.connectTimer);
+            this.beginOn(socket);
+            socket.uncork();
+        });
+    }
+
+    /** Begins on an established connection; if the process was stalled, only after it has read what has arrived meanwhile. */
+    private beginOn(socket: Socket): void {
+        const { polls } = this.outgoing;
+        if (polls?.isBehind !== true) {
+            this.begin();
+            return;
+        }
+        socket.cork();
+        polls.afterDelivery(() => {
             this.begin();
+            socket.uncork();
         });
     }
 
