--- a/packages/daemon/src/poll-monitor.ts
+++ b/packages/daemon/src/poll-monitor.ts
@@ -15,6 +15,9 @@
 /** Age of undelivered events up to which the event loop counts as up to date, in milliseconds. */
 const maximumUnseenMs = 100;
 
+/** Most turns of the event loop to wait for a connection that keeps delivering data. */
+const maximumTurns = 64;
+
 /** Least share of a period that the event loop must have waited in to count as idle; polling alone takes less. */
 const minimumIdleShare = 0.1;
 
@@ -66,10 +69,24 @@
     }
 
     /**
-     * Calls back after the events that have arrived at connections in use have been delivered. The end of a connection is
-     * delivered one turn of the event loop after the data before it.
+     * Calls back after what has arrived at a connection has been delivered. The end of a connection is delivered one turn of the
+     * event loop after the data before it.
+     *
+     * @param action - The callback.
+     * @param receivedBytes - Returns the number of bytes that were delivered so far.
      */
-    afterDelivery(action: () => void): void {
-        setImmediate(() => setImmediate(action));
+    afterDelivery(action: () => void, receivedBytes: () => number = () => 0): void {
+        const waitTurn = (before: number, turns: number): void => {
+            setImmediate(() => {
+                const received = receivedBytes();
+                if (turns >= maximumTurns || turns > 0 && received === before) {
+                    action();
+                }
+                else {
+                    waitTurn(received, turns + 1);
+                }
+            });
+        };
+        waitTurn(receivedBytes(), 0);
     }
 }
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -235,13 +235,14 @@
     private buildRequest() {
         const { services, runtime, progress, body, upstream } = this.options;
         const { spanId } = this.record;
-        const { polls } = services;
+        const { connection } = progress.response;
+        const whenCallerRead = (action: () => void): void => connection.whenRead(services.polls, action);
         const mayBegin = (): boolean =>
             !progress.response.callerDisconnected && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
             progress.stage = "running";
         };
-        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, polls, onBegin };
+        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, whenCallerRead, onBegin };
     }
 }
--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Socket } from "node:net";
+import type { PollMonitor } from "../poll-monitor.js";
 
 /** Connections with requests, by socket. */
 const connections = new WeakMap<Socket, CallerConnection>();
@@ -34,9 +35,14 @@
         return this.left;
     }
 
-    /** Whether reading is paused, so that a close cannot be noticed. */
-    get isPaused(): boolean {
-        return this.socket.isPaused();
+    /** Calls back when what has arrived from the caller has been read; at once unless the event loop is behind. */
+    whenRead(polls: PollMonitor, action: () => void): void {
+        if (polls.isBehind) {
+            polls.afterDelivery(action, () => this.socket.bytesRead);
+        }
+        else {
+            action();
+        }
     }
 
     /**
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -4,7 +4,9 @@
  * @packageDocumentation
  */
 
-import { BodyCutShortError, type BodyLimits, BodyTooLargeError, readBody, type RequestBody } from "./request-body.js";
+import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
+import { type BodyLimits, readBody } from "./read-body.js";
+import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 
 /**
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -15,7 +15,7 @@
 import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { Departure } from "./departure.js";
 import type { HeaderProtocol } from "./header-protocol.js";
-import type { BodyLimits } from "./request-body.js";
+import type { BodyLimits } from "./read-body.js";
 import type { RequestIds } from "./request-id.js";
 import type { ReceivedNotice } from "./response-notice.js";
 
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -141,15 +141,11 @@
         });
     }
 
-    /** Begins on an established connection; if the process was stalled, only after it has read what has arrived meanwhile. */
+    /** Begins on an established connection. */
     private beginOn(socket: Socket): void {
-        const { polls } = this.outgoing;
-        if (polls?.isBehind !== true) {
-            this.begin();
-            return;
-        }
+        const { whenCallerRead = (action: () => void): void => action() } = this.outgoing;
         socket.cork();
-        polls.afterDelivery(() => {
+        whenCallerRead(() => {
             this.begin();
             socket.uncork();
         });
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -8,7 +8,6 @@
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
-import type { PollMonitor } from "../poll-monitor.js";
 import type { PortState } from "./check-port.js";
 
 export interface UpstreamRequest {
@@ -20,8 +19,8 @@
     readonly body: Buffer | Readable | undefined;
     /** Returns whether the request may still be sent; called last just before its first byte is written. */
     readonly mayBegin?: () => boolean;
-    /** If set, the first byte waits until a stalled process has read what has arrived meanwhile, such as a caller's close. */
-    readonly polls?: PollMonitor;
+    /** Calls back when what has arrived from the caller has been read, so that its departure is known; at once if it has. */
+    readonly whenCallerRead?: (action: () => void) => void;
     /** Called when the first byte is about to be written. */
     readonly onBegin?: () => void;
 }
--- a/packages/daemon/test/model/model-request.ts
+++ b/packages/daemon/test/model/model-request.ts
@@ -12,6 +12,7 @@
 /** The connection of a modelled caller. */
 export class ModelSocket extends EventEmitter {
     readonly remoteAddress = "127.0.0.1";
+    readonly bytesRead = 0;
 
     /** Closes the connection. */
     close(): void {
