Keep responses that wait for their turn out of Node's buffer, which stops reading from the connection

With a caller that pipelines, requests were worked on after it had left once responses to later requests, 16 KiB together, waited for an earlier one.

Cause: Node counts the data of responses whose turn has not come and pauses reading from the connection; the end of the connection is then never read. Now such responses are kept until their turn comes and written then. The memory stays bounded: reading pauses while a connection has 64 requests without a complete response or 1 MiB of responses waiting, and a streamed response that is not in turn pauses its upstream at its first chunk.

Failed before: callers-that-left (responses to later requests on the connection wait for their turn). New beside it: callers that pipeline 40 or 300 requests and read late, or send a long body slowly across a stall, are answered whole and in order.

--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -7,13 +7,20 @@
 import type { Socket } from "node:net";
 import type { PollMonitor } from "../poll-monitor.js";
 
+/** Number of requests without a complete response from which no more are read from a connection. */
+const maximumOpenRequests = 64;
+
+/** Size of the responses waiting for their turn from which no more requests are read from a connection, in bytes. */
+const maximumWaitingBytes = 1_048_576;
+
 /** Connections with requests, by socket. */
 const connections = new WeakMap<Socket, CallerConnection>();
 
 /** A caller's connection and the requests on it that have no complete response yet. */
 export class CallerConnection {
-    /** Number of requests without a complete response. */
-    openRequests = 0;
+    private openRequests = 0;
+    private waitingBytes = 0;
+    private isPaused = false;
     private readonly leaveListeners = new Set<() => void>();
     private left = false;
 
@@ -35,6 +42,43 @@
         return this.left;
     }
 
+    /**
+     * Records that a request has arrived.
+     *
+     * @returns The number of requests before it that have no complete response yet.
+     */
+    begin(): number {
+        this.openRequests += 1;
+        this.updateReading();
+        return this.openRequests - 1;
+    }
+
+    /** Records that a request has its complete response. */
+    finish(): void {
+        this.openRequests -= 1;
+        this.updateReading();
+    }
+
+    /** Records that data of responses begins, or with a negative number ceases, to wait for its turn on the connection. */
+    addWaiting(bytes: number): void {
+        this.waitingBytes += bytes;
+        this.updateReading();
+    }
+
+    /** Pauses reading while too much is open; the end of the connection cannot be noticed then. */
+    private updateReading(): void {
+        const mustPause = this.openRequests >= maximumOpenRequests || this.waitingBytes >= maximumWaitingBytes;
+        if (mustPause !== this.isPaused) {
+            this.isPaused = mustPause;
+            if (mustPause) {
+                this.socket.pause();
+            }
+            else {
+                this.socket.resume();
+            }
+        }
+    }
+
     /** Calls back when what has arrived from the caller has been read; at once unless the event loop is behind. */
     whenRead(polls: PollMonitor, action: () => void): void {
         if (polls.isBehind) {
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -24,6 +24,9 @@
     private readonly disconnectListeners = new Set<() => void>();
     private disconnected = false;
     private finished = false;
+    private hasHead = false;
+    /** Writes that wait for the responses to earlier requests on the connection. */
+    private readonly waitingWrites: (() => void)[] = [];
 
     /**
      * @param request - The caller's request.
@@ -31,13 +34,12 @@
      */
     constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
         this.connection = CallerConnection.of(request.socket);
-        this.ahead = this.connection.openRequests;
-        this.connection.openRequests += 1;
+        this.ahead = this.connection.begin();
         // Node reports the end of a connection only to the response that is being sent, not to those that wait for their turn.
         const removeListener = this.connection.onLeave(() => this.disconnect());
         response.once("close", () => {
             removeListener();
-            this.connection.openRequests -= 1;
+            this.connection.finish();
             this.disconnect();
         });
     }
@@ -72,7 +74,7 @@
      * @returns Whether they have; otherwise the connection was closed, and the caller may assume that the request was not read.
      */
     awaitPipelineOrder(): Promise<boolean> {
-        if (this.disconnected || this.response.socket !== null) {
+        if (this.disconnected || this.isInTurn) {
             return Promise.resolve(!this.disconnected);
         }
         return new Promise(resolve => {
@@ -94,7 +96,7 @@
     }
 
     get headersSent(): boolean {
-        return this.response.headersSent;
+        return this.hasHead || this.response.headersSent;
     }
 
     /** Sends the head of an upstream's response with additional headers. */
@@ -102,11 +104,14 @@
         if (this.disconnected) {
             return;
         }
-        const forwardedHeaders = responseHeaders(headers, extraHeaders);
-        if (this.mustClose) {
-            forwardedHeaders["connection"] = "close";
-        }
-        this.response.writeHead(status, forwardedHeaders);
+        this.hasHead = true;
+        this.writeInTurn(0, () => {
+            const forwardedHeaders = responseHeaders(headers, extraHeaders);
+            if (this.mustClose) {
+                forwardedHeaders["connection"] = "close";
+            }
+            this.response.writeHead(status, forwardedHeaders);
+        });
     }
 
     /**
@@ -117,7 +122,14 @@
      * @returns Whether more can be written at once.
      */
     write(chunk: Buffer, onDrain: () => void): boolean {
-        if (this.disconnected || this.response.write(chunk)) {
+        if (this.disconnected) {
+            return true;
+        }
+        if (!this.isInTurn) {
+            this.writeInTurn(chunk.length, () => this.response.write(chunk) ? onDrain() : this.response.once("drain", onDrain));
+            return false;
+        }
+        if (this.response.write(chunk)) {
             return true;
         }
         this.response.once("drain", onDrain);
@@ -127,17 +139,23 @@
     /** Ends a complete response. */
     end(): void {
         this.finished = true;
-        this.response.end();
+        this.writeInTurn(0, () => this.response.end());
     }
 
     /**
      * Sends an upstream's buffered response with additional headers. A response that was delimited by the end of its
      * connection gets no content length, since it may be incomplete.
      */
-    sendBuffered({ status, headers, body, isFramed }: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
+    sendBuffered(buffered: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
         if (this.headersSent || this.disconnected) {
             return;
         }
+        this.hasHead = true;
+        this.finished = true;
+        this.writeInTurn(buffered.body.length, () => this.writeBuffered(buffered, extraHeaders));
+    }
+
+    private writeBuffered({ status, headers, body, isFramed }: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
         const forwardedHeaders = responseHeaders(headers, extraHeaders);
         if (this.mustClose) {
             forwardedHeaders["connection"] = "close";
@@ -150,13 +168,16 @@
             forwardedHeaders["connection"] = "close";
             this.response.useChunkedEncodingByDefault = false;
         }
-        this.finished = true;
         this.response.writeHead(status, forwardedHeaders);
         this.response.end(body);
     }
 
     /** Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end. */
     abort(): void {
+        this.writeInTurn(0, () => this.abortInTurn());
+    }
+
+    private abortInTurn(): void {
         const { socket } = this.response;
         if (socket !== null && this.response.headersSent && !this.isUnframed) {
             this.response.flushHeaders();
@@ -183,14 +204,40 @@
         }
         const { status } = problemKinds[problem.kind];
         const body = Buffer.from(JSON.stringify(problemBody(problem, id)));
-        const closing = this.mustClose ? { connection: "close" } : {};
-        const headers = { ...problemHeaders(problem, body.length), ...extraHeaders, ...closing };
+        this.hasHead = true;
         this.finished = true;
-        this.response.writeHead(status, headers);
-        this.response.end(body);
+        this.writeInTurn(body.length, () => {
+            const closing = this.mustClose ? { connection: "close" } : {};
+            this.response.writeHead(status, { ...problemHeaders(problem, body.length), ...extraHeaders, ...closing });
+            this.response.end(body);
+        });
         return status;
     }
 
+    /** Whether the responses to all earlier requests on the connection are complete, so that Node has assigned the socket. */
+    private get isInTurn(): boolean {
+        return this.response.socket !== null;
+    }
+
+    /**
+     * Writes now or in turn. Node would buffer the data of a response that is not in turn, and would pause reading from the
+     * connection because of it, so that its end could not be noticed.
+     */
+    private writeInTurn(bytes: number, write: () => void): void {
+        if (this.isInTurn || this.response.destroyed) {
+            write();
+            return;
+        }
+        if (this.waitingWrites.length === 0) {
+            this.response.once("socket", () => this.waitingWrites.splice(0).forEach(waiting => waiting()));
+        }
+        this.connection.addWaiting(bytes);
+        this.waitingWrites.push(() => {
+            this.connection.addWaiting(-bytes);
+            write();
+        });
+    }
+
     /** Whether the connection must be closed because the request body was not read completely. */
     private get mustClose(): boolean {
         return hasBody(this.request) && !this.request.complete;
--- a/packages/standin/test/callers-that-left.test.ts
+++ b/packages/standin/test/callers-that-left.test.ts
@@ -6,7 +6,6 @@
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, test } from "node:test";
 import { leave, leavings, openConnection } from "./leaving-caller.js";
-import { sendRaw } from "./raw-caller.js";
 import { stallDuringCalls } from "./stalled-daemon.js";
 import { startSystem, type System, waitUntil } from "./system.js";
 
@@ -155,23 +154,46 @@
     });
 });
 
-test("a caller that pipelines and reads late is not taken for one that has left", async () => {
-    system = await startSystem({ upstreams: [{ meanServiceMs: 1 }], kind });
-    const paths = Array.from({ length: 40 }, (_, index) => String(index).repeat(3000).slice(0, 3000));
-    const socket = open("");
-    socket.pause();
-    await new Promise(resolve => socket.write(paths.map(read).join("") + issue("last"), resolve));
-    await waitUntil(() => upstream().started > 20);
-    let received = "";
-    socket.on("data", data => {
-        received += data.toString("latin1");
+describe("a caller is not taken for one that has left", () => {
+    beforeEach(async () => {
+        system = await startSystem({ upstreams: [{ meanServiceMs: 1, slots: 50, queue: 500 }], kind });
+    });
+
+    [40, 300].forEach(requests => {
+        test(`if it pipelines ${requests} requests and reads late`, async () => {
+            const paths = Array.from({ length: requests }, (_, index) => String(index).padStart(3000, "x"));
+            const socket = open("");
+            socket.pause();
+            socket.write(paths.map(read).join("") + issue("last"));
+            await waitUntil(() => upstream().started > 20);
+            let received = "";
+            socket.on("data", data => {
+                received += data.toString("latin1");
+            });
+            socket.resume();
+            await waitUntil(() => received.includes("\"key\":\"last\""));
+            assert.equal(received.split("HTTP/1.1 200").length - 1, requests + 1);
+            const order = [...received.matchAll(/read\/x*(\d+)"/g)].map(([, index]) => Number(index));
+            assert.deepEqual(order, paths.map((_, index) => index));
+            socket.destroy();
+        });
+    });
+
+    test("if it sends a long body slowly, and the instance stands still meanwhile", async () => {
+        const text = upload(longBody);
+        const socket = open("");
+        let received = "";
+        socket.on("data", data => {
+            received += data.toString("latin1");
+        });
+        for (let sent = 0; sent < text.length; sent += 50_000) {
+            socket.write(text.slice(sent, sent + 50_000));
+            await new Promise(resolve => setTimeout(resolve, 10));
+            if (sent === 100_000) {
+                await stallDuringCalls(system.callersPort, []);
+            }
+        }
+        await waitUntil(() => received.includes(`"bodyBytes":${longBody.length}`));
+        socket.destroy();
     });
-    socket.resume();
-    await waitUntil(() => received.includes("\"key\":\"last\""));
-    assert.equal(received.split("HTTP/1.1 200").length - 1, 41);
-    assert.equal(
-        (await sendRaw(system.callersPort, read("x").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n"))).slice(9, 12),
-        "200",
-    );
-    socket.destroy();
 });
