Soak: callers that leave at random, by every way, pipelined and with long bodies

The soak's callers never left, so it could not break the rule on callers that leave. Now one leaves every 25 ms, by shutdown, close or reset, within 1.5 s, with one to four requests on its connection (reads, and issues with short, long, chunked and cut bodies), while instances are paused, killed and stopped and upstreams fail. The checker reports what reaches an upstream half a second after its caller left, and repeatable requests that upstreams still work on then; the lag of the soak's own process and the delay of a faulty connection are allowed for.

--- a/packages/standin/src/soak/soak-checker.ts
+++ b/packages/standin/src/soak/soak-checker.ts
@@ -5,6 +5,7 @@
  */
 
 import type { UpstreamAnnouncement } from "../upstream-standin.js";
+import { LeaveChecker } from "./leave-checker.js";
 import { LimitChecker } from "./limit-checker.js";
 
 /** What a caller observed of one request. */
@@ -39,7 +40,8 @@
         | "limit"
         | "configuration"
         | "answered"
-        | "recovery";
+        | "recovery"
+        | "left";
     readonly detail: string;
 }
 
@@ -67,6 +69,11 @@
     private readonly backoffs = new Map<string, Announcement>();
     private readonly drains = new Map<string, Announcement>();
     private readonly limitChecker = new LimitChecker(detail => this.addViolation("limit", detail));
+    /** Checks what upstreams do for callers that have left. */
+    readonly leaveChecker = new LeaveChecker({
+        lagMs: () => this.lagMs(),
+        onViolation: detail => this.addViolation("left", detail),
+    });
     private readonly generations = new Map<string, number>();
 
     /**
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { PlatformStandin } from "../platform-standin.js";
 import type { UpstreamBehaviour } from "../upstream-behaviour.js";
 import { noAnnouncement, type UpstreamAnnouncement, upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
@@ -59,7 +59,10 @@
                 isConfigured: true,
             };
             standin.countsReads = true;
-            standin.onArrival = (request, announced) => this.recordArrival(upstream, request, announced);
+            standin.onArrival = (request, announced, response) => {
+                this.recordArrival(upstream, request, announced);
+                this.recordWork(upstream, request, response);
+            };
             return upstream;
         });
     }
@@ -136,6 +139,16 @@
         }
     }
 
+    private recordWork({ proxy }: SoakUpstream, request: IncomingMessage, response: ServerResponse): void {
+        const { leaveChecker } = this.options.checker;
+        const number = String(request.headers["x-request-number"]);
+        leaveChecker.recordArrival(number, { entry: String(request.headers[entryHeader]), delayMs: proxy.fault.delayMs });
+        if (request.method === "GET") {
+            leaveChecker.addWork(number, 1);
+            response.once("close", () => leaveChecker.addWork(number, -1));
+        }
+    }
+
     private configuration(generation: number): string {
         const configured = this.upstreams.filter(({ isConfigured }) => isConfigured);
         return [
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -12,6 +12,7 @@
 import { FaultInjector } from "./fault-injector.js";
 import { generateFaults } from "./fault-schedule.js";
 import { LagMonitor } from "./lag-monitor.js";
+import { LeavingCallers } from "./leaving-callers.js";
 import { SoakCallers } from "./soak-callers.js";
 import { SoakChecker, type Violation } from "./soak-checker.js";
 import { SoakServers } from "./soak-servers.js";
@@ -32,6 +33,8 @@
     readonly violations: readonly Violation[];
     readonly requests: number;
     readonly served: number;
+    /** Requests whose callers left before they were answered. */
+    readonly left: number;
     readonly faults: number;
 }
 
@@ -67,16 +70,25 @@
     try {
         await Promise.all(processes.map(process => process.start()));
         const load = new SoakCallers({ random: new SeededRandom(seed + 1), entries: processes, checker, callers });
+        const { leaveChecker } = checker;
+        const leaving = new LeavingCallers({ random: new SeededRandom(seed + 2), entries: processes, checker: leaveChecker });
         const generationPolls = setInterval(() => void pollGenerations(processes, checker), generationPollMs);
         const plannedFaults = generateFaults(new SeededRandom(seed), seconds * 1000);
         await new FaultInjector(processes, servers).injectAll(plannedFaults);
+        leaving.stop();
         await wait(recoveryMs);
         await load.stop();
         clearInterval(generationPolls);
         const reads = await Promise.all(processes.map(process => load.sendReads(process, recoveryReads)));
         checker.recordRecovery(reads.flat());
         const violations = checker.finish(number => servers.runCountOf(number));
-        return { violations, requests: checker.ended, served: checker.served, faults: plannedFaults.length };
+        return {
+            violations,
+            requests: checker.ended,
+            served: checker.served,
+            left: leaveChecker.departures,
+            faults: plannedFaults.length,
+        };
     }
     finally {
         await Promise.all(processes.map(process => process.stop()));
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -60,7 +60,7 @@
     /** Number of simulated crashes. */
     crashes = 0;
     /** Called for each request that arrives, with what its response announces. */
-    onArrival: (request: IncomingMessage, announced: UpstreamAnnouncement) => void = () => undefined;
+    onArrival: (request: IncomingMessage, announced: UpstreamAnnouncement, response: ServerResponse) => void = () => undefined;
     /** Number of requests whose connection was closed before the response was sent. */
     cancelled = 0;
     private server: Server;
@@ -142,7 +142,7 @@
             isDraining: draining,
             limitPerSecond: hang ? undefined : limitPerSecond,
         };
-        this.onArrival(request, isAnnouncing ? announced : noAnnouncement);
+        this.onArrival(request, isAnnouncing ? announced : noAnnouncement, response);
         if (reset) {
             await body;
             request.socket.destroy();
--- a/packages/standin/test/soak.test.ts
+++ b/packages/standin/test/soak.test.ts
@@ -14,6 +14,7 @@
 test("three instances and four upstreams violate no guarantee under overlapping faults", async () => {
     const result = await runSoak({ seed, seconds, entries: 3, upstreams: 4, callers: 12, basePort: 23_000 });
     assert.deepEqual(result.violations, []);
+    assert.ok(result.left > 100, `${result.left} requests of callers that left`);
     assert.ok(result.served > result.requests / 2, `${result.served} of ${result.requests} served`);
 });
 
