--- a/packages/daemon/src/request/watch-departure.ts
+++ b/packages/daemon/src/request/watch-departure.ts
@@ -16,18 +16,21 @@
  */
 export const watchDeparture = (progress: RequestProgress, polls: PollMonitor): () => void => {
     const { response } = progress;
+    // A reset is reported to the response that is being sent before the connection.
+    let toldMs: number | undefined;
     const recordRead = (): void => {
         if (!response.isFinished) {
             const { stage, ageMs } = progress;
-            progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead: response.ahead, toldMs: undefined };
+            progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead: response.ahead, toldMs };
         }
     };
     const recordTold = (): void => {
+        toldMs = progress.ageMs;
         if (response.connection.hasLeft) {
             recordRead();
         }
         if (progress.departure !== undefined) {
-            progress.departure.toldMs = progress.ageMs;
+            progress.departure.toldMs = toldMs;
         }
     };
     const removeLeave = response.connection.onLeave(recordRead);
