Answer a request at its deadline although its body is not complete

A caller that sent a part of a small body and stopped was answered after 300 s, the limit for receiving, whatever the deadline of its request.

Now the deadline ends the wait; nothing has been sent, so the answer is 504 with outcome not-run, and the connection closes, since the rest of the body may still come.

--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -4,26 +4,34 @@
  * @packageDocumentation
  */
 
+import type { Clock } from "@harrierhitch/core";
 import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
 import { type BodyLimits, readBody } from "./read-body.js";
-import type { RequestBody } from "./request-body.js";
+import { hasBody, type RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 
 /**
- * Receives a request's body. The request is given up if it has passed too many hops or its body is too large.
+ * Receives a request's body. The request is given up if it has passed too many hops, or if its body is too large or not
+ * complete at the deadline.
  *
  * @param progress - The request.
  * @param limits - Limits of bodies.
+ * @param clock - The clock.
  * @returns The body; `undefined` if the request is finished.
  */
-export const receiveBody = async (progress: RequestProgress, limits: BodyLimits): Promise<RequestBody | undefined> => {
+export const receiveBody = async (
+    progress: RequestProgress,
+    limits: BodyLimits,
+    clock: Clock,
+): Promise<RequestBody | undefined> => {
     const { maximumDepth } = progress.record.configuration.fleet;
     if (progress.metadata.depth >= maximumDepth) {
         progress.giveUp({ kind: "too-deep", detail: `more than ${maximumDepth} hops`, outcome: "not-run" });
         return undefined;
     }
     try {
-        return await readBody(progress.request, limits);
+        const body = readBody(progress.request, limits);
+        return await (hasBody(progress.request) ? beforeDeadline(progress, clock, body) : body);
     }
     catch (thrown) {
         if (thrown instanceof BodyTooLargeError) {
@@ -39,6 +47,16 @@
     }
 };
 
+/** Gives up a request whose body is not complete at its deadline. */
+const beforeDeadline = (progress: RequestProgress, clock: Clock, body: Promise<RequestBody>): Promise<RequestBody | undefined> =>
+    new Promise((resolve, reject) => {
+        const timer = clock.after(progress.remainingMs, () => {
+            progress.giveUpAtDeadline();
+            resolve(undefined);
+        });
+        void body.then(resolve, reject).finally(() => timer.cancel());
+    });
+
 /**
  * Waits until a request that is not repeatable may be sent: all earlier requests on its connection must have responses.
  * If one of these closes the connection, the caller may assume that the request was not read and repeat it.
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -53,7 +53,7 @@
         const stopWatching = watchDeparture(progress, services.polls);
         services.explanations.begin(progress.record);
         this.runtime.retryBudget.deposit();
-        const body = await receiveBody(progress, services.bodyLimits);
+        const body = await receiveBody(progress, services.bodyLimits, services.clock);
         if (body !== undefined && await awaitPipelineOrder(progress)) {
             await this.serve(body);
         }
--- a/packages/standin/test/caller-faults.test.ts
+++ b/packages/standin/test/caller-faults.test.ts
@@ -216,3 +216,11 @@
     const response = await fetch(`${system.url}/upload`, { method: "PUT", body });
     assert.equal((await response.json() as { bodyBytes: number; }).bodyBytes, body.length);
 });
+
+test("a caller that does not complete its body is answered at the deadline", async () => {
+    const slow = await startSystem({ upstreams: [{}], kind: "timeoutMs = 200\n" });
+    const head = `POST /issue HTTP/1.1\r\n${host}content-length: 10\r\n\r\n`;
+    const received = await sendRaw(slow.callersPort, `${head}half`);
+    assert.match(received, /^HTTP\/1\.1 504 [^]*x-request-outcome: not-run/i);
+    await slow.stop();
+});
