Cancel a stream whose caller has left, whatever the kind of its request

A response that was being streamed to a caller for a request that may not be repeated went on after the caller had left, until the upstream ended it or the deadline passed: an upstream kept a slot for a stream that nobody read.

Cause: such a request runs to its end so that its outcome is known; but the head of its response has told the outcome.

Failed before: callers-that-left (the stream of POST /issue; with the condition taken out of the build it does not end).

--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -186,7 +186,7 @@
     private mayStream(response: ParsedResponse, task: AttemptTask, body: RequestBody): boolean {
         const isOtherStreaming = this.streaming !== undefined && this.streaming !== task;
         const willRetry = response.retryable && mayRetry(this.progress, body, response.outcome !== "not-run");
-        if (isOtherStreaming || willRetry || !response.forwardable) {
+        if (isOtherStreaming || willRetry || !response.forwardable || this.progress.response.callerDisconnected) {
             return false;
         }
         this.streaming = task;
@@ -237,10 +237,11 @@
         return true;
     }
 
-    /** Cancels the attempts when the caller has left; a non-repeatable request that has begun runs on to record its outcome. */
+    /** Cancels attempts when the caller has left; a non-repeatable one that has begun runs on until its outcome is known. */
     private cancelForCaller(): void {
-        const { repeatable } = this.progress.route.kind;
-        this.running.forEach(task => repeatable || !task.hasBegun ? task.cancel("cancelled") : undefined);
+        const mayCancel = (task: AttemptTask): boolean =>
+            this.progress.route.kind.repeatable || !task.hasBegun || task === this.streaming;
+        [...this.running].filter(mayCancel).forEach(task => task.cancel("cancelled"));
     }
 
     private readonly cancelAll = (end: "timed-out" | "cancelled") => this.running.forEach(task => task.cancel(end));
--- a/packages/standin/test/callers-that-left.test.ts
+++ b/packages/standin/test/callers-that-left.test.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, test } from "node:test";
 import { leave, leavings, openConnection } from "./leaving-caller.js";
+import { ScriptedUpstream } from "./scripted-upstream.js";
 import { stallDuringCalls } from "./stalled-daemon.js";
 import { startSystem, type System, waitUntil } from "./system.js";
 
@@ -154,6 +155,33 @@
     });
 });
 
+["GET /read/stream", "POST /issue"].forEach(start => {
+    test(`the stream of ${start} is cancelled when its caller leaves`, async () => {
+        let chunks = 0;
+        const stream = new ScriptedUpstream(socket => {
+            socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+            const timer = setInterval(() => {
+                chunks += 1;
+                socket.write("5\r\nchunk\r\n");
+            }, 5);
+            socket.on("close", () => clearInterval(timer));
+        });
+        system = await startSystem({ upstreams: [{}], kind });
+        system.platform.publish("configuration", system.document(2, [await stream.listen()]));
+        await waitUntil(() => system.daemon.instance.generation === 2);
+        const socket = open(`${start} HTTP/1.1\r\nhost: x\r\n\r\n`);
+        let received = "";
+        socket.on("data", data => {
+            received += data.toString("latin1");
+        });
+        await waitUntil(() => received.includes("chunk"));
+        leave(socket, "close");
+        assert.ok(chunks > 0);
+        await settle();
+        await stream.close();
+    });
+});
+
 describe("a caller is not taken for one that has left", () => {
     beforeEach(async () => {
         system = await startSystem({ upstreams: [{ meanServiceMs: 1, slots: 50, queue: 500 }], kind });
