Let less data of responses wait for its turn on a connection

A connection could hold 1 MiB of responses that wait for their turn before reading from it pauses, 64 times what Node itself lets wait; with 10,000 connections that is more than an instance has. Now 64 KiB. callers-that-left passes (300 pipelined requests read late; cancelled while responses wait).

--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -11,7 +11,7 @@
 const maximumOpenRequests = 64;
 
 /** Size of the responses waiting for their turn from which no more requests are read from a connection, in bytes. */
-const maximumWaitingBytes = 1_048_576;
+const maximumWaitingBytes = 65_536;
 
 /** Connections with requests, by socket. */
 const connections = new WeakMap<Socket, CallerConnection>();
