--- a/packages/daemon/test/leaving-callers.test.ts
+++ b/packages/daemon/test/leaving-callers.test.ts
@@ -42,3 +42,21 @@
         })
     );
 });
+
+test("a request whose caller leaves while the instance waits for its first configuration is not sent", async () => {
+    const fleet = new ModelFleet({
+        instances: 1,
+        upstreams: 2,
+        upstream: { slots: 2, queue: 9, workMs: 300 },
+        targetMs: 1200,
+        callerTimeoutMs,
+        startsUnconfigured: true,
+    });
+    const ended = Array.from({ length: 10 }, () => fleet.sendAndLeave(3, 100));
+    await fleet.clock.advance(110);
+    fleet.publish();
+    await fleet.clock.advance(callerTimeoutMs);
+    await Promise.all(ended);
+    assert.equal(fleet.departures.departures, 10);
+    assert.equal([...fleet.upstreams.values()].reduce((sum, { arrivals }) => sum + arrivals, 0), 0);
+});
--- a/packages/standin/test/callers-that-left.test.ts
+++ b/packages/standin/test/callers-that-left.test.ts
@@ -24,6 +24,9 @@
 const chunkedUpload = (body: string): string =>
     `PUT /upload HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
 
+/** A stall after which an instance refreshes its state before it serves, in milliseconds. */
+const refreshStallMs = 1500;
+
 /** A body beyond what is buffered for repeats. */
 const longBody = "b".repeat(300_000);
 
@@ -79,6 +82,18 @@
     });
 });
 
+test("requests that wait for peers after a long stall are not sent if their callers left meanwhile", async () => {
+    system = await startSystem({ upstreams: [{ meanServiceMs: 1 }], kind });
+    const calls = [read("a"), issue("b"), issue("long", longBody)].map(text =>
+        ({ text, leaving: "close", isTls: false }) as const
+    );
+    await stallDuringCalls(system.callersPort, calls, refreshStallMs);
+    const socket = open(read("after"));
+    await waitUntil(() => upstream().started > 0);
+    assert.deepEqual(await settle(), { arrived: 1, started: 1 });
+    socket.destroy();
+});
+
 describe("requests of a caller that leaves while upstreams work", () => {
     beforeEach(async () => {
         system = await startSystem({ upstreams: [{ hang: true }], kind });
--- a/packages/standin/test/stalled-daemon.ts
+++ b/packages/standin/test/stalled-daemon.ts
@@ -9,8 +9,8 @@
 /** Indexes and values of the flags that the threads share. */
 export const flags = { isDone: 0, count: 1 } as const;
 
-/** Shortest standstill, in milliseconds. */
-const stallMs = 400;
+/** Default of the shortest standstill, in milliseconds. */
+const defaultStallMs = 400;
 
 /**
  * Blocks the event loop of this thread until callers in another thread have connected, sent and left. Callers with TLS connect
@@ -18,8 +18,13 @@
  *
  * @param port - Port of the daemon, which runs in this thread.
  * @param calls - One for each connection.
+ * @param stallMs - Shortest standstill after the calls, in milliseconds.
  */
-export const stallDuringCalls = async (port: number, calls: readonly LeavingCall[]): Promise<void> => {
+export const stallDuringCalls = async (
+    port: number,
+    calls: readonly LeavingCall[],
+    stallMs = defaultStallMs,
+): Promise<void> => {
     const shared = new Int32Array(new SharedArrayBuffer(flags.count * Int32Array.BYTES_PER_ELEMENT));
     const file = fileURLToPath(new URL("stalled-daemon-callers.js", import.meta.url));
     const worker = new Worker(file, { workerData: { port, calls, shared } });
