Read once more before the first request on a connection is sent on

Cause: Node accepts one connection in each turn of the event loop, so a new one may have waited long, with its request and its end, while the loop counted as up to date: time for which a process that is ready waits for a processor counts as idle. Now the first request on a connection always waits until one more turn has read nothing new.

--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -21,6 +21,8 @@
     private openRequests = 0;
     private waitingBytes = 0;
     private isPaused = false;
+    /** Whether no request on the connection has had its response yet. */
+    private isNew = true;
     private readonly leaveListeners = new Set<() => void>();
     private left = false;
 
@@ -55,6 +57,7 @@
 
     /** Records that a request has its complete response. */
     finish(): void {
+        this.isNew = false;
         this.openRequests -= 1;
         this.updateReading();
     }
@@ -79,9 +82,13 @@
         }
     }
 
-    /** Calls back when what has arrived from the caller has been read; at once unless the event loop is behind. */
+    /**
+     * Calls back when what has arrived from the caller has been read; at once unless the event loop is behind or the connection
+     * is new. Node accepts one connection in each turn of the event loop, so a new one may have waited long, with its request
+     * and its end.
+     */
     whenRead(polls: PollMonitor, action: () => void): void {
-        if (polls.isBehind) {
+        if (this.isNew || polls.isBehind) {
             polls.afterDelivery(action, () => this.socket.bytesRead);
         }
         else {
