Show why reading from a caller's connection is paused, for how long, and which attempts were sent meanwhile

- Event 406: pausedMs since the request's arrival, and sentPaused, the reason for each attempt that was sent while nothing was read.
- A connection is created with its recorder instead of by a static map, so that tests give their own.

No logic changed: what stops and resumes reading is the same.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -17,11 +17,14 @@
 import { platformOptions } from "./platform/platform-options.js";
 import type { Platform, PlatformAdapter } from "./platform/platform.js";
 import { PollMonitor } from "./poll-monitor.js";
+import { CallerConnections } from "./request/caller-connections.js";
 import { CallersServer } from "./request/callers-server.js";
 import { StallDetector } from "./stall-detector.js";
 import { type EventLog, openLog } from "./telemetry/event-log.js";
 import { events } from "./telemetry/event.js";
+import { loadTracing } from "./telemetry/load-tracing.js";
 import { Metrics } from "./telemetry/metrics.js";
+import { ReadingTelemetry } from "./telemetry/reading-telemetry.js";
 import type { Tracing } from "./telemetry/tracing.js";
 import { HttpTransport } from "./upstream/http-transport.js";
 import type { UpstreamTransport } from "./upstream/upstream-transport.js";
@@ -42,6 +45,7 @@
     private readonly transport: UpstreamTransport;
     private readonly platform: PlatformLink;
     private readonly polls = new PollMonitor();
+    private readonly reading: ReadingTelemetry;
     private readonly stallDetector: StallDetector;
     private readonly callers: CallersServer;
     private readonly operators: OperatorsEndpoint;
@@ -62,6 +66,7 @@
         this.random = options.random ?? new SystemRandom();
         this.metrics = options.metrics ?? new Metrics();
         this.log = options.log ?? openLog(settings, this.clock, this.metrics);
+        this.reading = new ReadingTelemetry({ clock: this.clock, log: this.log, metrics: this.metrics });
         this.transport = options.transport ?? new HttpTransport();
         const adapter = options.adapter ?? defaultPlatform;
         this.instance = this.createInstance(adapter, options.policies ?? new Map());
@@ -91,7 +96,7 @@
         if (this.settings.operators.certificateFile === undefined) {
             this.log.write(events.operatorsWithoutTls, { address: this.settings.operators.address });
         }
-        await this.openTracing();
+        this.tracing = await loadTracing(this.settings, { clock: this.clock, metrics: this.metrics, log: this.log });
         this.stallDetector.start();
         void this.instance.contactPeers().then(() => this.log.write(events.serving));
         return ports;
@@ -186,6 +191,7 @@
     private createCallersServer(): CallersServer {
         return new CallersServer({
             settings: this.settings.callers,
+            connections: new CallerConnections(this.reading.pauses),
             handler: (request, response) => {
                 this.stallDetector.check();
                 return this.instance.serve(request, response);
@@ -200,6 +206,7 @@
             instance: this.instance,
             serviceOptions: () => this.serviceOptions(),
             onRefused: reason => this.onRefused(reason),
+            refreshGauges: () => this.reading.refresh(),
         });
     }
 
@@ -218,16 +225,6 @@
         });
     }
 
-    private async openTracing(): Promise<void> {
-        if (this.settings.traces.otlpUrl !== undefined) {
-            const { openTracing } = await import("./telemetry/tracing.js");
-            this.tracing = openTracing(this.settings, this.clock, spans => {
-                this.metrics.spansDropped.inc(spans);
-                this.log.write(events.spansDropped, { spans });
-            });
-        }
-    }
-
     private serviceOptions(): OperatorServiceOptions {
         return {
             instance: this.instance,
--- a/packages/daemon/src/operators/operators-endpoint.ts
+++ b/packages/daemon/src/operators/operators-endpoint.ts
@@ -13,6 +13,8 @@
 /** Options of {@link OperatorsEndpoint}. */
 export interface OperatorsEndpointOptions extends RpcEndpointOptions {
     readonly settings: Settings;
+    /** Updates the gauges that are not read from the instance. */
+    readonly refreshGauges: () => void;
 }
 
 /** Serves operators' RPC calls, metrics and readiness. */
@@ -59,6 +61,7 @@
     private refreshGauges(): void {
         const { metrics, instance, serviceOptions } = this.options;
         const { fleet, explanations, directory } = instance;
+        this.options.refreshGauges();
         metrics.inFlight.set(serviceOptions().requestsInFlight());
         metrics.records.set(explanations.entries);
         metrics.recordBytes.set(explanations.bytes);
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -78,6 +78,7 @@
             spanId: newSpanId(),
             startedMs: this.startedAtMs - progress.arrivedAtMs,
             sentMs: undefined,
+            pausedFor: undefined,
             endedMs: undefined,
             result: undefined,
             outcome: undefined,
@@ -241,6 +242,7 @@
             !progress.response.callerDisconnected && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
+            this.record.pausedFor = connection.pausedFor;
             progress.stage = "running";
         };
         return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, whenCallerRead, onBegin };
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -7,7 +7,7 @@
 import type { RequestId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { BufferedResponse } from "./buffered-response.js";
-import { CallerConnection } from "./caller-connection.js";
+import type { CallerConnection } from "./caller-connection.js";
 import { responseHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
@@ -18,7 +18,6 @@
 
 /** Sends an upstream's response or a problem; an incomplete response is aborted so that the caller can detect it. */
 export class CallerResponse {
-    readonly connection: CallerConnection;
     /** Number of requests on the connection that had no complete response when this one arrived. */
     readonly ahead: number;
     private readonly disconnectListeners = new Set<() => void>();
@@ -31,9 +30,13 @@
     /**
      * @param request - The caller's request.
      * @param response - The response to write.
+     * @param connection - The caller's connection.
      */
-    constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse) {
-        this.connection = CallerConnection.of(request.socket);
+    constructor(
+        private readonly request: IncomingMessage,
+        private readonly response: ServerResponse,
+        readonly connection: CallerConnection,
+    ) {
         this.ahead = this.connection.begin();
         // Node reports the end of a connection only to the response that is being sent, not to those that wait for their turn.
         const removeListener = this.connection.onLeave(() => this.disconnect());
--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -10,6 +10,7 @@
 import { createServer as createTlsServer } from "node:https";
 import type { Duplex } from "node:stream";
 import { listenOn } from "../listen.js";
+import type { CallerConnections } from "./caller-connections.js";
 import { CallerResponse } from "./caller-response.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { hasBody } from "./request-body.js";
@@ -21,6 +22,7 @@
 export interface CallersServerOptions {
     readonly settings: Settings["callers"];
     readonly handler: RequestHandler;
+    readonly connections: CallerConnections;
 }
 
 /** Interval at which the server checks connections for timeouts. */
@@ -43,7 +45,7 @@
         this.server.on("checkContinue", (request, response) => this.handleContinue(request, response));
         this.server.on("checkExpectation", (request, response) => {
             const detail = `cannot meet ${request.headers.expect}`;
-            new CallerResponse(request, response).sendProblem(
+            this.toResponse(request, response).sendProblem(
                 { kind: "expectation-failed", detail, outcome: "not-run" },
                 undefined,
             );
@@ -111,7 +113,7 @@
         if (this.stopping) {
             nodeResponse.setHeader("connection", "close");
         }
-        const response = new CallerResponse(request, nodeResponse);
+        const response = this.toResponse(request, nodeResponse);
         const problem = findRequestProblem(request);
         if (problem !== undefined) {
             response.sendProblem(problem, undefined);
@@ -124,6 +126,10 @@
         this.tasks.add(task);
         this.hasServedAny = true;
     }
+
+    private toResponse(request: IncomingMessage, response: ServerResponse): CallerResponse {
+        return new CallerResponse(request, response, this.options.connections.of(request.socket));
+    }
 }
 
 const createHttpServer = (settings: Settings["callers"]): Server => {
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -9,6 +9,7 @@
 import type { AttemptResult, Decision, DecisionInput } from "@harrierhitch/decision";
 import type { PortState } from "../upstream/check-port.js";
 import type { ProblemKind } from "./problem.js";
+import type { PauseReason } from "./reading-pauses.js";
 
 /** A decision with its input. */
 export interface DecisionStep {
@@ -29,6 +30,8 @@
     readonly startedMs: number;
     /** Time at which the first byte was sent; `undefined` before. */
     sentMs: number | undefined;
+    /** Why nothing was read from the caller's connection when the first byte was sent; `undefined` if it was read. */
+    pausedFor: PauseReason | undefined;
     endedMs: number | undefined;
     result: AttemptResult | undefined;
     outcome: Outcome | undefined;
--- a/packages/daemon/src/request/departure.ts
+++ b/packages/daemon/src/request/departure.ts
@@ -14,6 +14,8 @@
     readonly readMs: number;
     /** How long before {@link readMs} the close may have arrived, in milliseconds. */
     readonly unseenMs: number;
+    /** Time for which nothing was read from the connection between the request's arrival and {@link readMs}, in milliseconds. */
+    readonly pausedMs: number;
     /** Number of requests on the connection that had no complete response when this one arrived. */
     readonly ahead: number;
     /** Time at which the request was told; `undefined` if it never was. */
--- a/packages/daemon/src/request/read-body.ts
+++ b/packages/daemon/src/request/read-body.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
+import type { CallerConnection } from "./caller-connection.js";
 import type { ReadAheadBudget } from "./read-ahead-budget.js";
 import { hasBody, type RequestBody } from "./request-body.js";
 import { StreamedBody } from "./streamed-body.js";
@@ -24,10 +25,15 @@
  * Reads a request's body, or prepares to stream it.
  *
  * @param request - The request.
+ * @param connection - The caller's connection.
  * @param limits - Limits of bodies.
  * @throws {@link BodyTooLargeError} or {@link BodyCutShortError}, before anything was sent to an upstream.
  */
-export const readBody = async (request: IncomingMessage, limits: BodyLimits): Promise<RequestBody> => {
+export const readBody = async (
+    request: IncomingMessage,
+    connection: CallerConnection,
+    limits: BodyLimits,
+): Promise<RequestBody> => {
     if (!hasBody(request)) {
         return emptyBody;
     }
@@ -39,7 +45,7 @@
         const buffered = await readBuffered(request);
         return { canReplay: true, buffered, open: () => buffered };
     }
-    return new StreamedBody({ request, maximumBytes: limits.maximumBytes, budget: limits.readAhead });
+    return new StreamedBody({ request, connection, maximumBytes: limits.maximumBytes, budget: limits.readAhead });
 };
 
 const readBuffered = (request: IncomingMessage): Promise<Buffer> =>
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -30,7 +30,7 @@
         return undefined;
     }
     try {
-        const body = readBody(progress.request, limits);
+        const body = readBody(progress.request, progress.response.connection, limits);
         return await (hasBody(progress.request) ? beforeDeadline(progress, clock, body) : body);
     }
     catch (thrown) {
--- a/packages/daemon/src/request/streamed-body.ts
+++ b/packages/daemon/src/request/streamed-body.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
 import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
+import type { CallerConnection } from "./caller-connection.js";
 import type { ReadAheadBudget } from "./read-ahead-budget.js";
 import type { RequestBody } from "./request-body.js";
 
@@ -15,6 +16,7 @@
     readonly request: IncomingMessage;
     readonly maximumBytes: number;
     readonly budget: ReadAheadBudget;
+    readonly connection: CallerConnection;
 }
 
 /** A body that is read ahead as far as the memory budget allows, and streamed. */
@@ -25,7 +27,7 @@
 
     /** @param options - The request and its limits. */
     constructor(private readonly options: StreamedBodyOptions) {
-        this.received = new ReceivedBody(options.request, options.budget);
+        this.received = new ReceivedBody(options);
     }
 
     get canReplay(): boolean {
@@ -44,18 +46,30 @@
  * before it has been read. It never destroys the request, so that a response can still be sent.
  */
 class ReceivedBody extends Readable {
-    constructor(private readonly request: IncomingMessage, budget: ReadAheadBudget) {
+    private readonly request: IncomingMessage;
+    private readonly connection: CallerConnection;
+
+    constructor({ request, connection, budget }: StreamedBodyOptions) {
         const reservedBytes = budget.reserve();
         super({ highWaterMark: reservedBytes });
-        request.on("data", (chunk: Buffer) => this.push(chunk) ? undefined : request.pause());
+        this.request = request;
+        this.connection = connection;
+        request.on("data", (chunk: Buffer) => this.push(chunk) ? undefined : this.pauseRequest());
+        request.once("end", () => connection.recordResumed("body"));
         request.once("end", () => this.push(null));
         request.once("close", () => request.complete ? undefined : this.destroy());
         this.once("close", () => budget.release(reservedBytes));
     }
 
     override _read(): void {
+        this.connection.recordResumed("body");
         this.request.resume();
     }
+
+    private pauseRequest(): void {
+        this.connection.recordPaused("body");
+        this.request.pause();
+    }
 }
 
 /** Forwards a received body to one attempt. */
--- a/packages/daemon/src/request/watch-departure.ts
+++ b/packages/daemon/src/request/watch-departure.ts
@@ -18,10 +18,12 @@
     const { response } = progress;
     // A reset is reported to the response that is being sent before the connection.
     let toldMs: number | undefined;
+    const pausedBeforeMs = response.connection.pausedMs;
     const recordRead = (): void => {
         if (!response.isFinished) {
             const { stage, ageMs } = progress;
-            progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, ahead: response.ahead, toldMs };
+            const pausedMs = response.connection.pausedMs - pausedBeforeMs;
+            progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, pausedMs, ahead: response.ahead, toldMs };
         }
     };
     const recordTold = (): void => {
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -70,6 +70,7 @@
     requestServed: { number: 404, level: "debug", message: "request was completed" },
     requestUnrouted: { number: 405, level: "info", message: "no route matches the request" },
     callerLeft: { number: 406, level: "info", message: "caller disconnected before its response was complete" },
+    readingPaused: { number: 407, level: "info", message: "reading from a caller's connection was paused for long" },
     settingsReloaded: { number: 114, level: "info", message: "settings were reloaded" },
     settingsInvalid: {
         number: 115,
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -49,6 +49,27 @@
         registers: [this.registry],
     });
 
+    /** Pauses of reading from callers' connections, by reason. */
+    readonly readingPauses = this.counter(
+        "harrierhitch_caller_reading_pauses_total",
+        "Times that reading from a caller's connection was paused, so that its close could not be noticed",
+        ["reason"],
+    );
+
+    /** Callers' connections from which nothing is read, by reason. */
+    readonly pausedConnections = this.gauge(
+        "harrierhitch_caller_connections_paused",
+        "Callers' connections from which nothing is read now",
+        ["reason"],
+    );
+
+    /** Age of the oldest pause of a caller's connection, by reason. */
+    readonly oldestPause = this.gauge(
+        "harrierhitch_caller_connection_pause_oldest_seconds",
+        "Age of the oldest pause of reading from a caller's connection",
+        ["reason"],
+    );
+
     /** Decisions, by service and action. */
     readonly decisions = this.counter("harrierhitch_decisions_total", "Decisions taken", ["service", "action"]);
 
@@ -168,7 +189,7 @@
         return new Counter({ name, help, labelNames, registers: [this.registry] });
     }
 
-    private gauge(name: string, help: string): Gauge {
-        return new Gauge({ name, help, registers: [this.registry] });
+    private gauge(name: string, help: string, labelNames: readonly string[] = []): Gauge {
+        return new Gauge({ name, help, labelNames, registers: [this.registry] });
     }
 }
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -90,7 +90,7 @@
     }
 
     /** Counts and logs a request whose caller left, with what was sent or cancelled because of it. */
-    callerLeft(record: DecisionRecord, { stage, readMs, unseenMs, ahead, toldMs }: Departure): void {
+    callerLeft(record: DecisionRecord, { stage, readMs, unseenMs, pausedMs, ahead, toldMs }: Departure): void {
         const { attempts, durationMs = 0 } = record;
         this.metrics.callersLeft.inc({ state: stage });
         this.metrics.callerLeftDelay.observe(((toldMs ?? durationMs) - readMs + unseenMs) / 1000);
@@ -101,9 +101,11 @@
             state: stage,
             readMs: round(readMs),
             unseenMs: round(unseenMs),
+            pausedMs: round(pausedMs),
             ahead,
             toldMs: round(toldMs),
             sentMs: attempts.map(({ sentMs }) => round(sentMs)),
+            sentPaused: attempts.flatMap(({ pausedFor }) => pausedFor ?? []),
             sentAfter: attempts.filter(({ sentMs }) => sentMs !== undefined && sentMs > readMs).length,
             ends: attempts.map(({ result }) => result?.end),
             outcome: record.outcome,
--- a/packages/daemon/test/caller-response.test.ts
+++ b/packages/daemon/test/caller-response.test.ts
@@ -2,17 +2,23 @@
  * Guards against pipelined responses out of order, and against waiting for a connection that is closed.
  */
 
+import { FakeClock } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { test } from "node:test";
+import { CallerConnection } from "../src/request/caller-connection.js";
 import { CallerResponse } from "../src/request/caller-response.js";
+import { ReadingPauses } from "../src/request/reading-pauses.js";
 
 /** Creates a response that waits behind others on its connection and has no socket yet. */
 const start = () => {
     const socket = Object.assign(new EventEmitter(), { destroyed: false });
     const response = Object.assign(new EventEmitter(), { socket: null, writableFinished: false });
-    const callerResponse = new CallerResponse({ socket } as unknown as IncomingMessage, response as unknown as ServerResponse);
+    const connection = new CallerConnection(socket as unknown as Socket, new ReadingPauses({ clock: new FakeClock() }));
+    const request = { socket } as unknown as IncomingMessage;
+    const callerResponse = new CallerResponse(request, response as unknown as ServerResponse, connection);
     return { socket, response, callerResponse };
 };
 
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -4,10 +4,12 @@
 
 import { checkConfiguration, checkSettings } from "@harrierhitch/configuration";
 import { FakeClock, SeededRandom, sleep, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Instance } from "../../src/instance.js";
 import { PollMonitor } from "../../src/poll-monitor.js";
+import { CallerConnections } from "../../src/request/caller-connections.js";
 import { CallerResponse } from "../../src/request/caller-response.js";
+import { ReadingPauses } from "../../src/request/reading-pauses.js";
 import { EventLog } from "../../src/telemetry/event-log.js";
 import { Metrics } from "../../src/telemetry/metrics.js";
 import { DepartureChecker } from "./departure-checker.js";
@@ -68,6 +70,7 @@
     callersStarted = 0;
     readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
     /** Checks what upstreams do for callers that have left. */
+    private readonly connections = new CallerConnections(new ReadingPauses({ clock: this.clock }));
     readonly departures = new DepartureChecker(this.clock);
     /** The membership of the instances. */
     readonly peers: ModelPeers;
@@ -159,7 +162,7 @@
         const instance = this.selectInstance();
         const request = modelRequest({ callerTimeoutMs });
         const response = new ModelResponse();
-        await instance?.serve(request, new CallerResponse(request, response as unknown as ServerResponse));
+        await instance?.serve(request, this.toResponse(request, response));
         return { status: response.status, retryAfterMs: Number(response.headers["retry-after"] ?? 0) * 1000 };
     }
 
@@ -175,10 +178,14 @@
         await Promise.all(Array.from({ length: requests }, async () => {
             const method = this.random.next() < nonRepeatableShare ? "POST" : "GET";
             const request = modelRequest({ callerTimeoutMs, caller, socket, method });
-            await instance?.serve(request, new CallerResponse(request, new ModelResponse() as unknown as ServerResponse));
+            await instance?.serve(request, this.toResponse(request, new ModelResponse()));
         }));
     }
 
+    private toResponse(request: IncomingMessage, response: ModelResponse): CallerResponse {
+        return new CallerResponse(request, response as unknown as ServerResponse, this.connections.of(request.socket));
+    }
+
     private selectInstance(): Instance | undefined {
         const running = [...this.instances.values()];
         return running[Math.floor(this.random.next() ** (this.options.skew ?? 1) * running.length)];
