Charge callers for the bytes that wait, and read bodies from the moment their request arrives

Cause: reading from a connection was stopped much earlier than memory asked for, and then nothing tells of the caller. Each long body reserved 1 MiB on arrival, however small it was, so that the 17th got 16 KiB; no body at all was read while its request waited for the start-up gate or for peers after a stall; 64 open requests and 64 KiB of waiting responses stopped their connection too.

Bodies are read from their arrival on (received-body), and dropped as soon as their request is over. Requests beyond 64 on a connection wait in order, read, instead of pausing it.

Found on the way: request.pause() did not stop Node from reading.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -191,7 +191,7 @@
     private createCallersServer(): CallersServer {
         return new CallersServer({
             settings: this.settings.callers,
-            connections: new CallerConnections(this.reading.pauses),
+            connections: new CallerConnections(this.reading.pauses, this.polls),
             handler: (request, response) => {
                 this.stallDetector.check();
                 return this.instance.serve(request, response);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -153,7 +153,7 @@
     async serve(request: IncomingMessage, response: CallerResponse): Promise<void> {
         try {
             const arrivedAtMs = this.parts.clock.nowMs();
-            await this.stallRecovery.done;
+            await Promise.all([response.awaitTurn(), this.stallRecovery.done]);
             if (this.configuration === undefined) {
                 await this.startupGate.wait();
             }
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -8,13 +8,12 @@
 import { type AttemptEnd, type AttemptResult, type InFlightRequest, outcomeOf, type UpstreamEntry } from "@harrierhitch/decision";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import type { IncomingHttpHeaders } from "node:http";
-import { newSpanId } from "../telemetry/trace-context.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { applyResponse } from "./apply-response.js";
 import { type BufferedResponse, ResponseBuffer } from "./buffered-response.js";
 import type { ObservedCrash } from "./crash-detector.js";
-import type { AttemptRecord } from "./decision-record.js";
+import { type AttemptRecord, newAttemptRecord } from "./decision-record.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
 import type { RequestBody } from "./request-body.js";
@@ -73,16 +72,7 @@
         const { runtime, services, progress, upstream } = options;
         this.startedAtMs = services.clock.nowMs();
         this.inFlightRequest = runtime.tracker.startRequest(upstream.id);
-        this.record = {
-            upstream: upstream.id,
-            spanId: newSpanId(),
-            startedMs: this.startedAtMs - progress.arrivedAtMs,
-            sentMs: undefined,
-            pausedFor: undefined,
-            endedMs: undefined,
-            result: undefined,
-            outcome: undefined,
-        };
+        this.record = newAttemptRecord(upstream.id, this.startedAtMs - progress.arrivedAtMs);
         progress.record.attempts.push(this.record);
         progress.stage = progress.stage === "running" ? "running" : "connecting";
         this.attempt = services.transport.send(upstream, this.buildRequest(), this);
@@ -237,14 +227,19 @@
         const { services, runtime, progress, body, upstream } = this.options;
         const { spanId } = this.record;
         const { connection } = progress.response;
-        const whenCallerRead = (action: () => void): void => connection.whenRead(services.polls, action);
         const mayBegin = (): boolean =>
-            !progress.response.callerDisconnected && runtime.tracker.maySend(upstream, this.inFlightRequest);
+            !progress.response.callerDisconnected
+            && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
-            this.record.pausedFor = connection.pausedFor;
+            this.record.pausedFor = connection.pauses.reason;
             progress.stage = "running";
         };
-        return { ...buildUpstreamRequest({ services, progress, body, upstream, spanId }), mayBegin, whenCallerRead, onBegin };
+        return {
+            ...buildUpstreamRequest({ services, progress, body, upstream, spanId }),
+            mayBegin,
+            whenCallerRead: connection.whenRead.bind(connection),
+            onBegin,
+        };
     }
 }
--- a/packages/daemon/src/request/caller-connections.ts
+++ b/packages/daemon/src/request/caller-connections.ts
@@ -5,19 +5,27 @@
  */
 
 import type { Socket } from "node:net";
+import type { PollMonitor } from "../poll-monitor.js";
 import { CallerConnection } from "./caller-connection.js";
+import { CallerMemory } from "./caller-memory.js";
 import type { ReadingPauses } from "./reading-pauses.js";
 
 /** All connections with requests. */
 export class CallerConnections {
     private readonly connections = new WeakMap<Socket, CallerConnection>();
 
-    /** @param readingPauses - Where pauses of connections are recorded. */
-    constructor(private readonly readingPauses: ReadingPauses) {}
+    private readonly memory = new CallerMemory();
+
+    /**
+     * @param pauses - Where pauses of connections are recorded.
+     * @param polls - Tells when what has arrived has been read.
+     */
+    constructor(private readonly pauses: ReadingPauses, private readonly polls: PollMonitor) {}
 
     /** Returns the connection of a socket. */
     of(socket: Socket): CallerConnection {
-        const connection = this.connections.get(socket) ?? new CallerConnection(socket, this.readingPauses);
+        const { memory, pauses, polls } = this;
+        const connection = this.connections.get(socket) ?? new CallerConnection({ socket, memory, pauses, polls });
         this.connections.set(socket, connection);
         return connection;
     }
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -10,7 +10,9 @@
 import type { CallerConnection } from "./caller-connection.js";
 import { responseHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
+import { ReceivedBody } from "./received-body.js";
 import { hasBody } from "./request-body.js";
+import { WaitingWrites } from "./waiting-writes.js";
 
 /** Statuses of responses without a body. */
 const noContentStatus = 204;
@@ -24,8 +26,9 @@
     private disconnected = false;
     private finished = false;
     private hasHead = false;
-    /** Writes that wait for the responses to earlier requests on the connection. */
-    private readonly waitingWrites: (() => void)[] = [];
+    private readonly writes: WaitingWrites;
+    /** The body of the request as it arrives; `undefined` if it has none. */
+    readonly received: ReceivedBody | undefined;
 
     /**
      * @param request - The caller's request.
@@ -38,11 +41,14 @@
         readonly connection: CallerConnection,
     ) {
         this.ahead = this.connection.begin();
+        this.writes = new WaitingWrites(response, connection);
+        this.received = hasBody(request) ? new ReceivedBody(request, connection) : undefined;
         // Node reports the end of a connection only to the response that is being sent, not to those that wait for their turn.
         const removeListener = this.connection.onLeave(() => this.disconnect());
         response.once("close", () => {
             removeListener();
             this.connection.finish();
+            this.received?.discard();
             this.disconnect();
         });
     }
@@ -71,13 +77,18 @@
         return () => this.disconnectListeners.delete(listener);
     }
 
+    /** Waits while too many earlier requests on the connection have no response; `undefined` if there are not too many. */
+    awaitTurn(): Promise<void> | undefined {
+        return this.connection.awaitTurn(this.ahead);
+    }
+
     /**
      * Waits until all earlier requests on the connection have their responses.
      *
      * @returns Whether they have; otherwise the connection was closed, and the caller may assume that the request was not read.
      */
     awaitPipelineOrder(): Promise<boolean> {
-        if (this.disconnected || this.isInTurn) {
+        if (this.disconnected || this.writes.isInTurn) {
             return Promise.resolve(!this.disconnected);
         }
         return new Promise(resolve => {
@@ -108,7 +119,7 @@
             return;
         }
         this.hasHead = true;
-        this.writeInTurn(0, () => {
+        this.writes.write(0, () => {
             const forwardedHeaders = responseHeaders(headers, extraHeaders);
             if (this.mustClose) {
                 forwardedHeaders["connection"] = "close";
@@ -128,8 +139,8 @@
         if (this.disconnected) {
             return true;
         }
-        if (!this.isInTurn) {
-            this.writeInTurn(chunk.length, () => this.response.write(chunk) ? onDrain() : this.response.once("drain", onDrain));
+        if (!this.writes.isInTurn) {
+            this.writes.write(chunk.length, () => this.response.write(chunk) ? onDrain() : this.response.once("drain", onDrain));
             return false;
         }
         if (this.response.write(chunk)) {
@@ -142,7 +153,7 @@
     /** Ends a complete response. */
     end(): void {
         this.finished = true;
-        this.writeInTurn(0, () => this.response.end());
+        this.writes.write(0, () => this.response.end());
     }
 
     /**
@@ -155,7 +166,7 @@
         }
         this.hasHead = true;
         this.finished = true;
-        this.writeInTurn(buffered.body.length, () => this.writeBuffered(buffered, extraHeaders));
+        this.writes.write(buffered.body.length, () => this.writeBuffered(buffered, extraHeaders));
     }
 
     private writeBuffered({ status, headers, body, isFramed }: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
@@ -177,7 +188,7 @@
 
     /** Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end. */
     abort(): void {
-        this.writeInTurn(0, () => this.abortInTurn());
+        this.writes.write(0, () => this.abortInTurn());
     }
 
     private abortInTurn(): void {
@@ -209,7 +220,8 @@
         const body = Buffer.from(JSON.stringify(problemBody(problem, id)));
         this.hasHead = true;
         this.finished = true;
-        this.writeInTurn(body.length, () => {
+        this.received?.discard();
+        this.writes.write(body.length, () => {
             const closing = this.mustClose ? { connection: "close" } : {};
             this.response.writeHead(status, { ...problemHeaders(problem, body.length), ...extraHeaders, ...closing });
             this.response.end(body);
@@ -217,30 +229,6 @@
         return status;
     }
 
-    /** Whether the responses to all earlier requests on the connection are complete, so that Node has assigned the socket. */
-    private get isInTurn(): boolean {
-        return this.response.socket !== null;
-    }
-
-    /**
-     * Writes now or in turn. Node would buffer the data of a response that is not in turn, and would pause reading from the
-     * connection because of it, so that its end could not be noticed.
-     */
-    private writeInTurn(bytes: number, write: () => void): void {
-        if (this.isInTurn || this.response.destroyed) {
-            write();
-            return;
-        }
-        if (this.waitingWrites.length === 0) {
-            this.response.once("socket", () => this.waitingWrites.splice(0).forEach(waiting => waiting()));
-        }
-        this.connection.addWaiting(bytes);
-        this.waitingWrites.push(() => {
-            this.connection.addWaiting(-bytes);
-            write();
-        });
-    }
-
     /** Whether the connection must be closed because the request body was not read completely. */
     private get mustClose(): boolean {
         return hasBody(this.request) && !this.request.complete;
--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -122,7 +122,10 @@
         if (!hasBody(request)) {
             request.resume();
         }
-        const task = this.options.handler(request, response).finally(() => this.tasks.delete(task));
+        const task = this.options.handler(request, response).finally(() => {
+            response.received?.discard();
+            this.tasks.delete(task);
+        });
         this.tasks.add(task);
         this.hasServedAny = true;
     }
--- /dev/null
+++ b/packages/daemon/src/request/connection-pauses.ts
@@ -0,0 +1,44 @@
+/**
+ * The pauses of reading from one caller's connection.
+ *
+ * @packageDocumentation
+ */
+
+import type { PauseReason, ReadingPause, ReadingPauses } from "./reading-pauses.js";
+
+/** Records since when and why nothing is read from a connection. */
+export class ConnectionPauses {
+    private readonly open = new Map<PauseReason, ReadingPause>();
+    private endedMs = 0;
+
+    /** @param all - The pauses of all connections. */
+    constructor(private readonly all: ReadingPauses) {}
+
+    /** Why nothing is read at the moment; `undefined` while the connection is read. */
+    get reason(): PauseReason | undefined {
+        return this.open.keys().next().value;
+    }
+
+    /** Total time for which nothing was read, in milliseconds. */
+    get totalMs(): number {
+        const [pause] = this.open.values();
+        return this.endedMs + (pause === undefined ? 0 : this.all.ageMs(pause));
+    }
+
+    begin(reason: PauseReason): void {
+        if (!this.open.has(reason)) {
+            this.open.set(reason, this.all.begin(reason));
+        }
+    }
+
+    /** Ends the pauses with certain reasons. */
+    end(reasons: readonly PauseReason[]): void {
+        reasons.forEach(reason => {
+            const pause = this.open.get(reason);
+            if (pause !== undefined) {
+                this.open.delete(reason);
+                this.endedMs += this.all.end(pause);
+            }
+        });
+    }
+}
--- a/packages/daemon/src/request/create-request-services.ts
+++ b/packages/daemon/src/request/create-request-services.ts
@@ -12,7 +12,6 @@
 import type { ProbeBudget } from "../upstream/probe-budget.js";
 import { Prober } from "../upstream/prober.js";
 import type { CrashDetector } from "./crash-detector.js";
-import { ReadAheadBudget } from "./read-ahead-budget.js";
 import { RequestIds } from "./request-id.js";
 import type { RequestServices } from "./request-services.js";
 import type { ReceivedNotice } from "./response-notice.js";
@@ -53,7 +52,6 @@
         bodyLimits: {
             maximumBytes: callers.maximumBodyBytes,
             replayBytes: limits.replayBodyBytes,
-            readAhead: new ReadAheadBudget(),
         },
         responseBufferBytes: limits.answerBufferBytes,
         log,
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -7,6 +7,7 @@
 import type { Configuration, Route } from "@harrierhitch/configuration";
 import type { Outcome, RequestId, RequestKey, UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult, Decision, DecisionInput } from "@harrierhitch/decision";
+import { newSpanId } from "../telemetry/trace-context.js";
 import type { PortState } from "../upstream/check-port.js";
 import type { ProblemKind } from "./problem.js";
 import type { PauseReason } from "./reading-pauses.js";
@@ -39,6 +40,18 @@
     connectionLoss?: { readonly key: RequestKey; readonly port: PortState; };
 }
 
+/** The record of an attempt that has just started, `startedMs` milliseconds after its request arrived. */
+export const newAttemptRecord = (upstream: UpstreamId, startedMs: number): AttemptRecord => ({
+    upstream,
+    spanId: newSpanId(),
+    startedMs,
+    sentMs: undefined,
+    pausedFor: undefined,
+    endedMs: undefined,
+    result: undefined,
+    outcome: undefined,
+});
+
 /** The record of a request, filled in while it is served. */
 export interface DecisionRecord {
     readonly id: RequestId;
--- a/packages/daemon/src/request/read-body.ts
+++ b/packages/daemon/src/request/read-body.ts
@@ -6,35 +6,32 @@
 
 import type { IncomingMessage } from "node:http";
 import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
-import type { CallerConnection } from "./caller-connection.js";
-import type { ReadAheadBudget } from "./read-ahead-budget.js";
-import { hasBody, type RequestBody } from "./request-body.js";
+import type { ReceivedBody } from "./received-body.js";
+import type { RequestBody } from "./request-body.js";
 import { StreamedBody } from "./streamed-body.js";
 
 export interface BodyLimits {
     readonly maximumBytes: number;
     /** Maximum size of a body that is buffered so that it can be sent again. */
     readonly replayBytes: number;
-    /** Memory for longer bodies that are read before they are sent. */
-    readonly readAhead: ReadAheadBudget;
 }
 
 const emptyBody: RequestBody = { canReplay: true, buffered: undefined, open: () => undefined };
 
 /**
- * Reads a request's body, or prepares to stream it.
+ * Waits for a request's body if it is small, or prepares to stream it.
  *
  * @param request - The request.
- * @param connection - The caller's connection.
+ * @param received - Its body; `undefined` if it has none.
  * @param limits - Limits of bodies.
  * @throws {@link BodyTooLargeError} or {@link BodyCutShortError}, before anything was sent to an upstream.
  */
 export const readBody = async (
     request: IncomingMessage,
-    connection: CallerConnection,
+    received: ReceivedBody | undefined,
     limits: BodyLimits,
 ): Promise<RequestBody> => {
-    if (!hasBody(request)) {
+    if (received === undefined) {
         return emptyBody;
     }
     const length = request.headers["content-length"];
@@ -42,16 +39,22 @@
         throw new BodyTooLargeError(limits.maximumBytes);
     }
     if (length !== undefined && Number(length) <= limits.replayBytes) {
-        const buffered = await readBuffered(request);
+        const buffered = await readBuffered(received);
         return { canReplay: true, buffered, open: () => buffered };
     }
-    return new StreamedBody({ request, connection, maximumBytes: limits.maximumBytes, budget: limits.readAhead });
+    return new StreamedBody(received, limits.maximumBytes);
 };
 
-const readBuffered = (request: IncomingMessage): Promise<Buffer> =>
+const readBuffered = (received: ReceivedBody): Promise<Buffer> =>
     new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        request.on("data", (chunk: Buffer) => chunks.push(chunk));
-        request.once("end", () => resolve(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)));
-        request.once("close", () => reject(new BodyCutShortError()));
+        const check = (): void => {
+            if (received.isComplete) {
+                resolve(received.takeAll());
+            }
+            else if (received.isCutShort || received.isDiscarded) {
+                reject(new BodyCutShortError());
+            }
+        };
+        received.onChange(check);
+        check();
     });
--- a/packages/daemon/src/request/reading-pauses.ts
+++ b/packages/daemon/src/request/reading-pauses.ts
@@ -9,9 +9,14 @@
 /**
  * Why nothing is read from a caller's connection; its close cannot be noticed then.
  *
- * - `body`: too much of a body waits to be sent on.
- * - `open-requests`: too many requests of the connection have no complete response.
- * - `waiting-responses`: too much data of responses waits for its turn on the connection.
+ * While too much data of the connection waits in memory, the reason is what most of it is:
+ *
+ * - `body`: bodies that wait to be sent on.
+ * - `open-requests`: requests without a complete response.
+ * - `waiting-responses`: responses that wait for their turn on the connection.
+ *
+ * Otherwise:
+ *
  * - `unread-responses`: the caller does not read its responses.
  */
 export type PauseReason = "body" | "open-requests" | "waiting-responses" | "unread-responses";
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -30,7 +30,7 @@
         return undefined;
     }
     try {
-        const body = readBody(progress.request, progress.response.connection, limits);
+        const body = readBody(progress.request, progress.response.received, limits);
         return await (hasBody(progress.request) ? beforeDeadline(progress, clock, body) : body);
     }
     catch (thrown) {
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -211,10 +211,7 @@
             sendResponse(progress, report);
             return true;
         }
-        if (this.running.size > 0) {
-            return false;
-        }
-        return this.handleFailure(report, body);
+        return this.running.size === 0 && this.handleFailure(report, body);
     }
 
     private handleFailure(report: AttemptReport, body: RequestBody): boolean {
--- a/packages/daemon/src/request/streamed-body.ts
+++ b/packages/daemon/src/request/streamed-body.ts
@@ -4,78 +4,39 @@
  * @packageDocumentation
  */
 
-import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
 import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
-import type { CallerConnection } from "./caller-connection.js";
-import type { ReadAheadBudget } from "./read-ahead-budget.js";
+import type { ReceivedBody } from "./received-body.js";
 import type { RequestBody } from "./request-body.js";
 
-/** Options of {@link StreamedBody}. */
-export interface StreamedBodyOptions {
-    readonly request: IncomingMessage;
-    readonly maximumBytes: number;
-    readonly budget: ReadAheadBudget;
-    readonly connection: CallerConnection;
-}
-
-/** A body that is read ahead as far as the memory budget allows, and streamed. */
+/** A body that is read ahead as far as the memory of its connection allows, and streamed. */
 export class StreamedBody implements RequestBody {
     readonly buffered = undefined;
-    private readonly received: ReceivedBody;
     private opened = false;
 
-    /** @param options - The request and its limits. */
-    constructor(private readonly options: StreamedBodyOptions) {
-        this.received = new ReceivedBody(options);
-    }
+    /**
+     * @param received - What arrives of the body.
+     * @param maximumBytes - Maximum size of the body.
+     */
+    constructor(private readonly received: ReceivedBody, private readonly maximumBytes: number) {}
 
     get canReplay(): boolean {
         return !this.opened;
     }
 
     open(): Readable {
-        return new ForwardedBody(this.received, this.options.maximumBytes, () => {
+        return new ForwardedBody(this.received, this.maximumBytes, () => {
             this.opened = true;
         });
     }
 }
 
-/**
- * Reads a body from the caller whether or not it can be sent yet: the close of a connection can only be noticed when all data
- * before it has been read. It never destroys the request, so that a response can still be sent.
- */
-class ReceivedBody extends Readable {
-    private readonly request: IncomingMessage;
-    private readonly connection: CallerConnection;
-
-    constructor({ request, connection, budget }: StreamedBodyOptions) {
-        const reservedBytes = budget.reserve();
-        super({ highWaterMark: reservedBytes });
-        this.request = request;
-        this.connection = connection;
-        request.on("data", (chunk: Buffer) => this.push(chunk) ? undefined : this.pauseRequest());
-        request.once("end", () => connection.recordResumed("body"));
-        request.once("end", () => this.push(null));
-        request.once("close", () => request.complete ? undefined : this.destroy());
-        this.once("close", () => budget.release(reservedBytes));
-    }
-
-    override _read(): void {
-        this.connection.recordResumed("body");
-        this.request.resume();
-    }
-
-    private pauseRequest(): void {
-        this.connection.recordPaused("body");
-        this.request.pause();
-    }
-}
-
 /** Forwards a received body to one attempt. */
 class ForwardedBody extends Readable {
     private bytes = 0;
     private attached = false;
+    private wantsData = false;
+    private isEnded = false;
 
     constructor(
         private readonly received: ReceivedBody,
@@ -87,42 +48,41 @@
 
     override _read(): void {
         if (!this.attached) {
-            this.attach();
+            this.attached = true;
+            this.onFirstRead();
+            this.received.onChange(() => this.forward());
         }
-        this.received.resume();
+        this.wantsData = true;
+        this.forward();
     }
 
-    override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
-        this.received.off("data", this.onData).off("end", this.onEnd).off("close", this.onClose);
-        callback(error);
-    }
-
-    private attach(): void {
-        this.attached = true;
-        this.onFirstRead();
-        this.received.on("data", this.onData).on("end", this.onEnd).on("close", this.onClose);
-        if (this.received.destroyed) {
-            this.onClose();
+    private forward(): void {
+        if (this.received.isDiscarded && !this.isEnded) {
+            this.destroy(new BodyCutShortError());
+        }
+        while (this.wantsData && !this.destroyed) {
+            const chunk = this.received.take();
+            if (chunk === undefined) {
+                this.forwardEnd();
+                return;
+            }
+            this.bytes += chunk.length;
+            if (this.bytes > this.maximumBytes) {
+                this.destroy(new BodyTooLargeError(this.maximumBytes));
+                return;
+            }
+            this.wantsData = this.push(chunk);
         }
     }
 
-    private readonly onData = (chunk: Buffer): void => {
-        this.bytes += chunk.length;
-        if (this.bytes > this.maximumBytes) {
-            this.destroy(new BodyTooLargeError(this.maximumBytes));
-        }
-        else if (!this.push(chunk)) {
-            this.received.pause();
+    private forwardEnd(): void {
+        if (this.received.isComplete) {
+            this.wantsData = false;
+            this.isEnded = true;
+            this.push(null);
         }
-    };
-
-    private readonly onEnd = (): void => {
-        this.push(null);
-    };
-
-    private readonly onClose = (): void => {
-        if (!this.received.readableEnded) {
+        else if (this.received.isCutShort) {
             this.destroy(new BodyCutShortError());
         }
-    };
+    }
 }
--- a/packages/daemon/src/request/watch-departure.ts
+++ b/packages/daemon/src/request/watch-departure.ts
@@ -18,11 +18,11 @@
     const { response } = progress;
     // A reset is reported to the response that is being sent before the connection.
     let toldMs: number | undefined;
-    const pausedBeforeMs = response.connection.pausedMs;
+    const pausedBeforeMs = response.connection.pauses.totalMs;
     const recordRead = (): void => {
         if (!response.isFinished) {
             const { stage, ageMs } = progress;
-            const pausedMs = response.connection.pausedMs - pausedBeforeMs;
+            const pausedMs = response.connection.pauses.totalMs - pausedBeforeMs;
             progress.departure ??= { stage, readMs: ageMs, unseenMs: polls.unseenMs, pausedMs, ahead: response.ahead, toldMs };
         }
     };
--- a/packages/daemon/test/model/model-request.ts
+++ b/packages/daemon/test/model/model-request.ts
@@ -14,6 +14,10 @@
     readonly remoteAddress = "127.0.0.1";
     readonly bytesRead = 0;
 
+    isPaused(): boolean {
+        return false;
+    }
+
     /** Closes the connection. */
     close(): void {
         this.emit("end");
