Read a paused connection before a request of it begins, or reject the request

Cause: the last check before the first byte waited for a turn of the event loop, in which nothing can arrive from a connection whose reading is paused, and took that for a caller that is still there. The same held for a connection that had just been resumed, whose backlog was still unread.

Change: such a request reads its connection first, beyond its share, out of a reserve of 8 MiB that one connection has at a time, more than a kernel buffers for a connection, until nothing more arrives. It begins only for what is known then. Whoever does not get the reserve within 250 ms is rejected with 503, not-run, and Retry-After: nobody waits for what cannot be known. A connection whose body is still arriving is read for a turn, too.

A quiet time of 5 ms was not enough: the last bytes of a paused sender come after a delayed acknowledgement of 40 ms, and a busy event loop runs the timer before it polls.

--- a/packages/daemon/src/poll-monitor.ts
+++ b/packages/daemon/src/poll-monitor.ts
@@ -18,6 +18,12 @@
 /** Most turns of the event loop to wait for a connection that keeps delivering data. */
 const maximumTurns = 64;
 
+/** Time without data after which nothing more is on its way, in milliseconds; longer than kernels delay acknowledgements. */
+const quietMs = 50;
+
+/** Interval at which a connection that was paused is checked for data, in milliseconds. */
+const catchUpCheckMs = 5;
+
 /** Least share of a period that the event loop must have waited in to count as idle; polling alone takes less. */
 const minimumIdleShare = 0.1;
 
@@ -68,6 +74,31 @@
         return this.unseenMs > maximumUnseenMs;
     }
 
+    /**
+     * Waits until all that had arrived at a connection while it was paused has been delivered. What its sender still buffers arrives
+     * only once there is space for it, and its last bytes only after a delayed acknowledgement.
+     *
+     * @param connection - What has been delivered so far, and whether the end of a message is still missing.
+     * @param maximumBytes - Number of bytes after which not to wait any longer.
+     */
+    async whenCaughtUp(
+        { bytesRead, expectsMore }: { readonly bytesRead: () => number; readonly expectsMore: () => boolean; },
+        maximumBytes: number,
+    ): Promise<void> {
+        const endBytes = bytesRead() + maximumBytes;
+        for (let quietSinceMs = this.nowMs(), isQuiet = false; !isQuiet;) {
+            const before = bytesRead();
+            await new Promise(resolve => setTimeout(resolve, catchUpCheckMs));
+            // A busy event loop runs the timer before it has polled for data.
+            await new Promise<void>(resolve => this.afterDelivery(resolve));
+            if (bytesRead() !== before) {
+                quietSinceMs = this.nowMs();
+            }
+            const quietForMs = this.nowMs() - quietSinceMs;
+            isQuiet = quietForMs >= quietMs || quietForMs > 0 && !expectsMore() || bytesRead() >= endBytes;
+        }
+    }
+
     /**
      * Calls back after what has arrived at a connection has been delivered. The end of a connection is delivered one turn of the
      * event loop after the data before it.
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -228,7 +228,7 @@
         const { spanId } = this.record;
         const { connection } = progress.response;
         const mayBegin = (): boolean =>
-            !progress.response.callerDisconnected
+            !progress.response.callerDisconnected && !connection.isUnread
             && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (): void => {
             this.record.sentMs = progress.ageMs;
--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -7,9 +7,10 @@
 import type { Socket } from "node:net";
 import type { PollMonitor } from "../poll-monitor.js";
 import type { CallerMemory, MemoryWaiter } from "./caller-memory.js";
-import { ConnectionPauses } from "./connection-pauses.js";
-import { type PauseReason, pauseReasons, type ReadingPauses } from "./reading-pauses.js";
-import type { ReceivedBody } from "./received-body.js";
+import { ConnectionPauses, mainPauseReason } from "./connection-pauses.js";
+import { pauseReasons, type ReadingPauses } from "./reading-pauses.js";
+import { ReadingReserve } from "./reading-reserve.js";
+import type { BodyConnection } from "./received-body.js";
 import { RequestTurns } from "./request-turns.js";
 
 /** Estimated memory of a pipelined request without its body, in bytes. */
@@ -25,20 +26,24 @@
 }
 
 /** A caller's connection and the requests on it that have no complete response yet. */
-export class CallerConnection implements MemoryWaiter {
+export class CallerConnection implements MemoryWaiter, BodyConnection {
     private readonly turns = new RequestTurns();
     private heldBytes = 0;
     /** Bytes of responses that wait for their turn, contained in {@link heldBytes}. */
     private waitingBytes = 0;
+    /** Bytes that the connection may hold beyond its share while it is read before a request begins. */
+    private reservedBytes = 0;
     private isPaused = false;
     private isResumeScheduled = false;
-    /** Bodies that have not arrived completely. */
-    private readonly bodies = new Set<ReceivedBody>();
+    /** Fulfilled when what arrived during a pause has been read. */
+    private catchingUp: Promise<void> | undefined;
+    readonly bodies = new Set<object>();
     /** When and why nothing was read from the connection. */
     readonly pauses: ConnectionPauses;
     private readonly leaveListeners = new Set<() => void>();
     private left = false;
     private isClosed = false;
+    private unread = false;
 
     /** @param options - The socket, and what the connections of an instance share. */
     constructor(private readonly options: CallerConnectionOptions) {
@@ -57,6 +62,11 @@
         return this.left;
     }
 
+    /** Whether there was no memory to read what has arrived from the caller before a request would have begun. */
+    get isUnread(): boolean {
+        return this.unread;
+    }
+
     /**
      * Records that a request has arrived.
      *
@@ -69,7 +79,6 @@
         return ahead;
     }
 
-    /** Records that a request has its complete response. */
     finish(): void {
         this.turns.finish();
         this.hold(this.turns.openRequests > 0 ? -requestBytes : 0);
@@ -85,7 +94,6 @@
         return this.left ? undefined : this.turns.wait(ahead);
     }
 
-    /** Records data that waits on the connection, or with a negative number that does not wait any more. */
     hold(bytes: number): void {
         if (bytes !== 0 && !this.isClosed) {
             this.heldBytes += bytes;
@@ -100,30 +108,24 @@
         this.hold(bytes);
     }
 
-    /** Adds a body that has begun to arrive. */
-    addBody(body: ReceivedBody): void {
-        this.bodies.add(body);
-    }
-
-    /** Removes a body of which nothing more arrives. */
-    removeBody(body: ReceivedBody): void {
-        this.bodies.delete(body);
-    }
-
     retryReading(): void {
         this.updateReading();
     }
 
     /**
-     * Calls back when what has arrived from the caller has been read; at once unless the event loop is behind or the
-     * connection is new. Node accepts one connection in each turn of the event loop, so a new one may have waited
+     * Calls back when what has arrived from the caller has been read; at once unless the event loop is behind, the connection is
+     * new, or reading from it is paused. Node accepts one connection in each turn of the event loop, so a new one may have waited
      * long, with its request and its end.
      *
-     * @param action - The callback.
+     * @param action - The callback; {@link isUnread} tells whether it could not be read.
      */
     whenRead(action: () => void): void {
         const { polls } = this.options;
-        if (!this.turns.hasFinished || polls.isBehind) {
+        this.unread = false;
+        if (this.isPaused || this.catchingUp !== undefined) {
+            void this.readBeyondShare().then(action);
+        }
+        else if (!this.turns.hasFinished || this.bodies.size > 0 || polls.isBehind) {
             polls.afterDelivery(action, () => this.options.socket.bytesRead);
         }
         else {
@@ -131,6 +133,20 @@
         }
     }
 
+    /** Reads what arrived during a pause, beyond the share of the connection, if there is memory for that. */
+    private async readBeyondShare(): Promise<void> {
+        const { reserve } = this.options.memory;
+        this.unread = !await reserve.take(this);
+        if (this.unread) {
+            return;
+        }
+        this.reservedBytes = this.heldBytes + ReadingReserve.bytes;
+        this.resume();
+        await this.catchUp();
+        this.reservedBytes = 0;
+        this.updateReading();
+    }
+
     /**
      * Adds a listener for the close of the connection by the caller.
      *
@@ -158,6 +174,9 @@
             this.pause();
             return;
         }
+        if (this.reservedBytes === 0) {
+            this.options.memory.reserve.giveBack(this);
+        }
         if ((this.isPaused || this.options.socket.isPaused()) && !this.isResumeScheduled) {
             this.isResumeScheduled = true;
             setImmediate(() => {
@@ -168,7 +187,7 @@
     }
 
     private get mustPause(): boolean {
-        return this.heldBytes >= this.options.memory.shareBytes && !this.left;
+        return this.heldBytes >= Math.max(this.options.memory.shareBytes, this.reservedBytes) && !this.left;
     }
 
     private pause(): void {
@@ -177,7 +196,9 @@
             return;
         }
         this.isPaused = true;
-        this.pauses.begin(this.mainPauseReason());
+        const requests = Math.max(0, this.turns.openRequests - 1) * requestBytes;
+        const responses = this.waitingBytes;
+        this.pauses.begin(mainPauseReason({ requests, responses, bodies: this.heldBytes - requests - responses }));
         memory.addWaiter(this);
         socket.pause();
     }
@@ -191,18 +212,20 @@
             this.isPaused = false;
             this.pauses.end(["body", "open-requests", "waiting-responses"]);
             memory.removeWaiter(this);
+            void this.catchUp();
         }
         socket.resume();
     }
 
-    /** What most of the memory of the connection is held for. */
-    private mainPauseReason(): PauseReason {
-        const ofRequests = Math.max(0, this.turns.openRequests - 1) * requestBytes;
-        const ofBodies = this.heldBytes - ofRequests - this.waitingBytes;
-        if (ofBodies >= Math.max(ofRequests, this.waitingBytes)) {
-            return "body";
-        }
-        return ofRequests >= this.waitingBytes ? "open-requests" : "waiting-responses";
+    /** Waits until what has arrived during a pause has been read. */
+    private catchUp(): Promise<void> {
+        const { polls, socket } = this.options;
+        const progress = { bytesRead: () => socket.bytesRead, expectsMore: () => !this.left && this.bodies.size > 0 };
+        const caughtUp = polls.whenCaughtUp(progress, ReadingReserve.bytes).then(() => {
+            this.catchingUp = this.catchingUp === caughtUp ? undefined : this.catchingUp;
+        });
+        this.catchingUp = caughtUp;
+        return caughtUp;
     }
 
     private close(): void {
@@ -211,6 +234,7 @@
         this.pauses.end(pauseReasons);
         memory.add(-this.heldBytes);
         memory.removeWaiter(this);
+        memory.reserve.giveBack(this);
     }
 
     private readonly leave = (): void => {
--- a/packages/daemon/src/request/caller-memory.ts
+++ b/packages/daemon/src/request/caller-memory.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 
+import { ReadingReserve } from "./reading-reserve.js";
+
 /** Memory for the data of all callers, in bytes. */
 const maximumTotalBytes = 33_554_432;
 
@@ -20,6 +22,8 @@
  * may hold as much as is free, so that the shares shrink as the total fills and no connection can take all of it.
  */
 export class CallerMemory {
+    /** Additional memory for connections that are read before a request of theirs begins. */
+    readonly reserve = new ReadingReserve();
     private total = 0;
     private readonly waiters = new Set<MemoryWaiter>();
     private isRetryScheduled = false;
--- a/packages/daemon/src/request/connection-pauses.ts
+++ b/packages/daemon/src/request/connection-pauses.ts
@@ -42,3 +42,18 @@
         });
     }
 }
+
+/** Bytes that wait on a connection, by what they are. */
+interface HeldBytes {
+    readonly bodies: number;
+    readonly requests: number;
+    readonly responses: number;
+}
+
+/** Returns the reason of a pause for lack of memory: what most of the memory is held for. */
+export const mainPauseReason = ({ bodies, requests, responses }: HeldBytes): PauseReason => {
+    if (bodies >= Math.max(requests, responses)) {
+        return "body";
+    }
+    return requests >= responses ? "open-requests" : "waiting-responses";
+};
--- a/packages/daemon/src/request/received-body.ts
+++ b/packages/daemon/src/request/received-body.ts
@@ -5,7 +5,14 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import type { CallerConnection } from "./caller-connection.js";
+
+/** What a body tells the connection on which it arrives. */
+export interface BodyConnection {
+    /** Bodies that have not arrived completely. */
+    readonly bodies: Set<object>;
+    /** Records data that waits, or with a negative number that does not wait any more. */
+    hold(bytes: number): void;
+}
 
 /**
  * Reads a body from the moment at which its request arrives, whether or not it can be sent yet: the close of a connection can only be
@@ -25,13 +32,13 @@
      * @param request - The request.
      * @param connection - Its connection, which pauses reading while too much data waits.
      */
-    constructor(private readonly request: IncomingMessage, private readonly connection: CallerConnection) {
+    constructor(private readonly request: IncomingMessage, private readonly connection: BodyConnection) {
         // Otherwise Node resumes reading from the socket whenever the request takes more data.
         Object.assign(request, { _read: () => undefined });
         request.on("data", (chunk: Buffer) => this.receive(chunk));
         request.once("end", () => this.finish());
         request.once("close", () => this.finish());
-        connection.addBody(this);
+        connection.bodies.add(this);
     }
 
     /** Whether the complete body has arrived. */
@@ -95,7 +102,7 @@
     }
 
     private finish(): void {
-        this.connection.removeBody(this);
+        this.connection.bodies.delete(this);
         if (!this.ended && !this.cutShort) {
             this.ended = this.request.readableEnded;
             this.cutShort = !this.ended;
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -220,6 +220,10 @@
         if (result.end === "timed-out" || progress.isLate) {
             return progress.giveUpAtDeadline();
         }
+        if (result.end === "withdrawn" && progress.response.connection.isUnread) {
+            progress.giveUpUnderLoad("too much data of callers waits to be read");
+            return true;
+        }
         // An attempt that did not reach its upstream added no load, so its retry is not counted against the budget.
         const skipsRetryBudget = result.end === "connect-failed" || result.end === "withdrawn";
         if (mayRetry(progress, body, outcome !== "not-run") && (skipsRetryBudget || runtime.retryBudget.tryWithdraw())) {
