After a long turn of the event loop, read from the caller once more before its request begins

Cause: the last check waits for one poll, but the turn after that poll may be long (a large configuration, many events on a small share of a core), and a close that arrives meanwhile is not known when the first byte is sent.

Change: after a turn of more than 100 ms it waits for another one, three times at most, so that requests begin although all turns are long.

Evidence: 'after a long turn' of poll-monitor.test failed before. An attempt that was withdrawn no longer claims that its upstream takes no work: its caller may have left.

--- a/packages/daemon/src/poll-monitor.ts
+++ b/packages/daemon/src/poll-monitor.ts
@@ -18,6 +18,12 @@
 /** Most turns of the event loop to wait for a connection that keeps delivering data. */
 const maximumTurns = 64;
 
+/** Duration of a turn of the event loop after which one more is waited for, in milliseconds. */
+const maximumTurnMs = 100;
+
+/** Most such turns, so that requests begin although all turns are long. */
+const maximumLongTurns = 3;
+
 /** Time without data after which nothing more is on its way, in milliseconds; longer than kernels delay acknowledgements. */
 const quietMs = 50;
 
@@ -101,23 +107,25 @@
 
     /**
      * Calls back after what has arrived at a connection has been delivered. The end of a connection is delivered one turn of the
-     * event loop after the data before it.
+     * event loop after the data before it. After a long turn it waits for another one, since more may have arrived meanwhile.
      *
      * @param action - The callback.
      * @param receivedBytes - Returns the number of bytes that were delivered so far.
      */
     afterDelivery(action: () => void, receivedBytes: () => number = () => 0): void {
-        const waitTurn = (before: number, turns: number): void => {
+        const waitTurn = (before: number, turns: number, longTurns: number): void => {
+            const sinceMs = this.nowMs();
             setImmediate(() => {
                 const received = receivedBytes();
-                if (turns >= maximumTurns || turns > 0 && received === before) {
+                const isLong = this.nowMs() - sinceMs > maximumTurnMs && longTurns < maximumLongTurns;
+                if (turns >= maximumTurns || turns > 0 && received === before && !isLong) {
                     action();
                 }
                 else {
-                    waitTurn(received, turns + 1);
+                    waitTurn(received, turns + 1, longTurns + Number(isLong));
                 }
             });
         };
-        waitTurn(receivedBytes(), 0);
+        waitTurn(receivedBytes(), 0, 0);
     }
 }
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -32,12 +32,12 @@
     }
 }
 
-/** The upstream stopped accepting new requests before any byte of this one was written. */
+/** The upstream stopped accepting new requests, or the caller left, before any byte of this one was written. */
 export class AttemptWithdrawnError extends HarrierhitchError {
     readonly code = "attempt-withdrawn";
 
     constructor() {
-        super("the upstream takes no new work any more");
+        super("the request may not begin any more");
     }
 }
 
--- a/packages/daemon/test/poll-monitor.test.ts
+++ b/packages/daemon/test/poll-monitor.test.ts
@@ -77,3 +77,56 @@
     assert.deepEqual(events, ["end", "delivered"]);
     server.close();
 });
+
+/** Waits for a turn of the event loop. */
+const turn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+test("after a long turn, during which more may have arrived, the callback after delivery waits for another one", async () => {
+    const { monitor, pass } = start();
+    let called = false;
+    monitor.afterDelivery(() => {
+        called = true;
+    });
+    await turn();
+    pass(300, 0);
+    await turn();
+    assert.equal(called, false);
+    await turn();
+    assert.equal(called, true);
+});
+
+test("the callback after delivery is called although all turns are long", async () => {
+    const { monitor, pass } = start();
+    let calls = 0;
+    monitor.afterDelivery(() => calls += 1);
+    for (let turns = 0; turns < 6; turns += 1) {
+        pass(300, 0);
+        await turn();
+    }
+    assert.equal(calls, 1);
+});
+
+test("a connection that was paused has not caught up while data of an incomplete message may be on its way", async () => {
+    const { monitor, pass } = start();
+    let bytes = 100;
+    const state = { isCaughtUp: false };
+    const connection = { bytesRead: () => bytes, expectsMore: () => true };
+    const caughtUp = monitor.whenCaughtUp(connection, 10_000).then(() => {
+        state.isCaughtUp = true;
+    });
+    for (let checks = 0; checks < 5; checks += 1) {
+        bytes += 10;
+        pass(40, 0);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        assert.equal(state.isCaughtUp, false);
+    }
+    pass(100, 0);
+    await caughtUp;
+});
+
+test("a connection that was paused has caught up once more was read than a kernel buffers", async () => {
+    const { monitor } = start();
+    let bytes = 0;
+    const bytesRead = (): number => bytes += 5000;
+    await monitor.whenCaughtUp({ bytesRead, expectsMore: () => true }, 10_000);
+});
