Soak: take the delay of a request's own data for that of its way, and keep delayed data in order

The checker subtracted the delay of the proxy at the moment at which a request arrived. A fault that began or ended in between made a request late that was not, or hid one that was. The proxy now tells by how much the last data on the connection was delayed. Data that follows delayed data no longer overtakes it when the fault ends in between, which garbled connections that no fault was meant to garble.

--- a/packages/standin/src/soak/fault-proxy.ts
+++ b/packages/standin/src/soak/fault-proxy.ts
@@ -25,6 +25,8 @@
     /** The current fault; applies to open connections, too. */
     fault = noFault;
     private readonly sockets = new Set<Socket>();
+    /** Delay of the last forwarded chunk in milliseconds, by the local port of the connection to the target. */
+    private readonly delays = new Map<number, number>();
     private readonly server: Server;
 
     /** @param targetPort - Returns the port to which connections are forwarded. */
@@ -42,6 +44,15 @@
         return (this.server.address() as AddressInfo).port;
     }
 
+    /**
+     * Returns by how much the last chunk on a connection to the target was delayed, in milliseconds.
+     *
+     * @param port - The remote port of the connection, as the target sees it.
+     */
+    delayOf(port: number | undefined): number {
+        return this.delays.get(port ?? 0) ?? 0;
+    }
+
     /** Resets all connections. */
     reset(): void {
         this.sockets.forEach(socket => socket.resetAndDestroy());
@@ -55,11 +66,19 @@
 
     private forwardConnection(client: Socket): void {
         const target = connect({ host: "127.0.0.1", port: this.targetPort() });
-        this.forward(client, target, () => this.fault.dropsRequests);
+        this.forward(client, target, () => this.fault.dropsRequests, delayMs => {
+            this.delays.set(target.localPort ?? 0, delayMs);
+        });
         this.forward(target, client, () => this.fault.dropsResponses);
+        target.once("connect", () => {
+            const { localPort = 0 } = target;
+            target.once("close", () => this.delays.delete(localPort));
+        });
     }
 
-    private forward(from: Socket, to: Socket, isDropping: () => boolean): void {
+    private forward(from: Socket, to: Socket, isDropping: () => boolean, onForwarded?: (delayMs: number) => void): void {
+        let pending = 0;
+        let previous: Promise<void> = Promise.resolve();
         this.sockets.add(from);
         from.on("error", () => to.destroy());
         from.on("close", () => {
@@ -70,14 +89,27 @@
             if (isDropping()) {
                 return;
             }
-            const { delayMs } = this.fault;
-            if (delayMs === 0) {
-                to.write(chunk);
-            }
-            else {
-                setTimeout(() => to.destroyed ? undefined : to.write(chunk), delayMs);
+            const sentAtMs = performance.now();
+            const dueAtMs = sentAtMs + this.fault.delayMs;
+            const write = (): void => {
+                if (!to.destroyed) {
+                    onForwarded?.(Math.max(0, performance.now() - sentAtMs));
+                    to.write(chunk);
+                }
+            };
+            if (this.fault.delayMs === 0 && pending === 0) {
+                write();
+                return;
             }
+            pending += 1;
+            // Data that follows does not overtake what is still delayed.
+            previous = previous.then(() => waitUntil(dueAtMs)).then(() => {
+                pending -= 1;
+                write();
+            });
         });
         from.on("end", () => to.end());
     }
 }
+
+const waitUntil = (atMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, atMs - performance.now()));
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -142,7 +142,10 @@
     private recordWork({ proxy }: SoakUpstream, request: IncomingMessage, response: ServerResponse): void {
         const { leaveChecker } = this.options.checker;
         const number = String(request.headers["x-request-number"]);
-        leaveChecker.recordArrival(number, { entry: String(request.headers[entryHeader]), delayMs: proxy.fault.delayMs });
+        leaveChecker.recordArrival(number, {
+            entry: String(request.headers[entryHeader]),
+            delayMs: proxy.delayOf(request.socket.remotePort),
+        });
         if (request.method === "GET") {
             leaveChecker.addWork(number, 1);
             response.once("close", () => leaveChecker.addWork(number, -1));
