Reject long bodies at once when even the least of each is more than the memory for them

Cause: whatever its share, each connection holds the first 64 KiB that Node reads; no limit counted the connections.

Change: when what is held exceeds the memory and its reserve (40 MiB), further requests with long bodies are rejected with 503, not-run and Retry-After, and their bodies are read and dropped.

--- a/packages/daemon/src/poll-monitor.ts
+++ b/packages/daemon/src/poll-monitor.ts
@@ -27,6 +27,9 @@
 /** Time without data after which nothing more is on its way, in milliseconds; longer than kernels delay acknowledgements. */
 const quietMs = 50;
 
+/** The same if the last message is complete, so that at most the close is on its way, in milliseconds. */
+const completeQuietMs = 20;
+
 /** Interval at which a connection that was paused is checked for data, in milliseconds. */
 const catchUpCheckMs = 5;
 
@@ -101,7 +104,7 @@
                 quietSinceMs = this.nowMs();
             }
             const quietForMs = this.nowMs() - quietSinceMs;
-            isQuiet = quietForMs >= quietMs || quietForMs > 0 && !expectsMore() || bytesRead() >= endBytes;
+            isQuiet = quietForMs >= (expectsMore() ? quietMs : completeQuietMs) || bytesRead() >= endBytes;
         }
     }
 
--- a/packages/daemon/src/request/body-error.ts
+++ b/packages/daemon/src/request/body-error.ts
@@ -16,6 +16,15 @@
     }
 }
 
+/** Thrown when there is no memory for one more long body. */
+export class BodyMemoryError extends HarrierhitchError {
+    readonly code = "body-memory";
+
+    constructor() {
+        super("the memory for request bodies is used up");
+    }
+}
+
 /** Thrown when the caller disconnects before the body is complete. */
 export class BodyCutShortError extends HarrierhitchError {
     readonly code = "body-cut-short";
--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -62,6 +62,10 @@
         return this.left;
     }
 
+    get isMemoryExhausted(): boolean {
+        return this.options.memory.isExhausted;
+    }
+
     /** Whether there was no memory to read what has arrived from the caller before a request would have begun. */
     get isUnread(): boolean {
         return this.unread;
@@ -108,9 +112,7 @@
         this.hold(bytes);
     }
 
-    retryReading(): void {
-        this.updateReading();
-    }
+    readonly retryReading = (): void => this.updateReading();
 
     /**
      * Calls back when what has arrived from the caller has been read; at once unless the event loop is behind, the connection is
@@ -197,8 +199,8 @@
         }
         this.isPaused = true;
         const requests = Math.max(0, this.turns.openRequests - 1) * requestBytes;
-        const responses = this.waitingBytes;
-        this.pauses.begin(mainPauseReason({ requests, responses, bodies: this.heldBytes - requests - responses }));
+        const bodies = this.heldBytes - requests - this.waitingBytes;
+        this.pauses.begin(mainPauseReason({ bodies, requests, responses: this.waitingBytes }));
         memory.addWaiter(this);
         socket.pause();
     }
--- a/packages/daemon/src/request/caller-memory.ts
+++ b/packages/daemon/src/request/caller-memory.ts
@@ -33,6 +33,11 @@
         return this.total;
     }
 
+    /** Whether even the reserve is used up, by the least that each of many connections holds. */
+    get isExhausted(): boolean {
+        return this.total >= maximumTotalBytes + ReadingReserve.bytes;
+    }
+
     /** What one connection may hold now, in bytes. */
     get shareBytes(): number {
         return Math.max(minimumShareBytes, maximumTotalBytes - this.total);
--- a/packages/daemon/src/request/read-body.ts
+++ b/packages/daemon/src/request/read-body.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
+import { BodyCutShortError, BodyMemoryError, BodyTooLargeError } from "./body-error.js";
 import type { ReceivedBody } from "./received-body.js";
 import type { RequestBody } from "./request-body.js";
 import { StreamedBody } from "./streamed-body.js";
@@ -24,7 +24,7 @@
  * @param request - The request.
  * @param received - Its body; `undefined` if it has none.
  * @param limits - Limits of bodies.
- * @throws {@link BodyTooLargeError} or {@link BodyCutShortError}, before anything was sent to an upstream.
+ * @throws {@link BodyTooLargeError}, {@link BodyMemoryError} or {@link BodyCutShortError}, before anything was sent to an upstream.
  */
 export const readBody = async (
     request: IncomingMessage,
@@ -42,6 +42,9 @@
         const buffered = await readBuffered(received);
         return { canReplay: true, buffered, open: () => buffered };
     }
+    if (received.isMemoryExhausted) {
+        throw new BodyMemoryError();
+    }
     return new StreamedBody(received, limits.maximumBytes);
 };
 
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -5,14 +5,14 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
-import { BodyCutShortError, BodyTooLargeError } from "./body-error.js";
+import { BodyCutShortError, BodyMemoryError, BodyTooLargeError } from "./body-error.js";
 import { type BodyLimits, readBody } from "./read-body.js";
 import { hasBody, type RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
 
 /**
- * Receives a request's body. The request is given up if it has passed too many hops, or if its body is too large or not
- * complete at the deadline.
+ * Receives a request's body. The request is given up if it has passed too many hops, if its body is too large or not complete
+ * at the deadline, or if there is no memory for it.
  *
  * @param progress - The request.
  * @param limits - Limits of bodies.
@@ -37,6 +37,9 @@
         if (thrown instanceof BodyTooLargeError) {
             progress.giveUp({ kind: "body-too-large", detail: thrown.message, outcome: "not-run" });
         }
+        else if (thrown instanceof BodyMemoryError) {
+            progress.giveUpUnderLoad(thrown.message);
+        }
         else if (thrown instanceof BodyCutShortError) {
             progress.record.outcome = "not-run";
         }
--- a/packages/daemon/src/request/received-body.ts
+++ b/packages/daemon/src/request/received-body.ts
@@ -10,6 +10,8 @@
 export interface BodyConnection {
     /** Bodies that have not arrived completely. */
     readonly bodies: Set<object>;
+    /** Whether there is no memory for one more long body. */
+    readonly isMemoryExhausted: boolean;
     /** Records data that waits, or with a negative number that does not wait any more. */
     hold(bytes: number): void;
 }
@@ -56,6 +58,11 @@
         return this.discarded;
     }
 
+    /** Whether there is no memory for one more long body. */
+    get isMemoryExhausted(): boolean {
+        return this.connection.isMemoryExhausted;
+    }
+
     /** Sets the listener for data, the end and the discarding of the body; it is not called for what has arrived before. */
     onChange(listener: () => void): void {
         this.listener = listener;
