Log when this instance itself cannot reach upstreams (events 330 and 331, gauge harrierhitch_upstreams_unreachable)

An instance that was cut off ejected upstreams one by one, and nothing told its loss from a crash of all upstreams. An upstream that fails or stays silent is now checked together with two others of its service, then the other services; the conclusion, its checks and the time since the last response are logged. Nothing is decided by it yet. A result of a check is not reused: a cached 'open' hid a crash from the quarantine test.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -26,6 +26,7 @@
 import { Metrics } from "./telemetry/metrics.js";
 import { ReadingTelemetry } from "./telemetry/reading-telemetry.js";
 import type { Tracing } from "./telemetry/tracing.js";
+import { createTransport } from "./upstream/create-transport.js";
 import { HttpTransport } from "./upstream/http-transport.js";
 import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 import { version } from "./version.js";
@@ -67,13 +68,13 @@
         this.metrics = options.metrics ?? new Metrics();
         this.log = options.log ?? openLog(settings, this.clock, this.metrics);
         this.reading = new ReadingTelemetry({ clock: this.clock, log: this.log, metrics: this.metrics });
-        this.transport = options.transport ?? new HttpTransport();
+        const { clock, random, log, metrics, polls } = this;
+        this.transport = createTransport(options.transport ?? new HttpTransport(), { clock, random, log, metrics });
         const adapter = options.adapter ?? defaultPlatform;
         this.instance = this.createInstance(adapter, options.policies ?? new Map());
         this.platform = this.createPlatformLink(
             options.platform ?? adapter.open(platformOptions(settings, this.metrics, this.log)),
         );
-        const { clock, polls } = this;
         this.stallDetector = new StallDetector({ clock, polls, onStall: stallMs => this.resumeAfterStall(stallMs) });
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsEndpoint();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -31,4 +31,13 @@
 export { EventLog, type EventLogOptions } from "./telemetry/event-log.js";
 export { type EventKind, events } from "./telemetry/event.js";
 export { Metrics } from "./telemetry/metrics.js";
+export { type PortState } from "./upstream/check-port.js";
+export { HttpTransport } from "./upstream/http-transport.js";
+export {
+    type Attempt,
+    type ResponseSink,
+    type UpstreamRequest,
+    type UpstreamTarget,
+    type UpstreamTransport,
+} from "./upstream/upstream-transport.js";
 export { version } from "./version.js";
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -97,6 +97,13 @@
         ["service"],
     );
 
+    /** Upstreams that this instance cannot reach, by service. */
+    readonly unreachableUpstreams = this.gauge(
+        "harrierhitch_upstreams_unreachable",
+        "Upstreams that accept no connections of this instance",
+        ["service"],
+    );
+
     /** Probes of upstreams, by service and result. */
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
--- a/packages/daemon/src/upstream/check-port.ts
+++ b/packages/daemon/src/upstream/check-port.ts
@@ -33,7 +33,8 @@
             socket.destroy();
             resolve(state);
         };
-        const timer = setTimeout(() => finish("silent"), connectTimeoutMs);
+        // A connection that was established while this process was busy is reported first.
+        const timer = setTimeout(() => setImmediate(() => finish("silent")), connectTimeoutMs);
         socket.once("connect", () => finish("open"));
         socket.on("error", (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED" ? "closed" : "silent"));
     });
--- /dev/null
+++ b/packages/daemon/src/upstream/reachability.ts
@@ -0,0 +1,229 @@
+/**
+ * Whether this instance itself can reach upstreams, as opposed to whether they work.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, RandomSource, ServiceName, Timer, UpstreamId } from "@harrierhitch/core";
+import type { UpstreamEntry } from "@harrierhitch/decision";
+import type { PortState } from "./check-port.js";
+import { newPath, type Path } from "./path.js";
+import type { PathCheck, ReachabilityChange } from "./reachability-change.js";
+import type { UpstreamTarget } from "./upstream-transport.js";
+
+/** Options of {@link Reachability}. */
+export interface ReachabilityOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Opens a connection to an upstream and closes it. */
+    readonly checkPort: (upstream: UpstreamEntry) => Promise<PortState>;
+    readonly onChange: (change: ReachabilityChange) => void;
+}
+
+/** Other upstreams of a service that are checked when one does not accept connections. */
+const comparedUpstreams = 2;
+
+/** Age up to which a response shows that an upstream can be reached, in milliseconds. */
+const recentResponseMs = 100;
+
+/** Shortest interval between checks of unreachable services, in milliseconds; up to twice as long, which spreads the instances. */
+const recheckMs = 250;
+
+/** Shortest interval between checks while upstreams become reachable again one by one, in milliseconds. */
+const returnIntervalMs = 30;
+
+/**
+ * Tracks which upstreams accept connections of this instance.
+ *
+ * An upstream that fails is checked together with others of its service. If none of them accepts connections, this instance has lost its
+ * path to the service; the other services are then checked, too. Each upstream becomes reachable again by a check of its own.
+ */
+export class Reachability {
+    private paths = new Map<UpstreamId, Path>();
+    private recheckTimer: Timer | undefined;
+    private isStopped = false;
+
+    /** @param options - Clock, checks and the receiver of changes. */
+    constructor(private readonly options: ReachabilityOptions) {}
+
+    /** Sets the upstreams; paths to those that stay keep their state. */
+    configure(targets: readonly UpstreamTarget[]): void {
+        this.paths = new Map(targets.map(({ upstream, service }) => {
+            const previous = this.paths.get(upstream.id);
+            const isSameAddress = previous?.upstream.address === upstream.address && previous.upstream.port === upstream.port;
+            return [upstream.id, previous !== undefined && isSameAddress ? previous : newPath(upstream, service)];
+        }));
+    }
+
+    /** Records a response of an upstream over a connection of this instance. */
+    recordResponse(id: UpstreamId): void {
+        const path = this.paths.get(id);
+        if (path !== undefined) {
+            path.respondedAtMs = this.options.clock.nowMs();
+            this.restore(path, []);
+        }
+    }
+
+    /** Whether this instance can reach an upstream, as far as it knows. */
+    isReachable(id: UpstreamId): boolean {
+        return this.paths.get(id)?.isReachable ?? true;
+    }
+
+    /** Whether at least one upstream of the service of an upstream can be reached. */
+    isServiceReachable(id: UpstreamId): boolean {
+        const service = this.paths.get(id)?.service;
+        return service === undefined || this.ofService(service).some(path => path.isReachable);
+    }
+
+    /** Returns the service of an upstream; `undefined` if it is unknown. */
+    serviceOf(id: UpstreamId): ServiceName | undefined {
+        return this.paths.get(id)?.service;
+    }
+
+    /**
+     * Whether an upstream can be reached: it responded a moment ago, or accepts a connection now.
+     *
+     * @param id - The upstream.
+     */
+    async confirm(id: UpstreamId): Promise<boolean> {
+        const path = this.paths.get(id);
+        const isRecent = path !== undefined && this.options.clock.nowMs() - path.respondedAtMs < recentResponseMs;
+        return isRecent || await this.verify(id);
+    }
+
+    /**
+     * Finds out whether a failure or the silence of an upstream is due to the path of this instance.
+     *
+     * @param id - The upstream.
+     * @returns Whether it accepts connections of this instance, or others of its service do and it refuses them.
+     */
+    async verify(id: UpstreamId): Promise<boolean> {
+        const path = this.paths.get(id);
+        if (path === undefined) {
+            return true;
+        }
+        if (!path.isReachable) {
+            return false;
+        }
+        path.verification ??= this.runVerification(path).finally(() => {
+            path.verification = undefined;
+        });
+        return await path.verification;
+    }
+
+    /** Ends all checks. */
+    stop(): void {
+        this.isStopped = true;
+        this.recheckTimer?.cancel();
+    }
+
+    private async runVerification(path: Path): Promise<boolean> {
+        const startedAtMs = this.options.clock.nowMs();
+        const check = await this.check(path);
+        if (check.state === "open") {
+            return true;
+        }
+        const others = this.sample(this.ofService(path.service).filter(other => other !== path && other.isReachable));
+        const checks = [check, ...await Promise.all(others.map(other => this.check(other)))];
+        if (path.respondedAtMs >= startedAtMs || this.isStopped) {
+            return true;
+        }
+        if (checks.some(({ state }) => state === "open")) {
+            // An upstream that refuses while others accept has most likely crashed; a silent one may only be out of reach.
+            return check.state === "closed" || !this.markUnreachable([path], checks);
+        }
+        this.markUnreachable(this.quietSince(path.service, startedAtMs), checks);
+        await this.surveyOthers(path.service);
+        return false;
+    }
+
+    /** Checks the services other than the one whose path was lost, without waiting for a failure of theirs. */
+    private async surveyOthers(lost: ServiceName): Promise<void> {
+        const services = new Set([...this.paths.values()].filter(path => path.isReachable).map(({ service }) => service));
+        services.delete(lost);
+        await Promise.all([...services].map(service => this.survey(service)));
+    }
+
+    private async survey(service: ServiceName): Promise<void> {
+        const startedAtMs = this.options.clock.nowMs();
+        const checks = await Promise.all(this.sample(this.ofService(service)).map(path => this.check(path)));
+        const quiet = this.quietSince(service, startedAtMs);
+        if (checks.every(({ state }) => state !== "open") && quiet.length === this.ofService(service).length) {
+            this.markUnreachable(quiet, checks);
+        }
+    }
+
+    private async check(path: Path): Promise<PathCheck> {
+        const { clock, checkPort } = this.options;
+        path.state = await checkPort(path.upstream);
+        if (path.state === "open") {
+            path.respondedAtMs = clock.nowMs();
+        }
+        return { upstream: path.upstream.id, state: path.state };
+    }
+
+    private ofService(service: ServiceName): readonly Path[] {
+        return [...this.paths.values()].filter(path => path.service === service);
+    }
+
+    private quietSince(service: ServiceName, sinceMs: number): readonly Path[] {
+        return this.ofService(service).filter(({ respondedAtMs }) => respondedAtMs < sinceMs);
+    }
+
+    private sample(paths: readonly Path[]): readonly Path[] {
+        const order = paths.map(path => ({ path, draw: this.options.random.next() })).sort((a, b) => a.draw - b.draw);
+        return order.slice(0, comparedUpstreams).map(({ path }) => path);
+    }
+
+    /** Marks paths as lost; returns whether there are any. */
+    private markUnreachable(paths: readonly Path[], checks: readonly PathCheck[]): boolean {
+        const lost = paths.filter(path => path.isReachable);
+        lost.forEach(path => {
+            path.isReachable = false;
+        });
+        this.report(lost, false, checks);
+        this.recheckTimer ??= this.scheduleRecheck(recheckMs);
+        return paths.length > 0;
+    }
+
+    private restore(path: Path, checks: readonly PathCheck[]): void {
+        if (!path.isReachable) {
+            path.isReachable = true;
+            this.report([path], true, checks);
+        }
+    }
+
+    private scheduleRecheck(delayMs: number): Timer {
+        return this.options.clock.after(delayMs * (1 + this.options.random.next()), () => void this.recheck());
+    }
+
+    /** Checks one unreachable upstream of each service; those of a service become reachable again one after the other. */
+    private async recheck(): Promise<void> {
+        const lost = [...this.paths.values()].filter(path => !path.isReachable);
+        const services = [...new Set(lost.map(({ service }) => service))];
+        const candidates = services.flatMap(service => this.sample(lost.filter(path => path.service === service)).slice(0, 1));
+        const checks = await Promise.all(candidates.map(async path => ({ path, check: await this.check(path) })));
+        const open = checks.filter(({ check }) => check.state === "open");
+        open.forEach(({ path, check }) => this.restore(path, [check]));
+        const isDone = lost.length === open.length || this.isStopped;
+        this.recheckTimer = isDone ? undefined : this.scheduleRecheck(open.length > 0 ? returnIntervalMs : recheckMs);
+    }
+
+    private report(paths: readonly Path[], isReachable: boolean, checks: readonly PathCheck[]): void {
+        const [first] = paths;
+        if (first === undefined) {
+            return;
+        }
+        const all = this.ofService(first.service);
+        const respondedAtMs = Math.max(...all.map(path => path.respondedAtMs));
+        this.options.onChange({
+            service: first.service,
+            upstreams: paths.map(({ upstream }) => upstream.id),
+            isReachable,
+            unreachable: all.filter(path => !path.isReachable).length,
+            total: all.length,
+            checks,
+            quietMs: respondedAtMs === -Infinity ? undefined : this.options.clock.nowMs() - respondedAtMs,
+        });
+    }
+}
--- a/packages/daemon/src/upstream/service-registry.ts
+++ b/packages/daemon/src/upstream/service-registry.ts
@@ -133,6 +133,7 @@
     [...configuration.services.values()].flatMap(service =>
         upstreamsOf(service, discovered.filter(upstream => upstream.service === service.name)).map(upstream => ({
             upstream,
+            service: service.name,
             connections: Math.max(1, Math.floor(service.maximumConnections / configuration.fleet.maximumInstances)),
             connectTimeoutMs: service.connectTimeoutMs,
         }))
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
+import type { ServiceName } from "@harrierhitch/core";
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
@@ -17,6 +18,8 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer | Readable | undefined;
+    /** Time without a response after which the path to the upstream is checked, in milliseconds; the default if absent. */
+    readonly patienceMs?: number;
     /** Returns whether the request may still be sent; called last just before its first byte is written. */
     readonly mayBegin?: () => boolean;
     /** Calls back when what has arrived from the caller has been read, so that its departure is known; at once if it has. */
@@ -65,6 +68,7 @@
 /** An upstream with its connection limits. */
 export interface UpstreamTarget {
     readonly upstream: UpstreamEntry;
+    readonly service: ServiceName;
     readonly connections: number;
     readonly connectTimeoutMs: number;
 }
--- a/packages/daemon/test/withdrawn.test.ts
+++ b/packages/daemon/test/withdrawn.test.ts
@@ -51,7 +51,7 @@
         availabilityZone: "hall-a",
         slots: 1,
     };
-    transport.configure([{ upstream, connections: 1, connectTimeoutMs: 1000 }]);
+    transport.configure([{ upstream, service: upstream.service, connections: 1, connectTimeoutMs: 1000 }]);
     return { transport, upstream };
 };
 
