--- a/packages/standin/src/child.ts
+++ b/packages/standin/src/child.ts
@@ -27,14 +27,26 @@
     command: programPath("../command/bin/harrierhitch.js"),
 } as const;
 
+/** Options of {@link startChild}. */
+export interface StartChildOptions {
+    /** Whether messages can be sent to the process. */
+    readonly hasChannel?: boolean;
+}
+
 /**
  * Starts a program in a child process.
  *
  * @param program - Path of the program.
  * @param args - Its arguments.
+ * @param options - How to communicate with it.
  */
-export const startChild = (program: string, args: readonly string[]): Child => {
-    const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "inherit"] });
+export const startChild = (program: string, args: readonly string[], { hasChannel = false }: StartChildOptions = {}): Child => {
+    const child = spawn(process.execPath, [program, ...args], {
+        stdio: hasChannel ? ["ignore", "pipe", "inherit", "ipc"] : ["ignore", "pipe", "inherit"],
+    });
+    if (child.stdout === null) {
+        throw new TypeError(`${program} has no standard output`);
+    }
     killOnExit(child);
     const lines: Record<string, unknown>[] = [];
     const pendingChecks = new Set<() => void>();
--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -11,6 +11,7 @@
 import { startFastUpstreams } from "./fast-upstream.js";
 import { hostEntries, hostUpstreams } from "./host.js";
 import { startPassThrough } from "./pass-through.js";
+import { runPathProxies } from "./path-proxies.js";
 import { PlatformStandin } from "./platform-standin.js";
 import { runSoak } from "./soak/soak.js";
 import { defaultUpstreamBehaviour } from "./upstream-behaviour.js";
@@ -70,6 +71,12 @@
     },
 });
 
+const pathProxies = defineCommand({
+    meta: { name: "path-proxies", description: "Run proxies on the paths from one instance to its upstreams" },
+    args: { targets: { type: "string", required: true, description: "Ports of the upstreams, separated by commas" } },
+    run: ({ args }) => runPathProxies(args.targets.split(",").map(Number)),
+});
+
 const hostUpstreamsCommand = defineCommand({
     meta: { name: "host-upstreams", description: "Host several upstreams in one process" },
     args: {
@@ -150,6 +157,7 @@
         upstream,
         "fast-upstreams": fastUpstreams,
         "pass-through": passThrough,
+        "path-proxies": pathProxies,
         "host-upstreams": hostUpstreamsCommand,
         "host-entries": hostEntriesCommand,
         bench,
--- a/packages/standin/src/soak/fault-proxy.ts
+++ b/packages/standin/src/soak/fault-proxy.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { SeededRandom } from "@harrierhitch/core";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 
@@ -15,10 +16,12 @@
     readonly dropsRequests: boolean;
     /** Forwards what the client sends and discards what the server returns. */
     readonly dropsResponses: boolean;
+    /** Share of the chunks that are delayed. */
+    readonly lateShare: number;
 }
 
 /** Forwards everything without delay. */
-export const noFault: ProxyFault = { delayMs: 0, dropsRequests: false, dropsResponses: false };
+export const noFault: ProxyFault = { delayMs: 0, dropsRequests: false, dropsResponses: false, lateShare: 1 };
 
 /** Forwards the connections between instances and an upstream or the platform. */
 export class FaultProxy {
@@ -27,6 +30,7 @@
     private readonly sockets = new Set<Socket>();
     /** Delay of the last forwarded chunk in milliseconds, by the local port of the connection to the target. */
     private readonly delays = new Map<number, number>();
+    private readonly random = new SeededRandom(1);
     private readonly server: Server;
 
     /** @param targetPort - Returns the port to which connections are forwarded. */
@@ -34,13 +38,20 @@
         this.server = createServer(client => this.forwardConnection(client));
     }
 
+    /** Whether new connections are accepted. */
+    get isListening(): boolean {
+        return this.server.listening;
+    }
+
     /**
      * Starts listening.
      *
+     * @param port - The port; a free one by default.
+     * @param backlog - Maximum number of pending connections.
      * @returns The port.
      */
-    async listen(): Promise<number> {
-        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+    async listen(port = 0, backlog = 511): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen({ port, host: "127.0.0.1", backlog }, resolve));
         return (this.server.address() as AddressInfo).port;
     }
 
@@ -53,6 +64,11 @@
         return this.delays.get(port ?? 0) ?? 0;
     }
 
+    /** Refuses new connections; open ones live on. */
+    stopListening(): void {
+        this.server.close();
+    }
+
     /** Resets all connections. */
     reset(): void {
         this.sockets.forEach(socket => socket.resetAndDestroy());
@@ -90,14 +106,15 @@
                 return;
             }
             const sentAtMs = performance.now();
-            const dueAtMs = sentAtMs + this.fault.delayMs;
+            const delayMs = this.random.next() < this.fault.lateShare ? this.fault.delayMs : 0;
+            const dueAtMs = sentAtMs + delayMs;
             const write = (): void => {
                 if (!to.destroyed) {
                     onForwarded?.(Math.max(0, performance.now() - sentAtMs));
                     to.write(chunk);
                 }
             };
-            if (this.fault.delayMs === 0 && pending === 0) {
+            if (delayMs === 0 && pending === 0) {
                 write();
                 return;
             }
--- a/packages/standin/test/system.ts
+++ b/packages/standin/test/system.ts
@@ -3,7 +3,7 @@
  */
 
 import { checkSettings } from "@harrierhitch/configuration";
-import { Daemon, type DaemonPorts, EventLog } from "@harrierhitch/daemon";
+import { Daemon, type DaemonOptions, type DaemonPorts, EventLog } from "@harrierhitch/daemon";
 import { PlatformStandin, type UpstreamBehaviour, UpstreamStandin } from "../src/index.js";
 
 /** Options of {@link startSystem}. */
@@ -77,6 +77,7 @@
     tls = "",
     seedPorts: readonly number[] = [],
     callers = "",
+    parts: Pick<DaemonOptions, "transport"> = {},
 ): Daemon => {
     const text = `
 [instance]
@@ -106,7 +107,7 @@
     if (checked.value === undefined) {
         throw new TypeError(JSON.stringify(checked.findings));
     }
-    return new Daemon({ settings: checked.value, log: new EventLog({ level: process.env["TESTLOG"] ?? "silent" }) });
+    return new Daemon({ settings: checked.value, log: new EventLog({ level: process.env["TESTLOG"] ?? "silent" }), ...parts });
 };
 
 const configurationText = (generation: number, ports: readonly number[], options: SystemOptions): string => `
