Serve callers through other instances where this one cannot reach an upstream

What callers saw: 0 to 12 in 100 requests served at instances without a path to upstreams, 503 or 504 for the rest, until the cut ended. Cause: an instance had no second path, noticed a silent connection only at the deadline, and booked the loss on the upstreams (ejections, crash records).

Now an upstream that fails, or is silent for three times its usual time, is checked with two others of its service. If none accepts a connection, the path is lost: attempts that were not sent go through another instance over the peers' port, repeatable ones that were sent are ended and retried, others wait for their response. The instance that took the request keeps deciding: its limits, budgets, deadline and configuration count once; the other one only sends, after it has checked its own path, and says what was not sent. Only its word, or a connection that never came up, makes a request 'not-run'. Each upstream returns by a check of its own.

Why this works: detection needs no agreement, 1 ms when refused, 0.4 s when silent, and a detour leads to where a connection came up a moment ago.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,7 +28,7 @@
 import type { Tracing } from "./telemetry/tracing.js";
 import { createTransport } from "./upstream/create-transport.js";
 import { HttpTransport } from "./upstream/http-transport.js";
-import type { UpstreamTransport } from "./upstream/upstream-transport.js";
+import type { RoutedTransport } from "./upstream/routed-transport.js";
 import { version } from "./version.js";
 
 /** A running daemon. */
@@ -43,7 +43,7 @@
     private readonly random: RandomSource;
     private readonly log: EventLog;
     private readonly metrics: Metrics;
-    private readonly transport: UpstreamTransport;
+    private readonly transport: RoutedTransport;
     private readonly platform: PlatformLink;
     private readonly polls = new PollMonitor();
     private readonly reading: ReadingTelemetry;
@@ -69,7 +69,11 @@
         this.log = options.log ?? openLog(settings, this.clock, this.metrics);
         this.reading = new ReadingTelemetry({ clock: this.clock, log: this.log, metrics: this.metrics });
         const { clock, random, log, metrics, polls } = this;
-        this.transport = createTransport(options.transport ?? new HttpTransport(), { clock, random, log, metrics });
+        this.transport = createTransport(options.transport ?? new HttpTransport(), {
+            ...{ settings, clock, random, log, metrics },
+            fleet: () => this.instance.fleet,
+            agent: () => this.peers.agent,
+        });
         const adapter = options.adapter ?? defaultPlatform;
         this.instance = this.createInstance(adapter, options.policies ?? new Map());
         this.platform = this.createPlatformLink(
@@ -134,7 +138,8 @@
         await sleep(this.clock, stopDelayMs);
         this.log.write(events.callersPortClosed, { inFlight: this.callers.inFlight });
         const closed = new AbortController();
-        const abortedRequests = await this.callers.close(sleep(this.clock, stopTimeoutMs, closed.signal));
+        const expired = sleep(this.clock, stopTimeoutMs, closed.signal);
+        const [abortedRequests] = await Promise.all([this.callers.close(expired), Promise.race([this.peers.drain(), expired])]);
         closed.abort();
         if (abortedRequests > 0) {
             this.log.write(events.stopAbortedRequests, { requests: abortedRequests });
@@ -212,15 +217,9 @@
     }
 
     private createPeerJoiner(): PeerJoiner {
-        const { settings, clock, random, metrics, log, instance } = this;
+        const { settings, clock, random, metrics, log, instance, transport, times } = this;
         return new PeerJoiner({
-            settings,
-            clock,
-            random,
-            metrics,
-            log,
-            instance,
-            times: this.times,
+            ...{ settings, clock, random, metrics, log, instance, transport, times },
             serviceOptions: () => this.serviceOptions(),
             onRefused: reason => this.onRefused(reason),
         });
--- /dev/null
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -0,0 +1,159 @@
+/**
+ * An attempt that goes through other instances, because this one cannot reach the upstream.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, ServiceName, Timer } from "@harrierhitch/core";
+import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
+import type { Member } from "@harrierhitch/protocol";
+import type { IncomingHttpHeaders } from "node:http";
+import { Readable } from "node:stream";
+import { defaultPatienceMs } from "../upstream/direct-attempt.js";
+import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
+import type { DetourClient } from "./detour-client.js";
+import type { DetourPeers } from "./detour-peers.js";
+import { detourHeader, type DetourResult, type NotSentReason, parseDetourResult } from "./detour-result.js";
+
+/** Options of {@link DetourAttempt}. */
+export interface DetourAttemptOptions {
+    readonly clock: Clock;
+    readonly client: DetourClient;
+    readonly peers: DetourPeers;
+    readonly upstream: UpstreamEntry;
+    readonly service: ServiceName;
+    readonly request: UpstreamRequest;
+    readonly sink: ResponseSink;
+}
+
+/** Most instances through which one attempt is tried. */
+const maximumPeers = 3;
+
+/** Reasons that concern the upstream rather than the instance, so that no other instance is tried. */
+const finalReasons: ReadonlySet<NotSentReason> = new Set<NotSentReason>(["closed", "silent", "withdrawn"]);
+
+const nothingSent = { status: undefined, sent: false } as const;
+
+/** Sends a request through one instance after the other until one of them has sent it to the upstream. */
+export class DetourAttempt implements Attempt, ResponseSink {
+    readonly result: Promise<AttemptResult>;
+    private readonly tried: string[] = [];
+    private readonly request: UpstreamRequest;
+    private inner: Attempt | undefined;
+    private received: DetourResult | undefined;
+    private cancelled: "timed-out" | "cancelled" | undefined;
+    private hasBegun = false;
+
+    /** @param options - The request, its upstream and the other instances. */
+    constructor(private readonly options: DetourAttemptOptions) {
+        const { request } = options;
+        this.request = {
+            ...request,
+            onBegin: () => {
+                this.hasBegun = true;
+                request.onBegin?.();
+            },
+        };
+        this.result = this.run();
+    }
+
+    cancel(end: "timed-out" | "cancelled"): void {
+        this.cancelled ??= end;
+        this.inner?.cancel(end);
+    }
+
+    resume(): void {
+        this.inner?.resume();
+    }
+
+    onHead(status: number, headers: IncomingHttpHeaders): boolean {
+        this.received = parseDetourResult(headers[detourHeader]);
+        if (this.received.type !== "answered") {
+            return true;
+        }
+        const { [detourHeader]: _, ...others } = headers;
+        return this.options.sink.onHead(status, others);
+    }
+
+    onData(chunk: Buffer): boolean {
+        return this.received?.type !== "answered" || this.options.sink.onData(chunk);
+    }
+
+    private async run(): Promise<AttemptResult> {
+        const { peers, service, request } = this.options;
+        const detail = `no other instance reaches ${service}`;
+        let result: AttemptResult = { ...nothingSent, end: "connect-failed", detail };
+        while (this.tried.length < maximumPeers && this.cancelled === undefined) {
+            const peer = peers.choose(service, this.tried);
+            if (peer === undefined) {
+                return result;
+            }
+            this.tried.push(peer.instance);
+            const attempted = await this.tryPeer(peer);
+            result = attempted.result;
+            // A streamed body cannot be sent a second time.
+            if (attempted.isFinal || request.body instanceof Readable) {
+                return result;
+            }
+        }
+        return this.cancelled === undefined ? result : { ...result, end: this.cancelled };
+    }
+
+    private async tryPeer(peer: Member): Promise<{ readonly result: AttemptResult; readonly isFinal: boolean; }> {
+        const { peers, client, upstream } = this.options;
+        this.received = undefined;
+        this.hasBegun = false;
+        const finish = peers.begin(peer.instance);
+        this.inner = client.send(peer, upstream, this.request, this);
+        const patience = this.awaitResponse(peer, this.inner);
+        const sent = await this.inner.result;
+        patience.cancel();
+        finish();
+        return this.judge(peer, sent);
+    }
+
+    /** Concludes from the other instance's response, or from its absence, whether the upstream may have received the request. */
+    private judge({ instance }: Member, sent: AttemptResult): { readonly result: AttemptResult; readonly isFinal: boolean; } {
+        const { peers, service } = this.options;
+        const via = instance;
+        if (this.received?.type === "not-sent") {
+            const { reason } = this.received;
+            const isFinal = finalReasons.has(reason);
+            if (!isFinal) {
+                peers.exclude(instance, reason === "no-path" ? service : undefined);
+            }
+            const end = reason === "withdrawn" ? "withdrawn" : "connect-failed";
+            const result = { ...nothingSent, end, detail: `${instance}: ${reason}`, refused: reason === "closed", via } as const;
+            return { result, isFinal };
+        }
+        if (this.received?.type === "answered") {
+            peers.recordServed(instance);
+            const end = sent.end === "reset" || sent.end === "garbled" ? "path-lost" : sent.end;
+            return { result: { ...sent, end, via }, isFinal: true };
+        }
+        if (sent.end === "withdrawn" || this.cancelled !== undefined) {
+            return { result: { ...sent, via }, isFinal: true };
+        }
+        peers.exclude(instance, undefined);
+        return this.hasBegun
+            ? { result: { ...sent, end: "path-lost", sent: true, via }, isFinal: true }
+            : { result: { ...sent, end: "connect-failed", sent: false, refused: false, via }, isFinal: false };
+    }
+
+    private awaitResponse(peer: Member, attempt: Attempt): Timer {
+        const { clock, request } = this.options;
+        return clock.after(
+            2 * (request.patienceMs ?? defaultPatienceMs),
+            () => setImmediate(() => void this.checkPeer(peer, attempt)),
+        );
+    }
+
+    /** Gives up an instance that no longer accepts connections, unless the request may run only once and may have been sent. */
+    private async checkPeer(peer: Member, attempt: Attempt): Promise<void> {
+        const { client, request } = this.options;
+        const isWaiting = (): boolean => this.inner === attempt && this.received === undefined;
+        if (isWaiting() && !await client.isListening(peer) && isWaiting() && (!this.hasBegun || request.isRepeatable === true)) {
+            attempt.cancel("cancelled");
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -0,0 +1,109 @@
+/**
+ * Sends requests to upstreams through other instances.
+ *
+ * @packageDocumentation
+ */
+
+import type { Upstream } from "@harrierhitch/configuration";
+import type { UpstreamEntry } from "@harrierhitch/decision";
+import type { Member } from "@harrierhitch/protocol";
+import type { Agent as HttpAgent } from "node:http";
+import type { Agent as HttpsAgent } from "node:https";
+import { checkPort, type PortState } from "../upstream/check-port.js";
+import { HttpAttempt } from "../upstream/http-attempt.js";
+import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
+import { type DetourAction, formatDetour } from "./detour-address.js";
+
+/** Options of {@link DetourClient}. */
+export interface DetourClientOptions {
+    readonly fleet: string;
+    readonly instance: string;
+    /** Connections to other instances; `undefined` before this instance has joined the fleet. */
+    readonly agent: () => HttpAgent | HttpsAgent | undefined;
+}
+
+/** Connect timeout to another instance, in milliseconds. */
+const connectTimeoutMs = 200;
+
+/** Timeout of a check by another instance, in milliseconds. */
+const checkTimeoutMs = 250;
+
+/** Timeout of a request that states none, in milliseconds. */
+const defaultTimeoutMs = 60_000;
+
+/** Sends single requests through a given instance. */
+export class DetourClient {
+    /** @param options - Names and connections of this instance. */
+    constructor(private readonly options: DetourClientOptions) {}
+
+    /** Whether this instance is connected to others. */
+    get isAvailable(): boolean {
+        return this.options.agent() !== undefined;
+    }
+
+    /**
+     * Sends a request through another instance.
+     *
+     * @param peer - The instance.
+     * @param upstream - The upstream to which it sends the request.
+     * @param request - The request.
+     * @param sink - Receives the other instance's response.
+     */
+    send(peer: Member, upstream: UpstreamEntry, request: UpstreamRequest, sink: ResponseSink): Attempt {
+        return this.open(peer, upstream, request, sink, "send");
+    }
+
+    /** Asks another instance whether an upstream accepts its connections; `undefined` if it does not know. */
+    async check(
+        peer: Member,
+        upstream: UpstreamEntry,
+        parse: (headers: unknown) => PortState | undefined,
+    ): Promise<PortState | undefined> {
+        const state: { value: PortState | undefined; } = { value: undefined };
+        const request = { method: "GET", path: "/", headers: ["host", "instance"], body: undefined, timeoutMs: checkTimeoutMs };
+        const attempt = this.open(peer, upstream, request, {
+            onHead: (_, headers) => {
+                state.value = parse(headers);
+                return true;
+            },
+            onData: () => true,
+        }, "check");
+        const timer = setTimeout(() => attempt.cancel("timed-out"), checkTimeoutMs);
+        await attempt.result;
+        clearTimeout(timer);
+        return state.value;
+    }
+
+    /** Whether another instance accepts connections. */
+    async isListening({ address, port }: Member): Promise<boolean> {
+        return await checkPort({ address, port } as Upstream) === "open";
+    }
+
+    private open(
+        { address, port }: Member,
+        { id, startedAtMs = 0 }: UpstreamEntry,
+        request: UpstreamRequest,
+        sink: ResponseSink,
+        action: DetourAction,
+    ): Attempt {
+        const { fleet, instance } = this.options;
+        const agent = this.options.agent();
+        if (agent === undefined) {
+            const result = Promise.resolve(
+                { end: "connect-failed", status: undefined, detail: "not in a fleet", sent: false } as const,
+            );
+            return { result, cancel: () => undefined, resume: () => undefined };
+        }
+        const url = formatDetour({
+            action,
+            fleet,
+            instance,
+            request: request.requestId ?? "",
+            upstream: id,
+            startedAtMs,
+            timeoutMs: request.timeoutMs ?? defaultTimeoutMs,
+            url: request.path,
+        });
+        return new HttpAttempt({ address, port, connectTimeoutMs }, agent, { ...request, path: url }, sink);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -0,0 +1,170 @@
+/**
+ * Serves requests that other instances send to upstreams through this one.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock } from "@harrierhitch/core";
+import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
+import { requestHeaders, responseHeaders } from "../request/headers.js";
+import { hasBody } from "../request/request-body.js";
+import type { PathTelemetry } from "../telemetry/path-telemetry.js";
+import type { RoutedTransport } from "../upstream/routed-transport.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
+import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
+import { type DetourAddress, parseDetour } from "./detour-address.js";
+import { detourHeader, type DetourResult, formatDetourResult, type NotSentReason } from "./detour-result.js";
+
+/** Options of {@link DetourListener}. */
+export interface DetourListenerOptions {
+    readonly clock: Clock;
+    readonly fleet: string;
+    readonly transport: RoutedTransport;
+    readonly telemetry: PathTelemetry;
+    /** Returns the services of this instance. */
+    readonly services: () => readonly ServiceRuntime[];
+    /** Whether an instance is a member of the fleet. */
+    readonly isMember: (instance: string) => boolean;
+    readonly isStopping: () => boolean;
+}
+
+/** Most requests of other instances that are served at the same time. */
+const maximumInFlight = 256;
+
+const failedStatus = 502;
+const notSentStatus = 503;
+
+interface Destination {
+    readonly runtime: ServiceRuntime;
+    readonly upstream: UpstreamEntry;
+}
+
+/** Sends requests of other instances to upstreams over connections of this instance only. */
+export class DetourListener {
+    private readonly inFlight = new Set<Promise<void>>();
+
+    /** @param options - Transport, services and membership. */
+    constructor(private readonly options: DetourListenerOptions) {}
+
+    /** Serves one request of another instance. */
+    handle(request: IncomingMessage, response: ServerResponse): void {
+        response.sendDate = false;
+        const task = this.serve(request, response).finally(() => this.inFlight.delete(task));
+        this.inFlight.add(task);
+    }
+
+    /** Resolves when the requests in flight have ended. */
+    async drain(): Promise<void> {
+        await Promise.all(this.inFlight);
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const address = parseDetour(request.url ?? "");
+        if (address === undefined) {
+            respond(request, response, { type: "not-sent", reason: "rejected" });
+            return;
+        }
+        const { clock, transport, telemetry } = this.options;
+        const startedAtMs = clock.nowMs();
+        const destination = this.destinationOf(address);
+        const reason = this.rejectionOf(address) ?? (destination === undefined ? "unknown-upstream" : undefined)
+            ?? await transport.obstacleTo(address.upstream);
+        const waitedMs = clock.nowMs() - startedAtMs;
+        const result: DetourResult = reason !== undefined || destination === undefined
+            ? { type: "not-sent", reason: reason ?? "unknown-upstream" }
+            : address.action === "check"
+            ? { type: "answered" }
+            : await this.forward(address, destination, request, response);
+        if (!response.headersSent) {
+            respond(request, response, result);
+        }
+        telemetry.detourServed({ address, result, waitedMs, durationMs: clock.nowMs() - startedAtMs });
+    }
+
+    private rejectionOf({ fleet, instance }: DetourAddress): NotSentReason | undefined {
+        if (fleet !== this.options.fleet || !this.options.isMember(instance)) {
+            return "rejected";
+        }
+        if (this.options.isStopping()) {
+            return "stopping";
+        }
+        return this.inFlight.size > maximumInFlight ? "busy" : undefined;
+    }
+
+    private destinationOf({ upstream: id, startedAtMs }: DetourAddress): Destination | undefined {
+        return this.options.services().flatMap(runtime => {
+            const upstream = runtime.tracker.find(id);
+            return upstream !== undefined && (upstream.startedAtMs ?? 0) === startedAtMs ? [{ runtime, upstream }] : [];
+        })[0];
+    }
+
+    private async forward(
+        address: DetourAddress,
+        { runtime, upstream }: Destination,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<DetourResult> {
+        const { clock, transport } = this.options;
+        const attempt: Attempt = transport.send(upstream, {
+            method: request.method ?? "GET",
+            path: address.url,
+            headers: requestHeaders(request.rawHeaders, request.headers.connection, {}),
+            body: hasBody(request) ? request : undefined,
+            mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
+            isDirectOnly: true,
+        }, responseSink(response, () => attempt));
+        const timer = clock.after(address.timeoutMs, () => attempt.cancel("timed-out"));
+        response.once("close", () => attempt.cancel("cancelled"));
+        const result = await attempt.result;
+        timer.cancel();
+        return finishResponse(response, result);
+    }
+}
+
+/** Forwards the response of an upstream at the pace at which the other instance reads. */
+const responseSink = (response: ServerResponse, attempt: () => Attempt): ResponseSink => ({
+    onHead: (status: number, headers: IncomingHttpHeaders) => {
+        response.writeHead(status, responseHeaders(headers, { [detourHeader]: formatDetourResult({ type: "answered" }) }));
+        response.flushHeaders();
+        return true;
+    },
+    onData: chunk => {
+        const isWritable = response.write(chunk);
+        if (!isWritable) {
+            response.once("drain", () => attempt().resume());
+        }
+        return isWritable;
+    },
+});
+
+/** Ends a response that has begun, or aborts it if it is incomplete; returns what to respond if none has begun. */
+const finishResponse = (response: ServerResponse, { end, sent, refused }: AttemptResult): DetourResult => {
+    if (response.headersSent) {
+        if (end === "answered") {
+            response.end();
+            return { type: "answered" };
+        }
+        response.destroy();
+        return { type: "lost" };
+    }
+    if (sent) {
+        return { type: "lost" };
+    }
+    if (end === "withdrawn") {
+        return { type: "not-sent", reason: "withdrawn" };
+    }
+    return { type: "not-sent", reason: refused === true ? "closed" : "silent" };
+};
+
+const respond = (request: IncomingMessage, response: ServerResponse, result: DetourResult): void => {
+    const status = result.type === "not-sent" ? notSentStatus : result.type === "lost" ? failedStatus : 204;
+    // What is left of the request's body must not be taken for the next request.
+    const connection = request.complete || !hasBody(request) ? {} : { connection: "close" };
+    response.writeHead(status, {
+        [detourHeader]: formatDetourResult(result),
+        ...(status === 204 ? {} : { "content-length": 0 }),
+        ...connection,
+    });
+    response.end();
+};
--- /dev/null
+++ b/packages/daemon/src/detour/detour-result.ts
@@ -0,0 +1,55 @@
+/**
+ * What an instance states about a request that it sent to an upstream for another instance.
+ *
+ * @packageDocumentation
+ */
+
+/** Response header with the result; never forwarded from an upstream. */
+export const detourHeader = "x-harrierhitch-detour";
+
+/**
+ * Why an instance sent nothing to the upstream.
+ *
+ * - `no-path`: it cannot reach the service either.
+ * - `closed`, `silent`: it reaches the service, but this upstream refuses connections or does not respond to them.
+ * - `withdrawn`: the upstream is draining, backing off or no longer in service.
+ * - `unknown-upstream`: it does not know the upstream, or another incarnation of it.
+ * - `busy`, `stopping`, `rejected`: it takes no requests of other instances now, or none of this one.
+ */
+export const notSentReasons = [
+    "no-path",
+    "closed",
+    "silent",
+    "withdrawn",
+    "unknown-upstream",
+    "busy",
+    "stopping",
+    "rejected",
+] as const;
+
+export type NotSentReason = typeof notSentReasons[number];
+
+/**
+ * Result of a detour.
+ *
+ * - `answered`: the response is the upstream's.
+ * - `not-sent`: nothing was sent to the upstream.
+ * - `lost`: the upstream may have received the request, but there is no response of it.
+ */
+export type DetourResult = { readonly type: "answered" | "lost"; } | {
+    readonly type: "not-sent";
+    readonly reason: NotSentReason;
+};
+
+export const formatDetourResult = (result: DetourResult): string =>
+    result.type === "not-sent" ? `not-sent ${result.reason}` : result.type;
+
+/** Parses the header; `lost` if it is missing or invalid, because then the response is of unknown origin. */
+export const parseDetourResult = (header: unknown): DetourResult => {
+    const [type, reason] = typeof header === "string" ? header.split(" ") : [];
+    const known = notSentReasons.find(name => name === reason);
+    if (type === "not-sent" && known !== undefined) {
+        return { type, reason: known };
+    }
+    return { type: type === "answered" ? "answered" : "lost" };
+};
--- a/packages/daemon/src/peers/connect-clients.ts
+++ b/packages/daemon/src/peers/connect-clients.ts
@@ -18,15 +18,20 @@
 /** {@link PeerClients} that use the Connect protocol. */
 export class ConnectClients implements PeerClients {
     private readonly clients = new Map<string, Client<typeof PeerService>>();
-    private agent: HttpAgent | HttpsAgent;
+    private currentAgent: HttpAgent | HttpsAgent;
     private readonly stopWatching: () => void;
 
     /** @param files - TLS files of the peers' endpoint. */
     constructor(private readonly files: TlsFileNames) {
-        this.agent = this.openAgent();
+        this.currentAgent = this.openAgent();
         this.stopWatching = watchTlsFiles(files, () => this.reload());
     }
 
+    /** Connections to the other instances. */
+    get agent(): HttpAgent | HttpsAgent {
+        return this.currentAgent;
+    }
+
     to(peer: PeerAddress): Client<typeof PeerService> {
         const host = peer.address.includes(":") ? `[${peer.address}]` : peer.address;
         const name = `${host}:${peer.port}`;
@@ -60,8 +65,8 @@
 
     private reload(): void {
         try {
-            const previous = this.agent;
-            this.agent = this.openAgent();
+            const previous = this.currentAgent;
+            this.currentAgent = this.openAgent();
             this.clients.clear();
             previous.destroy();
         }
--- a/packages/daemon/src/peers/peer-endpoint.ts
+++ b/packages/daemon/src/peers/peer-endpoint.ts
@@ -6,10 +6,14 @@
 
 import { parseEndpoint, type Settings } from "@harrierhitch/configuration";
 import type { Clock, RandomSource } from "@harrierhitch/core";
-import type { PeerAddress, PeerClients } from "@harrierhitch/fleet";
+import type { PeerAddress } from "@harrierhitch/fleet";
 import type { FleetTimes } from "@harrierhitch/published";
+import { detourPrefix } from "../detour/detour-address.js";
+import { DetourListener } from "../detour/detour-listener.js";
 import { respondNotFound } from "../operators/http-handlers.js";
 import type { EventLog } from "../telemetry/event-log.js";
+import { PathTelemetry } from "../telemetry/path-telemetry.js";
+import type { RoutedTransport } from "../upstream/routed-transport.js";
 import { ConnectClients } from "./connect-clients.js";
 import { createFleet } from "./create-fleet.js";
 import { instanceFleetOptions } from "./instance-fleet.js";
@@ -27,17 +31,33 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly log: EventLog;
+    readonly transport: RoutedTransport;
+    /** Maximum size of the head of a caller's request, in bytes. */
+    readonly maximumHeaderBytes: number;
 }
 
+/** Size of the URL of a detour without the caller's own URL, at most, in bytes. */
+const maximumDetourAddressBytes = 4096;
+
 /** Serves other instances and joins this one to their fleet. */
 export class PeerEndpoint {
     /** Clients of the other instances. */
-    readonly clients: PeerClients;
+    readonly clients: ConnectClients;
     private readonly server: RpcServer;
+    private readonly detours: DetourListener;
 
     /** @param options - Settings and the instance. */
     constructor(private readonly options: PeerEndpointOptions) {
-        const { settings, instance, onRefused } = options;
+        const { settings, instance, clock, log, metrics, transport, onRefused, maximumHeaderBytes } = options;
+        this.detours = new DetourListener({
+            clock,
+            fleet: settings.fleet,
+            transport,
+            telemetry: new PathTelemetry(log, metrics),
+            services: () => instance.services.all(),
+            isMember: id => instance.fleet?.members.find(id) !== undefined,
+            isStopping: () => instance.stage === "stopping",
+        });
         this.clients = new ConnectClients(settings);
         this.server = new RpcServer({
             settings,
@@ -51,7 +71,11 @@
                     onRejected: onRefused,
                 });
             },
-            fallback: respondNotFound,
+            fallback: (request, response) =>
+                request.url?.startsWith(detourPrefix) === true
+                    ? this.detours.handle(request, response)
+                    : respondNotFound(request, response),
+            maximumHeaderBytes: maximumHeaderBytes + maximumDetourAddressBytes,
             onRefused,
         });
     }
@@ -81,6 +105,11 @@
         this.options.instance.fleet?.replaceSeeds(seedsOf(settings));
     }
 
+    /** Waits for the requests of other instances that are in flight; further ones are rejected since the stop began. */
+    drain(): Promise<void> {
+        return this.detours.drain();
+    }
+
     /** Stops exchanging state with other instances and stops serving, immediately. */
     async close(): Promise<void> {
         this.options.instance.fleet?.stop();
--- a/packages/daemon/src/peers/peer-joiner.ts
+++ b/packages/daemon/src/peers/peer-joiner.ts
@@ -8,10 +8,11 @@
 import { asError, sleep } from "@harrierhitch/core";
 import type { PeerClients } from "@harrierhitch/fleet";
 import { events } from "../telemetry/event.js";
+import type { ConnectClients } from "./connect-clients.js";
 import type { PeerEndpoint, PeerEndpointOptions } from "./peer-endpoint.js";
 
 /** Options of {@link PeerJoiner}. */
-export interface PeerJoinerOptions extends Omit<PeerEndpointOptions, "settings" | "availabilityZone"> {
+export interface PeerJoinerOptions extends Omit<PeerEndpointOptions, "settings" | "availabilityZone" | "maximumHeaderBytes"> {
     readonly settings: Settings;
 }
 
@@ -35,6 +36,11 @@
         return this.endpoint?.clients;
     }
 
+    /** Connections to the other instances; `undefined` while the instance is standalone. */
+    get agent(): ConnectClients["agent"] | undefined {
+        return this.endpoint?.clients.agent;
+    }
+
     /** Whether a delayed join is pending. */
     get willJoin(): boolean {
         return this.isJoinPending;
@@ -59,6 +65,11 @@
         this.endpoint?.reload(settings);
     }
 
+    /** Waits for the requests of other instances that are in flight. */
+    async drain(): Promise<void> {
+        await this.endpoint?.drain();
+    }
+
     /** Cancels a pending join and closes the endpoint. */
     async close(): Promise<void> {
         this.closing.abort();
@@ -90,6 +101,7 @@
             ...this.options,
             settings,
             availabilityZone: this.options.settings.instance.availabilityZone,
+            maximumHeaderBytes: this.options.settings.callers.maximumHeaderBytes,
         });
         return await this.endpoint.start();
     }
--- a/packages/daemon/src/peers/rpc-server.ts
+++ b/packages/daemon/src/peers/rpc-server.ts
@@ -18,6 +18,8 @@
     readonly settings: TlsFileNames & { readonly address: string; readonly port: number; };
     /** Path prefix of RPC calls. */
     readonly rpcPrefix: string;
+    /** Maximum size of a request head, in bytes; Node's default if absent. */
+    readonly maximumHeaderBytes?: number;
     /** Creates the RPC listener; called at the first RPC call to keep startup fast. */
     readonly openRpc: () => Promise<Listener>;
     /** Handles all other requests. */
@@ -34,15 +36,16 @@
 
     /** @param options - Address, services and TLS files. */
     constructor(private readonly options: RpcServerOptions) {
-        const { settings } = options;
+        const { settings, maximumHeaderBytes } = options;
+        const limits = maximumHeaderBytes === undefined ? {} : { maxHeaderSize: maximumHeaderBytes };
         const listener: Listener = (request, response) => this.handle(request, response);
         const tls = readTlsFiles(settings);
         if (tls === undefined) {
-            this.server = createServer(listener);
+            this.server = createServer(limits, listener);
             this.stopWatching = () => undefined;
             return;
         }
-        const server = createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, listener);
+        const server = createTlsServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true }, listener);
         server.on("tlsClientError", error => options.onRefused(error.message));
         this.stopWatching = watchTlsFiles(settings, () => this.reload(server));
         this.server = server;
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -52,7 +52,7 @@
 const maximumDiscardedBytes = 65_536;
 
 /** Ends of attempts that do not count as failures of the upstream. */
-const nonFailureEnds: ReadonlySet<AttemptEnd> = new Set<AttemptEnd>(["answered", "cancelled", "withdrawn"]);
+const nonFailureEnds: ReadonlySet<AttemptEnd> = new Set<AttemptEnd>(["answered", "cancelled", "withdrawn", "path-lost"]);
 
 /** Sends a request to one upstream, processes the response and records the result. */
 export class AttemptTask implements ResponseSink {
@@ -173,7 +173,7 @@
         else if (result.refused === true) {
             services.crashes.recordPortClosed(upstream.id);
         }
-        else if (result.end !== "answered" && result.sent && response === undefined) {
+        else if (result.end !== "answered" && result.end !== "path-lost" && result.sent && response === undefined) {
             services.crashes.recordAbandoned(this.observedCrash());
         }
         services.onAttempt(progress.record, this.record);
@@ -236,7 +236,7 @@
             progress.stage = "running";
         };
         return {
-            ...buildUpstreamRequest({ services, progress, body, upstream, spanId }),
+            ...buildUpstreamRequest({ services, runtime, progress, body, upstream, spanId }),
             mayBegin,
             whenCallerRead: connection.whenRead.bind(connection),
             onBegin,
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -6,6 +6,8 @@
 
 import type { UpstreamEntry } from "@harrierhitch/decision";
 import { toTraceparent } from "../telemetry/trace-context.js";
+import { defaultPatienceMs } from "../upstream/direct-attempt.js";
+import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { UpstreamRequest } from "../upstream/upstream-transport.js";
 import { requestHeaders } from "./headers.js";
 import type { RequestBody } from "./request-body.js";
@@ -15,6 +17,7 @@
 /** Options of {@link buildUpstreamRequest}. */
 export interface UpstreamRequestOptions {
     readonly services: RequestServices;
+    readonly runtime: ServiceRuntime;
     readonly progress: RequestProgress;
     readonly body: RequestBody;
     readonly upstream: UpstreamEntry;
@@ -25,16 +28,29 @@
 /** Time subtracted from the deadline at each hop, so that the next hop's response arrives before it. */
 const hopMarginMs = 2;
 
+/** Multiple of the usual service time after which the path to a silent upstream is checked. */
+const patienceFactor = 3;
+
 /** Returns the request that an attempt sends to its upstream. */
 export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
-    const { services, progress, body, upstream, spanId } = options;
+    const { services, runtime, progress, body, upstream, spanId } = options;
     const { request, metadata, trace } = progress;
     const { configuration } = progress.record;
+    const { kind } = progress.route;
     const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
     const added = services.headerProtocol.attemptHeaders({ configuration, upstream, remainingMs, depth: metadata.depth + 1 });
     const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
         ...added,
         traceparent: toTraceparent(trace, spanId),
     });
-    return { method: request.method ?? "GET", path: request.url ?? "/", headers, body: body.open() };
+    return {
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers,
+        body: body.open(),
+        requestId: progress.record.id,
+        isRepeatable: kind.repeatable && body.canReplay,
+        timeoutMs: progress.remainingMs,
+        patienceMs: Math.max(defaultPatienceMs, patienceFactor * (runtime.latencyBaselines.baselineOf(kind.name) ?? 0)),
+    };
 };
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -56,6 +56,7 @@
     },
     pathLost: { number: 330, level: "warn", message: "upstreams cannot be reached from this instance" },
     pathRegained: { number: 331, level: "info", message: "upstreams can be reached from this instance again" },
+    detourServed: { number: 332, level: "info", message: "request of another instance was sent to an upstream" },
     upstreamCrashed: { number: 320, level: "info", message: "upstream crashed while processing a request" },
     requestQuarantined: { number: 321, level: "warn", message: "request is quarantined: it crashes upstreams" },
     quarantineTrialSent: { number: 324, level: "info", message: "quarantined request is sent as a trial" },
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -104,6 +104,28 @@
         ["service"],
     );
 
+    /** Requests and probes of other instances that were sent to upstreams through this one, by result. */
+    readonly detoursServed = this.counter(
+        "harrierhitch_detours_served_total",
+        "Requests of other instances sent to upstreams through this one",
+        ["result"],
+    );
+
+    /** Time that these took here. */
+    readonly detourDuration = new Histogram({
+        name: "harrierhitch_detour_duration_seconds",
+        help: "Time from the arrival of another instance's request to the end of its response",
+        buckets: latencyBucketsSeconds,
+        registers: [this.registry],
+    });
+
+    /** Attempts of this instance that were sent through another one, by service and end. */
+    readonly detoursTaken = this.counter(
+        "harrierhitch_detours_taken_total",
+        "Attempts sent to upstreams through other instances",
+        ["service", "end"],
+    );
+
     /** Probes of upstreams, by service and result. */
     readonly probes = this.counter("harrierhitch_probes_total", "Probes of upstreams", ["service", "result"]);
 
--- a/packages/daemon/src/telemetry/path-telemetry.ts
+++ b/packages/daemon/src/telemetry/path-telemetry.ts
@@ -4,11 +4,23 @@
  * @packageDocumentation
  */
 
+import type { DetourAddress } from "../detour/detour-address.js";
+import { type DetourResult, formatDetourResult } from "../detour/detour-result.js";
 import type { ReachabilityChange } from "../upstream/reachability-change.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import type { Metrics } from "./metrics.js";
 
+/** A request that another instance sent to an upstream through this one. */
+export interface ServedDetour {
+    readonly address: DetourAddress;
+    readonly result: DetourResult;
+    /** Time until the request was sent on or rejected. */
+    readonly waitedMs: number;
+    /** Time until its response ended. */
+    readonly durationMs: number;
+}
+
 /** Writes log events and updates metrics of the paths to upstreams. */
 export class PathTelemetry {
     /**
@@ -30,4 +42,21 @@
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
         });
     }
+
+    /** Counts a detour that this instance served, and logs it under the id of its request; probes are only counted. */
+    detourServed({ address, result, waitedMs, durationMs }: ServedDetour): void {
+        const { request, instance, upstream } = address;
+        this.metrics.detoursServed.inc({ result: formatDetourResult(result) });
+        this.metrics.detourDuration.observe(durationMs / 1000);
+        if (request !== "") {
+            this.log.write(events.detourServed, {
+                request,
+                from: instance,
+                upstream,
+                result: formatDetourResult(result),
+                waitedMs: Math.round(waitedMs),
+                durationMs: Math.round(durationMs),
+            });
+        }
+    }
 }
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -55,6 +55,9 @@
         const service = record.route.service.name;
         const { result, upstream, outcome, startedMs, endedMs } = attempt;
         this.metrics.attempts.inc({ service, end: result?.end ?? "unknown" });
+        if (result?.via !== undefined) {
+            this.metrics.detoursTaken.inc({ service, end: result.end });
+        }
         const step = record.steps.findLast(({ decision }) => decision.action === "choose" && decision.upstream === upstream);
         const index = step?.input.upstreams.findIndex(facts => facts.id === upstream) ?? -1;
         const facts = step?.input.upstreams[index];
@@ -62,6 +65,7 @@
             request: record.id,
             service,
             upstream,
+            via: result?.via,
             number: record.attempts.indexOf(attempt) + 1,
             end: result?.end,
             status: result?.status,
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -23,17 +23,27 @@
 /** Time without a response after which the path is checked, in milliseconds. */
 export const defaultPatienceMs = 200;
 
-/** Sends a request directly, and has the path checked when the attempt fails or stays without a response. */
+/** Sends a request directly, and ends without waiting for its deadline once the path is lost and nothing can be gained by waiting. */
 export class DirectAttempt implements Attempt, ResponseSink {
     readonly result: Promise<AttemptResult>;
+    /** Whether the head of a response was received. */
+    hasResponse = false;
     private readonly inner: Attempt;
+    private readonly stopWatching: () => void;
     private patienceTimer: Timer | undefined;
+    private hasBegun = false;
     private hasEnded = false;
+    private isPathLost = false;
 
     /** @param options - The request and its upstream. */
     constructor(private readonly options: DirectAttemptOptions) {
-        const { transport, upstream, request } = options;
-        this.inner = transport.send(upstream, request, this);
+        const { transport, reachability, upstream, request } = options;
+        const onBegin = (): void => {
+            this.hasBegun = true;
+            request.onBegin?.();
+        };
+        this.inner = transport.send(upstream, { ...request, onBegin }, this);
+        this.stopWatching = reachability.onLost(upstream.id, () => this.endAtLostPath());
         this.awaitResponse(request.patienceMs ?? defaultPatienceMs);
         this.result = this.inner.result.then(result => this.finish(result));
     }
@@ -48,6 +58,7 @@
 
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
         const { reachability, upstream, sink } = this.options;
+        this.hasResponse = true;
         this.patienceTimer?.cancel();
         reachability.recordResponse(upstream.id);
         return sink.onHead(status, headers);
@@ -64,26 +75,35 @@
 
     private async checkPath(patienceMs: number): Promise<void> {
         const { reachability, upstream } = this.options;
-        if (this.hasEnded) {
-            return;
-        }
-        const isReachable = await reachability.verify(upstream.id);
-        if (isReachable && !this.isSettled()) {
+        if (this.isWaiting() && await reachability.verify(upstream.id) && this.isWaiting()) {
             this.awaitResponse(patienceMs * 2);
         }
+        else if (this.isWaiting()) {
+            this.endAtLostPath();
+        }
+    }
+
+    /** Ends the attempt, unless it may have been sent and must not be repeated: its response may still arrive after the cut. */
+    private endAtLostPath(): void {
+        if (this.isWaiting() && (!this.hasBegun || this.options.request.isRepeatable === true)) {
+            this.isPathLost = true;
+            this.inner.cancel("cancelled");
+        }
     }
 
-    private isSettled(): boolean {
-        return this.hasEnded;
+    private isWaiting(): boolean {
+        return !this.hasEnded && !this.hasResponse;
     }
 
     private finish(result: AttemptResult): AttemptResult {
-        const { reachability, upstream } = this.options;
         this.hasEnded = true;
+        this.stopWatching();
         this.patienceTimer?.cancel();
-        if (result.end === "connect-failed" || result.end === "reset") {
-            void reachability.verify(upstream.id);
+        if (!this.isPathLost) {
+            return result;
         }
-        return result;
+        return this.hasBegun
+            ? { ...result, end: "path-lost", sent: true, detail: "the path to the upstream is lost" }
+            : { ...result, end: "connect-failed", sent: false, detail: "the path to the upstream is lost" };
     }
 }
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -6,11 +6,12 @@
 
 import { asError, HarrierhitchError } from "@harrierhitch/core";
 import type { AttemptEnd, AttemptResult } from "@harrierhitch/decision";
-import { type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import { type Agent as HttpAgent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import { Agent as HttpsAgent } from "node:https";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
-import type { UpstreamAgent } from "./upstream-agent.js";
-import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTarget } from "./upstream-transport.js";
+import { UpstreamAgent } from "./upstream-agent.js";
+import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
 /** The attempt was aborted by this instance. */
 export class AttemptCancelledError extends HarrierhitchError {
@@ -41,6 +42,13 @@
     }
 }
 
+/** Where an attempt connects to. */
+export interface HttpAttemptTarget {
+    readonly address: string;
+    readonly port: number;
+    readonly connectTimeoutMs: number;
+}
+
 /** Maximum size of a response's status line and headers. */
 const maximumResponseHeadBytes = 32_768;
 
@@ -56,23 +64,24 @@
     private finished = false;
 
     /**
-     * @param target - The upstream.
+     * @param target - The upstream, or an instance that forwards to it.
      * @param agent - Its connections.
      * @param outgoing - The request.
      * @param sink - Receives the response.
      */
     constructor(
-        private readonly target: UpstreamTarget,
-        private readonly agent: UpstreamAgent,
+        private readonly target: HttpAttemptTarget,
+        private readonly agent: HttpAgent | HttpsAgent,
         private readonly outgoing: UpstreamRequest,
         private readonly sink: ResponseSink,
     ) {
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
-        const { address, port } = target.upstream;
+        const { address, port } = target;
         this.request = openRequest({
             agent,
+            protocol: agent instanceof HttpsAgent ? "https:" : "http:",
             host: address,
             port,
             method: outgoing.method,
@@ -165,7 +174,9 @@
             return;
         }
         this.response = response;
-        this.agent.recordIdleTimeout(response.socket, response.headers["keep-alive"] as string | undefined);
+        if (this.agent instanceof UpstreamAgent) {
+            this.agent.recordIdleTimeout(response.socket, response.headers["keep-alive"] as string | undefined);
+        }
         response.on("error", error => this.onError(error));
         response.on("data", (chunk: Buffer) => this.onData(chunk));
         response.on("end", () => this.onEnd());
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -45,15 +45,21 @@
             const result = Promise.resolve({ end: "connect-failed", status: undefined, detail, sent: false } as const);
             return { result, cancel: () => undefined, resume: () => undefined };
         }
-        return new HttpAttempt(entry.target, entry.agent, request, sink);
+        return new HttpAttempt(
+            { ...entry.target.upstream, connectTimeoutMs: entry.target.connectTimeoutMs },
+            entry.agent,
+            request,
+            sink,
+        );
     }
 
     checkPort(upstream: Upstream): Promise<PortState> {
         return checkPort(upstream);
     }
 
-    closeIdle(): void {
-        this.agents.forEach(entry => entry.agent.closeIdle());
+    closeIdle(upstream?: UpstreamId): void {
+        const entries = upstream === undefined ? [...this.agents.values()] : [this.agents.get(upstream)];
+        entries.forEach(entry => entry?.agent.closeIdle());
     }
 
     close(): Promise<void> {
--- a/packages/daemon/src/upstream/path.ts
+++ b/packages/daemon/src/upstream/path.ts
@@ -17,6 +17,8 @@
     /** Result of the last check. */
     state: PortState;
     isReachable: boolean;
+    /** Called when the path is lost. */
+    readonly lostCallbacks: Set<() => void>;
     /** The verification that is running. */
     verification: Promise<boolean> | undefined;
 }
@@ -27,5 +29,6 @@
     respondedAtMs: -Infinity,
     state: "silent",
     isReachable: true,
+    lostCallbacks: new Set(),
     verification: undefined,
 });
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -113,6 +113,8 @@
             path: service.probePath ?? "/",
             headers: ["host", `${upstream.address}:${upstream.port}`],
             body: undefined,
+            isRepeatable: true,
+            timeoutMs: cancelAfterMs,
             mayBegin: () => runtime.tracker.acceptsRequests(upstream),
         };
         const attempt = transport.send(upstream, request, {
--- a/packages/daemon/src/upstream/reachability.ts
+++ b/packages/daemon/src/upstream/reachability.ts
@@ -75,6 +75,18 @@
         return service === undefined || this.ofService(service).some(path => path.isReachable);
     }
 
+    /** Returns the result of the last check of an upstream. */
+    stateOf(id: UpstreamId): PortState | undefined {
+        return this.paths.get(id)?.state;
+    }
+
+    /** Calls back when the path to an upstream is lost; returns a function that ends this. */
+    onLost(id: UpstreamId, callback: () => void): () => void {
+        const path = this.paths.get(id);
+        path?.lostCallbacks.add(callback);
+        return () => path?.lostCallbacks.delete(callback);
+    }
+
     /** Returns the service of an upstream; `undefined` if it is unknown. */
     serviceOf(id: UpstreamId): ServiceName | undefined {
         return this.paths.get(id)?.service;
@@ -182,6 +194,7 @@
             path.isReachable = false;
         });
         this.report(lost, false, checks);
+        lost.forEach(path => path.lostCallbacks.forEach(callback => callback()));
         this.recheckTimer ??= this.scheduleRecheck(recheckMs);
         return paths.length > 0;
     }
--- /dev/null
+++ b/packages/daemon/src/upstream/routed-transport.ts
@@ -0,0 +1,53 @@
+/**
+ * A transport that sends directly where this instance can reach the upstream, and through other instances where it cannot.
+ *
+ * @packageDocumentation
+ */
+
+import type { Upstream } from "@harrierhitch/configuration";
+import type { UpstreamId } from "@harrierhitch/core";
+import type { NotSentReason } from "../detour/detour-result.js";
+import type { PortState } from "./check-port.js";
+import { RoutedAttempt, type Routes } from "./routed-attempt.js";
+import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTarget, UpstreamTransport } from "./upstream-transport.js";
+
+/** Monitors the paths to upstreams, and avoids those that are lost. */
+export class RoutedTransport implements UpstreamTransport {
+    /** @param options - The transports and the monitor. */
+    constructor(private readonly options: Routes) {}
+
+    send(upstream: Upstream, request: UpstreamRequest, sink: ResponseSink): Attempt {
+        return new RoutedAttempt({ ...this.options, upstream, request, sink });
+    }
+
+    /** Checks a port; it counts as silent where this instance has lost the path, since a refusal then shows nothing. */
+    async checkPort(upstream: Upstream): Promise<PortState> {
+        return this.options.reachability.isReachable(upstream.id) ? await this.options.direct.checkPort(upstream) : "silent";
+    }
+
+    /** Returns why this instance cannot send to an upstream for others; `undefined` if it can. */
+    async obstacleTo(upstream: UpstreamId): Promise<NotSentReason | undefined> {
+        const { reachability } = this.options;
+        if (reachability.isServiceReachable(upstream) && await reachability.confirm(upstream)) {
+            return undefined;
+        }
+        if (!reachability.isServiceReachable(upstream)) {
+            return "no-path";
+        }
+        return reachability.stateOf(upstream) === "closed" ? "closed" : "silent";
+    }
+
+    configure(targets: readonly UpstreamTarget[]): void {
+        this.options.direct.configure(targets);
+        this.options.reachability.configure(targets);
+    }
+
+    closeIdle(upstream?: UpstreamId): void {
+        this.options.direct.closeIdle(upstream);
+    }
+
+    close(): Promise<void> {
+        this.options.reachability.stop();
+        return this.options.direct.close();
+    }
+}
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
-import type { ServiceName } from "@harrierhitch/core";
+import type { ServiceName, UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
@@ -18,6 +18,14 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer | Readable | undefined;
+    /** Id of the request; absent for a probe. */
+    readonly requestId?: string;
+    /** Whether the request may be sent again although an upstream may have received it. */
+    readonly isRepeatable?: boolean;
+    /** Whether the request must not be sent through another instance, for example because it comes from one. */
+    readonly isDirectOnly?: boolean;
+    /** Time for the upstream to respond, in milliseconds. */
+    readonly timeoutMs?: number;
     /** Time without a response after which the path to the upstream is checked, in milliseconds; the default if absent. */
     readonly patienceMs?: number;
     /** Returns whether the request may still be sent; called last just before its first byte is written. */
@@ -59,8 +67,8 @@
     checkPort(upstream: Upstream): Promise<PortState>;
     /** Opens and closes connection pools so that exactly these upstreams have one. */
     configure(upstreams: readonly UpstreamTarget[]): void;
-    /** Closes idle connections; after a stall, upstreams may have closed them unnoticed. */
-    closeIdle(): void;
+    /** Closes idle connections, to one upstream or to all; after a stall, upstreams may have closed them unnoticed. */
+    closeIdle(upstream?: UpstreamId): void;
     /** Closes all connections. */
     close(): Promise<void>;
 }
--- a/packages/decision/src/attempt-result.ts
+++ b/packages/decision/src/attempt-result.ts
@@ -14,11 +14,21 @@
  * - `connect-failed`: no connection; nothing was sent.
  * - `withdrawn`: this instance stopped the attempt before anything was sent, because the upstream accepts no new requests.
  * - `reset`: the connection broke after the request may have been sent.
+ * - `path-lost`: the request may have been sent, and this instance can no longer reach the upstream.
  * - `garbled`: the response was not valid HTTP.
  * - `timed-out`: no response before the deadline.
  * - `cancelled`: this instance stopped the attempt, for example because the caller disconnected.
  */
-export type AttemptEnd = "answered" | "shed" | "connect-failed" | "withdrawn" | "reset" | "garbled" | "timed-out" | "cancelled";
+export type AttemptEnd =
+    | "answered"
+    | "shed"
+    | "connect-failed"
+    | "withdrawn"
+    | "reset"
+    | "path-lost"
+    | "garbled"
+    | "timed-out"
+    | "cancelled";
 
 export interface AttemptResult {
     readonly end: AttemptEnd;
@@ -30,6 +40,8 @@
     readonly sent: boolean;
     /** Whether the upstream's host refused the connection, so that no process listens there. */
     readonly refused?: boolean;
+    /** The instance through which the request was sent; absent if it was sent directly. */
+    readonly via?: string;
 }
 
 /**
--- a/packages/standin/src/mapped-transport.ts
+++ b/packages/standin/src/mapped-transport.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Upstream } from "@harrierhitch/configuration";
+import type { UpstreamId } from "@harrierhitch/core";
 import {
     type Attempt,
     HttpTransport,
@@ -34,8 +35,8 @@
         this.inner.configure(targets.map(target => ({ ...target, upstream: this.mapped(target.upstream) })));
     }
 
-    closeIdle(): void {
-        this.inner.closeIdle();
+    closeIdle(upstream?: UpstreamId): void {
+        this.inner.closeIdle(upstream);
     }
 
     close(): Promise<void> {
