--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -10,6 +10,7 @@
 import { requestHeaders, responseHeaders } from "../request/headers.js";
 import { hasBody } from "../request/request-body.js";
 import type { PathTelemetry } from "../telemetry/path-telemetry.js";
+import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { RoutedTransport } from "../upstream/routed-transport.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
@@ -113,6 +114,7 @@
             body: hasBody(request) ? request : undefined,
             mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
+            ...(address.request === "" ? {} : { patienceMs: defaultPatienceMs }),
         }, responseSink(response, () => attempt));
         const timer = clock.after(address.timeoutMs, () => attempt.cancel("timed-out"));
         response.once("close", () => attempt.cancel("cancelled"));
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -23,6 +23,9 @@
 /** Time without a response after which the path is checked, in milliseconds. */
 export const defaultPatienceMs = 200;
 
+/** Factor by which this time is longer while other upstreams respond. */
+const slowPatienceFactor = 3;
+
 /** Sends a request directly, and ends without waiting for its deadline once the path is lost and nothing can be gained by waiting. */
 export class DirectAttempt implements Attempt, ResponseSink {
     readonly result: Promise<AttemptResult>;
@@ -44,7 +47,8 @@
         };
         this.inner = transport.send(upstream, { ...request, onBegin }, this);
         this.stopWatching = reachability.onLost(upstream.id, () => this.endAtLostPath());
-        this.awaitResponse(request.patienceMs ?? defaultPatienceMs);
+        const { patienceMs = defaultPatienceMs } = request;
+        this.awaitResponse(patienceMs, patienceMs);
         this.result = this.inner.result.then(result => this.finish(result));
     }
 
@@ -68,19 +72,32 @@
         return this.options.sink.onData(chunk);
     }
 
-    private awaitResponse(patienceMs: number): void {
+    /**
+     * Schedules a check of the path.
+     *
+     * @param delayMs - Time until the check.
+     * @param waitedMs - Time without a response by then.
+     */
+    private awaitResponse(delayMs: number, waitedMs: number): void {
         // A response that arrived while this process was busy is read first.
-        this.patienceTimer = this.options.clock.after(patienceMs, () => setImmediate(() => void this.checkPath(patienceMs)));
+        this.patienceTimer = this.options.clock.after(delayMs, () => setImmediate(() => void this.checkPath(waitedMs)));
     }
 
-    private async checkPath(patienceMs: number): Promise<void> {
-        const { reachability, upstream } = this.options;
-        if (this.isWaiting() && await reachability.verify(upstream.id) && this.isWaiting()) {
-            this.awaitResponse(patienceMs * 2);
+    private async checkPath(waitedMs: number): Promise<void> {
+        const { reachability, upstream, request: { patienceMs = defaultPatienceMs } } = this.options;
+        if (!this.isWaiting()) {
+            return;
         }
-        else if (this.isWaiting()) {
+        // While others respond, a single slow upstream is the likely reason.
+        const isDue = reachability.isQuiet || waitedMs >= slowPatienceFactor * patienceMs;
+        const isReachable = !isDue || await reachability.verify(upstream.id);
+        if (!isReachable) {
             this.endAtLostPath();
         }
+        else if (this.isWaiting()) {
+            const delayMs = isDue ? waitedMs : patienceMs;
+            this.awaitResponse(delayMs, waitedMs + delayMs);
+        }
     }
 
     /** Ends the attempt, unless it may have been sent and must not be repeated: its response may still arrive after the cut. */
--- a/packages/daemon/src/upstream/reachability.ts
+++ b/packages/daemon/src/upstream/reachability.ts
@@ -40,6 +40,7 @@
  */
 export class Reachability {
     private paths = new Map<UpstreamId, Path>();
+    private respondedAtMs = -Infinity;
     private recheckTimer: Timer | undefined;
     private isStopped = false;
 
@@ -60,10 +61,16 @@
         const path = this.paths.get(id);
         if (path !== undefined) {
             path.respondedAtMs = this.options.clock.nowMs();
+            this.respondedAtMs = path.respondedAtMs;
             this.restore(path, []);
         }
     }
 
+    /** Whether no upstream of any service has responded for a moment. */
+    get isQuiet(): boolean {
+        return this.options.clock.nowMs() - this.respondedAtMs >= recentResponseMs;
+    }
+
     /** Whether this instance can reach an upstream, as far as it knows. */
     isReachable(id: UpstreamId): boolean {
         return this.paths.get(id)?.isReachable ?? true;
--- a/packages/daemon/src/upstream/routed-transport.ts
+++ b/packages/daemon/src/upstream/routed-transport.ts
@@ -17,7 +17,24 @@
     constructor(private readonly options: Routes) {}
 
     send(upstream: Upstream, request: UpstreamRequest, sink: ResponseSink): Attempt {
-        return new RoutedAttempt({ ...this.options, upstream, request, sink });
+        const isProbe = request.patienceMs === undefined;
+        return isProbe && this.options.reachability.isReachable(upstream.id)
+            ? this.sendProbe(upstream, request, sink)
+            : new RoutedAttempt({ ...this.options, upstream, request, sink });
+    }
+
+    /** Sends a probe directly; if it fails, it is not worth a detour, but the path is checked. */
+    private sendProbe(upstream: Upstream, request: UpstreamRequest, sink: ResponseSink): Attempt {
+        const { direct, reachability } = this.options;
+        const attempt = direct.send(upstream, request, {
+            onHead: (status, headers) => {
+                reachability.recordResponse(upstream.id);
+                return sink.onHead(status, headers);
+            },
+            onData: chunk => sink.onData(chunk),
+        });
+        void attempt.result.then(({ end }) => end === "connect-failed" ? reachability.verify(upstream.id) : undefined);
+        return attempt;
     }
 
     /** Checks a port; it counts as silent where this instance has lost the path, since a refusal then shows nothing. */
