Ask other instances before an upstream that refuses connections is taken for crashed

Cause: an upstream that refuses while others of its service accept was taken for crashed, and a detour ended at the first instance that was refused, too. Now two other instances check it; if one of them is accepted, only the path is lost. A detour ends after two statements on the upstream. A check opens a connection: a recent response hid a crash from the quarantine tests on the way.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -29,8 +29,11 @@
 /** Most instances through which one attempt is tried. */
 const maximumPeers = 3;
 
-/** Reasons that concern the upstream rather than the instance, so that no other instance is tried. */
-const finalReasons: ReadonlySet<NotSentReason> = new Set<NotSentReason>(["closed", "silent", "withdrawn"]);
+/** Reasons that concern the upstream rather than the instance. */
+const upstreamReasons: ReadonlySet<NotSentReason> = new Set<NotSentReason>(["closed", "silent", "withdrawn"]);
+
+/** Number of instances whose statement on the upstream is enough, so that no other is tried. */
+const sufficientStatements = 2;
 
 const nothingSent = { status: undefined, sent: false } as const;
 
@@ -43,6 +46,8 @@
     private received: DetourResult | undefined;
     private cancelled: "timed-out" | "cancelled" | undefined;
     private hasBegun = false;
+    /** Number of instances that could not reach the upstream although they reach its service. */
+    private statements = 0;
 
     /** @param options - The request, its upstream and the other instances. */
     constructor(private readonly options: DetourAttemptOptions) {
@@ -118,8 +123,10 @@
         const via = instance;
         if (this.received?.type === "not-sent") {
             const { reason } = this.received;
-            const isFinal = finalReasons.has(reason);
-            if (!isFinal) {
+            const isOfUpstream = upstreamReasons.has(reason);
+            this.statements += isOfUpstream ? 1 : 0;
+            const isFinal = reason === "withdrawn" || this.statements >= sufficientStatements;
+            if (!isOfUpstream) {
                 peers.exclude(instance, reason === "no-path" ? service : undefined);
             }
             const end = reason === "withdrawn" ? "withdrawn" : "connect-failed";
--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -9,10 +9,11 @@
 import type { Member } from "@harrierhitch/protocol";
 import type { Agent as HttpAgent } from "node:http";
 import type { Agent as HttpsAgent } from "node:https";
-import { checkPort, type PortState } from "../upstream/check-port.js";
+import { checkPort } from "../upstream/check-port.js";
 import { HttpAttempt } from "../upstream/http-attempt.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { type DetourAction, formatDetour } from "./detour-address.js";
+import { detourHeader, parseDetourResult } from "./detour-result.js";
 
 /** Options of {@link DetourClient}. */
 export interface DetourClientOptions {
@@ -53,17 +54,13 @@
         return this.open(peer, upstream, request, sink, "send");
     }
 
-    /** Asks another instance whether an upstream accepts its connections; `undefined` if it does not know. */
-    async check(
-        peer: Member,
-        upstream: UpstreamEntry,
-        parse: (headers: unknown) => PortState | undefined,
-    ): Promise<PortState | undefined> {
-        const state: { value: PortState | undefined; } = { value: undefined };
+    /** Asks another instance whether an upstream accepts its connections. */
+    async check(peer: Member, upstream: UpstreamEntry): Promise<boolean> {
+        let isOpen = false;
         const request = { method: "GET", path: "/", headers: ["host", "instance"], body: undefined, timeoutMs: checkTimeoutMs };
         const attempt = this.open(peer, upstream, request, {
             onHead: (_, headers) => {
-                state.value = parse(headers);
+                isOpen = parseDetourResult(headers[detourHeader]).type === "answered";
                 return true;
             },
             onData: () => true,
@@ -71,7 +68,7 @@
         const timer = setTimeout(() => attempt.cancel("timed-out"), checkTimeoutMs);
         await attempt.result;
         clearTimeout(timer);
-        return state.value;
+        return isOpen;
     }
 
     /** Whether another instance accepts connections. */
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -66,11 +66,11 @@
             respond(request, response, { type: "not-sent", reason: "rejected" });
             return;
         }
-        const { clock, transport, telemetry } = this.options;
+        const { clock, telemetry } = this.options;
         const startedAtMs = clock.nowMs();
         const destination = this.destinationOf(address);
-        const reason = this.rejectionOf(address) ?? (destination === undefined ? "unknown-upstream" : undefined)
-            ?? await transport.obstacleTo(address.upstream);
+        const reason = this.rejectionOf(address)
+            ?? await this.obstacleOf(address, destination);
         const waitedMs = clock.nowMs() - startedAtMs;
         const result: DetourResult = reason !== undefined || destination === undefined
             ? { type: "not-sent", reason: reason ?? "unknown-upstream" }
@@ -83,6 +83,22 @@
         telemetry.detourServed({ address, result, waitedMs, durationMs: clock.nowMs() - startedAtMs });
     }
 
+    /** Returns why nothing can be sent to the upstream; a check always opens a connection, since the last response may be older than a crash. */
+    private async obstacleOf(
+        { action }: DetourAddress,
+        destination: Destination | undefined,
+    ): Promise<NotSentReason | undefined> {
+        const { transport } = this.options;
+        if (destination === undefined) {
+            return "unknown-upstream";
+        }
+        if (action === "send") {
+            return await transport.obstacleTo(destination.upstream.id);
+        }
+        const state = await transport.checkPort(destination.upstream);
+        return state === "open" ? undefined : state;
+    }
+
     private rejectionOf({ fleet, instance }: DetourAddress): NotSentReason | undefined {
         if (fleet !== this.options.fleet || !this.options.isMember(instance)) {
             return "rejected";
--- a/packages/daemon/src/detour/detours.ts
+++ b/packages/daemon/src/detour/detours.ts
@@ -6,12 +6,10 @@
 
 import type { Clock, ServiceName } from "@harrierhitch/core";
 import type { UpstreamEntry } from "@harrierhitch/decision";
-import type { PortState } from "../upstream/check-port.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { DetourAttempt } from "./detour-attempt.js";
 import type { DetourClient } from "./detour-client.js";
 import type { DetourPeers } from "./detour-peers.js";
-import { detourHeader, parseDetourResult } from "./detour-result.js";
 
 /** Options of {@link Detours}. */
 export interface DetoursOptions {
@@ -34,18 +32,18 @@
         return new DetourAttempt({ ...this.options, service, upstream, request, sink });
     }
 
-    /** Has another instance check whether an upstream accepts connections; `undefined` if none knows. */
-    async check(service: ServiceName, upstream: UpstreamEntry): Promise<PortState | undefined> {
+    /**
+     * Whether another instance finds that an upstream accepts connections.
+     *
+     * @param service - The service of the upstream.
+     * @param upstream - The upstream.
+     */
+    async isOpen(service: ServiceName, upstream: UpstreamEntry): Promise<boolean> {
         const { client, peers } = this.options;
-        const peer = peers.choose(service, []);
-        return peer === undefined ? undefined : await client.check(peer, upstream, headers => portStateOf(headers));
+        const first = peers.choose(service, []);
+        const second = first === undefined ? undefined : peers.choose(service, [first.instance]);
+        const asked = [first, second].flatMap(peer => peer ?? []);
+        const answers = await Promise.all(asked.map(peer => client.check(peer, upstream)));
+        return answers.includes(true);
     }
 }
-
-const portStateOf = (headers: unknown): PortState | undefined => {
-    const result = parseDetourResult((headers as Record<string, unknown>)[detourHeader]);
-    if (result.type === "answered") {
-        return "open";
-    }
-    return result.type === "not-sent" && result.reason === "closed" ? "closed" : undefined;
-};
--- a/packages/daemon/src/upstream/reachability-change.ts
+++ b/packages/daemon/src/upstream/reachability-change.ts
@@ -6,6 +6,7 @@
 
 import type { ServiceName, UpstreamId } from "@harrierhitch/core";
 import type { PortState } from "./check-port.js";
+import type { Path } from "./path.js";
 
 /** A check whether an upstream accepts connections of this instance. */
 export interface PathCheck {
@@ -26,3 +27,34 @@
     /** Milliseconds since the last response of any upstream of the service; `undefined` without one. */
     readonly quietMs: number | undefined;
 }
+
+/** What a {@link ReachabilityChange} states besides the paths. */
+export interface ChangeContext extends Pick<ReachabilityChange, "isReachable" | "checks"> {
+    readonly nowMs: number;
+}
+
+/**
+ * Describes a change.
+ *
+ * @param service - The service.
+ * @param paths - The paths that were lost or regained.
+ * @param all - All paths to their service.
+ * @param context - What the change was concluded from, and when.
+ */
+export const toReachabilityChange = (
+    service: ServiceName,
+    paths: readonly Path[],
+    all: readonly Path[],
+    { isReachable, checks, nowMs }: ChangeContext,
+): ReachabilityChange => {
+    const respondedAtMs = Math.max(...all.map(path => path.respondedAtMs));
+    return {
+        service,
+        upstreams: paths.map(({ upstream }) => upstream.id),
+        isReachable,
+        unreachable: all.filter(path => !path.isReachable).length,
+        total: all.length,
+        checks,
+        quietMs: respondedAtMs === -Infinity ? undefined : nowMs - respondedAtMs,
+    };
+};
--- a/packages/daemon/src/upstream/reachability.ts
+++ b/packages/daemon/src/upstream/reachability.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEntry } from "@harrierhitch/decision";
 import type { PortState } from "./check-port.js";
 import { newPath, type Path } from "./path.js";
-import type { PathCheck, ReachabilityChange } from "./reachability-change.js";
+import { type PathCheck, type ReachabilityChange, toReachabilityChange } from "./reachability-change.js";
 import type { UpstreamTarget } from "./upstream-transport.js";
 
 /** Options of {@link Reachability}. */
@@ -83,9 +83,7 @@
     }
 
     /** Returns the result of the last check of an upstream. */
-    stateOf(id: UpstreamId): PortState | undefined {
-        return this.paths.get(id)?.state;
-    }
+    readonly stateOf = (id: UpstreamId): PortState | undefined => this.paths.get(id)?.state;
 
     /** Calls back when the path to an upstream is lost; returns a function that ends this. */
     onLost(id: UpstreamId, callback: () => void): () => void {
@@ -95,9 +93,7 @@
     }
 
     /** Returns the service of an upstream; `undefined` if it is unknown. */
-    serviceOf(id: UpstreamId): ServiceName | undefined {
-        return this.paths.get(id)?.service;
-    }
+    readonly serviceOf = (id: UpstreamId): ServiceName | undefined => this.paths.get(id)?.service;
 
     /**
      * Whether an upstream can be reached: it responded a moment ago, or accepts a connection now.
@@ -130,6 +126,14 @@
         return await path.verification;
     }
 
+    /** Records that an upstream refuses connections of this instance but accepts those of others. */
+    recordRefusal(id: UpstreamId): void {
+        const path = this.paths.get(id);
+        if (path?.state === "closed") {
+            this.markUnreachable([path], [{ upstream: id, state: path.state }]);
+        }
+    }
+
     /** Ends all checks. */
     stop(): void {
         this.isStopped = true;
@@ -234,16 +238,10 @@
         if (first === undefined) {
             return;
         }
-        const all = this.ofService(first.service);
-        const respondedAtMs = Math.max(...all.map(path => path.respondedAtMs));
-        this.options.onChange({
-            service: first.service,
-            upstreams: paths.map(({ upstream }) => upstream.id),
+        this.options.onChange(toReachabilityChange(first.service, paths, this.ofService(first.service), {
             isReachable,
-            unreachable: all.filter(path => !path.isReachable).length,
-            total: all.length,
             checks,
-            quietMs: respondedAtMs === -Infinity ? undefined : this.options.clock.nowMs() - respondedAtMs,
-        });
+            nowMs: this.options.clock.nowMs(),
+        }));
     }
 }
--- a/packages/daemon/src/upstream/routed-attempt.ts
+++ b/packages/daemon/src/upstream/routed-attempt.ts
@@ -60,7 +60,7 @@
         this.inner = attempt;
         const result = await attempt.result;
         const hasFailed = result.end === "connect-failed" || result.end === "reset" && !attempt.hasResponse;
-        if (!hasFailed || await reachability.verify(upstream.id)) {
+        if (!hasFailed || await reachability.verify(upstream.id) && !await this.isRefusedHereOnly()) {
             return result;
         }
         if (result.sent) {
@@ -85,11 +85,22 @@
 
     /** Whether an upstream that refuses connections has crashed: other instances are refused, too, or none can tell. */
     private async isCrash(): Promise<boolean> {
-        const { detours, reachability, upstream } = this.options;
-        const service = reachability.serviceOf(upstream.id);
-        if (reachability.stateOf(upstream.id) !== "closed" || service === undefined) {
+        return this.options.reachability.stateOf(this.options.upstream.id) === "closed" && !await this.isOpenToOthers();
+    }
+
+    /** Whether an upstream that refuses connections of this instance, unlike others of its service, accepts those of other instances. */
+    private async isRefusedHereOnly(): Promise<boolean> {
+        const { reachability, upstream } = this.options;
+        if (reachability.stateOf(upstream.id) !== "closed" || !await this.isOpenToOthers()) {
             return false;
         }
-        return !this.mayDetour || detours === undefined || await detours.check(service, upstream) !== "open";
+        reachability.recordRefusal(upstream.id);
+        return true;
+    }
+
+    private async isOpenToOthers(): Promise<boolean> {
+        const { detours, reachability, upstream } = this.options;
+        const service = reachability.serviceOf(upstream.id);
+        return this.mayDetour && detours !== undefined && service !== undefined && await detours.isOpen(service, upstream);
     }
 }
--- a/packages/standin/src/path-proxies.ts
+++ b/packages/standin/src/path-proxies.ts
@@ -28,6 +28,8 @@
 /** Messages from the controller to the process of the proxies. */
 interface ProxyCommand {
     readonly cut: PathCut | undefined;
+    /** Ports of the upstreams whose paths are changed. */
+    readonly targetPorts: readonly number[];
 }
 
 /**
@@ -38,10 +40,14 @@
 export const runPathProxies = async (targetPorts: readonly number[]): Promise<void> => {
     const proxies = targetPorts.map(port => new FaultProxy(() => port));
     const ports = await Promise.all(proxies.map(proxy => proxy.listen(0, backlog)));
-    process.on(
-        "message",
-        ({ cut }: ProxyCommand) => void Promise.all(proxies.map((proxy, index) => apply(proxy, cut, ports[index] ?? 0))),
-    );
+    process.on("message", ({ cut, targetPorts: changed }: ProxyCommand) => {
+        targetPorts.forEach((port, index) => {
+            const proxy = proxies[index];
+            if (proxy !== undefined && changed.includes(port)) {
+                void apply(proxy, cut, ports[index] ?? 0);
+            }
+        });
+    });
     process.stdout.write(`${JSON.stringify({ ports })}\n`);
 };
 
@@ -80,14 +86,19 @@
         return this.ports[this.targetPorts.indexOf(targetPort)] ?? targetPort;
     }
 
-    /** Cuts the paths. */
-    cut(cut: PathCut): void {
+    /**
+     * Cuts paths.
+     *
+     * @param cut - How.
+     * @param targetPorts - The ports of the upstreams; a silent cut is one of all.
+     */
+    cut(cut: PathCut, targetPorts: readonly number[] = this.targetPorts): void {
         if (cut === "silent") {
             this.child.process.kill("SIGSTOP");
             this.ports.forEach(port => this.fillBacklog(port));
             return;
         }
-        this.child.process.send({ cut } satisfies ProxyCommand);
+        this.child.process.send({ cut, targetPorts } satisfies ProxyCommand);
     }
 
     /** Restores the paths. */
@@ -95,7 +106,7 @@
         this.fillers.forEach(socket => socket.destroy());
         this.fillers.clear();
         this.child.process.kill("SIGCONT");
-        this.child.process.send({ cut: undefined } satisfies ProxyCommand);
+        this.child.process.send({ cut: undefined, targetPorts: this.targetPorts } satisfies ProxyCommand);
     }
 
     /** Ends the process of the proxies. */
--- a/packages/standin/test/cut-off-fleet.ts
+++ b/packages/standin/test/cut-off-fleet.ts
@@ -35,7 +35,8 @@
     readonly platform: PlatformStandin;
     /** Sends one request to an instance, with an idempotency key of its own. */
     send(instance: number, method: "GET" | "POST", service?: string): Promise<FleetResponse>;
-    cut(instances: readonly number[], cut: PathCut): void;
+    /** Cuts the paths of instances to all upstreams, or to those with the given numbers. */
+    cut(instances: readonly number[], cut: PathCut, upstreams?: readonly number[]): void;
     heal(instances: readonly number[]): void;
     /** How often upstreams ran the request with a key. */
     runsOf(key: string): number;
@@ -97,7 +98,10 @@
         upstreams,
         platform,
         send,
-        cut: (indices, cut) => indices.forEach(index => proxies[index]?.cut(cut)),
+        cut: (indices, cut, numbers) => {
+            const cutPorts = numbers?.map(number => upstreamPorts[number] ?? 0);
+            indices.forEach(index => proxies[index]?.cut(cut, cutPorts));
+        },
         heal: indices => indices.forEach(index => proxies[index]?.heal()),
         runsOf: key => upstreams.reduce((sum, { runs }) => sum + (runs.get(key) ?? 0), 0),
         stop: async () => {
--- a/packages/standin/test/detours.test.ts
+++ b/packages/standin/test/detours.test.ts
@@ -160,6 +160,30 @@
     });
 });
 
+describe("an upstream that refuses connections of one instance only", () => {
+    before(async () => {
+        fleet = await startCutOffFleet({ instances: 3, cuttable: 1, settings });
+    });
+    after(() => fleet.stop());
+
+    test("has not crashed, and is served through others", async () => {
+        runningSlow(300);
+        const inFlight = Array.from({ length: 12 }, () => fleet.send(0, "GET"));
+        await waitUntil(() => alpha().every(({ started }) => started > 0));
+        fleet.cut([0], "refusing", [0]);
+        const responses = await Promise.all(inFlight);
+        runningSlow(5);
+        responses.push(
+            ...await Promise.all(Array.from({ length: 40 }, (_, index) => fleet.send(0, index % 4 === 0 ? "POST" : "GET"))),
+        );
+        assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200));
+        assert.deepEqual(fleet.daemons.map(({ instance }) => instance.crashes.history.size), [0, 0, 0]);
+        const states =
+            fleet.daemons[0]?.instance.services.all().flatMap(({ tracker }) => tracker.facts().map(({ state }) => state)) ?? [];
+        assert.ok(!states.includes("ejected") && !states.includes("suspect"), states.join(" "));
+    });
+});
+
 describe("if no instance reaches an upstream", () => {
     before(async () => {
         fleet = await startCutOffFleet({ instances: 3, cuttable: 3, settings });
