Count an upstream that breaks off behind a detour as failing

Cause: the instance in between stated 'lost' for its own lost path and for an upstream that broke off alike, and a lost path counts against no upstream. Now it states 'reset' for the latter.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -138,6 +138,12 @@
             const end = sent.end === "reset" || sent.end === "garbled" ? "path-lost" : sent.end;
             return { result: { ...sent, end, via }, isFinal: true };
         }
+        if (this.received?.type === "reset") {
+            return {
+                result: { ...sent, end: "reset", sent: true, detail: `${instance}: the upstream broke off`, via },
+                isFinal: true,
+            };
+        }
         if (sent.end === "withdrawn" || this.cancelled !== undefined) {
             return { result: { ...sent, via }, isFinal: true };
         }
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -167,7 +167,7 @@
         return { type: "lost" };
     }
     if (sent) {
-        return { type: "lost" };
+        return { type: end === "reset" ? "reset" : "lost" };
     }
     if (end === "withdrawn") {
         return { type: "not-sent", reason: "withdrawn" };
@@ -176,7 +176,7 @@
 };
 
 const respond = (request: IncomingMessage, response: ServerResponse, result: DetourResult): void => {
-    const status = result.type === "not-sent" ? notSentStatus : result.type === "lost" ? failedStatus : 204;
+    const status = result.type === "not-sent" ? notSentStatus : result.type === "answered" ? 204 : failedStatus;
     // What is left of the request's body must not be taken for the next request.
     const connection = request.complete || !hasBody(request) ? {} : { connection: "close" };
     response.writeHead(status, {
--- a/packages/daemon/src/detour/detour-result.ts
+++ b/packages/daemon/src/detour/detour-result.ts
@@ -34,9 +34,10 @@
  *
  * - `answered`: the response is the upstream's.
  * - `not-sent`: nothing was sent to the upstream.
+ * - `reset`: the upstream received the request and broke off without a response.
  * - `lost`: the upstream may have received the request, but there is no response of it.
  */
-export type DetourResult = { readonly type: "answered" | "lost"; } | {
+export type DetourResult = { readonly type: "answered" | "reset" | "lost"; } | {
     readonly type: "not-sent";
     readonly reason: NotSentReason;
 };
@@ -51,5 +52,5 @@
     if (type === "not-sent" && known !== undefined) {
         return { type, reason: known };
     }
-    return { type: type === "answered" ? "answered" : "lost" };
+    return { type: type === "answered" || type === "reset" ? type : "lost" };
 };
--- a/packages/daemon/test/detour-address.test.ts
+++ b/packages/daemon/test/detour-address.test.ts
@@ -52,6 +52,9 @@
             assert.deepEqual(parseDetourResult(header), { type: "lost" });
         });
     });
+    test("reset", () => {
+        assert.deepEqual(parseDetourResult(formatDetourResult({ type: "reset" })), { type: "reset" });
+    });
     notSentReasons.forEach(reason => {
         const result = { type: "not-sent", reason } as const;
         test(`not-sent ${reason}`, () => assert.deepEqual(parseDetourResult(formatDetourResult(result)), result));
--- a/packages/standin/test/detours.test.ts
+++ b/packages/standin/test/detours.test.ts
@@ -95,6 +95,20 @@
         assert.deepEqual([status, outcome], [502, "unknown"]);
     });
 
+    test("an upstream that keeps breaking off is avoided", async () => {
+        const [first] = alpha();
+        assert.ok(first !== undefined);
+        first.behaviour = { ...first.behaviour, reset: true };
+        const ejected = (): boolean =>
+            fleet.daemons[0]?.instance.services.all().some(({ tracker }) =>
+                tracker.facts().some(({ state }) => state === "ejected")
+            ) ?? false;
+        await waitUntil(async () => {
+            await Promise.all(Array.from({ length: 6 }, () => fleet.send(0, "GET")));
+            return ejected();
+        });
+    });
+
     test("the instance that sends on learns nothing bad of its upstreams", () => {
         assert.equal(fleet.daemons[1]?.instance.crashes.history.size, 0);
         assert.equal(fleet.daemons[0]?.instance.crashes.history.size, 0);
--- a/packages/standin/test/soak-checker.test.ts
+++ b/packages/standin/test/soak-checker.test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import type { ObservedResponse } from "../src/soak/observed-response.js";
+import { PathChecker } from "../src/soak/path-checker.js";
 import { SoakChecker } from "../src/soak/soak-checker.js";
 import { noAnnouncement } from "../src/upstream-standin.js";
 
@@ -179,3 +180,34 @@
         });
     });
 });
+
+test("an instance that serves less than the others while it alone is cut off is reported", () => {
+    const reportsOf = (ownServed: number, othersServed: number): readonly string[] => {
+        const checker = new PathChecker();
+        const record = (entry: string, count: number, served: number): void =>
+            Array.from({ length: count }, (_, index) => index).forEach(index =>
+                checker.recordResponse(
+                    {
+                        number: `${entry}-${index}`,
+                        method: "GET",
+                        entry,
+                        incarnation: 1,
+                        status: index < served ? 200 : 503,
+                        outcome: undefined,
+                        isCorrect: index < served,
+                        durationMs: 10,
+                        duringPlannedStop: false,
+                    },
+                    2000 + index,
+                )
+            );
+        record("entry-1", 100, ownServed);
+        record("entry-2", 100, othersServed);
+        checker.recordCut({ entry: "entry-1", incarnation: 1, fromMs: 500, untilMs: 4000, hasRun: true });
+        return checker.violations;
+    };
+    assert.equal(reportsOf(12, 100).length, 1);
+    assert.equal(reportsOf(94, 100).length, 1);
+    assert.equal(reportsOf(95, 100).length, 0);
+    assert.equal(reportsOf(48, 50).length, 0);
+});
