Explain through which instance an attempt was sent

The explanation of a request has the field 'via'; 'harrierhitch explain' prints it before the detail.

--- a/packages/command/src/explanation-text.ts
+++ b/packages/command/src/explanation-text.ts
@@ -141,7 +141,7 @@
                 attempt.end,
                 attempt.outcome,
                 attempt.status === 0 ? "" : String(attempt.status),
-                attempt.detail,
+                attempt.via === "" ? attempt.detail : `via ${attempt.via} ${attempt.detail}`.trimEnd(),
             ]),
         )),
     ];
--- a/packages/daemon/src/operators/explanation-message.ts
+++ b/packages/daemon/src/operators/explanation-message.ts
@@ -104,4 +104,5 @@
         outcome: attempt.outcome ?? "",
         status: attempt.result?.status ?? 0,
         detail: attempt.result?.detail ?? "",
+        via: attempt.result?.via ?? "",
     });
--- a/packages/standin/test/detours.test.ts
+++ b/packages/standin/test/detours.test.ts
@@ -6,6 +6,7 @@
 import { request as openRequest } from "node:http";
 import { connect } from "node:net";
 import { after, afterEach, before, describe, test } from "node:test";
+import { programs, runProgram } from "../src/child.js";
 import { type CutOffFleet, startCutOffFleet } from "./cut-off-fleet.js";
 import { waitUntil } from "./system.js";
 
@@ -64,6 +65,13 @@
         );
     });
 
+    test("its explanation names the instance in between and the upstream", async () => {
+        const response = await fetch(`http://127.0.0.1:${fleet.ports[0]?.callers}/alpha/get`);
+        const id = response.headers.get("x-harrierhitch-request-id") ?? "";
+        const text = await runProgram(programs.command, ["explain", id, "--instance", `127.0.0.1:${fleet.ports[0]?.operators}`]);
+        assert.match(text, /alpha-\d .* via entry-2/);
+    });
+
     test("a body that is too long to be sent twice is streamed", async () => {
         const body = Buffer.alloc(300_000, "x");
         const response = await fetch(`http://127.0.0.1:${fleet.ports[0]?.callers}/alpha/post`, { method: "POST", body });
