Record the crash of a service's last upstream although its path counts as lost; log what fails in a detour

Cause: found on reading. Where all upstreams of a service refuse, the path counts as lost, and every port check said 'silent' then, so the crash of the last one was not recorded and the request that causes it was not quarantined sooner. Now other instances check the port; an instance that lost its own path states nothing.

--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -9,11 +9,11 @@
 import type { Member } from "@harrierhitch/protocol";
 import type { Agent as HttpAgent } from "node:http";
 import type { Agent as HttpsAgent } from "node:https";
-import { checkPort } from "../upstream/check-port.js";
+import { checkPort, type PortState } from "../upstream/check-port.js";
 import { HttpAttempt } from "../upstream/http-attempt.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { type DetourAction, formatDetour } from "./detour-address.js";
-import { detourHeader, parseDetourResult } from "./detour-result.js";
+import { detourHeader, type DetourResult, parseDetourResult } from "./detour-result.js";
 
 /** Options of {@link DetourClient}. */
 export interface DetourClientOptions {
@@ -55,12 +55,12 @@
     }
 
     /** Asks another instance whether an upstream accepts its connections. */
-    async check(peer: Member, upstream: UpstreamEntry): Promise<boolean> {
-        let isOpen = false;
+    async check(peer: Member, upstream: UpstreamEntry): Promise<PortState> {
+        let state: PortState = "silent";
         const request = { method: "GET", path: "/", headers: ["host", "instance"], body: undefined, timeoutMs: checkTimeoutMs };
         const attempt = this.open(peer, upstream, request, {
             onHead: (_, headers) => {
-                isOpen = parseDetourResult(headers[detourHeader]).type === "answered";
+                state = portStateOf(parseDetourResult(headers[detourHeader]));
                 return true;
             },
             onData: () => true,
@@ -68,7 +68,7 @@
         const timer = setTimeout(() => attempt.cancel("timed-out"), checkTimeoutMs);
         await attempt.result;
         clearTimeout(timer);
-        return isOpen;
+        return state;
     }
 
     /** Whether another instance accepts connections. */
@@ -104,3 +104,10 @@
         return new HttpAttempt({ address, port, connectTimeoutMs }, agent, { ...request, path: url }, sink);
     }
 }
+
+const portStateOf = (result: DetourResult): PortState => {
+    if (result.type === "answered") {
+        return "open";
+    }
+    return result.type === "not-sent" && result.reason === "closed" ? "closed" : "silent";
+};
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -51,7 +51,10 @@
     /** Serves one request of another instance. */
     handle(request: IncomingMessage, response: ServerResponse): void {
         response.sendDate = false;
-        const task = this.serve(request, response).finally(() => this.inFlight.delete(task));
+        const task = this.serve(request, response).catch((thrown: unknown) => {
+            this.options.telemetry.detourFailed(thrown);
+            response.destroy();
+        }).finally(() => this.inFlight.delete(task));
         this.inFlight.add(task);
     }
 
@@ -69,14 +72,15 @@
         const { clock, telemetry } = this.options;
         const startedAtMs = clock.nowMs();
         const destination = this.destinationOf(address);
-        const reason = this.rejectionOf(address)
-            ?? await this.obstacleOf(address, destination);
+        const reason = this.rejectionOf(address) ?? await this.obstacleOf(address, destination);
         const waitedMs = clock.nowMs() - startedAtMs;
-        const result: DetourResult = reason !== undefined || destination === undefined
-            ? { type: "not-sent", reason: reason ?? "unknown-upstream" }
-            : address.action === "check"
-            ? { type: "answered" }
-            : await this.forward(address, destination, request, response);
+        let result: DetourResult = { type: "answered" };
+        if (reason !== undefined || destination === undefined) {
+            result = { type: "not-sent", reason: reason ?? "unknown-upstream" };
+        }
+        else if (address.action === "send") {
+            result = await this.forward(address, destination, request, response);
+        }
         if (!response.headersSent) {
             respond(request, response, result);
         }
@@ -95,7 +99,7 @@
         if (action === "send") {
             return await transport.obstacleTo(destination.upstream.id);
         }
-        const state = await transport.checkPort(destination.upstream);
+        const state = await transport.checkPortDirectly(destination.upstream);
         return state === "open" ? undefined : state;
     }
 
--- a/packages/daemon/src/detour/detours.ts
+++ b/packages/daemon/src/detour/detours.ts
@@ -6,11 +6,15 @@
 
 import type { Clock, ServiceName } from "@harrierhitch/core";
 import type { UpstreamEntry } from "@harrierhitch/decision";
+import type { PortState } from "../upstream/check-port.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { DetourAttempt } from "./detour-attempt.js";
 import type { DetourClient } from "./detour-client.js";
 import type { DetourPeers } from "./detour-peers.js";
 
+/** Port states, those that show most first. */
+const portStates: readonly PortState[] = ["open", "closed"];
+
 /** Options of {@link Detours}. */
 export interface DetoursOptions {
     readonly clock: Clock;
@@ -33,17 +37,18 @@
     }
 
     /**
-     * Whether another instance finds that an upstream accepts connections.
+     * Has other instances check whether an upstream accepts connections.
      *
      * @param service - The service of the upstream.
      * @param upstream - The upstream.
+     * @returns `open` if one of them is accepted, else `closed` if one is refused, else `silent`: none can tell.
      */
-    async isOpen(service: ServiceName, upstream: UpstreamEntry): Promise<boolean> {
+    async checkPort(service: ServiceName, upstream: UpstreamEntry): Promise<PortState> {
         const { client, peers } = this.options;
         const first = peers.choose(service, []);
         const second = first === undefined ? undefined : peers.choose(service, [first.instance]);
         const asked = [first, second].flatMap(peer => peer ?? []);
-        const answers = await Promise.all(asked.map(peer => client.check(peer, upstream)));
-        return answers.includes(true);
+        const states = await Promise.all(asked.map(peer => client.check(peer, upstream)));
+        return portStates.find(state => states.includes(state)) ?? "silent";
     }
 }
--- a/packages/daemon/src/telemetry/path-telemetry.ts
+++ b/packages/daemon/src/telemetry/path-telemetry.ts
@@ -43,6 +43,11 @@
         });
     }
 
+    /** Logs that a detour failed with an internal error. */
+    detourFailed(error: unknown): void {
+        this.log.write(events.requestFailed, { error });
+    }
+
     /** Counts a detour that this instance served, and logs it under the id of its request; probes are only counted. */
     detourServed({ address, result, waitedMs, durationMs }: ServedDetour): void {
         const { request, instance, upstream } = address;
--- a/packages/daemon/src/upstream/routed-attempt.ts
+++ b/packages/daemon/src/upstream/routed-attempt.ts
@@ -8,6 +8,7 @@
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import { Readable } from "node:stream";
 import type { Detours } from "../detour/detours.js";
+import type { PortState } from "./check-port.js";
 import { DirectAttempt } from "./direct-attempt.js";
 import type { Reachability } from "./reachability.js";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTransport } from "./upstream-transport.js";
@@ -85,22 +86,24 @@
 
     /** Whether an upstream that refuses connections has crashed: other instances are refused, too, or none can tell. */
     private async isCrash(): Promise<boolean> {
-        return this.options.reachability.stateOf(this.options.upstream.id) === "closed" && !await this.isOpenToOthers();
+        return this.options.reachability.stateOf(this.options.upstream.id) === "closed" && await this.stateForOthers() !== "open";
     }
 
     /** Whether an upstream that refuses connections of this instance, unlike others of its service, accepts those of other instances. */
     private async isRefusedHereOnly(): Promise<boolean> {
         const { reachability, upstream } = this.options;
-        if (reachability.stateOf(upstream.id) !== "closed" || !await this.isOpenToOthers()) {
+        if (reachability.stateOf(upstream.id) !== "closed" || await this.stateForOthers() !== "open") {
             return false;
         }
         reachability.recordRefusal(upstream.id);
         return true;
     }
 
-    private async isOpenToOthers(): Promise<boolean> {
+    private async stateForOthers(): Promise<PortState> {
         const { detours, reachability, upstream } = this.options;
         const service = reachability.serviceOf(upstream.id);
-        return this.mayDetour && detours !== undefined && service !== undefined && await detours.isOpen(service, upstream);
+        return this.mayDetour && detours !== undefined && service !== undefined
+            ? await detours.checkPort(service, upstream)
+            : "silent";
     }
 }
--- a/packages/daemon/src/upstream/routed-transport.ts
+++ b/packages/daemon/src/upstream/routed-transport.ts
@@ -37,8 +37,21 @@
         return attempt;
     }
 
-    /** Checks a port; it counts as silent where this instance has lost the path, since a refusal then shows nothing. */
+    /** Checks a port, through other instances as well where this one has lost the path, since its refusal then shows nothing. */
     async checkPort(upstream: Upstream): Promise<PortState> {
+        const { direct, reachability, detours } = this.options;
+        const state = await direct.checkPort(upstream);
+        const service = reachability.serviceOf(upstream.id);
+        if (
+            state !== "closed" || reachability.isReachable(upstream.id) || detours?.isAvailable !== true || service === undefined
+        ) {
+            return state;
+        }
+        return await detours.checkPort(service, upstream) === "closed" ? "closed" : "silent";
+    }
+
+    /** Checks a port for another instance, over connections of this one; `silent` where it has lost the path. */
+    async checkPortDirectly(upstream: Upstream): Promise<PortState> {
         return this.options.reachability.isReachable(upstream.id) ? await this.options.direct.checkPort(upstream) : "silent";
     }
 
--- a/packages/standin/test/detours.test.ts
+++ b/packages/standin/test/detours.test.ts
@@ -206,6 +206,23 @@
     });
 });
 
+describe("if all upstreams of a service crash under a request", () => {
+    before(async () => {
+        fleet = await startCutOffFleet({ instances: 2, cuttable: 0, settings });
+    });
+    after(() => fleet.stop());
+
+    test("each crash is recorded, although a lost path looks the same", async () => {
+        alpha().forEach(upstream => upstream.behaviour = { ...upstream.behaviour, endsOn: "/alpha/get", endedMs: 3000 });
+        const crashes = (): number => sum(alpha().map(upstream => upstream.crashes));
+        await waitUntil(async () => {
+            await fleet.send(0, "GET");
+            return crashes() === 3;
+        });
+        await waitUntil(() => fleet.daemons[0]?.instance.crashes.history.size === 3);
+    });
+});
+
 describe("if no instance reaches an upstream", () => {
     before(async () => {
         fleet = await startCutOffFleet({ instances: 3, cuttable: 3, settings });
