--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -53,6 +53,9 @@
 /** Time for which an instance is cut off, in milliseconds, in addition to the fault's duration; long enough to be compared. */
 const additionalCutMs = 2500;
 
+/** Interval at which the states of the instances are read during a cut, in milliseconds. */
+const statePollMs = 20;
+
 /** Time after the beginning of a cut within which responses with announcements may be lost, in milliseconds. */
 const lostResponsesMs = 1000;
 
@@ -176,12 +179,29 @@
         const fromMs = performance.now();
         this.cutOffEntries.add(entry);
         paths.cut(cut);
+        // The instance, and those that were neither cut off nor stopped, paused or killed since the beginning.
+        const incarnations = new Map(this.entries.map(other => [other, other.incarnation]));
+        const steady = new Set(this.entries);
+        const poll = setInterval(() => {
+            this.entries.forEach(other => {
+                const isCutOff = other !== entry && this.cutOffEntries.has(other);
+                if (isCutOff || other.state !== "running" || other.incarnation !== incarnations.get(other)) {
+                    steady.delete(other);
+                }
+            });
+        }, statePollMs);
         this.servers.clearAnnouncements();
         await wait(lostResponsesMs);
         this.servers.clearAnnouncements();
         await wait(durationMs - lostResponsesMs);
-        const hasRun = entry.incarnation === incarnation && entry.state === "running";
-        checker.recordCut({ entry: name, incarnation, fromMs, untilMs: performance.now(), hasRun });
+        clearInterval(poll);
+        checker.recordCut({
+            entry: name,
+            incarnation,
+            fromMs,
+            untilMs: performance.now(),
+            isComparable: steady.has(entry) && steady.size > 1,
+        });
         paths.heal();
         this.cutOffEntries.delete(entry);
         this.servers.clearAnnouncements();
--- a/packages/standin/src/soak/path-checker.ts
+++ b/packages/standin/src/soak/path-checker.ts
@@ -12,8 +12,8 @@
     readonly incarnation: number;
     readonly fromMs: number;
     readonly untilMs: number;
-    /** Whether the instance ran all the time, so that what failed there failed because of the cut. */
-    readonly hasRun: boolean;
+    /** Whether the instance, and another one that was not cut off, ran all the time; else failures may have other causes. */
+    readonly isComparable: boolean;
 }
 
 /** Time after the beginning of a cut from which an instance has to serve like the others, in milliseconds. */
@@ -56,7 +56,7 @@
         );
         const own = during.filter(({ response }) => response.entry === cut.entry && response.incarnation === cut.incarnation);
         const others = during.filter(({ response }) => !this.wasCut(response.entry, cut));
-        if (!cut.hasRun || own.length < comparedRequests || others.length < comparedRequests) {
+        if (!cut.isComparable || own.length < comparedRequests || others.length < comparedRequests) {
             return undefined;
         }
         const [served, expected] = [servedShareOf(own), servedShareOf(others)];
--- a/packages/standin/test/soak-checker.test.ts
+++ b/packages/standin/test/soak-checker.test.ts
@@ -203,7 +203,7 @@
             );
         record("entry-1", 100, ownServed);
         record("entry-2", 100, othersServed);
-        checker.recordCut({ entry: "entry-1", incarnation: 1, fromMs: 500, untilMs: 4000, hasRun: true });
+        checker.recordCut({ entry: "entry-1", incarnation: 1, fromMs: 500, untilMs: 4000, isComparable: true });
         return checker.violations;
     };
     assert.equal(reportsOf(12, 100).length, 1);
