--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -168,7 +168,7 @@
             : { ...result, end: response?.shed === true ? "shed" : result.end };
         this.record.outcome = outcome;
         if (result.end === "reset") {
-            await this.checkPortAfterReset();
+            await this.checkPortAfterReset(result.hasCrashed === true);
         }
         else if (result.refused === true) {
             services.crashes.recordPortClosed(upstream.id);
@@ -193,10 +193,10 @@
     }
 
     /** Checks after a reset whether the upstream has crashed or only closed this connection. */
-    private async checkPortAfterReset(): Promise<void> {
+    private async checkPortAfterReset(hasCrashed: boolean): Promise<void> {
         const { services, upstream } = this.options;
         const crash = this.observedCrash();
-        const port = await services.transport.checkPort(upstream);
+        const port = hasCrashed ? "closed" : await services.transport.checkPort(upstream);
         this.record.connectionLoss = { key: crash.key, port };
         if (port === "closed") {
             services.crashes.recordCrash(crash);
--- a/packages/daemon/src/upstream/routed-attempt.ts
+++ b/packages/daemon/src/upstream/routed-attempt.ts
@@ -61,11 +61,17 @@
         this.inner = attempt;
         const result = await attempt.result;
         const hasFailed = result.end === "connect-failed" || result.end === "reset" && !attempt.hasResponse;
-        if (!hasFailed || await reachability.verify(upstream.id) && !await this.isRefusedHereOnly()) {
+        if (!hasFailed) {
             return result;
         }
+        const isPathIntact = await reachability.verify(upstream.id);
+        const isClosed = reachability.stateOf(upstream.id) === "closed";
+        const isRefusedHere = isClosed && await this.isRefusedHereOnly();
+        if (isPathIntact && !isRefusedHere) {
+            return isClosed && result.sent ? { ...result, hasCrashed: true } : result;
+        }
         if (result.sent) {
-            return await this.isCrash() ? result : { ...result, end: "path-lost" };
+            return isClosed && !isRefusedHere ? { ...result, hasCrashed: true } : { ...result, end: "path-lost" };
         }
         if (this.cancelled !== undefined) {
             return { ...result, end: this.cancelled };
@@ -84,19 +90,14 @@
         return await detour.result;
     }
 
-    /** Whether an upstream that refuses connections has crashed: other instances are refused, too, or none can tell. */
-    private async isCrash(): Promise<boolean> {
-        return this.options.reachability.stateOf(this.options.upstream.id) === "closed" && await this.stateForOthers() !== "open";
-    }
-
-    /** Whether an upstream that refuses connections of this instance, unlike others of its service, accepts those of other instances. */
+    /** Whether an upstream refuses connections of this instance only; one that accepts them by now was restarted meanwhile. */
     private async isRefusedHereOnly(): Promise<boolean> {
-        const { reachability, upstream } = this.options;
-        if (reachability.stateOf(upstream.id) !== "closed" || await this.stateForOthers() !== "open") {
-            return false;
+        const { direct, reachability, upstream } = this.options;
+        const isRefused = await this.stateForOthers() === "open" && await direct.checkPort(upstream) === "closed";
+        if (isRefused) {
+            reachability.recordRefusal(upstream.id);
         }
-        reachability.recordRefusal(upstream.id);
-        return true;
+        return isRefused;
     }
 
     private async stateForOthers(): Promise<PortState> {
--- a/packages/decision/src/attempt-result.ts
+++ b/packages/decision/src/attempt-result.ts
@@ -40,6 +40,8 @@
     readonly sent: boolean;
     /** Whether the upstream's host refused the connection, so that no process listens there. */
     readonly refused?: boolean;
+    /** Whether the upstream's port was found closed right after the connection broke, by all that checked it; absent if unknown. */
+    readonly hasCrashed?: boolean;
     /** The instance through which the request was sent; absent if it was sent directly. */
     readonly via?: string;
 }
