--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -141,7 +141,10 @@
         if (sent.end === "withdrawn" || this.cancelled !== undefined) {
             return { result: { ...sent, via }, isFinal: true };
         }
-        peers.exclude(instance, undefined);
+        // What ended a request that had begun may also be its caller; an instance that is gone refuses the next connection.
+        if (!this.hasBegun) {
+            peers.recordConnectFailure(instance);
+        }
         return this.hasBegun
             ? { result: { ...sent, end: "path-lost", sent: true, via }, isFinal: true }
             : { result: { ...sent, end: "connect-failed", sent: false, refused: false, via }, isFinal: false };
--- a/packages/daemon/src/detour/detour-peers.ts
+++ b/packages/daemon/src/detour/detour-peers.ts
@@ -23,7 +23,10 @@
 }
 
 /** Time for which an instance that could not help is not asked again, in milliseconds; up to half as long again. */
-const exclusionMs = 1000;
+const exclusionMs = 500;
+
+/** The same for one to which a connection was not established: it may be restarting. */
+const connectFailureExclusionMs = 150;
 
 /** Time for which an instance that served a request is preferred, in milliseconds. */
 const preferenceMs = 3000;
@@ -31,8 +34,11 @@
 /** Number of preferred instances below which others are tried, too, so that the load spreads. */
 const wantedPeers = 3;
 
-/** Name under which an instance is excluded for all services. */
-const allServices = "";
+/** Name under which an instance is excluded for all services; no service has it. */
+const allServices = " all";
+
+/** Name under which an instance is avoided that does not accept connections. */
+const connections = " connections";
 
 /** Chooses among the other instances by zone, by what they served and by the requests outstanding there. */
 export class DetourPeers {
@@ -49,9 +55,10 @@
      * @returns `undefined` if no instance is left.
      */
     choose(service: ServiceName, tried: readonly string[]): Member | undefined {
-        const candidates = this.options.members().filter(({ instance, port }) =>
-            port > 0 && !tried.includes(instance) && !this.isExcluded(instance, service)
-        );
+        const untried = this.options.members().filter(({ instance, port }) => port > 0 && !tried.includes(instance));
+        const able = untried.filter(({ instance }) => !this.isExcluded(instance, [service, allServices]));
+        const connected = able.filter(({ instance }) => !this.isExcluded(instance, [connections]));
+        const candidates = connected.length > 0 ? connected : able;
         const proven = candidates.filter(({ instance }) => this.isProven(instance));
         const unproven = candidates.filter(member => !proven.includes(member));
         const explores = proven.length === 0
@@ -83,16 +90,24 @@
      * @param service - The service that it cannot reach; `undefined` if it cannot help at all.
      */
     exclude(instance: string, service: ServiceName | undefined): void {
+        this.excludeFor(exclusionMs, instance, service ?? allServices);
+    }
+
+    /** Avoids an instance for a moment, unless it is the only one, because a connection to it was not established. */
+    recordConnectFailure(instance: string): void {
+        this.excludeFor(connectFailureExclusionMs, instance, connections);
+    }
+
+    private excludeFor(durationMs: number, instance: string, name: string): void {
         const state = this.stateOf(instance);
-        const untilMs = this.options.clock.nowMs() + exclusionMs * (1 + this.options.random.next() / 2);
         state.servedAtMs = -Infinity;
-        state.excludedUntilMs.set(service ?? allServices, untilMs);
+        state.excludedUntilMs.set(name, this.options.clock.nowMs() + durationMs * (1 + this.options.random.next() / 2));
     }
 
-    private isExcluded(instance: string, service: ServiceName): boolean {
+    private isExcluded(instance: string, names: readonly string[]): boolean {
         const nowMs = this.options.clock.nowMs();
         const untilMs = this.states.get(instance)?.excludedUntilMs;
-        return (untilMs?.get(service) ?? 0) > nowMs || (untilMs?.get(allServices) ?? 0) > nowMs;
+        return names.some(name => (untilMs?.get(name) ?? 0) > nowMs);
     }
 
     private isProven(instance: string): boolean {
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -17,6 +17,7 @@
 import { readFileSync } from "node:fs";
 import { Daemon } from "./daemon.js";
 import type { PlatformAdapter } from "./platform/platform.js";
+import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 import { version } from "./version.js";
 
 /** Exit codes of the daemon. */
@@ -26,6 +27,8 @@
 export interface DaemonProgramOptions {
     /** Integration with the platform; the built-in one by default. */
     readonly adapter?: PlatformAdapter;
+    /** Transport to upstreams; the built-in one by default. */
+    readonly transport?: UpstreamTransport;
 }
 
 const command = (options: DaemonProgramOptions) =>
@@ -47,11 +50,11 @@
         run: ({ args }) => runDaemon(args.settings, options),
     });
 
-const runDaemon = async (file: string, { adapter }: DaemonProgramOptions): Promise<void> => {
+const runDaemon = async (file: string, { adapter, transport }: DaemonProgramOptions): Promise<void> => {
     try {
         const settings = valueOrThrow(checkSettings(file, readFileSync(file, "utf8")));
         const policies = readPolicies(settings);
-        const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }) });
+        const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }), ...(transport && { transport }) });
         await daemon.start();
         const stop = () => void daemon.stop();
         process.once("SIGTERM", stop).once("SIGINT", stop);
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -238,6 +238,7 @@
         return {
             ...buildUpstreamRequest({ services, runtime, progress, body, upstream, spanId }),
             mayBegin,
+            isCallerGone: () => progress.response.callerDisconnected,
             whenCallerRead: connection.whenRead.bind(connection),
             onBegin,
         };
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -100,12 +100,22 @@
         }
     }
 
-    /** Ends the attempt, unless it may have been sent and must not be repeated: its response may still arrive after the cut. */
+    /**
+     * Ends the attempt, unless it may have been sent and must not be repeated: its response may still arrive after the cut. Without a
+     * caller it ends as well, so that it does not arrive then.
+     */
     private endAtLostPath(): void {
-        if (this.isWaiting() && (!this.hasBegun || this.options.request.isRepeatable === true)) {
+        const { clock, reachability, upstream, request } = this.options;
+        if (!this.isWaiting() || reachability.isReachable(upstream.id)) {
+            return;
+        }
+        if (!this.hasBegun || request.isRepeatable === true || request.isCallerGone?.() === true) {
             this.isPathLost = true;
             this.inner.cancel("cancelled");
+            return;
         }
+        this.patienceTimer?.cancel();
+        this.patienceTimer = clock.after(defaultPatienceMs, () => this.endAtLostPath());
     }
 
     private isWaiting(): boolean {
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -96,6 +96,10 @@
 
     cancel(end: "timed-out" | "cancelled"): void {
         this.cancelled ??= new AttemptCancelledError(end);
+        if (this.sent && this.response === undefined) {
+            // Discards what was written but not acknowledged; otherwise a request held up by the network would still arrive.
+            this.request.socket?.resetAndDestroy();
+        }
         this.request.destroy(this.cancelled);
         this.fail(this.cancelled);
     }
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -22,6 +22,8 @@
     readonly requestId?: string;
     /** Whether the request may be sent again although an upstream may have received it. */
     readonly isRepeatable?: boolean;
+    /** Returns whether nobody waits for the response any more. */
+    readonly isCallerGone?: () => boolean;
     /** Whether the request must not be sent through another instance, for example because it comes from one. */
     readonly isDirectOnly?: boolean;
     /** Time for the upstream to respond, in milliseconds. */
--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -4,12 +4,14 @@
  * @packageDocumentation
  */
 
+import { runDaemonProgram } from "@harrierhitch/daemon";
 import { defineCommand, runMain } from "citty";
 import { runDecisionsBench } from "./bench-decisions.js";
 import { runFleetBench } from "./bench-fleet.js";
 import { runBench } from "./bench.js";
 import { startFastUpstreams } from "./fast-upstream.js";
 import { hostEntries, hostUpstreams } from "./host.js";
+import { MappedTransport } from "./mapped-transport.js";
 import { startPassThrough } from "./pass-through.js";
 import { runPathProxies } from "./path-proxies.js";
 import { PlatformStandin } from "./platform-standin.js";
@@ -77,6 +79,21 @@
     run: ({ args }) => runPathProxies(args.targets.split(",").map(Number)),
 });
 
+const daemon = defineCommand({
+    meta: { name: "daemon", description: "Run the daemon with proxies on its paths to upstreams" },
+    args: {
+        settings: { type: "string", required: true, description: "Settings file of the daemon" },
+        ports: { type: "string", required: true, description: "PORT=PORT OF THE PROXY for each upstream, separated by commas" },
+    },
+    run: async ({ args }) => {
+        const ports = new Map(
+            args.ports.split(",").map(pair => pair.split("=").map(Number)).map(([port, proxy]) => [port, proxy]),
+        );
+        const transport = new MappedTransport(port => ports.get(port) ?? port);
+        await runDaemonProgram(["--settings", args.settings], { transport });
+    },
+});
+
 const hostUpstreamsCommand = defineCommand({
     meta: { name: "host-upstreams", description: "Host several upstreams in one process" },
     args: {
@@ -158,6 +175,7 @@
         "fast-upstreams": fastUpstreams,
         "pass-through": passThrough,
         "path-proxies": pathProxies,
+        daemon,
         "host-upstreams": hostUpstreamsCommand,
         "host-entries": hostEntriesCommand,
         bench,
--- a/packages/standin/src/soak/entry-process.ts
+++ b/packages/standin/src/soak/entry-process.ts
@@ -8,6 +8,7 @@
 import { join } from "node:path";
 import { type Child, programs, startChild } from "../child.js";
 import { loopbackSettings } from "../loopback-settings.js";
+import type { PathProxies } from "../path-proxies.js";
 
 /** Options of {@link EntryProcess}. */
 export interface EntryProcessOptions {
@@ -18,6 +19,10 @@
     readonly operatorsPort: number;
     readonly peersPort: number;
     readonly seedPorts: readonly number[];
+    /** The paths to the upstreams. */
+    readonly paths: PathProxies;
+    /** Ports of the upstreams. */
+    readonly upstreamPorts: readonly number[];
 }
 
 export type EntryState = "running" | "paused" | "stopping" | "down";
@@ -50,7 +55,7 @@
         });
         await writeFile(file, settings.replace("stopDelayMs = 0", "stopDelayMs = 300\nstopTimeoutMs = 6000"));
         this.incarnation += 1;
-        const child = startChild(programs.daemon, ["--settings", file]);
+        const child = startChild(programs.standin, ["daemon", "--settings", file, "--ports", this.mappedPorts]);
         this.child = child;
         child.process.once("exit", () => {
             if (this.child === child) {
@@ -62,6 +67,11 @@
         this.state = "running";
     }
 
+    private get mappedPorts(): string {
+        const { paths, upstreamPorts } = this.options;
+        return upstreamPorts.map(port => `${port}=${paths.portOf(port)}`).join(",");
+    }
+
     /** Sends SIGKILL. */
     kill(): void {
         this.child?.process.kill("SIGKILL");
--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -4,10 +4,12 @@
  * @packageDocumentation
  */
 
+import type { PathCut } from "../path-proxies.js";
 import type { UpstreamBehaviour } from "../upstream-behaviour.js";
 import type { EntryProcess } from "./entry-process.js";
 import { noFault, type ProxyFault } from "./fault-proxy.js";
 import type { FaultKind, PlannedFault } from "./fault-schedule.js";
+import type { PathChecker } from "./path-checker.js";
 import type { SoakServers, SoakUpstream } from "./soak-servers.js";
 
 /** Time from killing an instance to its restart, in milliseconds. */
@@ -41,18 +43,37 @@
     "way-mute": { dropsResponses: true },
 };
 
+const cuts: Partial<Record<FaultKind, PathCut>> = {
+    "cut-silent": "silent",
+    "cut-refusing": "refusing",
+    "cut-new-refused": "new-refused",
+    "cut-lossy": "lossy",
+};
+
+/** Time for which an instance is cut off, in milliseconds, in addition to the fault's duration; long enough to be compared. */
+const additionalCutMs = 2500;
+
+/** Time after the beginning of a cut within which responses with announcements may be lost, in milliseconds. */
+const lostResponsesMs = 1000;
+
 const wait = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, Math.max(0, durationMs)));
 
 /** Injects faults at their planned times; faults may overlap. */
 export class FaultInjector {
     private hasDrained = false;
     private isLimiting = false;
+    private readonly cutOffEntries = new Set<EntryProcess>();
 
     /**
      * @param entries - The entry instances.
      * @param servers - The upstreams and the platform.
+     * @param checker - Records when instances were cut off.
      */
-    constructor(private readonly entries: readonly EntryProcess[], private readonly servers: SoakServers) {}
+    constructor(
+        private readonly entries: readonly EntryProcess[],
+        private readonly servers: SoakServers,
+        private readonly checker: PathChecker,
+    ) {}
 
     /** Injects all faults; resolves when the last one has ended and all processes run again. */
     async injectAll(faults: readonly PlannedFault[]): Promise<void> {
@@ -67,6 +88,7 @@
         const upstream = this.servers.upstreams[Math.floor(target * this.servers.upstreams.length)];
         const change = upstreamFaults[kind];
         const proxyFault = proxyFaults[kind];
+        const cut = cuts[kind];
         if (upstream !== undefined && change !== undefined) {
             await this.changeBehaviour(upstream, change(durationMs), durationMs);
         }
@@ -75,6 +97,9 @@
             await wait(durationMs);
             this.servers.setProxyFault(upstream, noFault);
         }
+        else if (cut !== undefined) {
+            await this.cutOff(cut, durationMs + additionalCutMs, target);
+        }
         else if (upstream !== undefined && kind === "way-reset") {
             this.servers.resetConnections(upstream);
         }
@@ -139,6 +164,29 @@
         await entry.start();
     }
 
+    /** Cuts off a running instance from all upstreams, unless no other one would be left or it is cut off already. */
+    private async cutOff(cut: PathCut, durationMs: number, target: number): Promise<void> {
+        const candidates = this.entries.filter(entry => entry.state === "running" && !this.cutOffEntries.has(entry));
+        const entry = candidates[Math.floor(target * candidates.length)];
+        if (entry === undefined || candidates.length < 2) {
+            return;
+        }
+        const { checker } = this;
+        const { incarnation, options: { name, paths } } = entry;
+        const fromMs = performance.now();
+        this.cutOffEntries.add(entry);
+        paths.cut(cut);
+        this.servers.clearAnnouncements();
+        await wait(lostResponsesMs);
+        this.servers.clearAnnouncements();
+        await wait(durationMs - lostResponsesMs);
+        const hasRun = entry.incarnation === incarnation && entry.state === "running";
+        checker.recordCut({ entry: name, incarnation, fromMs, untilMs: performance.now(), hasRun });
+        paths.heal();
+        this.cutOffEntries.delete(entry);
+        this.servers.clearAnnouncements();
+    }
+
     private async changeBehaviour(upstream: SoakUpstream, change: Partial<UpstreamBehaviour>, durationMs: number): Promise<void> {
         this.servers.changeBehaviour(upstream, change);
         await wait(durationMs);
--- a/packages/standin/src/soak/fault-schedule.ts
+++ b/packages/standin/src/soak/fault-schedule.ts
@@ -6,7 +6,7 @@
 
 import type { RandomSource } from "@harrierhitch/core";
 
-/** Kinds of faults; the `way-` faults affect the connections to an upstream. */
+/** Kinds of faults; the `way-` faults affect the connections to an upstream, the `cut-` faults the paths of an instance. */
 export const faultKinds = [
     "pause",
     "kill",
@@ -22,6 +22,10 @@
     "way-deaf",
     "way-mute",
     "way-reset",
+    "cut-silent",
+    "cut-refusing",
+    "cut-new-refused",
+    "cut-lossy",
     "platform-fails",
     "platform-garbled",
     "platform-deaf",
--- a/packages/standin/src/soak/soak-callers.ts
+++ b/packages/standin/src/soak/soak-callers.ts
@@ -7,7 +7,8 @@
 import type { RandomSource } from "@harrierhitch/core";
 import { Agent, request } from "node:http";
 import type { EntryProcess } from "./entry-process.js";
-import type { ObservedResponse, SoakChecker } from "./soak-checker.js";
+import type { ObservedResponse } from "./observed-response.js";
+import type { SoakChecker } from "./soak-checker.js";
 
 /** Header that names the instance to which a caller sent its request; instances forward it to the upstream. */
 export const entryHeader = "x-soak-entry";
@@ -86,6 +87,7 @@
             duringPlannedStop: entry.stoppedIncarnation === incarnation,
         };
         this.options.checker.recordResponse(response);
+        this.options.checker.pathChecker.recordResponse(response, sentAtMs);
         return response;
     }
 }
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -105,6 +105,11 @@
         this.options.checker.clearAnnouncements(name);
     }
 
+    /** Discards all announcements, because some may be lost. */
+    clearAnnouncements(): void {
+        this.upstreams.forEach(({ name }) => this.options.checker.clearAnnouncements(name));
+    }
+
     /** Resets all connections to an upstream. */
     resetConnections({ name, proxy }: SoakUpstream): void {
         proxy.reset();
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -8,6 +8,7 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { PathProxies } from "../path-proxies.js";
 import { EntryProcess } from "./entry-process.js";
 import { FaultInjector } from "./fault-injector.js";
 import { generateFaults } from "./fault-schedule.js";
@@ -56,8 +57,12 @@
     const checker = new SoakChecker(maximumResponseMs, () => lag.lagMs);
     const servers = new SoakServers({ upstreams, entries, checker });
     const { platformPort } = await servers.start();
-    const processes = Array.from({ length: entries }, (_, index) =>
+    const upstreamPorts = servers.upstreams.map(({ proxyPort }) => proxyPort);
+    const paths = await Promise.all(Array.from({ length: entries }, () => PathProxies.start(upstreamPorts)));
+    const processes = paths.map((pathsOfEntry, index) =>
         new EntryProcess({
+            paths: pathsOfEntry,
+            upstreamPorts,
             name: `entry-${index + 1}`,
             directory,
             platformPort,
@@ -65,7 +70,8 @@
             operatorsPort: basePort + 3 * index + 1,
             peersPort: basePort + 3 * index + 2,
             seedPorts: [basePort + 2, basePort + 5],
-        }));
+        })
+    );
     servers.setEntries(processes);
     try {
         await Promise.all(processes.map(process => process.start()));
@@ -74,7 +80,7 @@
         const leaving = new LeavingCallers({ random: new SeededRandom(seed + 2), entries: processes, checker: leaveChecker });
         const generationPolls = setInterval(() => void pollGenerations(processes, checker), generationPollMs);
         const plannedFaults = generateFaults(new SeededRandom(seed), seconds * 1000);
-        await new FaultInjector(processes, servers).injectAll(plannedFaults);
+        await new FaultInjector(processes, servers, checker.pathChecker).injectAll(plannedFaults);
         leaving.stop();
         await wait(recoveryMs);
         await load.stop();
@@ -92,6 +98,7 @@
     }
     finally {
         await Promise.all(processes.map(process => process.stop()));
+        await Promise.all(paths.map(pathsOfEntry => pathsOfEntry.stop()));
         await servers.close();
         lag.stop();
         await rm(directory, { recursive: true });
--- a/packages/standin/test/soak-checker.test.ts
+++ b/packages/standin/test/soak-checker.test.ts
@@ -4,7 +4,8 @@
 
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { type ObservedResponse, SoakChecker } from "../src/soak/soak-checker.js";
+import type { ObservedResponse } from "../src/soak/observed-response.js";
+import { SoakChecker } from "../src/soak/soak-checker.js";
 import { noAnnouncement } from "../src/upstream-standin.js";
 
 const observed = (change: Partial<ObservedResponse> = {}): ObservedResponse => ({
