Log whose response answers an attempt, and the evidence behind each outcome

Each parsed head now has an attribution (own, unproved, foreign): the platform's protocol compares the echoed id, the own protocol knows only whether the connection carried anything before. Connections are numbered, and each attempt records how many requests its connection carried before, when its first byte was written and when the head came. 403 and 400 state the evidence of each attempt, event 408 each response that is not taken, harrierhitch_responses_not_taken_total counts them. Nothing is concluded differently yet.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -54,9 +54,9 @@
         const { request } = options;
         this.request = {
             ...request,
-            onBegin: () => {
+            onBegin: use => {
                 this.hasBegun = true;
-                request.onBegin?.();
+                request.onBegin?.({ ...use, precedingRequests: undefined });
             },
         };
         this.result = this.run();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,6 +20,7 @@
 export { type DaemonProgramOptions, exitCodes, runDaemonProgram } from "./program.js";
 export { noLimit, type ParsedLimit, readLimit } from "./request/announced-limit.js";
 export {
+    type Attribution,
     type HeaderProtocol,
     type LoadReport,
     type OutgoingAttempt,
--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -95,6 +95,7 @@
             applyLoad(load, received);
         }
     },
+    attribution: ignore,
     // Applied together with the load.
     shed: ignore,
     failed: ignore,
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -7,32 +7,22 @@
 import type { Outcome } from "@harrierhitch/core";
 import { type AttemptResult, type InFlightRequest, outcomeOf, type UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
+import type { ConnectionUse } from "../upstream/connection-use.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { applyResponse, isShedWithHeadroom } from "./apply-response.js";
 import { isUpstreamFailure } from "./attempt-ends.js";
 import type { AttemptOptions } from "./attempt-options.js";
-import { type BufferedResponse, ResponseBuffer } from "./buffered-response.js";
+import type { AttemptReport } from "./attempt-report.js";
+import { ResponseBuffer } from "./buffered-response.js";
 import type { ObservedCrash } from "./crash-detector.js";
 import { type AttemptRecord, newAttemptRecord } from "./decision-record.js";
+import { findUnattributed } from "./find-unattributed.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
 import { requestBytes } from "./request-body.js";
 import { StallWatch } from "./stall-watch.js";
 import { buildUpstreamRequest } from "./upstream-request.js";
 
-export interface AttemptReport {
-    readonly task: AttemptTask;
-    readonly result: AttemptResult;
-    readonly outcome: Outcome;
-    /** The response head; `undefined` if none was received. */
-    readonly response: ParsedResponse | undefined;
-    readonly isComplete: boolean;
-    /** The complete response, if it was buffered. */
-    readonly buffered: BufferedResponse | undefined;
-    /** Whether the response head was sent to the caller. */
-    readonly isForwarded: boolean;
-}
-
 /** Most bytes that are read of a discarded response in order to reuse its connection. */
 const maximumDiscardedBytes = 65_536;
 
@@ -88,8 +78,15 @@
             service,
             upstream: upstream.id,
             requestHeaders,
+            precedingRequests: this.record.use?.precedingRequests,
         });
         this.response = response;
+        this.record.headMs = progress.ageMs;
+        this.record.attribution = response.attribution;
+        const unattributed = findUnattributed(this.options, this.record, status, response);
+        if (unattributed !== undefined) {
+            services.onUnattributed(unattributed);
+        }
         services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
         const { clock } = services;
         const { tracker } = runtime;
@@ -185,7 +182,7 @@
             services.crashes.recordSuccess(progress.key(body));
         }
         const buffered = isComplete && this.discardedBytes === 0 ? this.buffer?.toBufferedResponse() : undefined;
-        return { task: this, result: this.record.result, outcome, response, isComplete, buffered, isForwarded: this.isForwarded };
+        return { result: this.record.result, outcome, response, isComplete, buffered, isForwarded: this.isForwarded };
     }
 
     /** Checks after a reset whether the upstream has crashed or only closed this connection. */
@@ -226,8 +223,9 @@
         const mayBegin = (): boolean =>
             !progress.response.callerDisconnected && !connection.isUnread
             && runtime.tracker.maySend(upstream, this.inFlightRequest);
-        const onBegin = (): void => {
+        const onBegin = (use: ConnectionUse): void => {
             this.record.sentMs = progress.ageMs;
+            this.record.use = use;
             this.record.pausedFor = connection.pauses.reason;
             progress.stage = "running";
         };
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -38,11 +38,12 @@
         return String(Math.ceil(delayMs / 1000));
     }
 
-    readResponseHead({ status, headers, service }: ResponseHead): ParsedResponse {
+    readResponseHead({ status, headers, service, precedingRequests }: ResponseHead): ParsedResponse {
         const shed = service.shedStatuses.has(status) && headers[service.shedHeader] === "not-run";
         const reportedOutcome = headers[outcomeHeader];
         const draining = headers[service.drainHeader] === "draining";
         return {
+            attribution: precedingRequests === 0 ? "own" : "unproved",
             mismatch: undefined,
             outcome: shed ? "not-run" : outcomeOfStatus(status, reportedOutcome),
             shed,
--- a/packages/daemon/src/request/create-request-services.ts
+++ b/packages/daemon/src/request/create-request-services.ts
@@ -15,6 +15,7 @@
 import { RequestIds } from "./request-id.js";
 import type { RequestServices } from "./request-services.js";
 import type { ReceivedNotice } from "./response-notice.js";
+import type { UnattributedResponse } from "./unattributed-response.js";
 
 /** Options of {@link createRequestServices}. */
 export interface CreateRequestServicesOptions {
@@ -33,6 +34,7 @@
     const { limits, callers, traces } = settings;
     const rateLimitLog = new RateLimitLog({ clock, log, metrics });
     const onNotice = (notice: ReceivedNotice): void => telemetry.noticeReceived(notice);
+    const onUnattributed = (response: UnattributedResponse): void => telemetry.responseNotTaken(response);
     return {
         clock,
         random,
@@ -45,6 +47,7 @@
             budget: probeBudget,
             onProbe: (service, result) => metrics.probes.inc({ service: service.name, result }),
             onNotice,
+            onUnattributed,
         }),
         explanations,
         crashes,
@@ -58,6 +61,7 @@
         polls,
         sampleTrace: () => traces.otlpUrl !== undefined && random.next() < traces.sampleShare,
         onNotice,
+        onUnattributed,
         onDecision: (service, input, decision) => rateLimitLog.record(service, input, decision),
         onAttempt: (record, attempt) => telemetry.attemptEnded(record, attempt),
         onDeparture: (record, departure) => telemetry.callerLeft(record, departure),
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -9,6 +9,8 @@
 import type { AttemptResult, Decision, DecisionInput, Placement } from "@harrierhitch/decision";
 import { newSpanId } from "../telemetry/trace-context.js";
 import type { PortState } from "../upstream/check-port.js";
+import type { ConnectionUse } from "../upstream/connection-use.js";
+import type { Attribution } from "./header-protocol.js";
 import type { ProblemKind } from "./problem.js";
 import type { PauseReason } from "./reading-pauses.js";
 
@@ -33,6 +35,12 @@
     readonly startedMs: number;
     /** Time at which the first byte was sent; `undefined` before. */
     sentMs: number | undefined;
+    /** The connection on which it was sent; `undefined` before. */
+    use: ConnectionUse | undefined;
+    /** Time at which the head of a response was received; `undefined` without one. */
+    headMs: number | undefined;
+    /** Whose response that is. */
+    attribution: Attribution | undefined;
     /** Why nothing was read from the caller's connection when the first byte was sent; `undefined` if it was read. */
     pausedFor: PauseReason | undefined;
     endedMs: number | undefined;
@@ -52,6 +60,9 @@
     spanId: newSpanId(),
     startedMs,
     sentMs: undefined,
+    use: undefined,
+    headMs: undefined,
+    attribution: undefined,
     pausedFor: undefined,
     endedMs: undefined,
     result: undefined,
--- a/packages/daemon/src/request/header-protocol.ts
+++ b/packages/daemon/src/request/header-protocol.ts
@@ -20,6 +20,15 @@
     readonly depth: number;
 }
 
+/**
+ * Whose response a head begins.
+ *
+ * - `own`: it provably answers the request that waits on its connection.
+ * - `unproved`: nothing shows whose it is.
+ * - `foreign`: it answers another request, or none.
+ */
+export type Attribution = "own" | "unproved" | "foreign";
+
 /** The head of an upstream's response, with its request. */
 export interface ResponseHead {
     readonly status: number;
@@ -29,6 +38,8 @@
     readonly upstream: UpstreamId;
     /** Headers of the caller's request; `undefined` for a probe. */
     readonly requestHeaders: IncomingHttpHeaders | undefined;
+    /** Number of requests that were written to the connection before this one; `undefined` if that is unknown. */
+    readonly precedingRequests: number | undefined;
 }
 
 /** The load that an upstream reports. */
@@ -41,6 +52,7 @@
 }
 
 export interface ParsedResponse {
+    readonly attribution: Attribution;
     /** Why this is not the upstream's response to this request; `undefined` if it is. */
     readonly mismatch: string | undefined;
     /** Whether the request ran, according to the head. */
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -14,6 +14,7 @@
 import { problemLogFields } from "./decision-log-fields.js";
 import type { DecisionRecord } from "./decision-record.js";
 import type { Departure } from "./departure.js";
+import { evidenceOf } from "./evidence.js";
 import { LatencyBudget } from "./latency-budget.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import { rejectionRetryAfterMs } from "./rejection-retry-after.js";
@@ -205,6 +206,7 @@
         this.services.log.write(events.requestProblem, {
             ...fields,
             ageMs: Math.round(this.ageMs),
+            evidence: this.record.attempts.map(evidenceOf),
             ...problemLogFields(this.record),
         });
     }
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -18,6 +18,7 @@
 import type { BodyLimits } from "./read-body.js";
 import type { RequestIds } from "./request-id.js";
 import type { ReceivedNotice } from "./response-notice.js";
+import type { UnattributedResponse } from "./unattributed-response.js";
 
 export interface RequestServices {
     readonly clock: Clock;
@@ -36,6 +37,7 @@
     /** Decides whether a trace that starts here is sampled. */
     sampleTrace(): boolean;
     onNotice(notice: ReceivedNotice): void;
+    onUnattributed(response: UnattributedResponse): void;
     onDecision(service: ServiceName, input: DecisionInput, decision: Decision): void;
     onAttempt(record: DecisionRecord, attempt: AttemptRecord): void;
     onDeparture(record: DecisionRecord, departure: Departure): void;
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -7,7 +7,8 @@
 import type { UpstreamId } from "@harrierhitch/core";
 import type { ChooseDecision, Decision } from "@harrierhitch/decision";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
-import { type AttemptReport, AttemptTask } from "./attempt-task.js";
+import type { AttemptReport } from "./attempt-report.js";
+import { AttemptTask } from "./attempt-task.js";
 import { completeRequest } from "./complete-request.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { allowsHedge, canSpareHedge, hedgeIntervalMs } from "./hedge.js";
@@ -106,7 +107,7 @@
     private async handle(event: RequestEvent, body: RequestBody): Promise<boolean> {
         switch (event.type) {
             case "ended":
-                this.running.delete(event.report.task);
+                this.running.delete(event.task);
                 return this.handleAttemptEnd(event.report, body);
             case "hedge-due":
                 await this.startHedge(body);
@@ -149,7 +150,7 @@
         const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, selectionFacts, mayStream });
         this.tried.push(id);
         this.running.add(task);
-        void task.ended.then(report => this.mailbox.post({ type: "ended", report }));
+        void task.ended.then(report => this.mailbox.post({ type: "ended", task, report }));
         this.scheduleHedge();
         return true;
     }
--- a/packages/daemon/src/request/send-response.ts
+++ b/packages/daemon/src/request/send-response.ts
@@ -7,7 +7,7 @@
 import type { AttemptResult } from "@harrierhitch/decision";
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
-import type { AttemptReport } from "./attempt-task.js";
+import type { AttemptReport } from "./attempt-report.js";
 import type { Interruption } from "./decision-record.js";
 import type { RequestProgress } from "./request-progress.js";
 
--- a/packages/daemon/src/telemetry/attempt-metrics.ts
+++ b/packages/daemon/src/telemetry/attempt-metrics.ts
@@ -25,6 +25,13 @@
         ["relation", "reason"],
     );
 
+    /** Responses that were not taken for the answers to their requests, by service and attribution. */
+    readonly unattributedResponses = this.counter(
+        "harrierhitch_responses_not_taken_total",
+        "Responses that were not taken for the answers to their requests",
+        ["service", "attribution"],
+    );
+
     /** Requests that upstreams shed, by service and whether the upstream reported headroom. */
     readonly sheds = this.counter("harrierhitch_sheds_total", "Requests shed by upstreams", ["service", "headroom"]);
 }
--- a/packages/daemon/src/telemetry/attempt-telemetry.ts
+++ b/packages/daemon/src/telemetry/attempt-telemetry.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
+import { evidenceOf } from "../request/evidence.js";
 import type { Metrics } from "./metrics.js";
 
 /** Returns the decision that selected the upstream of an attempt, and the index of the upstream in its input. */
@@ -40,6 +41,19 @@
     };
 };
 
+/** Returns where and when an attempt was sent and answered, and what its outcome is based on, for the log. */
+export const exchangeLogFields = (attempt: AttemptRecord) => {
+    const { use, sentMs, headMs, attribution } = attempt;
+    return {
+        evidence: evidenceOf(attempt),
+        attribution,
+        connection: use?.connection,
+        preceding: use?.precedingRequests,
+        sentMs: sentMs === undefined ? undefined : Math.round(sentMs),
+        headMs: headMs === undefined ? undefined : Math.round(headMs),
+    };
+};
+
 /** Counts an attempt that was sent and its payload, by the relation of the zones and the reason of the placement. */
 export const countZoneTraffic = (metrics: Metrics, record: DecisionRecord, attempt: AttemptRecord): void => {
     const { step, facts } = selectionOf(record, attempt);
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -12,9 +12,11 @@
 import type { Departure } from "../request/departure.js";
 import type { RequestStage } from "../request/request-stage.js";
 import type { ReceivedNotice } from "../request/response-notice.js";
+import type { UnattributedResponse } from "../request/unattributed-response.js";
 import type { StateChange } from "../upstream/service-registry.js";
 import { admissionResultsOf } from "./admission-results.js";
-import { countZoneTraffic, selectionLogFields } from "./attempt-telemetry.js";
+import { countZoneTraffic, exchangeLogFields, selectionLogFields } from "./attempt-telemetry.js";
+import { reportUnattributed } from "./attribution-telemetry.js";
 import { type ConfigurationReport, reportConfiguration } from "./configuration-report.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
@@ -57,6 +59,7 @@
             key: attempt.connectionLoss?.key,
             port: attempt.connectionLoss?.port,
             detail: result?.detail === "" ? undefined : result?.detail,
+            ...exchangeLogFields(attempt),
             startedMs: Math.round(startedMs),
             endedMs: endedMs === undefined ? undefined : Math.round(endedMs),
             generation: record.configuration.generation,
@@ -144,6 +147,11 @@
         });
     }
 
+    /** Counts and logs a response that was not taken for the answer to its request. */
+    responseNotTaken(response: UnattributedResponse): void {
+        reportUnattributed(this.log, this.metrics, response);
+    }
+
     /** Counts and logs a completed request. */
     requestServed(record: DecisionRecord): void {
         const { route } = record;
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -7,6 +7,7 @@
 import type { Clock, Timer } from "@harrierhitch/core";
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
+import type { ConnectionUse } from "./connection-use.js";
 import type { Reachability } from "./reachability.js";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTransport } from "./upstream-transport.js";
 
@@ -41,9 +42,9 @@
     /** @param options - The request and its upstream. */
     constructor(private readonly options: DirectAttemptOptions) {
         const { transport, reachability, upstream, request } = options;
-        const onBegin = (): void => {
+        const onBegin = (use: ConnectionUse): void => {
             this.hasBegun = true;
-            request.onBegin?.();
+            request.onBegin?.(use);
         };
         this.inner = transport.send(upstream, { ...request, onBegin }, this);
         this.stopWatching = reachability.onLost(upstream.id, () => this.endAtLostPath());
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -10,6 +10,7 @@
 import { Agent as HttpsAgent } from "node:https";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
+import { recordUse } from "./connection-use.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
@@ -159,16 +160,16 @@
         const { whenCallerRead = (action: () => void): void => action() } = this.outgoing;
         socket.cork();
         whenCallerRead(() => {
-            this.begin();
+            this.begin(socket);
             socket.uncork();
         });
     }
 
     /** Called just before the first byte is written. */
-    private begin(): void {
+    private begin(socket: Socket): void {
         if (!this.finished && !this.withdrawIfDisallowed()) {
             this.sent = true;
-            this.outgoing.onBegin?.();
+            this.outgoing.onBegin?.(recordUse(socket));
         }
     }
 
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -6,11 +6,13 @@
 
 import type { Service } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
-import type { UpstreamEntry } from "@harrierhitch/decision";
+import type { UpstreamEntry, UpstreamTracker } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import { applyResponse } from "../request/apply-response.js";
 import type { HeaderProtocol } from "../request/header-protocol.js";
 import type { ReceivedNotice } from "../request/response-notice.js";
+import type { UnattributedResponse } from "../request/unattributed-response.js";
+import type { ConnectionUse } from "./connection-use.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import { ProbeSuppression } from "./probe-suppression.js";
 import type { ServiceRuntime } from "./service-runtime.js";
@@ -26,6 +28,8 @@
     readonly onProbe: (service: Service, result: ProbeResult) => void;
     /** Called for the notice in a probe's response. */
     readonly onNotice: (notice: ReceivedNotice) => void;
+    /** Called for a response that belongs to another request. */
+    readonly onUnattributed: (response: UnattributedResponse) => void;
 }
 
 /** `over-budget` if no probe was sent. */
@@ -45,6 +49,16 @@
     readonly isSufficient: () => boolean;
 }
 
+/** A probe that was sent. */
+interface SentProbe {
+    readonly service: Service;
+    readonly tracker: UpstreamTracker;
+    readonly upstream: UpstreamEntry;
+    readonly sentAtMs: number;
+    /** Its connection; `undefined` until the first byte is written. */
+    use: ConnectionUse | undefined;
+}
+
 /** Age below which a load report is not refreshed, in milliseconds. */
 const recentReportMs = 8;
 
@@ -107,7 +121,7 @@
     private async send({ service, runtime }: ProbeRequest, upstream: UpstreamEntry): Promise<void> {
         const { clock, transport, onProbe } = this.options;
         const response: { outcome: ProbeOutcome; } = { outcome: "failed" };
-        const sentAtMs = clock.nowMs();
+        const sent: SentProbe = { service, tracker: runtime.tracker, upstream, sentAtMs: clock.nowMs(), use: undefined };
         const request = {
             method: "GET",
             path: service.probePath ?? "/",
@@ -116,10 +130,13 @@
             isRepeatable: true,
             timeoutMs: cancelAfterMs,
             mayBegin: () => runtime.tracker.acceptsRequests(upstream),
+            onBegin: (use: ConnectionUse) => {
+                sent.use = use;
+            },
         };
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
-                response.outcome = this.handleResponse({ service, runtime }, upstream, status, headers, sentAtMs);
+                response.outcome = this.handleResponse(sent, status, headers);
                 return true;
             },
             onData: () => true,
@@ -133,22 +150,21 @@
         onProbe(service, result);
     }
 
-    private handleResponse(
-        { service, runtime: { tracker } }: Pick<ProbeRequest, "service" | "runtime">,
-        upstream: UpstreamEntry,
-        status: number,
-        headers: IncomingHttpHeaders,
-        sentAtMs: number,
-    ): ProbeOutcome {
+    private handleResponse(sent: SentProbe, status: number, headers: IncomingHttpHeaders): ProbeOutcome {
         const { clock, headerProtocol, onNotice } = this.options;
+        const { service, tracker, upstream, sentAtMs, use } = sent;
         const parsed = headerProtocol.readResponseHead({
             status,
             headers,
             service,
             upstream: upstream.id,
             requestHeaders: undefined,
+            precedingRequests: use?.precedingRequests,
         });
         const { load, misdirected, notice } = parsed;
+        if (parsed.attribution === "foreign") {
+            this.reportForeign(sent, status);
+        }
         onNotice({ service: service.name, upstream, notice, request: undefined });
         applyResponse({ clock, tracker, upstream, response: parsed, sentAtMs, isProbe: true });
         if (misdirected) {
@@ -160,4 +176,18 @@
         // A response that requests a backoff need not contain a load report.
         return notice.backoffMs === undefined ? "silent" : "failed";
     }
+
+    private reportForeign({ service, upstream, sentAtMs, use }: SentProbe, status: number): void {
+        this.options.onUnattributed({
+            service: service.name,
+            upstream: upstream.id,
+            request: undefined,
+            use,
+            status,
+            attribution: "foreign",
+            detail: "it answers a request",
+            waitedMs: this.options.clock.nowMs() - sentAtMs,
+            outcome: "unknown",
+        });
+    }
 }
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -10,6 +10,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
 import type { PortState } from "./check-port.js";
+import type { ConnectionUse } from "./connection-use.js";
 
 export interface UpstreamRequest {
     readonly method: string;
@@ -34,8 +35,8 @@
     readonly mayBegin?: () => boolean;
     /** Calls back when what has arrived from the caller has been read, so that its departure is known; at once if it has. */
     readonly whenCallerRead?: (action: () => void) => void;
-    /** Called when the first byte is about to be written. */
-    readonly onBegin?: () => void;
+    /** Called when the first byte is about to be written, with the connection. */
+    readonly onBegin?: (use: ConnectionUse) => void;
 }
 
 /** Receives the response of an attempt. */
--- a/packages/daemon/test/apply-shed.test.ts
+++ b/packages/daemon/test/apply-shed.test.ts
@@ -16,6 +16,7 @@
     mismatch: undefined,
     outcome: "not-run",
     shed: true,
+    attribution: "own",
     misdirected: false,
     failed: false,
     retryable: true,
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -38,6 +38,7 @@
     readResponseHead: ({ status, headers }: ResponseHead): ParsedResponse => {
         const shed = status === 503;
         return {
+            attribution: "own",
             mismatch: undefined,
             outcome: shed ? "not-run" : "ran",
             shed,
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -75,7 +75,7 @@
                 return;
             }
             state.hasBegun = true;
-            request.onBegin?.();
+            request.onBegin?.({ connection: 1, precedingRequests: undefined });
             await sleep(this.clock, oneWayDelayMs);
             model.recordArrival(this.instance);
             if (request.path !== modelProbePath) {
