--- /dev/null
+++ b/packages/daemon/test/early-response.test.ts
@@ -0,0 +1,82 @@
+/**
+ * Guards against a request that is sent after a response was taken for its own, because the response arrived before the request
+ * was written.
+ */
+
+import { serviceName, upstreamId } from "@harrierhitch/core";
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { after, before, describe, test } from "node:test";
+import { HttpTransport } from "../src/upstream/http-transport.js";
+import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+
+const rejection = "HTTP/1.1 503 Busy\r\nx-request-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+
+const receivedPaths: string[] = [];
+const sockets: Socket[] = [];
+const server = createServer(socket => {
+    sockets.push(socket);
+    socket.on("error", () => undefined);
+    socket.on("data", data => {
+        receivedPaths.push(data.toString("latin1").split(" ")[1] ?? "");
+        socket.write(rejection);
+    });
+});
+
+before(() => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve)));
+
+after(() => {
+    sockets.forEach(socket => socket.destroy());
+    server.close();
+});
+
+const pause = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 30));
+
+const earlyBytes: Readonly<Record<string, string>> = {
+    "a whole response": rejection,
+    "the beginning of one": rejection.slice(0, 30),
+    "an empty line": "\r\n",
+};
+
+describe("a request is not sent on a connection on which, before its first byte, there arrives", () => {
+    Object.entries(earlyBytes).forEach(([name, bytes]) => {
+        test(name, { todo: "KNOWN-RED.txt" }, async () => {
+            receivedPaths.length = 0;
+            sockets.length = 0;
+            const transport = new HttpTransport();
+            const { port } = server.address() as AddressInfo;
+            const id = upstreamId("u1");
+            const service = serviceName("main");
+            const upstream = { id, service, address: "127.0.0.1", port, availabilityZone: "hall-a", slots: 1 };
+            transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+            const heads: number[] = [];
+            const send = (path: string, whenCallerRead?: UpstreamRequest["whenCallerRead"]) =>
+                transport.send(
+                    upstream,
+                    {
+                        method: "POST",
+                        path,
+                        headers: ["host", "u", "content-length", "0"],
+                        body: undefined,
+                        ...(whenCallerRead && { whenCallerRead }),
+                    },
+                    { onHead: status => heads.push(status) > 0, onData: () => true },
+                );
+            await send("/first").result;
+            const second = send("/second", action => {
+                sockets[0]!.write(bytes);
+                void pause().then(action);
+            });
+            const { end, sent } = await second.result;
+            await pause();
+            assert.deepEqual({ end, sent, heads, receivedPaths }, {
+                end: "withdrawn",
+                sent: false,
+                heads: [503],
+                receivedPaths: ["/first"],
+            });
+            assert.equal((await send("/third").result).end, "answered");
+            await transport.close();
+        });
+    });
+});
