Send a second attempt of a request at the same upstream on a new connection

The platform passes the caller's id through, so two attempts of one request carry the same id.

Such an attempt now opens a connection for itself, also where it goes through another instance (request header to the peer, never sent to an upstream). An upstream that was tried is tried again only if no other is left, so this is rare; remembering the ids of each connection would need a bound on their number.

--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -14,6 +14,7 @@
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { type DetourAction, formatDetour } from "./detour-address.js";
 import { detourHeader, type DetourResult, parseDetourResult } from "./detour-result.js";
+import { newConnectionHeader } from "./new-connection-header.js";
 
 /** Options of {@link DetourClient}. */
 export interface DetourClientOptions {
@@ -101,7 +102,8 @@
             timeoutMs: request.timeoutMs ?? defaultTimeoutMs,
             url: request.path,
         });
-        return new HttpAttempt({ address, port, connectTimeoutMs }, agent, { ...request, path: url }, sink);
+        const headers = request.needsNewConnection === true ? [...request.headers, newConnectionHeader, "1"] : request.headers;
+        return new HttpAttempt({ address, port, connectTimeoutMs }, agent, { ...request, headers, path: url }, sink);
     }
 }
 
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -16,6 +16,7 @@
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { type DetourAddress, parseDetour } from "./detour-address.js";
 import { detourHeader, type DetourResult, formatDetourResult, type NotSentReason } from "./detour-result.js";
+import { newConnectionHeader } from "./new-connection-header.js";
 
 /** Options of {@link DetourListener}. */
 export interface DetourListenerOptions {
@@ -130,7 +131,8 @@
         const attempt: Attempt = transport.send(upstream, {
             method: request.method ?? "GET",
             path: address.url,
-            headers: requestHeaders(request.rawHeaders, request.headers.connection, {}),
+            headers: requestHeaders(request.rawHeaders, request.headers.connection, { [newConnectionHeader]: undefined }),
+            needsNewConnection: request.headers[newConnectionHeader] !== undefined,
             body: hasBody(request) ? request : undefined,
             mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -35,7 +35,7 @@
 export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
     const { services, runtime, progress, body, upstream, spanId } = options;
     const { request, metadata, trace } = progress;
-    const { configuration } = progress.record;
+    const { configuration, attempts } = progress.record;
     const { kind } = progress.route;
     const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
     const added = services.headerProtocol.attemptHeaders({ configuration, upstream, remainingMs, depth: metadata.depth + 1 });
@@ -50,6 +50,8 @@
         body: body.open(),
         requestId: progress.record.id,
         isRepeatable: kind.repeatable && body.canReplay,
+        // A late response to an earlier attempt may have the same id.
+        needsNewConnection: attempts.slice(0, -1).some(other => other.upstream === upstream.id && other.result?.sent !== false),
         timeoutMs: progress.remainingMs,
         patienceMs: Math.max(defaultPatienceMs, patienceFactor * (runtime.latencyBaselines.baselineOf(kind.name) ?? 0)),
     };
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -7,6 +7,7 @@
 import type { Upstream } from "@harrierhitch/configuration";
 import type { UpstreamId } from "@harrierhitch/core";
 import { isSameIncarnation } from "@harrierhitch/decision";
+import { Agent } from "node:http";
 import { checkPort, type PortState } from "./check-port.js";
 import { HttpAttempt } from "./http-attempt.js";
 import { UpstreamAgent } from "./upstream-agent.js";
@@ -23,6 +24,8 @@
 /** An {@link UpstreamTransport} with one agent per upstream. */
 export class HttpTransport implements UpstreamTransport {
     private agents = new Map<UpstreamId, AgentEntry>();
+    /** Opens connections for single requests. */
+    private readonly singleUseAgent = new Agent({ keepAlive: false });
 
     configure(targets: readonly UpstreamTarget[]): void {
         const previous = this.agents;
@@ -47,7 +50,7 @@
         }
         return new HttpAttempt(
             { ...entry.target.upstream, connectTimeoutMs: entry.target.connectTimeoutMs },
-            entry.agent,
+            request.needsNewConnection === true ? this.singleUseAgent : entry.agent,
             request,
             sink,
         );
@@ -64,6 +67,7 @@
 
     close(): Promise<void> {
         this.agents.forEach(entry => entry.agent.destroy());
+        this.singleUseAgent.destroy();
         return Promise.resolve();
     }
 }
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -27,6 +27,8 @@
     readonly isCallerGone?: () => boolean;
     /** Whether the request must not be sent through another instance, for example because it comes from one. */
     readonly isDirectOnly?: boolean;
+    /** Whether to send it on a connection that has carried nothing else, because an earlier attempt may have used the others. */
+    readonly needsNewConnection?: boolean;
     /** Time for the upstream to respond, in milliseconds. */
     readonly timeoutMs?: number;
     /** Time without a response after which the path to the upstream is checked, in milliseconds; the default if absent. */
