Believe a rejection only if it provably answers the attempt

Callers of requests that may not be repeated were promised (503) that their request had not run although it ran, and some requests ran twice. Cause: the platform's protocol took any head with Not-Executed or 421 for the answer to the request that waits on the connection, before it compared the echoed id; the own protocol compared no id at all. One surplus rejection puts a connection out of step, and while most answers are rejections it stays so: every request on it is judged by the answer to the one before. Class: a response belongs to a request by its position.

A head's attribution is now decided first. Without ids on both sides it proves not-run only as the first response of a connection. The own protocol sends an id of its own for each attempt (service key attemptHeader), which upstreams echo, and harrierhitch itself echoes its callers'. A probe's response with an id is foreign.

In upstream-faults.test.ts the upstream that sheds echoes the id; the case without an id expects not-run on a new connection and unknown on a kept one, and one with another id expects unknown after one attempt.

--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -168,6 +168,10 @@
             pattern: /^\d{3}(\s*,\s*\d{3})*$/,
             defaultValue: "503, 429",
         }),
+        attemptHeader: headerKey(
+            "Header with the id of an attempt, which the upstream repeats in all its responses to requests; it proves whose response it is.",
+            "x-attempt-id",
+        ),
         shedHeader: headerKey(
             "Header with the value not-run, which marks a response to a request that the upstream did not execute.",
             "x-request-outcome",
--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -32,11 +32,16 @@
 const shedLoadPerSlot = 4;
 
 /**
- * Updates the estimates of an upstream from the head of its response to a request or a probe.
+ * Updates the estimates of an upstream from the head of its response to a request or a probe. One that belongs to another request
+ * says nothing about the upstream now: it is old, or not from it.
  *
  * @param received - The response.
  */
-export const applyResponse = (received: ReceivedResponse): void => applyFields(responseHandlers, received.response, received);
+export const applyResponse = (received: ReceivedResponse): void => {
+    if (received.response.attribution !== "foreign") {
+        applyFields(responseHandlers, received.response, received);
+    }
+};
 
 const applyFields = <Parsed extends object>(handlers: FieldHandlers<Parsed>, parsed: Parsed, received: ReceivedResponse): void =>
     (Object.keys(handlers) as (keyof Parsed)[]).forEach(field => handlers[field](parsed[field], received));
@@ -51,7 +56,7 @@
 /** For fields that don't change the estimates by themselves. */
 const ignore = (): void => undefined;
 
-/** Notices apply whichever request the response belongs to. */
+/** Notices apply also if the rest of the response cannot be used. */
 const noticeHandlers: FieldHandlers<ResponseNotice> = {
     draining: (draining, received) => {
         const { clock } = received;
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -53,6 +53,11 @@
         this.ended = this.attempt.result.then(result => this.finish(this.stallWatch.resultOf(result)));
     }
 
+    private get attemptId(): string {
+        const { id, attempts } = this.options.progress.record;
+        return `${id}.${attempts.indexOf(this.record) + 1}`;
+    }
+
     get upstream(): UpstreamEntry {
         return this.options.upstream;
     }
@@ -78,6 +83,7 @@
             service,
             upstream: upstream.id,
             requestHeaders,
+            attemptId: this.attemptId,
             precedingRequests: this.record.use?.precedingRequests,
         });
         this.response = response;
@@ -87,9 +93,11 @@
         if (unattributed !== undefined) {
             services.onUnattributed(unattributed);
         }
-        services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
         const { clock } = services;
         const { tracker } = runtime;
+        if (response.attribution !== "foreign") {
+            services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
+        }
         applyResponse({ clock, tracker, upstream, response, sentAtMs: this.startedAtMs, isProbe: false, chooser });
         if (response.mismatch !== undefined) {
             return false;
@@ -217,8 +225,8 @@
     }
 
     private buildRequest() {
-        const { services, runtime, progress, body, upstream } = this.options;
-        const { spanId } = this.record;
+        const { runtime, progress, upstream } = this.options;
+        const { record, attemptId } = this;
         const { connection } = progress.response;
         const mayBegin = (): boolean =>
             !progress.response.callerDisconnected && !connection.isUnread
@@ -230,7 +238,7 @@
             progress.stage = "running";
         };
         return {
-            ...buildUpstreamRequest({ services, runtime, progress, body, upstream, spanId }),
+            ...buildUpstreamRequest({ ...this.options, record, attemptId }),
             mayBegin,
             isCallerGone: () => progress.response.callerDisconnected,
             whenCallerRead: connection.whenRead.bind(connection),
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -8,7 +8,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { BufferedResponse } from "./buffered-response.js";
 import type { CallerConnection } from "./caller-connection.js";
-import { responseHeaders } from "./headers.js";
+import { definedHeaders, responseHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import type { ReadAheadMemory } from "./read-ahead-memory.js";
 import { ReadAhead } from "./read-ahead.js";
@@ -232,7 +232,7 @@
         this.received?.discard();
         this.writes.write(body.length, () => {
             const headers = { ...problemHeaders(problem, body.length), ...extraHeaders, ...this.closingHeaders };
-            this.response.writeHead(status, headers);
+            this.response.writeHead(status, definedHeaders(headers));
             this.response.end(body);
         });
         return status;
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -4,11 +4,18 @@
  * @packageDocumentation
  */
 
-import type { Configuration, RequestKind } from "@harrierhitch/configuration";
+import type { Configuration, RequestKind, Service } from "@harrierhitch/configuration";
 import type { Outcome } from "@harrierhitch/core";
 import type { IncomingMessage } from "node:http";
 import { readLimit } from "./announced-limit.js";
-import type { HeaderProtocol, LoadReport, OutgoingAttempt, ParsedResponse, ResponseHead } from "./header-protocol.js";
+import type {
+    Attribution,
+    HeaderProtocol,
+    LoadReport,
+    OutgoingAttempt,
+    ParsedResponse,
+    ResponseHead,
+} from "./header-protocol.js";
 import { outcomeHeader } from "./problem.js";
 import { numberHeader, pathOf, type RequestMetadata, textHeader } from "./request-metadata.js";
 import { readBackoff } from "./response-notice.js";
@@ -29,23 +36,35 @@
         };
     }
 
-    attemptHeaders({ configuration, remainingMs, depth }: OutgoingAttempt): Readonly<Record<string, string | undefined>> {
-        const { timeoutHeader, depthHeader } = configuration.fleet;
-        return { [timeoutHeader]: String(remainingMs), [depthHeader]: String(depth) };
+    attemptHeaders(attempt: OutgoingAttempt): Readonly<Record<string, string | undefined>> {
+        const { configuration: { fleet: { timeoutHeader, depthHeader } }, service, attemptId, remainingMs, depth } = attempt;
+        return { [timeoutHeader]: String(remainingMs), [depthHeader]: String(depth), [service.attemptHeader]: attemptId };
+    }
+
+    callerHeaders(
+        { headers }: IncomingMessage,
+        { attemptHeader, shedHeader }: Service,
+        outcome: Outcome,
+    ): Readonly<Record<string, string | undefined>> {
+        // An upstream's statement that is not proved must not reach the caller under the name of another header.
+        const unprovedStatement = outcome === "not-run" ? {} : { [shedHeader]: undefined };
+        return { ...unprovedStatement, [attemptHeader]: headers[attemptHeader]?.toString() };
     }
 
     formatRetryAfter(delayMs: number): string {
         return String(Math.ceil(delayMs / 1000));
     }
 
-    readResponseHead({ status, headers, service, precedingRequests }: ResponseHead): ParsedResponse {
+    readResponseHead(head: ResponseHead): ParsedResponse {
+        const { status, headers, service } = head;
+        const attribution = attributionOf(head);
         const shed = service.shedStatuses.has(status) && headers[service.shedHeader] === "not-run";
-        const reportedOutcome = headers[outcomeHeader];
+        const reportedOutcome = shed ? "not-run" : outcomeOfStatus(status, headers[outcomeHeader]);
         const draining = headers[service.drainHeader] === "draining";
         return {
-            attribution: precedingRequests === 0 ? "own" : "unproved",
-            mismatch: undefined,
-            outcome: shed ? "not-run" : outcomeOfStatus(status, reportedOutcome),
+            attribution,
+            mismatch: attribution === "foreign" ? "it has the id of another attempt" : undefined,
+            outcome: reportedOutcome === "not-run" && attribution !== "own" ? "unknown" : reportedOutcome,
             shed,
             misdirected: false,
             failed: status >= 500,
@@ -58,6 +77,14 @@
     }
 }
 
+const attributionOf = ({ headers, service, attemptId, precedingRequests }: ResponseHead): Attribution => {
+    const echoed = headers[service.attemptHeader];
+    if (echoed !== undefined && echoed !== attemptId) {
+        return "foreign";
+    }
+    return echoed !== undefined || precedingRequests === 0 ? "own" : "unproved";
+};
+
 const outcomeOfStatus = (status: number, reportedOutcome: string | readonly string[] | undefined): Outcome => {
     if (status >= 500 && (reportedOutcome === "unknown" || reportedOutcome === "not-run")) {
         return reportedOutcome;
--- a/packages/daemon/src/request/header-protocol.ts
+++ b/packages/daemon/src/request/header-protocol.ts
@@ -13,6 +13,9 @@
 /** An attempt for which request headers are written. */
 export interface OutgoingAttempt {
     readonly configuration: Configuration;
+    readonly service: Service;
+    /** Id of the attempt, unique among all attempts of this instance. */
+    readonly attemptId: string;
     readonly upstream: Upstream;
     /** Time for the upstream to respond, in whole milliseconds. */
     readonly remainingMs: number;
@@ -38,6 +41,8 @@
     readonly upstream: UpstreamId;
     /** Headers of the caller's request; `undefined` for a probe. */
     readonly requestHeaders: IncomingHttpHeaders | undefined;
+    /** Id of the attempt, as in {@link OutgoingAttempt}; `undefined` for a probe. */
+    readonly attemptId: string | undefined;
     /** Number of requests that were written to the connection before this one; `undefined` if that is unknown. */
     readonly precedingRequests: number | undefined;
 }
@@ -53,9 +58,9 @@
 
 export interface ParsedResponse {
     readonly attribution: Attribution;
-    /** Why this is not the upstream's response to this request; `undefined` if it is. */
+    /** Why this is not a response to this request that can be used; `undefined` if it is. */
     readonly mismatch: string | undefined;
-    /** Whether the request ran, according to the head. */
+    /** Whether the request ran, according to the head; `not-run` only if the attribution is `own`. */
     readonly outcome: Outcome;
     /** Whether the upstream shed the request because of its load. */
     readonly shed: boolean;
@@ -80,6 +85,19 @@
     readRequestMetadata(request: IncomingMessage, configuration: Configuration, kind: RequestKind): RequestMetadata;
     /** Returns the headers, in lower case, that are set on an attempt's request; `undefined` removes one. */
     attemptHeaders(attempt: OutgoingAttempt): Readonly<Record<string, string | undefined>>;
+    /**
+     * Returns headers of the response to a caller: those by which it recognizes the response to its request.
+     *
+     * @param request - The caller's request.
+     * @param service - The service of its route.
+     * @param outcome - The outcome that the response states.
+     * @returns The headers, in lower case; `undefined` removes one of the upstream's.
+     */
+    callerHeaders(
+        request: IncomingMessage,
+        service: Service,
+        outcome: Outcome,
+    ): Readonly<Record<string, string | undefined>>;
     formatRetryAfter(delayMs: number): string;
     readResponseHead(head: ResponseHead): ParsedResponse;
 }
--- a/packages/daemon/src/request/headers.ts
+++ b/packages/daemon/src/request/headers.ts
@@ -56,7 +56,7 @@
  * Returns the headers of a response to a caller.
  *
  * @param headers - The headers received from the upstream.
- * @param added - Headers that are added or replace received ones.
+ * @param added - Headers that are added or replace received ones; `undefined` removes one.
  */
 export const responseHeaders = (headers: IncomingHttpHeaders, added: OutgoingHttpHeaders): OutgoingHttpHeaders => {
     const dropped = namedByConnection(headers.connection);
@@ -66,5 +66,9 @@
             forwarded[name] = headers[name];
         }
     }
-    return Object.assign(forwarded, added);
+    return definedHeaders({ ...forwarded, ...added });
 };
+
+/** Returns headers without those whose value is `undefined`, which Node refuses to write. */
+export const definedHeaders = (headers: OutgoingHttpHeaders): OutgoingHttpHeaders =>
+    Object.fromEntries(Object.entries(headers).filter(([, value]) => value !== undefined));
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -153,8 +153,8 @@
         return this.cachedKey;
     }
 
-    /** Response headers with the request ID, the decision and the outcome. */
-    decisionHeaders(outcome: Outcome): Record<string, string> {
+    /** Response headers with the request ID, the decision, the outcome and what the caller recognizes the response by. */
+    decisionHeaders(outcome: Outcome): Record<string, string | undefined> {
         const { attempts, configuration } = this.record;
         const last = attempts.at(-1)?.upstream ?? "none";
         const policy = this.route.policy.policy.source.name;
@@ -164,7 +164,12 @@
             `upstream=${last}`,
             `attempts=${attempts.length}`,
         ];
-        return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
+        return {
+            ...this.services.headerProtocol.callerHeaders(this.request, this.route.service, outcome),
+            [requestIdHeader]: this.record.id,
+            [decisionHeader]: parts.join(", "),
+            [outcomeHeader]: outcome,
+        };
     }
 
     /** Value of `Retry-After` if the request is rejected now, in milliseconds. */
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -9,6 +9,7 @@
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { UpstreamRequest } from "../upstream/upstream-transport.js";
+import type { AttemptRecord } from "./decision-record.js";
 import { requestHeaders } from "./headers.js";
 import type { RequestBody } from "./request-body.js";
 import type { RequestProgress } from "./request-progress.js";
@@ -21,8 +22,9 @@
     readonly progress: RequestProgress;
     readonly body: RequestBody;
     readonly upstream: UpstreamEntry;
-    /** Span ID of the attempt. */
-    readonly spanId: string;
+    /** Record of the attempt, which is the last one of the request. */
+    readonly record: AttemptRecord;
+    readonly attemptId: string;
 }
 
 /** Time subtracted from the deadline at each hop, so that the next hop's response arrives before it. */
@@ -33,12 +35,13 @@
 
 /** Returns the request that an attempt sends to its upstream. */
 export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
-    const { services, runtime, progress, body, upstream, spanId } = options;
+    const { services, runtime, progress, body, upstream, record: { spanId }, attemptId } = options;
     const { request, metadata, trace } = progress;
     const { configuration, attempts } = progress.record;
-    const { kind } = progress.route;
+    const { kind, service } = progress.route;
     const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
-    const added = services.headerProtocol.attemptHeaders({ configuration, upstream, remainingMs, depth: metadata.depth + 1 });
+    const depth = metadata.depth + 1;
+    const added = services.headerProtocol.attemptHeaders({ configuration, service, upstream, attemptId, remainingMs, depth });
     const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
         ...added,
         traceparent: toTraceparent(trace, spanId),
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -120,7 +120,7 @@
 
     private async send({ service, runtime }: ProbeRequest, upstream: UpstreamEntry): Promise<void> {
         const { clock, transport, onProbe } = this.options;
-        const response: { outcome: ProbeOutcome; } = { outcome: "failed" };
+        const response: { outcome: ProbeOutcome | "foreign"; } = { outcome: "failed" };
         const sent: SentProbe = { service, tracker: runtime.tracker, upstream, sentAtMs: clock.nowMs(), use: undefined };
         const request = {
             method: "GET",
@@ -137,7 +137,7 @@
         const attempt = transport.send(upstream, request, {
             onHead: (status, headers) => {
                 response.outcome = this.handleResponse(sent, status, headers);
-                return true;
+                return response.outcome !== "foreign";
             },
             onData: () => true,
         });
@@ -145,12 +145,14 @@
         const { end } = await attempt.result;
         timer.cancel();
         // A load report is valid even if the rest of the response fails.
-        const result = end === "answered" || response.outcome === "told" ? response.outcome : "failed";
+        const { outcome } = response;
+        const result = outcome !== "foreign" && (end === "answered" || outcome === "told") ? outcome : "failed";
         this.suppression.recordResult(service.name, result);
         onProbe(service, result);
     }
 
-    private handleResponse(sent: SentProbe, status: number, headers: IncomingHttpHeaders): ProbeOutcome {
+    /** Applies the response to a probe; `foreign` for one that belongs to a request. */
+    private handleResponse(sent: SentProbe, status: number, headers: IncomingHttpHeaders): ProbeOutcome | "foreign" {
         const { clock, headerProtocol, onNotice } = this.options;
         const { service, tracker, upstream, sentAtMs, use } = sent;
         const parsed = headerProtocol.readResponseHead({
@@ -159,11 +161,13 @@
             service,
             upstream: upstream.id,
             requestHeaders: undefined,
+            attemptId: undefined,
             precedingRequests: use?.precedingRequests,
         });
-        const { load, misdirected, notice } = parsed;
-        if (parsed.attribution === "foreign") {
+        const { attribution, load, misdirected, notice } = parsed;
+        if (attribution === "foreign") {
             this.reportForeign(sent, status);
+            return "foreign";
         }
         onNotice({ service: service.name, upstream, notice, request: undefined });
         applyResponse({ clock, tracker, upstream, response: parsed, sentAtMs, isProbe: true });
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -34,6 +34,7 @@
         };
     },
     attemptHeaders: () => ({}),
+    callerHeaders: () => ({}),
     formatRetryAfter: delayMs => String(delayMs / 1000),
     readResponseHead: ({ status, headers }: ResponseHead): ParsedResponse => {
         const shed = status === 503;
--- a/packages/standin/test/upstream-faults.test.ts
+++ b/packages/standin/test/upstream-faults.test.ts
@@ -14,6 +14,9 @@
 const okHead = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n";
 const chunkedHead = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
+const shedHead = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-request-outcome: not-run\r\n";
+const echoedId = (request: string): string => /x-attempt-id: .*/.exec(request)?.[0] ?? "";
+
 /** The response that a caller receives. */
 type CallerResponse = { readonly status: number; readonly outcome: string | null; readonly body: string; };
 
@@ -130,11 +133,25 @@
     },
     {
         name: "sheds with the outcome not-run",
-        script: send("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-request-outcome: not-run\r\n\r\n"),
+        script: (socket, request) => socket.write(`${shedHead}${echoedId(request)}\r\n\r\n`),
         read: { status: 503, outcome: "not-run" },
         issue: { status: 503, outcome: "not-run" },
         issuesSent: 3,
     },
+    {
+        name: "sheds without the id of the attempt, first on a new connection, then on a kept one",
+        script: send(`${shedHead}\r\n`),
+        read: { status: 503, outcome: "unknown" },
+        issue: { status: 503, outcome: "not-run" },
+        issuesSent: 3,
+    },
+    {
+        name: "sheds with the id of another attempt",
+        script: send(`${shedHead}x-attempt-id: other\r\n\r\n`),
+        read: unknown,
+        issue: unknown,
+        issuesSent: 1,
+    },
     {
         name: "answers 503 without an outcome",
         script: send("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"),
