Misdirected responses eject an upstream for a while, instead of counting as its drain notice

What callers saw: one 421 (also one without an id, out of place on its connection) or one health check that named another id took an upstream out for the rest of its incarnation, at all instances.

Cause: apply-response.ts turned `misdirected` into the observation `draining`, which is final, stored as a notice by incarnation, and announced to all instances. Nothing read that a health check names the right id.

Ruled out: to ignore unproved heads is not enough. A 421 with the right id that the server sent by mistake, and the id of another server in a health check, have the same effect (first test, both rows). The share of ejected upstreams can't be the limit either: the other server at the address can't process the request, whatever share is out.

Why the fix works: being misdirected is an ejection of this instance alone (misdirection.ts): 1 s, doubled each further time up to 30 s, until the upstream serves a request. It is no notice, so it is neither stored beyond the entry nor sent to others. A health check that names the right id (`ParsedResponse.confirmed`) restores the state before at once. So that one is sent, an attempt with a misdirected response asks for one probe from the probe budget, even if the last report is recent or probes are suppressed; without a probe, the next request after the ejection tries it, one at a time. A reused address gets requests after 0, 1, 3, 7, 15, 31, 61 s and then every 30 s while its entry stays; requests that wait for a connection there are withdrawn, as they were before. A 421 to a health check says nothing, since a health check names no server. Drain notices of the upstream itself, its entry or other instances stay final, whatever is confirmed.

Event 300 and `harrierhitch status` say that another server responded at the address.

--- a/packages/daemon/src/operators/operator-service.ts
+++ b/packages/daemon/src/operators/operator-service.ts
@@ -8,7 +8,7 @@
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
 import { formatFinding } from "@harrierhitch/configuration";
 import { type Clock, requestId, upstreamId } from "@harrierhitch/core";
-import type { StoredLimit } from "@harrierhitch/decision";
+import { isMisdirected, type StoredLimit, type UpstreamEstimate } from "@harrierhitch/decision";
 import { callWithTimeout, type PeerClients } from "@harrierhitch/fleet";
 import type { UpstreamFacts } from "@harrierhitch/policy";
 import {
@@ -155,7 +155,7 @@
         create(UpstreamStatusSchema, {
             service: runtime.name,
             facts: toCandidate(facts),
-            why: describeState(facts, limitOf(instance, runtime, facts)),
+            why: describeState(facts, limitOf(instance, runtime, facts), runtime.tracker.estimateOf(upstreamId(facts.id))),
         })
     );
 
@@ -165,13 +165,14 @@
 };
 
 /** Describes why an upstream is in its state. */
-const describeState = (facts: UpstreamFacts, limit: StoredLimit | undefined): string => {
+const describeState = (facts: UpstreamFacts, limit: StoredLimit | undefined, estimate: UpstreamEstimate | undefined): string => {
     const backoff = facts.restMs > 0 && facts.state !== "draining"
         ? [`asked this instance for a rest, ${Math.ceil(facts.restMs)} ms are left`]
         : [];
-    return [...backoff, ...limit === undefined ? [] : [describeLimit(facts, limit)], stateReason(facts)].filter(Boolean).join(
-        "; ",
-    );
+    const reason = estimate !== undefined && isMisdirected(estimate)
+        ? "another server responded at its address"
+        : stateReason(facts);
+    return [...backoff, ...limit === undefined ? [] : [describeLimit(facts, limit)], reason].filter(Boolean).join("; ");
 };
 
 /** Describes an upstream's rate limit, its origin, and this instance's share of it. */
--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -81,7 +81,12 @@
 const responseHandlers: FieldHandlers<ParsedResponse> = {
     misdirected: (misdirected, received) => {
         if (misdirected) {
-            observe(received, { type: "draining", atMs: received.clock.nowMs() });
+            observe(received, { type: "misdirected", atMs: received.clock.nowMs() });
+        }
+    },
+    confirmed: (confirmed, received) => {
+        if (confirmed) {
+            observe(received, { type: "confirmed", atMs: received.clock.nowMs() });
         }
     },
     notice: (notice, received) => applyFields(noticeHandlers, notice, received),
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -94,6 +94,9 @@
         const { clock } = services;
         const { tracker } = runtime;
         applyResponse({ clock, tracker, upstream, response, sentAtMs: this.startedAtMs, isProbe: false, chooser });
+        if (response.misdirected) {
+            services.prober.confirm({ service, runtime, upstream });
+        }
         if (response.mismatch !== undefined) {
             return false;
         }
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -47,6 +47,7 @@
             outcome: shed ? "not-run" : outcomeOfStatus(status, reportedOutcome),
             shed,
             misdirected: false,
+            confirmed: false,
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
             forwardable: true,
--- a/packages/daemon/src/request/header-protocol.ts
+++ b/packages/daemon/src/request/header-protocol.ts
@@ -49,6 +49,8 @@
     readonly shed: boolean;
     /** Whether another upstream is listening at this address now. */
     readonly misdirected: boolean;
+    /** Whether the response to a probe identifies the upstream as the one that was probed. */
+    readonly confirmed: boolean;
     /** Whether the response counts as a failure of the upstream. */
     readonly failed: boolean;
     /** Whether another attempt may succeed. */
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Generation } from "@harrierhitch/core";
-import type { LimitChange, LimitPace } from "@harrierhitch/decision";
+import { isMisdirected, type LimitChange, type LimitPace } from "@harrierhitch/decision";
 import type { DirectoryChange, UpstreamDirectory, ZoneStatus } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import type { AttemptRecord, DecisionRecord } from "../request/decision-record.js";
@@ -209,6 +209,7 @@
             after: after.state,
             failureRate,
             failuresInRow: consecutiveFailures,
+            ...(isMisdirected(after) && { misdirected: true }),
         };
         this.log.write(events.upstreamStateChanged, fields);
     }
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -34,10 +34,19 @@
 /** Result of a probe that was sent: with a load report, without one, or failed. */
 export type ProbeOutcome = "told" | "silent" | "failed";
 
-/** A request to probe several upstreams. */
-export interface ProbeRequest {
+/** The service whose upstreams are probed. */
+export interface ProbeTarget {
     readonly service: Service;
     readonly runtime: ServiceRuntime;
+}
+
+/** A request to find out whether an upstream still has its address. */
+export interface ConfirmRequest extends ProbeTarget {
+    readonly upstream: UpstreamEntry;
+}
+
+/** A request to probe several upstreams. */
+export interface ProbeRequest extends ProbeTarget {
     readonly upstreams: readonly UpstreamEntry[];
     /** Longest time to wait for responses, in milliseconds. */
     readonly timeoutMs: number;
@@ -71,7 +80,7 @@
         if (this.suppression.isSuppressed(request.service.name)) {
             return;
         }
-        const probes = request.upstreams.flatMap(upstream => this.startProbe(request, upstream) ?? []);
+        const probes = request.upstreams.flatMap(upstream => this.probeUnlessRecent(request, upstream) ?? []);
         if (probes.length === 0) {
             return;
         }
@@ -85,16 +94,28 @@
         timer.cancel();
     }
 
-    private startProbe(request: ProbeRequest, upstream: UpstreamEntry): Promise<void> | undefined {
-        const { clock, budget, onProbe } = this.options;
+    /**
+     * Probes an upstream once after a misdirected response to a request, also if it reported its load just before. The response
+     * is applied when it arrives; without a probe in the budget, the upstream is tried again when its ejection ends.
+     */
+    confirm({ upstream, ...request }: ConfirmRequest): void {
+        if (request.service.probePath !== undefined) {
+            void this.startProbe(request, upstream);
+        }
+    }
+
+    private probeUnlessRecent(request: ProbeTarget, upstream: UpstreamEntry): Promise<void> | undefined {
+        const reportedAtMs = request.runtime.tracker.estimateOf(upstream.id)?.reportedAtMs;
+        const isRecent = reportedAtMs !== undefined && this.options.clock.nowMs() - reportedAtMs < recentReportMs;
+        return isRecent && !this.inFlight.has(upstream.id) ? undefined : this.startProbe(request, upstream);
+    }
+
+    private startProbe(request: ProbeTarget, upstream: UpstreamEntry): Promise<void> | undefined {
+        const { budget, onProbe } = this.options;
         const running = this.inFlight.get(upstream.id);
         if (running !== undefined) {
             return running;
         }
-        const reportedAtMs = request.runtime.tracker.lastReportAtMs(upstream.id);
-        if (reportedAtMs !== undefined && clock.nowMs() - reportedAtMs < recentReportMs) {
-            return undefined;
-        }
         if (!budget.take(upstream.id)) {
             onProbe(request.service, "over-budget");
             return undefined;
@@ -104,7 +125,7 @@
         return probe;
     }
 
-    private async send({ service, runtime }: ProbeRequest, upstream: UpstreamEntry): Promise<void> {
+    private async send({ service, runtime }: ProbeTarget, upstream: UpstreamEntry): Promise<void> {
         const { clock, transport, onProbe } = this.options;
         const response: { outcome: ProbeOutcome; } = { outcome: "failed" };
         const sentAtMs = clock.nowMs();
@@ -134,7 +155,7 @@
     }
 
     private handleResponse(
-        { service, runtime: { tracker } }: Pick<ProbeRequest, "service" | "runtime">,
+        { service, runtime: { tracker } }: ProbeTarget,
         upstream: UpstreamEntry,
         status: number,
         headers: IncomingHttpHeaders,
--- a/packages/daemon/test/apply-shed.test.ts
+++ b/packages/daemon/test/apply-shed.test.ts
@@ -17,6 +17,7 @@
     outcome: "not-run",
     shed: true,
     misdirected: false,
+    confirmed: false,
     failed: false,
     retryable: true,
     forwardable: false,
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -42,6 +42,7 @@
             outcome: shed ? "not-run" : "ran",
             shed,
             misdirected: false,
+            confirmed: false,
             failed: false,
             retryable: shed,
             forwardable: !shed,
--- a/packages/decision/src/admission.ts
+++ b/packages/decision/src/admission.ts
@@ -6,6 +6,7 @@
 
 import type { ColdAdmission } from "./cold-admission.js";
 import type { LimitAdmission, LimitPace } from "./limit-admission.js";
+import { isMisdirected } from "./misdirection.js";
 import { type InFlightRequest, isSameIncarnation, type TrackedUpstream, type UpstreamEntry } from "./tracked-upstream.js";
 import type { UpstreamWait } from "./upstream-backoff.js";
 import { atTime } from "./upstream-estimate.js";
@@ -68,10 +69,13 @@
     }
 
     /**
-     * Whether a request whose upstream was selected earlier may be sent now. The upstream may have announced a rate limit in
-     * the meantime; the request is then counted against it.
+     * Whether a request whose upstream was selected earlier may be sent now. Another server may have responded at its address in
+     * the meantime, or the upstream may have announced a rate limit; the request is then counted against it.
      */
-    maySend({ upstream }: TrackedUpstream, request: InFlightRequest): boolean {
+    maySend({ upstream, estimate }: TrackedUpstream, request: InFlightRequest): boolean {
+        if (estimate.state === "ejected" && isMisdirected(estimate)) {
+            return false;
+        }
         const maySend = this.countedRequests.has(request) || !this.isLimited(upstream);
         if (maySend && !this.countedRequests.has(request)) {
             this.countAgainstLimit(upstream, request);
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -31,6 +31,7 @@
 export { assumedResponseShare, LatencyBaselines } from "./latency-baselines.js";
 export { fullShare, LimitAdmission, type LimitAdmissionOptions, type LimitPace, type LimitShare } from "./limit-admission.js";
 export { predictLoad } from "./load-prediction.js";
+export { isMisdirected } from "./misdirection.js";
 export { type LoadFigures, type Observation } from "./observation.js";
 export { PayloadSizes } from "./payload-sizes.js";
 export { detectPoisonRequests } from "./poison-detection.js";
--- a/packages/decision/src/observation.ts
+++ b/packages/decision/src/observation.ts
@@ -82,6 +82,16 @@
         readonly inFlight: number;
     }
     | NoticeObservation
+    | {
+        /** Another server, which now has its address, responded to a request or a probe. */
+        readonly type: "misdirected";
+        readonly atMs: number;
+    }
+    | {
+        /** It responded to a probe and identified itself. */
+        readonly type: "confirmed";
+        readonly atMs: number;
+    }
     | {
         /** A new incarnation of the upstream started, for example after draining. */
         readonly type: "returned";
--- a/packages/decision/src/upstream-estimate.ts
+++ b/packages/decision/src/upstream-estimate.ts
@@ -6,6 +6,7 @@
 
 import type { UpstreamState } from "@harrierhitch/policy";
 import { applyShed, withShed } from "./apply-shed.js";
+import { applyConfirmed, applyMisdirected, applyServed, ejectionDurationMs, type Misdirection } from "./misdirection.js";
 import type { LoadFigures, Observation } from "./observation.js";
 import { noSheds, type ShedHistory } from "./shed-rate.js";
 
@@ -51,6 +52,8 @@
     /** End of the ejection; set in the state `ejected`. */
     readonly ejectedUntilMs: number;
     readonly consecutiveEjections: number;
+    /** Last misdirected response; `undefined` if the upstream served a request since. */
+    readonly misdirection: Misdirection | undefined;
     readonly consecutiveFailures: number;
     readonly failureRate: number;
     /** Recent requests, and those of them that it shed although it reported headroom. */
@@ -79,6 +82,7 @@
     stateAtMs: atMs,
     ejectedUntilMs: 0,
     consecutiveEjections: 0,
+    misdirection: undefined,
     consecutiveFailures: 0,
     failureRate: 0,
     shedHistory: noSheds,
@@ -122,6 +126,10 @@
             return estimate.state === "draining" || observation.atMs < estimate.createdAtMs
                 ? estimate
                 : withState(estimate, "draining", observation.atMs);
+        case "misdirected":
+            return applyMisdirected(estimate, observation.atMs, options);
+        case "confirmed":
+            return applyConfirmed(estimate);
         case "resting":
             // After a backoff the upstream receives one request at a time until it responds, because other instances return at
             // about the same moment.
@@ -196,7 +204,7 @@
 ): UpstreamEstimate =>
     response.failed
         ? applyFailure(applyReport(estimate, response), response.atMs, options, mayEject)
-        : applySuccess(applyReport(estimate, response), response, options);
+        : applySuccess(applyReport(applyServed(estimate), response), response, options);
 
 const applySuccess = (
     estimate: UpstreamEstimate,
@@ -233,6 +241,6 @@
         return withState(next, "suspect", atMs);
     }
     const consecutiveEjections = estimate.consecutiveEjections + 1;
-    const ejectionMs = Math.min(options.maximumEjectionMs, options.ejectionMs * 2 ** (consecutiveEjections - 1));
-    return { ...withState(next, "ejected", atMs), consecutiveEjections, ejectedUntilMs: atMs + ejectionMs };
+    const ejectedUntilMs = atMs + ejectionDurationMs(consecutiveEjections, options);
+    return { ...withState(next, "ejected", atMs), consecutiveEjections, ejectedUntilMs };
 };
--- a/packages/decision/src/upstream-tracker.ts
+++ b/packages/decision/src/upstream-tracker.ts
@@ -197,9 +197,9 @@
         return this.admission.permittedPerSecond(this.upstreams);
     }
 
-    /** Returns when an upstream last reported its load; `undefined` if it never did. */
-    lastReportAtMs(upstream: UpstreamId): number | undefined {
-        return this.tracked.get(upstream)?.estimate.reportedAtMs;
+    /** Returns the estimate of an upstream; `undefined` if the upstream is not tracked. */
+    estimateOf(upstream: UpstreamId): UpstreamEstimate | undefined {
+        return this.tracked.get(upstream)?.estimate;
     }
 
     /** Rate at which its upstreams lately shed requests although they reported headroom. */
