Averages of a service: one load report counts a slowdown of at most 100

What it did: one response that reports a huge slowdown (a faulty server, or bytes out of place) makes all upstreams of the service without a report of the last moment look that slow at this instance: expected slowness 1e7 after one report of 1e9 among 600 of 1. The mean falls by 1 % a report, and the learned time for which a slowdown lasts changes with it.

Cause: `updateFromReport` bounds the reported requests in flight (`maximumLoad`), not the slowdown.

Ruled out: to bound the estimate of the upstream itself; its next report replaces that, and an upstream may be that slow.

Why the fix works: a report counts in the mean and the variation with at most 100, so that one shifts the mean by 1 at most.

Evidence: the new test of service-load-model.test.ts failed before with an expected slowness of 10,084,936; 13 of 13 pass now.

--- a/packages/decision/src/service-load-model.ts
+++ b/packages/decision/src/service-load-model.ts
@@ -91,6 +91,9 @@
 /** Age of a report up to which it is recent enough for the response to show contention, in milliseconds. */
 const currentReportMs = 20;
 
+/** Largest slowdown that counts in the averages, so that one response cannot make all upstreams without a report look slow. */
+const maximumSlowdown = 100;
+
 /** Most requests per slot that count in the mean, because an upstream that sheds may report any number. */
 const maximumLoad = 4;
 
@@ -124,7 +127,7 @@
     previous: ReportedLoad | undefined,
 ): ServiceLoadModel => ({
     ...model,
-    meanSlowdown: meanSlowdownOf(model) + slowdownAlpha * (report.slowdown - meanSlowdownOf(model)),
+    meanSlowdown: meanSlowdownOf(model) + slowdownAlpha * (countedSlowdown(report) - meanSlowdownOf(model)),
     baselineSlowdown: model.baselineSlowdown
         * (1 + baselineStep * (baselineQuantile - (report.slowdown < model.baselineSlowdown ? 1 : 0))),
     meanLoad: updateMean(model.meanLoad, Math.min(maximumLoad, report.inFlight / Math.max(1, report.slots))),
@@ -150,6 +153,8 @@
 
 const meanSlowdownOf = ({ meanSlowdown }: ServiceLoadModel): number => meanSlowdown ?? priorSlowdown;
 
+const countedSlowdown = ({ slowdown }: ReportedLoad): number => Math.min(maximumSlowdown, slowdown);
+
 const updateMean = (previous: number, sample: number): number => previous + sampleAlpha * (sample - previous);
 
 const updateVariation = (model: ServiceLoadModel, previous: ReportedLoad, current: ReportedLoad): SlowdownVariation => {
@@ -159,8 +164,9 @@
         return model.variation;
     }
     const { spread, difference } = model.variation;
+    const previousSlowdown = countedSlowdown(previous);
     return {
-        spread: spread * pairDecayFactor + (previous.slowdown - meanSlowdownOf(model)) ** 2 * intervalMs,
-        difference: difference * pairDecayFactor + (current.slowdown - previous.slowdown) ** 2 / 2,
+        spread: spread * pairDecayFactor + (previousSlowdown - meanSlowdownOf(model)) ** 2 * intervalMs,
+        difference: difference * pairDecayFactor + (countedSlowdown(current) - previousSlowdown) ** 2 / 2,
     };
 };
--- a/packages/decision/test/service-load-model.test.ts
+++ b/packages/decision/test/service-load-model.test.ts
@@ -59,6 +59,19 @@
         assert.ok(predictLoad(loadSample({ reportedInFlight: -1, reportAgeMs: -1 }), model).expectedInFlight > 8.9);
     });
 
+    test("is normal after one report of any slowdown among many", () => {
+        const slowdowns = [...Array.from({ length: 300 }, () => 1), 1e9, ...Array.from({ length: 300 }, () => 1)];
+        const reports = slowdowns.map((slowdown, index) => report({ atMs: index, slowdown }));
+        const models = reports.reduce<readonly ServiceLoadModel[]>(
+            (all, sample, index) => [...all, updateFromReport(all.at(-1) ?? initialLoadModel, sample, reports[index - 1])],
+            [],
+        );
+        const expectedSlowness = models.slice(300).map(model =>
+            predictLoad(loadSample({ reportAgeMs: -1 }), model).expectedSlowness
+        );
+        assert.ok(Math.max(...expectedSlowness) < 3 && expectedSlowness.at(-1)! < 1.2, expectedSlowness.slice(0, 3).join());
+    });
+
     test("includes the requests in flight of this instance, however old the report", () => {
         assert.equal(predictLoad(loadSample({ inFlight: 5, reportAgeMs: 60_000 }), initialLoadModel).expectedInFlight, 5);
     });
