A response makes its upstream cold for ten minutes at most

What it did: one response with a huge `Cold-Ms` made its upstream cold for as long as it stated. A cold upstream gets a few requests a second from some of the instances and none from the others, and only the end of that time or a new incarnation ends it; a later `Cold-Ms: 0` does not.

Cause: the header is read without an upper limit, unlike `Retry-After` and the rate limit.

Ruled out: to let a response without the header end the cold time; upstreams that state it by their entry alone would lose it.

Why the fix works: a longer time is ignored, as an invalid `Retry-After` is; the rest of the response counts. Entries are not limited.

--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -31,6 +31,9 @@
 /** Least load that is assumed for an upstream that sheds, as a multiple of its slots. */
 const shedLoadPerSlot = 4;
 
+/** Longest cold time that a response may state, in milliseconds; a longer one is ignored, since only time ends it. */
+const maximumColdMs = 600_000;
+
 /**
  * Updates the estimates of an upstream from the head of its response to a request or a probe.
  *
@@ -91,7 +94,7 @@
     },
     notice: (notice, received) => applyFields(noticeHandlers, notice, received),
     coldMs: (coldMs, received) => {
-        if (isFromTarget(received) && coldMs !== undefined && coldMs > 0) {
+        if (isFromTarget(received) && coldMs !== undefined && coldMs > 0 && coldMs <= maximumColdMs) {
             observe(received, { type: "cooled", atMs: received.clock.nowMs(), coldMs });
         }
     },
--- a/packages/daemon/test/apply-shed.test.ts
+++ b/packages/daemon/test/apply-shed.test.ts
@@ -1,5 +1,6 @@
 /**
- * Guards against sheds despite headroom that count as load, and against sheds of full upstreams that do not.
+ * Guards against sheds despite headroom that count as load, against sheds of full upstreams that do not, and against one response
+ * that makes its upstream cold for good.
  */
 
 import type { ChooserName } from "@harrierhitch/configuration";
@@ -26,14 +27,19 @@
     coldMs: undefined,
 });
 
-/** Returns the facts of an upstream after it has shed one request. */
-const factsAfter = (load: LoadReport | undefined, chooser: ChooserName) => {
+/** Returns the facts of an upstream after one response. */
+const factsAfterResponse = (response: ParsedResponse, chooser?: ChooserName) => {
     const clock = new FakeClock();
     const tracker = new UpstreamTracker({ clock, availabilityZone: "a" });
     tracker.configure({ upstreams: [upstream], maximumConnections: 10, coldRequestsPerSecond: 0 }, 1);
-    applyResponse({ clock, tracker, upstream, response: shedResponse(load), sentAtMs: 0, isProbe: false, chooser });
-    const [facts] = tracker.facts();
-    return { limit: facts!.limit, isFull: facts!.expectedInFlight >= 3, isShedding: facts!.shedRate > 0 };
+    applyResponse({ clock, tracker, upstream, response, sentAtMs: 0, isProbe: false, ...(chooser && { chooser }) });
+    return tracker.facts()[0]!;
+};
+
+/** Returns facts of an upstream after it has shed one request. */
+const factsAfter = (load: LoadReport | undefined, chooser: ChooserName) => {
+    const { limit, expectedInFlight, shedRate } = factsAfterResponse(shedResponse(load), chooser);
+    return { limit, isFull: expectedInFlight >= 3, isShedding: shedRate > 0 };
 };
 
 const withHeadroom: LoadReport = { inFlight: 1, slots: 3, slowness: 1 };
@@ -58,3 +64,10 @@
         ]);
     });
 });
+
+test("a response makes its upstream cold for ten minutes at most", () => {
+    const states = [0, 1500, 600_000, 600_001, 1e15].map(coldMs =>
+        factsAfterResponse({ ...shedResponse(withHeadroom), shed: false, coldMs }).state
+    );
+    assert.deepEqual(states, ["ready", "cold", "cold", "ready", "ready"]);
+});
