Merge the revocable state of upstreams at whose address another server responds

The estimates of an upstream are updated, its notices read and a confirming probe asked for in one place (receive-head.ts), only for heads that don't belong to another request. misdirected.test.ts: a 421 without an id is a failure of its upstream now instead of an ejection, so the upstream that got it last is not chosen while the other one is as fast; the test prefers each server in turn before it asks that it gets a request, and each of these reads must be served as before.

--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -31,17 +31,15 @@
 /** Least load that is assumed for an upstream that sheds, as a multiple of its slots. */
 const shedLoadPerSlot = 4;
 
+/** Longest cold time that a response may state, in milliseconds; a longer one is ignored, since only time ends it. */
+const maximumColdMs = 600_000;
+
 /**
- * Updates the estimates of an upstream from the head of its response to a request or a probe. One that belongs to another request
- * says nothing about the upstream now: it is old, or not from it.
+ * Updates the estimates of an upstream from the head of its response to a request or a probe.
  *
  * @param received - The response.
  */
-export const applyResponse = (received: ReceivedResponse): void => {
-    if (received.response.attribution !== "foreign") {
-        applyFields(responseHandlers, received.response, received);
-    }
-};
+export const applyResponse = (received: ReceivedResponse): void => applyFields(responseHandlers, received.response, received);
 
 const applyFields = <Parsed extends object>(handlers: FieldHandlers<Parsed>, parsed: Parsed, received: ReceivedResponse): void =>
     (Object.keys(handlers) as (keyof Parsed)[]).forEach(field => handlers[field](parsed[field], received));
@@ -86,12 +84,17 @@
 const responseHandlers: FieldHandlers<ParsedResponse> = {
     misdirected: (misdirected, received) => {
         if (misdirected) {
-            observe(received, { type: "draining", atMs: received.clock.nowMs() });
+            observe(received, { type: "misdirected", atMs: received.clock.nowMs() });
+        }
+    },
+    confirmed: (confirmed, received) => {
+        if (confirmed) {
+            observe(received, { type: "confirmed", atMs: received.clock.nowMs() });
         }
     },
     notice: (notice, received) => applyFields(noticeHandlers, notice, received),
     coldMs: (coldMs, received) => {
-        if (isFromTarget(received) && coldMs !== undefined && coldMs > 0) {
+        if (isFromTarget(received) && coldMs !== undefined && coldMs > 0 && coldMs <= maximumColdMs) {
             observe(received, { type: "cooled", atMs: received.clock.nowMs(), coldMs });
         }
     },
--- /dev/null
+++ b/packages/daemon/src/request/receive-head.ts
@@ -0,0 +1,67 @@
+/**
+ * Receives the head of a response to a request.
+ *
+ * @packageDocumentation
+ */
+
+import type { IncomingHttpHeaders } from "node:http";
+import { applyResponse } from "./apply-response.js";
+import type { AttemptOptions } from "./attempt-options.js";
+import type { AttemptRecord } from "./decision-record.js";
+import { findUnattributed } from "./find-unattributed.js";
+import type { ParsedResponse } from "./header-protocol.js";
+
+/** The head of a response, with the attempt that waits on its connection. */
+export interface ReceivedHead {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    /** Id of the attempt. */
+    readonly attemptId: string;
+    /** Record of the attempt, which is completed by the head. */
+    readonly record: AttemptRecord;
+    readonly startedAtMs: number;
+}
+
+/**
+ * Finds out whose response a head begins, reports it if it is not the answer to the attempt, and updates the estimates of the
+ * upstream otherwise.
+ *
+ * @param options - The attempt.
+ * @param head - The head.
+ */
+export const receiveHead = (options: AttemptOptions, head: ReceivedHead): ParsedResponse => {
+    const { services, progress, upstream } = options;
+    const { status, headers, attemptId, record } = head;
+    const response = services.headerProtocol.readResponseHead({
+        status,
+        headers,
+        service: progress.route.service,
+        upstream: upstream.id,
+        requestHeaders: progress.request.headers,
+        attemptId,
+        precedingRequests: record.use?.precedingRequests,
+    });
+    record.headMs = progress.ageMs;
+    record.attribution = response.attribution;
+    const unattributed = findUnattributed(options, record, status, response);
+    if (unattributed !== undefined) {
+        services.onUnattributed(unattributed);
+    }
+    // A response to another request says nothing about the upstream now: it is old, or not from it.
+    if (response.attribution !== "foreign") {
+        updateUpstream(options, head, response);
+    }
+    return response;
+};
+
+const updateUpstream = (options: AttemptOptions, { startedAtMs }: ReceivedHead, response: ParsedResponse): void => {
+    const { services, runtime, progress, upstream } = options;
+    const { clock } = services;
+    const { tracker } = runtime;
+    const { service, policy: { chooser } } = progress.route;
+    services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
+    applyResponse({ clock, tracker, upstream, response, sentAtMs: startedAtMs, isProbe: false, chooser });
+    if (response.misdirected) {
+        services.prober.confirm({ service, runtime, upstream });
+    }
+};
