Callers' connections: problems of unreadable requests no longer answer other requests

What callers saw: on a connection with a request in flight, a second request whose head or body was not complete in time, bytes that are not a request, a head that is too large or a CONNECT got 408, 400, 431 or 501 at once, written straight to the socket: the caller takes it for the answer to the first request, which runs. A request whose body was being passed on and stopped arriving got 408 with `x-request-outcome: not-run`, also in the middle of a streamed response. And after a 408 for an incomplete head or a buffered body, the rest of the request was still read, passed on to an upstream and run.

Cause: `writeRawProblem` assumed that the connection is at the request it speaks of, that nothing of that request was passed on, and that nothing of it arrives later.

Ruled out: the order of complete responses on a connection, which Node and `WaitingWrites` keep.

Why the fix works: `ConnectionProblems` knows the requests of a connection without a complete response. A request of which only a part has arrived gets the problem as its own response, in its turn, and its body is discarded, so that it cannot be sent afterwards; if an attempt has begun to take its body, the connection is closed instead, which promises nothing. A raw problem is written only where no response is outstanding; else the outstanding ones are sent and the connection is closed. Whatever arrives on such a connection afterwards is not served.

--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -70,6 +70,11 @@
         return this.disconnected;
     }
 
+    /** Whether nothing more can be sent: the response is complete, or the caller has disconnected. */
+    get isOver(): boolean {
+        return this.finished || this.disconnected;
+    }
+
     /**
      * Adds a listener for a disconnect of the caller before its response is complete. It is also called, asynchronously, if the
      * caller has disconnected already.
--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -12,7 +12,8 @@
 import { listenOn } from "../listen.js";
 import type { CallerConnections } from "./caller-connections.js";
 import { CallerResponse } from "./caller-response.js";
-import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
+import { ConnectionProblems } from "./connection-problems.js";
+import type { Problem } from "./problem.js";
 import { hasBody } from "./request-body.js";
 
 /** Serves one request; it never rejects. */
@@ -32,6 +33,7 @@
 export class CallersServer {
     private readonly server: Server;
     private readonly tasks = new Set<Promise<void>>();
+    private readonly problems = new ConnectionProblems();
     private stopping = false;
     private hasServedAny = false;
     private maximumBodyBytes: number;
@@ -43,16 +45,10 @@
         this.server.maxConnections = options.settings.maximumConnections;
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("checkContinue", (request, response) => this.handleContinue(request, response));
-        this.server.on("checkExpectation", (request, response) => {
-            const detail = `cannot meet ${request.headers.expect}`;
-            this.toResponse(request, response).sendProblem(
-                { kind: "expectation-failed", detail, outcome: "not-run" },
-                undefined,
-            );
-        });
-        this.server.on("connect", (_, socket: Duplex) => writeRawProblem(socket, upgradeProblem));
+        this.server.on("checkExpectation", (request, response) => this.handleExpectation(request, response));
+        this.server.on("connect", (_, socket: Duplex) => this.problems.end(socket, upgradeProblem));
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
-            writeRawProblem(socket, parserProblem(error));
+            this.problems.end(socket, parserProblem(error));
         });
     }
 
@@ -101,6 +97,14 @@
         return abortedRequests;
     }
 
+    private handleExpectation(request: IncomingMessage, nodeResponse: ServerResponse): void {
+        if (!this.problems.isEnding(request.socket)) {
+            const detail = `cannot meet ${request.headers.expect}`;
+            const problem: Problem = { kind: "expectation-failed", detail, outcome: "not-run" };
+            this.toResponse(request, nodeResponse).sendProblem(problem, undefined);
+        }
+    }
+
     private handleContinue(request: IncomingMessage, nodeResponse: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
         if (length <= this.maximumBodyBytes) {
@@ -110,6 +114,9 @@
     }
 
     private handleRequest(request: IncomingMessage, nodeResponse: ServerResponse): void {
+        if (this.problems.isEnding(request.socket)) {
+            return;
+        }
         if (this.stopping) {
             nodeResponse.setHeader("connection", "close");
         }
@@ -130,9 +137,11 @@
         this.hasServedAny = true;
     }
 
-    private toResponse(request: IncomingMessage, response: ServerResponse): CallerResponse {
+    private toResponse(request: IncomingMessage, nodeResponse: ServerResponse): CallerResponse {
         const { connections } = this.options;
-        return new CallerResponse(request, response, connections.of(request.socket), connections.readAhead);
+        const response = new CallerResponse(request, nodeResponse, connections.of(request.socket), connections.readAhead);
+        nodeResponse.once("close", this.problems.begin(request, response));
+        return response;
     }
 }
 
@@ -177,16 +186,3 @@
             return { kind: "bad-request", detail: error.message, outcome: "not-run" };
     }
 };
-
-/** Sends a problem on a connection whose request could not be parsed, and closes it. */
-const writeRawProblem = (socket: Duplex, problem: Problem): void => {
-    if (!socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const body = JSON.stringify(problemBody(problem, undefined));
-    const { status, title } = problemKinds[problem.kind];
-    const headers = { ...problemHeaders(problem, Buffer.byteLength(body)), connection: "close" };
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-    socket.end(`HTTP/1.1 ${status} ${title}\r\n${lines.join("")}\r\n${body}`);
-};
--- a/packages/daemon/src/request/received-body.ts
+++ b/packages/daemon/src/request/received-body.ts
@@ -29,6 +29,7 @@
     private listener: () => void = () => undefined;
     private ended = false;
     private cutShort = false;
+    private taken = false;
 
     /**
      * @param request - The request.
@@ -58,6 +59,11 @@
         return this.discarded;
     }
 
+    /** Whether an attempt or a buffer has begun to take the body, so that some of it may have been sent. */
+    get isTaken(): boolean {
+        return this.taken;
+    }
+
     /** Whether there is no memory for one more long body. */
     get isMemoryExhausted(): boolean {
         return this.connection.isMemoryExhausted;
@@ -70,6 +76,7 @@
 
     /** Removes and returns the oldest chunk that has arrived; `undefined` if there is none. */
     take(): Buffer | undefined {
+        this.taken = true;
         const chunk = this.chunks.shift();
         this.release(chunk?.length ?? 0);
         return chunk;
@@ -77,6 +84,7 @@
 
     /** Returns the complete body; it counts towards the memory of the connection until it is discarded. */
     takeAll(): Buffer {
+        this.taken = true;
         const chunks = this.chunks.splice(0);
         return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
     }
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -74,7 +74,7 @@
 
     /** Takes and executes the next decision, or rejects a quarantined request; returns whether the request is finished. */
     private async decideNext(body: RequestBody): Promise<boolean> {
-        if (this.progress.response.callerDisconnected) {
+        if (this.progress.response.isOver) {
             return endWithoutCaller(this.progress);
         }
         if (rejectQuarantined(this.progress, body, this.services.crashes)) {
@@ -89,7 +89,7 @@
 
     /** Executes a decision; returns whether the request is finished. */
     private async execute(decision: Decision, body: RequestBody): Promise<boolean> {
-        if (this.progress.response.callerDisconnected) {
+        if (this.progress.response.isOver) {
             return endWithoutCaller(this.progress);
         }
         switch (decision.action) {
