The outcome told to a caller is that of all attempts, not of the last one

What callers saw: a repeatable request whose first attempt was reset after it was sent, and whose later ones were answered with `x-request-outcome: not-run` (503 of an upstream that sheds, or 500), got that response with that statement, though the first attempt may have run.

Cause: `sendResponse`, `forwardHead` and `endStream` stated the outcome of the attempt whose response they forward.

Ruled out: a retry of a request that is not repeatable after an attempt that may have run. `handleFailure` is reached with no attempt running, and each earlier attempt was followed by another only after it had ended `not-run`. It depends on the outcomes of all attempts now instead of on that chain.

Why the fix works: the statement and the record combine the outcomes of all attempts; one that still runs counts as unknown. A response by which an upstream states that the request has not run is forwarded only if that holds for all attempts, since its status and its body say it, too; else the request is tried again where that is allowed, or ends in 502 with the outcome `unknown`.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -42,7 +42,7 @@
     readonly ended: Promise<AttemptReport>;
     readonly startedAtMs: number;
     private readonly inFlightRequest: InFlightRequest;
-    private readonly record: AttemptRecord;
+    readonly record: AttemptRecord;
     private readonly attempt: Attempt;
     private response: ParsedResponse | undefined;
     private buffer: ResponseBuffer | undefined;
@@ -140,7 +140,8 @@
         this.isForwarded = true;
         progress.stage = "streaming";
         this.buffer = undefined;
-        progress.response.writeHead(status, headers, progress.decisionHeaders(response.outcome));
+        this.record.outcome = response.outcome;
+        progress.response.writeHead(status, headers, progress.decisionHeaders(progress.outcomeSoFar()));
     }
 
     private async finish(result: AttemptResult): Promise<AttemptReport> {
--- a/packages/daemon/src/request/may-retry.ts
+++ b/packages/daemon/src/request/may-retry.ts
@@ -22,9 +22,9 @@
  *
  * @param progress - The request.
  * @param body - Its body.
- * @param mayHaveRun - Whether the attempt that has just ended may have run.
+ * @param mayHaveRun - Whether any attempt may have run; by default, according to the outcomes of all attempts.
  */
-export const mayRetry = (progress: RequestProgress, body: RequestBody, mayHaveRun: boolean): boolean => {
+export const mayRetry = (progress: RequestProgress, body: RequestBody, mayHaveRun = progress.mayHaveRun): boolean => {
     const { kind } = progress.route;
     return (!mayHaveRun || kind.repeatable)
         && body.canReplay
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -12,7 +12,7 @@
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { CallerResponse } from "./caller-response.js";
 import { problemLogFields } from "./decision-log-fields.js";
-import type { DecisionRecord } from "./decision-record.js";
+import type { AttemptRecord, DecisionRecord } from "./decision-record.js";
 import type { Departure } from "./departure.js";
 import { LatencyBudget } from "./latency-budget.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
@@ -135,9 +135,13 @@
         return this.record.steps.at(-1)?.input.request.holdLeftMs ?? 0;
     }
 
-    /** Combined outcome of all attempts: `ran` if one ran, else `unknown` if one is unknown or still running. */
-    outcomeSoFar(): Outcome {
-        const outcomes = this.record.attempts.map(attempt => attempt.outcome ?? "unknown");
+    /**
+     * Combined outcome of the attempts: `ran` if one ran, else `unknown` if one is unknown or still running.
+     *
+     * @param except - An attempt that is left out; none by default.
+     */
+    outcomeSoFar(except?: AttemptRecord): Outcome {
+        const outcomes = this.record.attempts.flatMap(attempt => attempt === except ? [] : attempt.outcome ?? "unknown");
         return outcomes.find(outcome => outcome === "ran") ?? outcomes.find(outcome => outcome === "unknown") ?? "not-run";
     }
 
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -21,7 +21,7 @@
 import { holdRequest } from "./request-hold.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestServices } from "./request-services.js";
-import { endStream, endWithoutCaller, giveUpAfterAttempt, sendResponse } from "./send-response.js";
+import { endStream, endWithoutCaller, giveUpAfterAttempt, mayForward, sendResponse } from "./send-response.js";
 import { isHedgeWorthwhile, UpstreamSelection } from "./upstream-selection.js";
 import { watchDeparture } from "./watch-departure.js";
 
@@ -186,7 +186,8 @@
     private mayStream(response: ParsedResponse, task: AttemptTask, body: RequestBody): boolean {
         const isOtherStreaming = this.streaming !== undefined && this.streaming !== task;
         const willRetry = response.retryable && mayRetry(this.progress, body, response.outcome !== "not-run");
-        if (isOtherStreaming || willRetry || !response.forwardable || this.progress.response.callerDisconnected) {
+        const canForward = mayForward(this.progress, response, task.record);
+        if (isOtherStreaming || willRetry || !canForward || this.progress.response.callerDisconnected) {
             return false;
         }
         this.streaming = task;
@@ -206,9 +207,8 @@
         if (progress.response.callerDisconnected) {
             return this.running.size === 0 && endWithoutCaller(this.progress);
         }
-        if (report.buffered !== undefined && report.response?.retryable === false && report.response.forwardable) {
+        if (report.response?.retryable === false && sendResponse(progress, report)) {
             this.cancelAll("cancelled");
-            sendResponse(progress, report);
             return true;
         }
         return this.running.size === 0 && this.handleFailure(report, body);
@@ -216,7 +216,7 @@
 
     private handleFailure(report: AttemptReport, body: RequestBody): boolean {
         const { progress, runtime } = this;
-        const { result, outcome } = report;
+        const { result } = report;
         if (result.end === "timed-out" || progress.isLate) {
             return progress.giveUpAtDeadline();
         }
@@ -225,15 +225,12 @@
             return true;
         }
         const skipsRetryBudget = uncountedEnds.has(result.end);
-        if (mayRetry(progress, body, outcome !== "not-run") && (skipsRetryBudget || runtime.retryBudget.tryWithdraw())) {
+        if (mayRetry(progress, body) && (skipsRetryBudget || runtime.retryBudget.tryWithdraw())) {
             return false;
         }
-        if (report.buffered !== undefined && report.response?.forwardable === true) {
-            this.cancelAll("cancelled");
-            sendResponse(progress, report);
-            return true;
+        if (!sendResponse(progress, report)) {
+            giveUpAfterAttempt(progress, result);
         }
-        giveUpAfterAttempt(progress, result);
         return true;
     }
 
--- a/packages/daemon/src/request/send-response.ts
+++ b/packages/daemon/src/request/send-response.ts
@@ -8,15 +8,36 @@
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
 import type { AttemptReport } from "./attempt-task.js";
-import type { Interruption } from "./decision-record.js";
+import type { AttemptRecord, Interruption } from "./decision-record.js";
+import type { ParsedResponse } from "./header-protocol.js";
 import type { RequestProgress } from "./request-progress.js";
 
-export const sendResponse = (progress: RequestProgress, { buffered, outcome }: AttemptReport): void => {
-    progress.record.outcome = outcome;
-    progress.record.status = buffered?.status;
-    if (buffered !== undefined) {
-        progress.response.sendBuffered(buffered, progress.decisionHeaders(outcome));
+/**
+ * Whether a response may be forwarded. An upstream's statement that the request has not run must hold for all attempts.
+ *
+ * @param progress - The request.
+ * @param response - Head of the response.
+ * @param attempt - The attempt that received it.
+ */
+export const mayForward = (progress: RequestProgress, response: ParsedResponse, attempt: AttemptRecord): boolean =>
+    response.forwardable && (response.outcome !== "not-run" || progress.outcomeSoFar(attempt) === "not-run");
+
+/**
+ * Sends the response of an attempt, with the outcome of all attempts.
+ *
+ * @param progress - The request.
+ * @param report - The attempt that has ended.
+ * @returns Whether the response is complete and may be forwarded.
+ */
+export const sendResponse = (progress: RequestProgress, { task, buffered, response }: AttemptReport): boolean => {
+    if (buffered === undefined || response === undefined || !mayForward(progress, response, task.record)) {
+        return false;
     }
+    const outcome = progress.outcomeSoFar();
+    progress.record.outcome = outcome;
+    progress.record.status = buffered.status;
+    progress.response.sendBuffered(buffered, progress.decisionHeaders(outcome));
+    return true;
 };
 
 /** Ends a request whose caller has left. */
@@ -26,8 +47,9 @@
 };
 
 /** Ends a streamed response, or aborts it if it is incomplete. */
-export const endStream = ({ record, response }: RequestProgress, report: AttemptReport, log: EventLog): void => {
-    record.outcome = report.outcome;
+export const endStream = (progress: RequestProgress, report: AttemptReport, log: EventLog): void => {
+    const { record, response } = progress;
+    record.outcome = progress.outcomeSoFar();
     record.status = report.result.status;
     if (report.isComplete) {
         response.end();
