A response that is streamed from the buffer waits for its reader once

Cause: a response beyond `answerBufferBytes` is streamed from the buffer in its parts, one write each, and each write that finds the connection full adds a `drain` listener. The deploy file buffers 256 KiB, so any longer response to a caller that reads slowly has more than ten. The upstream was not paused for these parts either, only for the next one.

It doesn't belong to the refused requests that ran: the listeners of the buffered parts do nothing, no data is lost or out of order, and no outcome depends on them. It shows that the machine had long responses and slow readers at that time.

Ruled out: detours.

Why the fix works: what is buffered is written at once, and the upstream is paused until the caller has taken it.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -109,30 +109,31 @@
     onData(chunk: Buffer): boolean {
         this.record.payloadBytes += chunk.length;
         if (this.isForwarded) {
-            const { services: { clock }, progress: { record, response } } = this.options;
-            const pausedAtMs = clock.nowMs();
-            return response.write(chunk, () => {
-                record.longestPauseMs = Math.max(record.longestPauseMs ?? 0, clock.nowMs() - pausedAtMs);
-                this.attempt.resume();
-            });
+            return this.forwardBody(chunk);
         }
-        if (this.buffer?.add(chunk) === false) {
-            this.streamOrDiscard(this.buffer, chunk);
-        }
-        return true;
+        return this.buffer?.add(chunk) !== false || this.streamOrDiscard(this.buffer, chunk);
+    }
+
+    private forwardBody(chunk: Buffer): boolean {
+        const { services: { clock }, progress: { record, response } } = this.options;
+        const pausedAtMs = clock.nowMs();
+        return response.write(chunk, () => {
+            record.longestPauseMs = Math.max(record.longestPauseMs ?? 0, clock.nowMs() - pausedAtMs);
+            this.attempt.resume();
+        });
     }
 
     /** Handles a response that exceeds the buffer: streams it to the caller if allowed, else discards it. */
-    private streamOrDiscard(buffer: ResponseBuffer, chunk: Buffer): void {
+    private streamOrDiscard(buffer: ResponseBuffer, chunk: Buffer): boolean {
         if (this.response !== undefined && this.options.mayStream(this.response)) {
             this.forwardHead(buffer.status, buffer.headers, this.response);
-            buffer.parts.forEach(part => this.options.progress.response.write(part, () => undefined));
-            return;
+            return this.forwardBody(buffer.body);
         }
         this.discardedBytes += chunk.length;
         if (this.discardedBytes > maximumDiscardedBytes) {
             this.attempt.cancel("cancelled");
         }
+        return true;
     }
 
     private forwardHead(status: number, headers: IncomingHttpHeaders, response: ParsedResponse): void {
--- a/packages/daemon/src/request/buffered-response.ts
+++ b/packages/daemon/src/request/buffered-response.ts
@@ -42,15 +42,15 @@
         return this.bytes <= this.maximumBytes;
     }
 
-    /** The chunks so far. */
-    get parts(): readonly Buffer[] {
-        return this.chunks;
+    /** The body so far. */
+    get body(): Buffer {
+        return Buffer.concat(this.chunks, this.bytes);
     }
 
     /** Returns the complete response; called when it has ended. */
     toBufferedResponse(): BufferedResponse {
-        const { status, headers } = this;
+        const { status, headers, body } = this;
         const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-        return { status, headers, body: Buffer.concat(this.chunks, this.bytes), isFramed };
+        return { status, headers, body, isFramed };
     }
 }
