Detours: a statement that nothing was sent must name the request it answers

What callers saw: nothing on a real machine so far; found by the audit of what concludes `not-run`. A response that states `not-sent` was taken for the answer to whatever waited on the connection to the other instance, so that a copy of an earlier one let a request that was sent count as not sent: it is sent again, or refused with a promise. The same statement on a connection on which the request had not begun was taken too, and the bytes that were held back were sent afterwards.

Cause: `DetourAttempt` attributed the statement by its position on the connection, which it shares with the calls between instances.

Ruled out: instances that send a second response of their own; `DetourListener` answers each request once, and Node's raw responses (400, 408) have no result and count as `lost`. So it needs a fault on the way or in another version.

Why the fix works: each request to another instance has an id of its own, also that of a second attempt through the same instance, and the response repeats it. One with another id proves nothing, nor does a statement without an id: the request may have been sent. A response that arrives before the first byte ends the attempt, whose connection is closed. A response of an upstream without the id, from an instance of an earlier version, is judged by its own headers as before.

Evidence: `detour-attribution.test.ts` failed before: `sent: false` for a request that the other instance had received, with another id, with none, and before the first byte. `detours.test.ts` and `cut-off-instances.test.ts` pass.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -9,11 +9,18 @@
 import type { Member } from "@harrierhitch/protocol";
 import type { IncomingHttpHeaders } from "node:http";
 import { Readable } from "node:stream";
+import { newSpanId } from "../telemetry/trace-context.js";
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import type { DetourClient } from "./detour-client.js";
 import type { DetourPeers } from "./detour-peers.js";
-import { detourHeader, type DetourResult, type NotSentReason, parseDetourResult } from "./detour-result.js";
+import {
+    detourIdHeader,
+    type DetourResult,
+    type NotSentReason,
+    readDetourResult,
+    withoutDetourHeaders,
+} from "./detour-result.js";
 
 /** Options of {@link DetourAttempt}. */
 export interface DetourAttemptOptions {
@@ -46,6 +53,8 @@
     private received: DetourResult | undefined;
     private cancelled: "timed-out" | "cancelled" | undefined;
     private hasBegun = false;
+    /** Id of the request to the instance that is being tried. */
+    private id = "";
     /** Number of instances that could not reach the upstream although they reach its service. */
     private statements = 0;
 
@@ -72,12 +81,12 @@
     }
 
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
-        this.received = parseDetourResult(headers[detourHeader]);
-        if (this.received.type !== "answered") {
-            return true;
+        // What arrives before the request was sent answers another one; the attempt ends, so that it is not sent afterwards.
+        this.received = this.hasBegun ? readDetourResult(headers, this.id) : undefined;
+        if (this.received?.type !== "answered") {
+            return this.hasBegun;
         }
-        const { [detourHeader]: _, ...others } = headers;
-        return this.options.sink.onHead(status, others);
+        return this.options.sink.onHead(status, withoutDetourHeaders(headers));
     }
 
     onData(chunk: Buffer): boolean {
@@ -108,8 +117,10 @@
         const { peers, client, upstream } = this.options;
         this.received = undefined;
         this.hasBegun = false;
+        this.id = newSpanId();
         const finish = peers.begin(peer.instance);
-        this.inner = client.send(peer, upstream, this.request, this);
+        const headers = [...this.request.headers, detourIdHeader, this.id];
+        this.inner = client.send(peer, upstream, { ...this.request, headers }, this);
         const patience = this.awaitResponse(peer, this.inner);
         const sent = await this.inner.result;
         patience.cancel();
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -6,7 +6,7 @@
 
 import type { Clock } from "@harrierhitch/core";
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { requestHeaders, responseHeaders } from "../request/headers.js";
 import { hasBody } from "../request/request-body.js";
 import type { PathTelemetry } from "../telemetry/path-telemetry.js";
@@ -15,7 +15,7 @@
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { type DetourAddress, parseDetour } from "./detour-address.js";
-import { detourHeader, type DetourResult, formatDetourResult, type NotSentReason } from "./detour-result.js";
+import { detourHeader, detourIdHeader, type DetourResult, formatDetourResult, type NotSentReason } from "./detour-result.js";
 
 /** Options of {@link DetourListener}. */
 export interface DetourListenerOptions {
@@ -130,12 +130,12 @@
         const attempt: Attempt = transport.send(upstream, {
             method: request.method ?? "GET",
             path: address.url,
-            headers: requestHeaders(request.rawHeaders, request.headers.connection, {}),
+            headers: requestHeaders(request.rawHeaders, request.headers.connection, { [detourIdHeader]: undefined }),
             body: hasBody(request) ? request : undefined,
             mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
             ...(address.request === "" ? {} : { patienceMs: defaultPatienceMs }),
-        }, responseSink(response, () => attempt));
+        }, responseSink(request, response, () => attempt));
         const timer = clock.after(address.timeoutMs, () => attempt.cancel("timed-out"));
         response.once("close", () => attempt.cancel("cancelled"));
         const result = await attempt.result;
@@ -145,9 +145,9 @@
 }
 
 /** Forwards the response of an upstream at the pace at which the other instance reads. */
-const responseSink = (response: ServerResponse, attempt: () => Attempt): ResponseSink => ({
+const responseSink = (request: IncomingMessage, response: ServerResponse, attempt: () => Attempt): ResponseSink => ({
     onHead: (status: number, headers: IncomingHttpHeaders) => {
-        response.writeHead(status, responseHeaders(headers, { [detourHeader]: formatDetourResult({ type: "answered" }) }));
+        response.writeHead(status, responseHeaders(headers, resultHeaders(request, { type: "answered" })));
         response.flushHeaders();
         return true;
     },
@@ -184,9 +184,15 @@
     // What is left of the request's body must not be taken for the next request.
     const connection = request.complete || !hasBody(request) ? {} : { connection: "close" };
     response.writeHead(status, {
-        [detourHeader]: formatDetourResult(result),
+        ...resultHeaders(request, result),
         ...(status === 204 ? {} : { "content-length": 0 }),
         ...connection,
     });
     response.end();
 };
+
+/** Headers with the result of a detour, and with its id if it has one. */
+const resultHeaders = ({ headers }: IncomingMessage, result: DetourResult): OutgoingHttpHeaders => {
+    const { [detourIdHeader]: id } = headers;
+    return { [detourHeader]: formatDetourResult(result), ...(id === undefined ? {} : { [detourIdHeader]: id }) };
+};
--- a/packages/daemon/src/detour/detour-result.ts
+++ b/packages/daemon/src/detour/detour-result.ts
@@ -4,9 +4,14 @@
  * @packageDocumentation
  */
 
+import type { IncomingHttpHeaders } from "node:http";
+
 /** Response header with the result; never forwarded from an upstream. */
 export const detourHeader = "x-harrierhitch-detour";
 
+/** Header with the id of a detour, which the response repeats; never forwarded to an upstream or a caller. */
+export const detourIdHeader = "x-harrierhitch-detour-id";
+
 /**
  * Why an instance sent nothing to the upstream.
  *
@@ -45,6 +50,20 @@
 export const formatDetourResult = (result: DetourResult): string =>
     result.type === "not-sent" ? `not-sent ${result.reason}` : result.type;
 
+/**
+ * Returns what a response proves about a detour.
+ *
+ * @param headers - Headers of the response.
+ * @param id - Id of the detour.
+ * @returns `lost` if the response has another id, or none and states that nothing was sent: then it may answer an earlier request on the
+ *   connection. One that is the upstream's is judged by its own headers.
+ */
+export const readDetourResult = (headers: IncomingHttpHeaders, id: string): DetourResult => {
+    const result = parseDetourResult(headers[detourHeader]);
+    const echoed = headers[detourIdHeader];
+    return echoed === id || echoed === undefined && result.type !== "not-sent" ? result : { type: "lost" };
+};
+
 /** Parses the header; `lost` if it is missing or invalid, because then the response is of unknown origin. */
 export const parseDetourResult = (header: unknown): DetourResult => {
     const [type, reason] = typeof header === "string" ? header.split(" ") : [];
@@ -54,3 +73,7 @@
     }
     return { type: type === "answered" || type === "reset" ? type : "lost" };
 };
+
+/** Returns the headers of an upstream's response that came through another instance. */
+export const withoutDetourHeaders = (headers: IncomingHttpHeaders): IncomingHttpHeaders =>
+    Object.fromEntries(Object.entries(headers).filter(([name]) => name !== detourHeader && name !== detourIdHeader));
--- /dev/null
+++ b/packages/daemon/test/detour-attribution.test.ts
@@ -0,0 +1,112 @@
+/**
+ * Guards against the belief that another instance sent nothing, if its statement answers another request on the connection.
+ */
+
+import { SeededRandom, serviceName, SystemClock, upstreamId } from "@harrierhitch/core";
+import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
+import type { Member } from "@harrierhitch/protocol";
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { afterEach, describe, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { DetourClient } from "../src/detour/detour-client.js";
+import { DetourPeers } from "../src/detour/detour-peers.js";
+import { Detours } from "../src/detour/detours.js";
+import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+
+/** Answers a detour; `count` is its number among all that arrived. */
+type Script = (socket: Socket, id: string, count: number) => void;
+
+let server: Server | undefined;
+let agent: Agent | undefined;
+let received: string[];
+
+afterEach(() => {
+    agent?.destroy();
+    server?.close();
+});
+
+const response = (result: string, id: string): string =>
+    `HTTP/1.1 503 Busy\r\nx-harrierhitch-detour: ${result}\r\n${
+        id === "" ? "" : `x-harrierhitch-detour-id: ${id}\r\n`
+    }content-length: 0\r\n\r\n`;
+
+/** Starts another instance, and sends requests through it over one connection. */
+const start = async (script: Script) => {
+    received = [];
+    const peer = createServer(socket => {
+        socket.on("error", () => undefined).on("data", data => {
+            const text = data.toString("latin1");
+            received.push(/ [^ ]*\/\/(\w+) /.exec(text)?.[1] ?? text);
+            script(socket, /detour-id: (\w+)/.exec(text)?.[1] ?? "", received.length);
+        });
+    });
+    server = peer;
+    await new Promise<void>(resolve => peer.listen(0, "127.0.0.1", resolve));
+    const { port } = peer.address() as AddressInfo;
+    const connections = new Agent({ keepAlive: true, maxSockets: 1 });
+    agent = connections;
+    const clock = new SystemClock();
+    const member = { instance: "entry-2", availabilityZone: "hall-a", address: "127.0.0.1", port } as Member;
+    const detours = new Detours({
+        clock,
+        client: new DetourClient({ fleet: "test", instance: "entry-1", agent: () => connections }),
+        peers: new DetourPeers({ clock, random: new SeededRandom(1), availabilityZone: "hall-a", members: () => [member] }),
+    });
+    const upstream = {
+        id: upstreamId("u1"),
+        address: "127.0.0.1",
+        port: 1,
+        availabilityZone: "hall-a",
+        slots: 1,
+    } as UpstreamEntry;
+    return (path: string, options: Partial<UpstreamRequest> = {}): Promise<AttemptResult> => {
+        const request = {
+            method: "POST",
+            path: `/${path}`,
+            headers: ["host", "x"],
+            body: Buffer.from("body"),
+            timeoutMs: 1000,
+            ...options,
+        };
+        const attempt = detours.send(serviceName("main"), upstream, request, { onHead: () => true, onData: () => true });
+        setTimeout(() => attempt.cancel("timed-out"), 500).unref();
+        return attempt.result;
+    };
+};
+
+describe("a request counts as not sent through another instance only if that one says so of this very request", () => {
+    const copies: Record<string, (id: string) => string> = { "the id of another": id => id, "no id": () => "" };
+    Object.entries(copies).forEach(([name, idOf]) => {
+        test(`not if the statement has ${name}`, async () => {
+            let first = "";
+            const send = await start((socket, id, count) => {
+                first = count === 1 ? id : first;
+                socket.write(response("not-sent withdrawn", count === 1 ? id : idOf(first)));
+            });
+            assert.equal((await send("first")).sent, false);
+            const { end, sent } = await send("second");
+            assert.deepEqual({ end, sent, received }, { end: "path-lost", sent: true, received: ["first", "second"] });
+        });
+    });
+
+    test("not if it arrives before the request was sent, which is not sent then", async () => {
+        const send = await start((socket, id, count) => {
+            socket.write(response("not-sent withdrawn", id));
+            if (count === 1) {
+                setTimeout(() => socket.write(response("not-sent withdrawn", id)), 50);
+            }
+        });
+        await send("first");
+        const { sent } = await send("second", { whenCallerRead: action => void sleep(100).then(action) });
+        await sleep(150);
+        assert.equal(sent, received.includes("second"));
+    });
+
+    test("and if it has the id of the request", async () => {
+        const send = await start((socket, id) => socket.write(response("not-sent withdrawn", id)));
+        const { end, sent } = await send("first");
+        assert.deepEqual({ end, sent }, { end: "withdrawn", sent: false });
+    });
+});
