--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -107,7 +107,7 @@
 
     private handleContinue(request: IncomingMessage, nodeResponse: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
-        if (length <= this.maximumBodyBytes) {
+        if (length <= this.maximumBodyBytes && !this.problems.isEnding(request.socket)) {
             nodeResponse.writeContinue();
         }
         this.handleRequest(request, nodeResponse);
