Whether a response may be forwarded depends on the records of the attempts alone

An attempt whose response was buffered has ended, and its record has its outcome, so that it need not be left out by name. No change of behaviour: `attempt-outcomes.test.ts` and `upstream-faults.test.ts` pass as before.

--- a/packages/daemon/src/request/send-response.ts
+++ b/packages/daemon/src/request/send-response.ts
@@ -17,10 +17,10 @@
  *
  * @param progress - The request.
  * @param response - Head of the response.
- * @param attempt - The attempt that received it.
+ * @param running - The attempt that received it, if it has not ended.
  */
-export const mayForward = (progress: RequestProgress, response: ParsedResponse, attempt: AttemptRecord): boolean =>
-    response.forwardable && (response.outcome !== "not-run" || progress.outcomeSoFar(attempt) === "not-run");
+export const mayForward = (progress: RequestProgress, response: ParsedResponse, running?: AttemptRecord): boolean =>
+    response.forwardable && (response.outcome !== "not-run" || progress.outcomeSoFar(running) === "not-run");
 
 /**
  * Sends the response of an attempt, with the outcome of all attempts.
@@ -29,8 +29,8 @@
  * @param report - The attempt that has ended.
  * @returns Whether the response is complete and may be forwarded.
  */
-export const sendResponse = (progress: RequestProgress, { task, buffered, response }: AttemptReport): boolean => {
-    if (buffered === undefined || response === undefined || !mayForward(progress, response, task.record)) {
+export const sendResponse = (progress: RequestProgress, { buffered, response }: AttemptReport): boolean => {
+    if (buffered === undefined || response === undefined || !mayForward(progress, response)) {
         return false;
     }
     const outcome = progress.outcomeSoFar();
