Stand-in: answers echo the id of the attempt

Change: the stand-in for an upstream echoes `x-attempt-id` in every answer to a request, also in rejections and failures, and sends none where the request has none, as probes. Answers are sent at one place. The invalid headers and the reading of bodies move to files of their own.

--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -8,6 +8,9 @@
 import { type RandomSource, SeededRandom } from "@harrierhitch/core";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { invalidHeaders } from "./invalid-headers.js";
+import { readRequestBody } from "./read-request-body.js";
+import { attemptHeader } from "./standin-answer.js";
 import { defaultUpstreamBehaviour, type UpstreamBehaviour } from "./upstream-behaviour.js";
 
 /** Path at which the behaviour is read (GET) and changed (POST, JSON). */
@@ -28,14 +31,7 @@
 /** Announces nothing, like a response that is never sent. */
 export const noAnnouncement: UpstreamAnnouncement = { backoffMs: 0, isDraining: false, limitPerSecond: undefined };
 
-/** Headers with invalid values; instances ignore the header and use the rest of the response. */
-const invalidHeaders: readonly Readonly<Record<string, string>>[] = [
-    { "x-upstream-limit": "-1" },
-    { "x-upstream-limit": "some" },
-    { "retry-after": "soon" },
-    { "x-upstream-in-flight": "many" },
-    { "x-upstream-state": "fine" },
-];
+const notRun = { "x-request-outcome": "not-run" };
 
 interface Job {
     readonly request: IncomingMessage;
@@ -121,7 +117,7 @@
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const body = readBody(request);
+        const body = readRequestBody(request);
         if (request.url?.startsWith(behaviourPath) === true) {
             await this.handleBehaviourRequest(request, response, body);
             return;
@@ -147,14 +143,13 @@
             request.socket.destroy();
         }
         else if (failStatus !== 0) {
-            response.writeHead(failStatus, this.headers()).end();
+            this.answer(request, response, failStatus);
         }
         else if (restMs > 0 && !draining) {
-            const headers = { ...this.headers(), "x-request-outcome": "not-run", "retry-after": String(restMs / 1000) };
-            response.writeHead(503, headers).end();
+            this.answer(request, response, 503, { ...notRun, "retry-after": String(restMs / 1000) });
         }
         else if (draining || this.running >= slots && this.waiting.length >= queue) {
-            response.writeHead(503, { ...this.headers(), "x-request-outcome": "not-run" }).end();
+            this.answer(request, response, 503, notRun);
         }
         else if (!hang) {
             this.waiting.push({ request, response, body });
@@ -195,11 +190,24 @@
         this.running -= 1;
         if (!response.closed) {
             const text = JSON.stringify({ upstream: this.name, path: request.url, key, bodyBytes: content.length });
-            response.writeHead(200, { ...this.headers(), "content-type": "application/json" }).end(text);
+            this.answer(request, response, 200, { "content-type": "application/json" }, text);
         }
         this.startWaiting();
     }
 
+    /** Answers a request under the id of its attempt. */
+    private answer(
+        request: IncomingMessage,
+        response: ServerResponse,
+        status: number,
+        own: Readonly<Record<string, string>> = {},
+        body = "",
+    ): void {
+        const id = request.headers[attemptHeader];
+        const headers = { ...this.headers(), ...own, ...(typeof id === "string" ? { [attemptHeader]: id } : {}) };
+        response.writeHead(status, headers).end(body);
+    }
+
     private serviceMs(): number {
         const { meanServiceMs, slowness, coldMs, coldFactor } = this.behaviour;
         const currentColdFactor = performance.now() - this.startedAtMs < coldMs ? coldFactor : 1;
@@ -232,17 +240,4 @@
     }
 }
 
-const readBody = async (request: IncomingMessage): Promise<Buffer> => {
-    const chunks: Buffer[] = [];
-    try {
-        for await (const chunk of request) {
-            chunks.push(chunk as Buffer);
-        }
-    }
-    catch {
-        // The client disconnected; the incomplete body is returned.
-    }
-    return Buffer.concat(chunks);
-};
-
 const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
