Stand-in: surplus answers

Change: with `surplusShare`, a share of the answers is followed by a copy: at once, up to 3 ms later, in the place of the next answer on the connection (whole, or in pieces 3 or 30 ms apart, the next answer after it), or in the place of the answer to another attempt of the same request. All is drawn from a seeded stream of its own, so service times stay as they were.

--- a/packages/standin/src/upstream-behaviour.ts
+++ b/packages/standin/src/upstream-behaviour.ts
@@ -32,6 +32,8 @@
     readonly limitPerSecond: number | undefined;
     /** Share of the responses that contain an invalid header and close their connection. */
     readonly chatter: number;
+    /** Share of the answers of which a surplus copy is sent. */
+    readonly surplusShare: number;
     /** Number of requests in flight that is reported; `undefined` reports the actual number. */
     readonly reportedInFlight: number | undefined;
     /** Time after the start within which service times are multiplied by `coldFactor`, in milliseconds. */
@@ -55,6 +57,7 @@
     restMs: 0,
     limitPerSecond: undefined,
     chatter: 0,
+    surplusShare: 0,
     reportedInFlight: undefined,
     coldMs: 0,
     coldFactor: 3,
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -11,6 +11,7 @@
 import { invalidHeaders } from "./invalid-headers.js";
 import { readRequestBody } from "./read-request-body.js";
 import { attemptHeader } from "./standin-answer.js";
+import { SurplusAnswers } from "./surplus-answers.js";
 import { defaultUpstreamBehaviour, type UpstreamBehaviour } from "./upstream-behaviour.js";
 
 /** Path at which the behaviour is read (GET) and changed (POST, JSON). */
@@ -62,6 +63,7 @@
     private server: Server;
     private isClosed = false;
     private readonly random: RandomSource;
+    private readonly surplus: SurplusAnswers;
     private readonly startedAtMs = performance.now();
     private running = 0;
     private waiting: Job[] = [];
@@ -74,6 +76,7 @@
     constructor(private readonly name: string, behaviour: Partial<UpstreamBehaviour> = {}, seed = 1) {
         this.behaviour = { ...defaultUpstreamBehaviour, ...behaviour };
         this.random = new SeededRandom(seed);
+        this.surplus = new SurplusAnswers(new SeededRandom(seed), () => this.behaviour.surplusShare);
         this.server = this.openServer();
     }
 
@@ -123,6 +126,7 @@
             return;
         }
         if (request.url === upstreamProbePath) {
+            await this.surplus.beforeAnswer(request);
             response.writeHead(200, this.headers()).end();
             return;
         }
@@ -138,6 +142,7 @@
             limitPerSecond: hang ? undefined : limitPerSecond,
         };
         this.onArrival(request, reset ? noAnnouncement : announced, response);
+        await this.surplus.beforeAnswer(request);
         if (reset) {
             await body;
             request.socket.destroy();
@@ -206,6 +211,7 @@
         const id = request.headers[attemptHeader];
         const headers = { ...this.headers(), ...own, ...(typeof id === "string" ? { [attemptHeader]: id } : {}) };
         response.writeHead(status, headers).end(body);
+        this.surplus.afterAnswer(request, { status, headers, body });
     }
 
     private serviceMs(): number {
