Soak: check promises by status, and upstreams that are held to be draining

Cause: a promise to a caller was checked by `x-request-outcome: not-run` only, although 503 and 429 are promises too. An upstream that instances took out for a draining notice that was not its own broke no check as long as the others served. Change: "not-run" also covers 429 and 503 of requests that ran. The new promise "returned" reports an upstream that never drained and that an instance holds to be draining after the last fault.

--- a/packages/standin/src/soak/soak-checker.ts
+++ b/packages/standin/src/soak/soak-checker.ts
@@ -24,6 +24,7 @@
         | "configuration"
         | "answered"
         | "recovery"
+        | "returned"
         | "left"
         | "cut-off";
     readonly detail: string;
@@ -46,6 +47,9 @@
 /** Time after its announcement from which a draining upstream must receive no more requests, in milliseconds. */
 const drainDeadlineMs = 2000;
 
+/** Statuses that promise that the request did not run, whatever the outcome in the response. */
+const refusingStatuses: ReadonlySet<number> = new Set([429, 503]);
+
 /** Records what callers and upstreams observe, and reports violations. */
 export class SoakChecker {
     readonly violations: Violation[] = [];
@@ -164,6 +168,19 @@
         }
     }
 
+    /**
+     * Records which upstreams an instance sends no requests to although all faults have ended.
+     *
+     * @param entry - The instance.
+     * @param draining - Names of the upstreams that it holds to be draining.
+     * @param serving - Names of the upstreams that have not drained.
+     */
+    recordDraining(entry: string, draining: readonly string[], serving: readonly string[]): void {
+        draining.filter(upstream => serving.includes(upstream)).forEach(upstream =>
+            this.addViolation("returned", `${upstream} serves, but ${entry} holds it to be draining`)
+        );
+    }
+
     /**
      * Runs the checks that need the complete soak.
      *
@@ -176,10 +193,11 @@
             if (method === "POST" && runCount > 1) {
                 this.addViolation("once", `${number} at ${entry} ran ${runCount} times`);
             }
-            if (outcome === "not-run" && runCount > 0) {
+            const isPromised = outcome === "not-run" || status !== undefined && refusingStatuses.has(status);
+            if (isPromised && runCount > 0) {
                 this.addViolation(
                     "not-run",
-                    `${number} at ${entry} was answered ${status} with outcome not-run, but ran ${runCount} times`,
+                    `${number} at ${entry} was answered ${status} with outcome ${outcome}, but ran ${runCount} times`,
                 );
             }
             if (status === undefined && duringPlannedStop && runCount > 0) {
--- a/packages/standin/test/soak-checker.test.ts
+++ b/packages/standin/test/soak-checker.test.ts
@@ -77,6 +77,24 @@
         runCount: 0,
         violations: [],
     },
+    {
+        name: "a request that was answered 503 without a word on its outcome but ran",
+        observe: checker => checker.recordResponse(observed({ status: 503, outcome: "unknown" })),
+        runCount: 1,
+        violations: ["not-run"],
+    },
+    {
+        name: "a request that was answered 429 but ran",
+        observe: checker => checker.recordResponse(observed({ status: 429, outcome: "ran" })),
+        runCount: 1,
+        violations: ["not-run"],
+    },
+    {
+        name: "a request that was answered 502 with an unknown outcome and ran",
+        observe: checker => checker.recordResponse(observed({ status: 502, outcome: "unknown" })),
+        runCount: 1,
+        violations: [],
+    },
     {
         name: "a request that was aborted by a planned stop",
         observe: checker => checker.recordResponse(observed({ status: undefined, duringPlannedStop: true })),
@@ -159,6 +177,16 @@
         observe: checker => checker.recordRecovery([observed(), observed({ status: 503 })]),
         violations: ["recovery"],
     },
+    {
+        name: "an upstream that serves and is held to be draining",
+        observe: checker => checker.recordDraining("entry-1", ["u1", "u2"], ["u2", "u3"]),
+        violations: ["returned"],
+    },
+    {
+        name: "an upstream that has drained",
+        observe: checker => checker.recordDraining("entry-1", ["u1"], ["u2", "u3"]),
+        violations: [],
+    },
 ];
 
 test("delays caused by stalls of the soak's process are not reported", () => {
