Soak: full upstreams send surplus answers

Its times come from a stream of their own, so the other faults of a seed are the same as before; `--no-surplus` (in tests: `surplus: false`) leaves it out. What an upstream announces meanwhile may be lost with its connection and isn't checked. After the recovery the status of each instance is compared with the upstreams that never drained.

--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -148,6 +148,12 @@
         upstreams: { type: "string", default: "5", description: "Number of upstreams" },
         callers: { type: "string", default: "16", description: "Number of callers" },
         basePort: { type: "string", default: "23000", description: "First port of the instances, each of which uses three" },
+        surplus: {
+            type: "boolean",
+            default: true,
+            description: "Let full upstreams send surplus answers",
+            negativeDescription: "Keep to the other faults",
+        },
     },
     run: async ({ args }) => {
         const first = Number(args.seed);
@@ -159,6 +165,7 @@
                 upstreams: Number(args.upstreams),
                 callers: Number(args.callers),
                 basePort: Number(args.basePort),
+                surplus: args.surplus,
             });
             process.stdout.write(`${JSON.stringify({ seed, ...result })}\n`);
             process.exitCode = result.violations.length > 0 ? 1 : process.exitCode ?? 0;
--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -11,6 +11,7 @@
 import type { FaultKind, PlannedFault } from "./fault-schedule.js";
 import type { PathChecker } from "./path-checker.js";
 import type { SoakServers, SoakUpstream } from "./soak-servers.js";
+import { sendSurplus } from "./surplus-fault.js";
 
 /** Time from killing an instance to its restart, in milliseconds. */
 const restartMs = 200;
@@ -112,6 +113,9 @@
         else if (upstream !== undefined && kind === "upstream-limits") {
             await this.limitUpstream(upstream, durationMs);
         }
+        else if (kind === "upstream-surplus") {
+            await sendSurplus(this.servers, durationMs, target);
+        }
         else {
             await this.injectOther(kind, durationMs, target);
         }
--- a/packages/standin/src/soak/fault-schedule.ts
+++ b/packages/standin/src/soak/fault-schedule.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import type { RandomSource } from "@harrierhitch/core";
+import { type RandomSource, SeededRandom } from "@harrierhitch/core";
 
 /** Kinds of faults; the `way-` faults affect the connections to an upstream, the `cut-` faults the paths of an instance. */
-export const faultKinds = [
+const mixedKinds = [
     "pause",
     "kill",
     "stop",
@@ -33,6 +33,9 @@
     "publish-older",
 ] as const;
 
+/** All kinds of faults; with `upstream-surplus`, one or more upstreams that are full send surplus answers. */
+export const faultKinds = [...mixedKinds, "upstream-surplus"] as const;
+
 export type FaultKind = typeof faultKinds[number];
 
 export interface PlannedFault {
@@ -46,21 +49,46 @@
 }
 
 /** Mean time between the starts of two faults, in milliseconds; most faults last longer, so they overlap. */
-const meanIntervalMs = 350;
+const mixedIntervalMs = 350;
+
+/** Mean time between the starts of two faults of the kind `upstream-surplus`, in milliseconds. */
+const surplusIntervalMs = 1500;
 
 /** Longest duration of a fault, in milliseconds. */
 const maximumFaultMs = 1500;
 
+/** Options of {@link generateFaults}. */
+export interface FaultScheduleOptions {
+    readonly seed: number;
+    /** Time within which faults start, in milliseconds. */
+    readonly durationMs: number;
+    /** Whether faults of the kind `upstream-surplus` are added; the others are the same without them. */
+    readonly surplus: boolean;
+}
+
 /**
- * Generates faults in the order of their start.
+ * Generates faults.
  *
- * @param random - Seeded source of random numbers.
- * @param durationMs - Time within which faults start, in milliseconds.
+ * @param options - Seed, duration and kinds.
+ * @returns The faults, each kind in the order of its start.
  */
-export const generateFaults = (random: RandomSource, durationMs: number): readonly PlannedFault[] => {
+export const generateFaults = ({ seed, durationMs, surplus }: FaultScheduleOptions): readonly PlannedFault[] => [
+    ...generate(new SeededRandom(seed), { durationMs, meanIntervalMs: mixedIntervalMs, kinds: mixedKinds }),
+    ...(surplus
+        ? generate(new SeededRandom(seed + 3), { durationMs, meanIntervalMs: surplusIntervalMs, kinds: ["upstream-surplus"] })
+        : []),
+];
+
+interface GenerateOptions {
+    readonly durationMs: number;
+    readonly meanIntervalMs: number;
+    readonly kinds: readonly FaultKind[];
+}
+
+const generate = (random: RandomSource, { durationMs, meanIntervalMs, kinds }: GenerateOptions): readonly PlannedFault[] => {
     const faults: PlannedFault[] = [];
     for (let atMs = 500; atMs < durationMs; atMs += meanIntervalMs * 2 * random.next()) {
-        const kind = faultKinds[Math.floor(random.next() * faultKinds.length)] ?? "pause";
+        const kind = kinds[Math.floor(random.next() * kinds.length)] ?? "pause";
         faults.push({ kind, atMs, durationMs: maximumFaultMs * (0.2 + 0.8 * random.next()), target: random.next() });
     }
     return faults;
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { PlatformStandin } from "../platform-standin.js";
-import type { UpstreamBehaviour } from "../upstream-behaviour.js";
+import { defaultUpstreamBehaviour, type UpstreamBehaviour } from "../upstream-behaviour.js";
 import { noAnnouncement, type UpstreamAnnouncement, upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
 import type { EntryProcess } from "./entry-process.js";
 import { FaultProxy, type ProxyFault } from "./fault-proxy.js";
@@ -34,7 +34,8 @@
 /** Share of the responses that have an invalid header and close their connection. */
 const chatterShare = 0.03;
 
-const initialBehaviour: Partial<UpstreamBehaviour> = { meanServiceMs: 8, chatter: chatterShare };
+/** Behaviour of an upstream without faults. */
+export const initialBehaviour: UpstreamBehaviour = { ...defaultUpstreamBehaviour, meanServiceMs: 8, chatter: chatterShare };
 
 /** Runs the upstreams and the platform in this process. */
 export class SoakServers {
@@ -78,6 +79,11 @@
         return { platformPort: await this.platformProxy.listen() };
     }
 
+    /** The upstreams that the published configuration contains. */
+    get configuredUpstreams(): readonly SoakUpstream[] {
+        return this.upstreams.filter(({ isConfigured }) => isConfigured);
+    }
+
     /** Sets the entry instances, to which arriving requests are attributed. */
     setEntries(entries: readonly EntryProcess[]): void {
         this.entries = entries;
@@ -132,13 +138,15 @@
     }
 
     private recordArrival(
-        { name, proxy }: SoakUpstream,
+        { name, proxy, standin }: SoakUpstream,
         request: IncomingMessage,
         announced: UpstreamAnnouncement,
     ): void {
         const entry = this.entries.find(({ options }) => options.name === request.headers[entryHeader]);
         if (entry !== undefined) {
-            const received = proxy.fault.dropsResponses || proxy.fault.dropsRequests ? noAnnouncement : announced;
+            const { dropsResponses, dropsRequests } = proxy.fault;
+            const mayBeLost = dropsResponses || dropsRequests || standin.behaviour.surplusShare > 0;
+            const received = mayBeLost ? noAnnouncement : announced;
             const { incarnation, options } = entry;
             this.options.checker.recordArrival(name, { name: options.name, incarnation }, performance.now(), received);
         }
@@ -158,7 +166,6 @@
     }
 
     private configuration(generation: number): string {
-        const configured = this.upstreams.filter(({ isConfigured }) => isConfigured);
         return [
             `generation = ${generation}`,
             "[fleet]",
@@ -176,7 +183,7 @@
             "[service.main]",
             "policy = main",
             `probePath = ${upstreamProbePath}`,
-            ...configured.map(({ name, proxyPort }) =>
+            ...this.configuredUpstreams.map(({ name, proxyPort }) =>
                 `[upstream.${name}]\nservice = main\naddress = 127.0.0.1\nport = ${proxyPort}\navailabilityZone = zone-0`
             ),
             "[route.read]\nmethod = GET\npath = /read/*\nservice = main\nkind = read",
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { PathProxies } from "../path-proxies.js";
+import { readDrainingUpstreams } from "./draining-upstreams.js";
 import { EntryProcess } from "./entry-process.js";
 import { FaultInjector } from "./fault-injector.js";
 import { generateFaults } from "./fault-schedule.js";
@@ -28,6 +29,8 @@
     readonly callers: number;
     /** First port of the instances, each of which uses three consecutive ports. */
     readonly basePort: number;
+    /** Whether upstreams send surplus answers, beside the same other faults. */
+    readonly surplus: boolean;
 }
 
 export interface SoakResult {
@@ -51,7 +54,8 @@
 /** Time between two polls of the active configuration generations, in milliseconds. */
 const generationPollMs = 250;
 
-export const runSoak = async ({ seed, seconds, entries, upstreams, callers, basePort }: SoakOptions): Promise<SoakResult> => {
+export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+    const { seed, seconds, entries, upstreams, callers, basePort, surplus } = options;
     const directory = await mkdtemp(join(tmpdir(), "soak-"));
     const lag = new LagMonitor();
     const checker = new SoakChecker(maximumResponseMs, () => lag.lagMs);
@@ -79,7 +83,7 @@
         const { leaveChecker } = checker;
         const leaving = new LeavingCallers({ random: new SeededRandom(seed + 2), entries: processes, checker: leaveChecker });
         const generationPolls = setInterval(() => void pollGenerations(processes, checker), generationPollMs);
-        const plannedFaults = generateFaults(new SeededRandom(seed), seconds * 1000);
+        const plannedFaults = generateFaults({ seed, durationMs: seconds * 1000, surplus });
         await new FaultInjector(processes, servers, checker.pathChecker).injectAll(plannedFaults);
         leaving.stop();
         await wait(recoveryMs);
@@ -87,6 +91,10 @@
         clearInterval(generationPolls);
         const reads = await Promise.all(processes.map(process => load.sendReads(process, recoveryReads)));
         checker.recordRecovery(reads.flat());
+        const serving = servers.configuredUpstreams.map(({ name }) => name);
+        await Promise.all(processes.map(async process => {
+            checker.recordDraining(process.options.name, await readDrainingUpstreams(process), serving);
+        }));
         const violations = checker.finish(number => servers.runCountOf(number));
         return {
             violations,
--- a/packages/standin/test/soak.test.ts
+++ b/packages/standin/test/soak.test.ts
@@ -2,7 +2,6 @@
  * Guards against violations under overlapping faults, with a short soak; `npm run soak` runs longer ones.
  */
 
-import { SeededRandom } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { faultKinds, generateFaults } from "../src/soak/fault-schedule.js";
@@ -12,14 +11,16 @@
 const seconds = 10;
 
 test("three instances and four upstreams violate no guarantee under overlapping faults", async () => {
-    const result = await runSoak({ seed, seconds, entries: 3, upstreams: 4, callers: 12, basePort: 23_000 });
+    const result = await runSoak({ seed, seconds, entries: 3, upstreams: 4, callers: 12, basePort: 23_000, surplus: false });
     assert.deepEqual(result.violations, []);
     assert.ok(result.left > 100, `${result.left} requests of callers that left`);
     assert.ok(result.served > result.requests / 2, `${result.served} of ${result.requests} served`);
 });
 
 test("the same seed generates the same faults, and a long soak contains every kind", () => {
-    assert.deepEqual(generateFaults(new SeededRandom(7), 60_000), generateFaults(new SeededRandom(7), 60_000));
-    const kinds = new Set(generateFaults(new SeededRandom(7), 600_000).map(({ kind }) => kind));
+    const generate = (durationMs: number, surplus = true) => generateFaults({ seed: 7, durationMs, surplus });
+    assert.deepEqual(generate(60_000), generate(60_000));
+    assert.deepEqual(generate(60_000).filter(({ kind }) => kind !== "upstream-surplus"), generate(60_000, false));
+    const kinds = new Set(generate(600_000).map(({ kind }) => kind));
     assert.deepEqual([...kinds].sort(), [...faultKinds].sort());
 });
