Soak: count surplus answers by their place

Cause: a result did not show whether surplus answers were sent, and where. Change: the result of a soak has the number of surplus answers by their place.

--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { PlatformStandin } from "../platform-standin.js";
+import { type SurplusPlacement, surplusPlacements } from "../surplus-answers.js";
 import { defaultUpstreamBehaviour, type UpstreamBehaviour } from "../upstream-behaviour.js";
 import { noAnnouncement, type UpstreamAnnouncement, upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
 import type { EntryProcess } from "./entry-process.js";
@@ -122,6 +123,17 @@
         this.options.checker.clearAnnouncements(name);
     }
 
+    /** Number of surplus answers that upstreams sent, by their place. */
+    get surplusCounts(): Readonly<Partial<Record<SurplusPlacement, number>>> {
+        const counts: Partial<Record<SurplusPlacement, number>> = {};
+        this.upstreams.forEach(({ standin }) =>
+            surplusPlacements.forEach(placement => {
+                counts[placement] = (counts[placement] ?? 0) + (standin.surplus.sent[placement] ?? 0);
+            })
+        );
+        return counts;
+    }
+
     /** Returns how often upstreams ran the request with a number. */
     runCountOf(number: string): number {
         return this.upstreams.reduce((sum, { standin }) => sum + (standin.runs.get(number) ?? 0), 0);
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { PathProxies } from "../path-proxies.js";
+import type { SurplusPlacement } from "../surplus-answers.js";
 import { readDrainingUpstreams } from "./draining-upstreams.js";
 import { EntryProcess } from "./entry-process.js";
 import { FaultInjector } from "./fault-injector.js";
@@ -40,6 +41,8 @@
     /** Requests whose callers left before they were answered. */
     readonly left: number;
     readonly faults: number;
+    /** Number of surplus answers, by their place. */
+    readonly surplus: Readonly<Partial<Record<SurplusPlacement, number>>>;
 }
 
 /** Longest time until a request must be answered, in milliseconds: allows for the request's timeout and for paused instances. */
@@ -102,6 +105,7 @@
             served: checker.served,
             left: leaveChecker.departures,
             faults: plannedFaults.length,
+            surplus: servers.surplusCounts,
         };
     }
     finally {
--- a/packages/standin/src/surplus-answers.ts
+++ b/packages/standin/src/surplus-answers.ts
@@ -10,7 +10,10 @@
 import { answerBytes, attemptHeader, type StandinAnswer } from "./standin-answer.js";
 
 /** When a copy is sent: with its answer, or where the answer to a later request on the connection is expected. */
-const placements = ["at-once", "soon", "next", "next-split", "next-halves", "retry"] as const;
+export const surplusPlacements = ["at-once", "soon", "next", "next-split", "next-halves", "retry"] as const;
+
+/** Place of a copy among the answers on its connection. */
+export type SurplusPlacement = typeof surplusPlacements[number];
 
 /** Share of the copies that name no request, like the answer to a rejected health check. */
 const anonymousShare = 0.5;
@@ -22,18 +25,20 @@
 const soonMs = 3;
 
 /** Time between the two pieces of a copy, in milliseconds. */
-const pieceGapsMs: Partial<Record<typeof placements[number], number>> = { "next-split": 3, "next-halves": 30 };
+const pieceGapsMs: Partial<Record<SurplusPlacement, number>> = { "next-split": 3, "next-halves": 30 };
 
 /** A copy that is sent when another request arrives on its connection. */
 interface PlannedCopy {
     readonly bytes: Buffer;
-    readonly gapMs: number | undefined;
+    readonly placement: SurplusPlacement;
     /** The request of which the next attempt is awaited; `undefined` for any request. */
     readonly number: string | undefined;
 }
 
 /** Sends copies of a share of the answers. */
 export class SurplusAnswers {
+    /** Number of copies that were sent, by their place. */
+    readonly sent: Partial<Record<SurplusPlacement, number>> = {};
     private readonly planned = new WeakMap<Socket, PlannedCopy>();
 
     /**
@@ -52,17 +57,17 @@
         if (this.random.next() >= this.share()) {
             return;
         }
-        const placement = placements[Math.floor(this.random.next() * placements.length)] ?? "next";
+        const placement = surplusPlacements[Math.floor(this.random.next() * surplusPlacements.length)] ?? "next";
         const bytes = answerBytes(this.copyOf(answer));
         if (placement === "at-once") {
-            write(socket, bytes);
+            this.write(socket, bytes, placement);
         }
         else if (placement === "soon") {
-            setTimeout(() => write(socket, bytes), soonMs * this.random.next());
+            setTimeout(() => this.write(socket, bytes, placement), soonMs * this.random.next());
         }
         else {
             const number = placement === "retry" ? String(headers["x-request-number"]) : undefined;
-            this.planned.set(socket, { bytes, gapMs: pieceGapsMs[placement], number });
+            this.planned.set(socket, { bytes, placement, number });
         }
     }
 
@@ -80,15 +85,18 @@
         if (this.share() === 0) {
             return;
         }
-        const { bytes, gapMs } = copy;
-        if (gapMs === undefined) {
-            write(socket, bytes);
-            return;
+        const { bytes, placement } = copy;
+        const gapMs = pieceGapsMs[placement];
+        const middle = gapMs === undefined ? bytes.length : Math.floor(bytes.length / 2);
+        this.write(socket, bytes.subarray(0, middle), placement);
+        if (gapMs !== undefined) {
+            await new Promise(resolve => setTimeout(resolve, gapMs));
+            writeTo(socket, bytes.subarray(middle));
         }
-        const middle = Math.floor(bytes.length / 2);
-        write(socket, bytes.subarray(0, middle));
-        await new Promise(resolve => setTimeout(resolve, gapMs));
-        write(socket, bytes.subarray(middle));
+    }
+
+    private write(socket: Socket, bytes: Buffer, placement: SurplusPlacement): void {
+        this.sent[placement] = (this.sent[placement] ?? 0) + (writeTo(socket, bytes) ? 1 : 0);
     }
 
     /** Copies an answer, or makes a rejection that has its id at most. */
@@ -108,8 +116,10 @@
     }
 }
 
-const write = (socket: Socket, bytes: Buffer): void => {
+/** Writes to a connection unless it is closed; returns whether it did. */
+const writeTo = (socket: Socket, bytes: Buffer): boolean => {
     if (socket.writable) {
         socket.write(bytes);
     }
+    return socket.writable;
 };
--- a/packages/standin/src/upstream-standin.ts
+++ b/packages/standin/src/upstream-standin.ts
@@ -60,10 +60,11 @@
     onArrival: (request: IncomingMessage, announced: UpstreamAnnouncement, response: ServerResponse) => void = () => undefined;
     /** Number of requests whose connection was closed before the response was sent. */
     cancelled = 0;
+    /** Its surplus answers. */
+    readonly surplus: SurplusAnswers;
     private server: Server;
     private isClosed = false;
     private readonly random: RandomSource;
-    private readonly surplus: SurplusAnswers;
     private readonly startedAtMs = performance.now();
     private running = 0;
     private waiting: Job[] = [];
--- a/packages/standin/test/surplus-answers.test.ts
+++ b/packages/standin/test/surplus-answers.test.ts
@@ -9,16 +9,13 @@
 import { describe, test } from "node:test";
 import { UpstreamStandin } from "../src/index.js";
 import { answerBytes, type StandinAnswer } from "../src/standin-answer.js";
-import { SurplusAnswers } from "../src/surplus-answers.js";
+import { SurplusAnswers, type SurplusPlacement, surplusPlacements } from "../src/surplus-answers.js";
 
 const answer: StandinAnswer = { status: 200, headers: { "x-attempt-id": "a1" }, body: "body" };
 const text = answerBytes(answer).toString();
 const middle = Math.floor(text.length / 2);
 const [firstPiece, secondPiece] = [text.slice(0, middle), text.slice(middle)];
 
-/** Placements in the order in which a random number selects them. */
-const placements = ["at-once", "soon", "next", "next-split", "next-halves", "retry"] as const;
-
 /** A connection whose surplus answers are decided by the given numbers; without numbers, the first of all choices is taken. */
 const startSurplus = (decisions: readonly number[], share = (): number => 1) => {
     const numbers = [...decisions];
@@ -29,15 +26,16 @@
     return {
         written,
         socket,
+        sent: surplus.sent,
         afterAnswer: (number: string): void => surplus.afterAnswer(request(number), answer),
         beforeAnswer: (number: string): Promise<void> => surplus.beforeAnswer(request(number)),
     };
 };
 
 /** Numbers that decide for a copy with the given placement; `isAnonymous` and `isDraining` of the copy are decided by the rest. */
-const decide = (placement: typeof placements[number], anonymous = 0.99, draining = 0.99): readonly number[] => [
+const decide = (placement: SurplusPlacement, anonymous = 0.99, draining = 0.99): readonly number[] => [
     0,
-    (placements.indexOf(placement) + 0.5) / placements.length,
+    (surplusPlacements.indexOf(placement) + 0.5) / surplusPlacements.length,
     anonymous,
     draining,
 ];
@@ -72,7 +70,7 @@
         ({ placement, gapMs }) => {
             test(`arrives in two pieces ${gapMs} ms apart, before the next answer`, async ({ mock }) => {
                 mock.timers.enable({ apis: ["setTimeout"] });
-                const { written, afterAnswer, beforeAnswer } = startSurplus(decide(placement));
+                const { written, sent, afterAnswer, beforeAnswer } = startSurplus(decide(placement));
                 afterAnswer("r1");
                 const held = beforeAnswer("r2").then(() => written.push("next answer"));
                 mock.timers.tick(gapMs - 1);
@@ -81,6 +79,7 @@
                 mock.timers.tick(1);
                 await held;
                 assert.deepEqual(written, [firstPiece, secondPiece, "next answer"]);
+                assert.deepEqual(sent, { [placement]: 1 });
             });
         },
     );
@@ -96,7 +95,7 @@
 
     test("is not sent any more when the fault has ended, or on a connection that has closed", async () => {
         let share = 1;
-        const { written, socket, afterAnswer, beforeAnswer } = startSurplus(
+        const { written, sent, socket, afterAnswer, beforeAnswer } = startSurplus(
             [...decide("next"), ...decide("at-once")],
             () => share,
         );
@@ -108,6 +107,7 @@
         socket.writable = false;
         afterAnswer("r3");
         assert.deepEqual(written, []);
+        assert.deepEqual(sent, { "at-once": 0 });
     });
 
     test("is sent for a share of the answers", () => {
