--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -7,32 +7,22 @@
 import type { Outcome } from "@harrierhitch/core";
 import { type AttemptResult, type InFlightRequest, outcomeOf, type UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
+import type { ConnectionUse } from "../upstream/connection-use.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { applyResponse, isShedWithHeadroom } from "./apply-response.js";
 import { isUpstreamFailure } from "./attempt-ends.js";
 import type { AttemptOptions } from "./attempt-options.js";
-import { type BufferedResponse, ResponseBuffer } from "./buffered-response.js";
+import type { AttemptReport } from "./attempt-report.js";
+import { ResponseBuffer } from "./buffered-response.js";
 import type { ObservedCrash } from "./crash-detector.js";
 import { type AttemptRecord, newAttemptRecord } from "./decision-record.js";
+import { findUnattributed } from "./find-unattributed.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
 import { requestBytes } from "./request-body.js";
 import { StallWatch } from "./stall-watch.js";
 import { buildUpstreamRequest } from "./upstream-request.js";
 
-export interface AttemptReport {
-    readonly task: AttemptTask;
-    readonly result: AttemptResult;
-    readonly outcome: Outcome;
-    /** The response head; `undefined` if none was received. */
-    readonly response: ParsedResponse | undefined;
-    readonly isComplete: boolean;
-    /** The complete response, if it was buffered. */
-    readonly buffered: BufferedResponse | undefined;
-    /** Whether the response head was sent to the caller. */
-    readonly isForwarded: boolean;
-}
-
 /** Most bytes that are read of a discarded response in order to reuse its connection. */
 const maximumDiscardedBytes = 65_536;
 
@@ -63,6 +53,11 @@
         this.ended = this.attempt.result.then(result => this.finish(this.stallWatch.resultOf(result)));
     }
 
+    private get attemptId(): string {
+        const { id, attempts } = this.options.progress.record;
+        return `${id}.${attempts.indexOf(this.record) + 1}`;
+    }
+
     get upstream(): UpstreamEntry {
         return this.options.upstream;
     }
@@ -88,11 +83,21 @@
             service,
             upstream: upstream.id,
             requestHeaders,
+            attemptId: this.attemptId,
+            precedingRequests: this.record.use?.precedingRequests,
         });
         this.response = response;
-        services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
+        this.record.headMs = progress.ageMs;
+        this.record.attribution = response.attribution;
+        const unattributed = findUnattributed(this.options, this.record, status, response);
+        if (unattributed !== undefined) {
+            services.onUnattributed(unattributed);
+        }
         const { clock } = services;
         const { tracker } = runtime;
+        if (response.attribution !== "foreign") {
+            services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
+        }
         applyResponse({ clock, tracker, upstream, response, sentAtMs: this.startedAtMs, isProbe: false, chooser });
         if (response.mismatch !== undefined) {
             return false;
@@ -185,7 +190,7 @@
             services.crashes.recordSuccess(progress.key(body));
         }
         const buffered = isComplete && this.discardedBytes === 0 ? this.buffer?.toBufferedResponse() : undefined;
-        return { task: this, result: this.record.result, outcome, response, isComplete, buffered, isForwarded: this.isForwarded };
+        return { result: this.record.result, outcome, response, isComplete, buffered, isForwarded: this.isForwarded };
     }
 
     /** Checks after a reset whether the upstream has crashed or only closed this connection. */
@@ -220,19 +225,20 @@
     }
 
     private buildRequest() {
-        const { services, runtime, progress, body, upstream } = this.options;
-        const { spanId } = this.record;
+        const { runtime, progress, upstream } = this.options;
+        const { record, attemptId } = this;
         const { connection } = progress.response;
         const mayBegin = (): boolean =>
             !progress.response.callerDisconnected && !connection.isUnread
             && runtime.tracker.maySend(upstream, this.inFlightRequest);
-        const onBegin = (): void => {
+        const onBegin = (use: ConnectionUse): void => {
             this.record.sentMs = progress.ageMs;
+            this.record.use = use;
             this.record.pausedFor = connection.pauses.reason;
             progress.stage = "running";
         };
         return {
-            ...buildUpstreamRequest({ services, runtime, progress, body, upstream, spanId }),
+            ...buildUpstreamRequest({ ...this.options, record, attemptId }),
             mayBegin,
             isCallerGone: () => progress.response.callerDisconnected,
             whenCallerRead: connection.whenRead.bind(connection),
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -14,6 +14,7 @@
 import { problemLogFields } from "./decision-log-fields.js";
 import type { DecisionRecord } from "./decision-record.js";
 import type { Departure } from "./departure.js";
+import { evidenceOf } from "./evidence.js";
 import { LatencyBudget } from "./latency-budget.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import { rejectionRetryAfterMs } from "./rejection-retry-after.js";
@@ -152,8 +153,8 @@
         return this.cachedKey;
     }
 
-    /** Response headers with the request ID, the decision and the outcome. */
-    decisionHeaders(outcome: Outcome): Record<string, string> {
+    /** Response headers with the request ID, the decision, the outcome and what the caller recognizes the response by. */
+    decisionHeaders(outcome: Outcome): Record<string, string | undefined> {
         const { attempts, configuration } = this.record;
         const last = attempts.at(-1)?.upstream ?? "none";
         const policy = this.route.policy.policy.source.name;
@@ -163,7 +164,12 @@
             `upstream=${last}`,
             `attempts=${attempts.length}`,
         ];
-        return { [requestIdHeader]: this.record.id, [decisionHeader]: parts.join(", "), [outcomeHeader]: outcome };
+        return {
+            ...this.services.headerProtocol.callerHeaders(this.request, this.route.service, outcome),
+            [requestIdHeader]: this.record.id,
+            [decisionHeader]: parts.join(", "),
+            [outcomeHeader]: outcome,
+        };
     }
 
     /** Value of `Retry-After` if the request is rejected now, in milliseconds. */
@@ -205,6 +211,7 @@
         this.services.log.write(events.requestProblem, {
             ...fields,
             ageMs: Math.round(this.ageMs),
+            evidence: this.record.attempts.map(evidenceOf),
             ...problemLogFields(this.record),
         });
     }
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -34,10 +34,12 @@
         };
     },
     attemptHeaders: () => ({}),
+    callerHeaders: () => ({}),
     formatRetryAfter: delayMs => String(delayMs / 1000),
     readResponseHead: ({ status, headers }: ResponseHead): ParsedResponse => {
         const shed = status === 503;
         return {
+            attribution: "own",
             mismatch: undefined,
             outcome: shed ? "not-run" : "ran",
             shed,
