--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -9,15 +9,15 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ConnectionUse } from "../upstream/connection-use.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
-import { applyResponse, isShedWithHeadroom } from "./apply-response.js";
+import { isShedWithHeadroom } from "./apply-response.js";
 import { isUpstreamFailure } from "./attempt-ends.js";
 import type { AttemptOptions } from "./attempt-options.js";
 import type { AttemptReport } from "./attempt-report.js";
 import { ResponseBuffer } from "./buffered-response.js";
 import type { ObservedCrash } from "./crash-detector.js";
 import { type AttemptRecord, newAttemptRecord } from "./decision-record.js";
-import { findUnattributed } from "./find-unattributed.js";
 import type { ParsedResponse } from "./header-protocol.js";
+import { receiveHead } from "./receive-head.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
 import { requestBytes } from "./request-body.js";
 import { StallWatch } from "./stall-watch.js";
@@ -74,31 +74,10 @@
 
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
         this.stallWatch.stop();
-        const { services, runtime, progress, upstream } = this.options;
-        const { service, policy: { chooser } } = progress.route;
-        const requestHeaders = progress.request.headers;
-        const response = services.headerProtocol.readResponseHead({
-            status,
-            headers,
-            service,
-            upstream: upstream.id,
-            requestHeaders,
-            attemptId: this.attemptId,
-            precedingRequests: this.record.use?.precedingRequests,
-        });
+        const { services } = this.options;
+        const { attemptId, record, startedAtMs } = this;
+        const response = receiveHead(this.options, { status, headers, attemptId, record, startedAtMs });
         this.response = response;
-        this.record.headMs = progress.ageMs;
-        this.record.attribution = response.attribution;
-        const unattributed = findUnattributed(this.options, this.record, status, response);
-        if (unattributed !== undefined) {
-            services.onUnattributed(unattributed);
-        }
-        const { clock } = services;
-        const { tracker } = runtime;
-        if (response.attribution !== "foreign") {
-            services.onNotice({ service: service.name, upstream, notice: response.notice, request: progress.record.id });
-        }
-        applyResponse({ clock, tracker, upstream, response, sentAtMs: this.startedAtMs, isProbe: false, chooser });
         if (response.mismatch !== undefined) {
             return false;
         }
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -67,6 +67,7 @@
             outcome: reportedOutcome === "not-run" && attribution !== "own" ? "unknown" : reportedOutcome,
             shed,
             misdirected: false,
+            confirmed: false,
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
             forwardable: true,
