--- a/packages/standin/test/soak.test.ts
+++ b/packages/standin/test/soak.test.ts
@@ -8,15 +8,22 @@
 import { runSoak } from "../src/soak/soak.js";
 
 const seed = 1;
-const seconds = 10;
+const size = { entries: 3, upstreams: 4, callers: 12 };
 
 test("three instances and four upstreams violate no guarantee under overlapping faults", async () => {
-    const result = await runSoak({ seed, seconds, entries: 3, upstreams: 4, callers: 12, basePort: 23_000, surplus: false });
+    const result = await runSoak({ ...size, seed, seconds: 10, basePort: 23_000, surplus: false });
     assert.deepEqual(result.violations, []);
     assert.ok(result.left > 100, `${result.left} requests of callers that left`);
     assert.ok(result.served > result.requests / 2, `${result.served} of ${result.requests} served`);
 });
 
+test("nor while full upstreams also send surplus answers", { todo: "KNOWN-RED.txt, issue 62" }, async () => {
+    const result = await runSoak({ ...size, seed, seconds: 6, basePort: 23_100, surplus: true });
+    const { next = 0, "next-split": split = 0, "next-halves": halves = 0 } = result.surplus;
+    assert.ok(next + split + halves > 10, JSON.stringify(result.surplus));
+    assert.deepEqual(result.violations, []);
+});
+
 test("the same seed generates the same faults, and a long soak contains every kind", () => {
     const generate = (durationMs: number, surplus = true) => generateFaults({ seed: 7, durationMs, surplus });
     assert.deepEqual(generate(60_000), generate(60_000));
