Own protocol: ids of probes, heads without an id where ids are repeated

Cause: copies without an id. On a kept connection such a head proves nothing, but its 503 was forwarded with the upstream's status, a 200 (a late response to a probe) was forwarded as the answer, and its draining notice was used and sent to all.

Probes have ids now, too. A connection on which ids were repeated must go on repeating them: a response to a request without one is foreign. A response to a probe without one is foreign if a probe's id was repeated there; else, and over another instance, its notices are not used, since upstreams may repeat the ids of requests only. Upstreams that repeat no id at all are used as before, except that their rejections are believed on new connections only.

--- a/packages/daemon/src/request/apply-response.ts
+++ b/packages/daemon/src/request/apply-response.ts
@@ -104,6 +104,7 @@
         }
     },
     attribution: ignore,
+    echoesId: ignore,
     // Applied together with the load.
     shed: ignore,
     failed: ignore,
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -18,7 +18,7 @@
 } from "./header-protocol.js";
 import { outcomeHeader } from "./problem.js";
 import { numberHeader, pathOf, type RequestMetadata, textHeader } from "./request-metadata.js";
-import { readBackoff } from "./response-notice.js";
+import { noNotice, readBackoff, type ResponseNotice } from "./response-notice.js";
 
 /** Statuses that gateways generate; they leave open whether the request ran. */
 const gatewayStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
@@ -41,14 +41,12 @@
         return { [timeoutHeader]: String(remainingMs), [depthHeader]: String(depth), [service.attemptHeader]: attemptId };
     }
 
-    callerHeaders(
-        { headers }: IncomingMessage,
-        { attemptHeader, shedHeader }: Service,
-        outcome: Outcome,
-    ): Readonly<Record<string, string | undefined>> {
-        // An upstream's statement that is not proved must not reach the caller under the name of another header.
-        const unprovedStatement = outcome === "not-run" ? {} : { [shedHeader]: undefined };
-        return { ...unprovedStatement, [attemptHeader]: headers[attemptHeader]?.toString() };
+    probeHeaders({ attemptHeader }: Service, probeId: string): Readonly<Record<string, string>> {
+        return { [attemptHeader]: probeId };
+    }
+
+    callerHeaders({ headers }: IncomingMessage, { attemptHeader }: Service): Readonly<Record<string, string | undefined>> {
+        return { [attemptHeader]: headers[attemptHeader]?.toString() };
     }
 
     formatRetryAfter(delayMs: number): string {
@@ -60,30 +58,50 @@
         const attribution = attributionOf(head);
         const shed = service.shedStatuses.has(status) && headers[service.shedHeader] === "not-run";
         const reportedOutcome = shed ? "not-run" : outcomeOfStatus(status, headers[outcomeHeader]);
-        const draining = headers[service.drainHeader] === "draining";
+        const isUnprovedStatement = reportedOutcome === "not-run" && attribution !== "own";
         return {
             attribution,
-            mismatch: attribution === "foreign" ? "it has the id of another attempt" : undefined,
-            outcome: reportedOutcome === "not-run" && attribution !== "own" ? "unknown" : reportedOutcome,
+            echoesId: headers[service.attemptHeader] !== undefined && attribution === "own",
+            mismatch: attribution === "foreign" ? "it has the id of another attempt, or none" : undefined,
+            outcome: isUnprovedStatement ? "unknown" : reportedOutcome,
             shed,
             misdirected: false,
             confirmed: false,
             failed: status >= 500,
             retryable: shed || gatewayStatuses.has(status),
-            forwardable: true,
-            notice: { draining, limit: readLimit(headers[service.limitHeader]), ...readBackoff(status, headers) },
+            forwardable: !isUnprovedStatement,
+            // A notice from elsewhere could take the upstream out of service at all instances.
+            notice: attribution === "unproved" && expectsIds(head) ? noNotice : readNotice(head),
             load: readLoad(headers[service.loadHeader]),
             coldMs: undefined,
         };
     }
 }
 
-const attributionOf = ({ headers, service, attemptId, precedingRequests }: ResponseHead): Attribution => {
+const readNotice = ({ status, headers, service }: ResponseHead): ResponseNotice => ({
+    draining: headers[service.drainHeader] === "draining",
+    limit: readLimit(headers[service.limitHeader]),
+    ...readBackoff(status, headers),
+});
+
+/** Whether the upstream has repeated any id on this connection. */
+const echoesIds = ({ use }: ResponseHead): boolean => use !== undefined && (use.echoes.ofRequest || use.echoes.ofProbe);
+
+/** Whether a head without an id is doubtful; over another instance nothing is known of the connection. */
+const expectsIds = (head: ResponseHead): boolean => echoesIds(head) || head.use?.precedingRequests === undefined;
+
+const attributionOf = (head: ResponseHead): Attribution => {
+    const { headers, service, attemptId, requestHeaders, use } = head;
     const echoed = headers[service.attemptHeader];
-    if (echoed !== undefined && echoed !== attemptId) {
+    if (echoed !== undefined) {
+        return echoed === attemptId ? "own" : "foreign";
+    }
+    // Upstreams may repeat the ids of requests only.
+    const isExpected = requestHeaders === undefined ? use?.echoes.ofProbe === true : echoesIds(head);
+    if (isExpected) {
         return "foreign";
     }
-    return echoed !== undefined || precedingRequests === 0 ? "own" : "unproved";
+    return use?.precedingRequests === 0 ? "own" : "unproved";
 };
 
 const outcomeOfStatus = (status: number, reportedOutcome: string | readonly string[] | undefined): Outcome => {
--- a/packages/daemon/src/request/header-protocol.ts
+++ b/packages/daemon/src/request/header-protocol.ts
@@ -7,6 +7,7 @@
 import type { Configuration, RequestKind, Service, Upstream } from "@harrierhitch/configuration";
 import type { Outcome, UpstreamId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { ConnectionUse } from "../upstream/connection-use.js";
 import type { RequestMetadata } from "./request-metadata.js";
 import type { ResponseNotice } from "./response-notice.js";
 
@@ -41,10 +42,10 @@
     readonly upstream: UpstreamId;
     /** Headers of the caller's request; `undefined` for a probe. */
     readonly requestHeaders: IncomingHttpHeaders | undefined;
-    /** Id of the attempt, as in {@link OutgoingAttempt}; `undefined` for a probe. */
-    readonly attemptId: string | undefined;
-    /** Number of requests that were written to the connection before this one; `undefined` if that is unknown. */
-    readonly precedingRequests: number | undefined;
+    /** Id of the attempt or probe that was passed to {@link HeaderProtocol.attemptHeaders} or {@link HeaderProtocol.probeHeaders}. */
+    readonly attemptId: string;
+    /** The connection; `undefined` before a byte of the request was written. */
+    readonly use: ConnectionUse | undefined;
 }
 
 /** The load that an upstream reports. */
@@ -58,6 +59,8 @@
 
 export interface ParsedResponse {
     readonly attribution: Attribution;
+    /** Whether it repeats the id that this instance gave the attempt. */
+    readonly echoesId: boolean;
     /** Why this is not a response to this request that can be used; `undefined` if it is. */
     readonly mismatch: string | undefined;
     /** Whether the request ran, according to the head; `not-run` only if the attribution is `own`. */
@@ -87,19 +90,10 @@
     readRequestMetadata(request: IncomingMessage, configuration: Configuration, kind: RequestKind): RequestMetadata;
     /** Returns the headers, in lower case, that are set on an attempt's request; `undefined` removes one. */
     attemptHeaders(attempt: OutgoingAttempt): Readonly<Record<string, string | undefined>>;
-    /**
-     * Returns headers of the response to a caller: those by which it recognizes the response to its request.
-     *
-     * @param request - The caller's request.
-     * @param service - The service of its route.
-     * @param outcome - The outcome that the response states.
-     * @returns The headers, in lower case; `undefined` removes one of the upstream's.
-     */
-    callerHeaders(
-        request: IncomingMessage,
-        service: Service,
-        outcome: Outcome,
-    ): Readonly<Record<string, string | undefined>>;
+    /** Returns the headers, in lower case, by which the response to a probe can be recognized. */
+    probeHeaders(service: Service, probeId: string): Readonly<Record<string, string>>;
+    /** Returns the headers by which a caller recognizes the response to its request; `undefined` removes one of the upstream's. */
+    callerHeaders(request: IncomingMessage, service: Service): Readonly<Record<string, string | undefined>>;
     formatRetryAfter(delayMs: number): string;
     readResponseHead(head: ResponseHead): ParsedResponse;
 }
--- a/packages/daemon/src/request/receive-head.ts
+++ b/packages/daemon/src/request/receive-head.ts
@@ -39,8 +39,11 @@
         upstream: upstream.id,
         requestHeaders: progress.request.headers,
         attemptId,
-        precedingRequests: record.use?.precedingRequests,
+        use: record.use,
     });
+    if (response.echoesId && record.use !== undefined) {
+        record.use.echoes.ofRequest = true;
+    }
     record.headMs = progress.ageMs;
     record.attribution = response.attribution;
     const unattributed = findUnattributed(options, record, status, response);
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -169,7 +169,7 @@
             `attempts=${attempts.length}`,
         ];
         return {
-            ...this.services.headerProtocol.callerHeaders(this.request, this.route.service, outcome),
+            ...this.services.headerProtocol.callerHeaders(this.request, this.route.service),
             [requestIdHeader]: this.record.id,
             [decisionHeader]: parts.join(", "),
             [outcomeHeader]: outcome,
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -12,6 +12,7 @@
 import type { HeaderProtocol } from "../request/header-protocol.js";
 import type { ReceivedNotice } from "../request/response-notice.js";
 import type { UnattributedResponse } from "../request/unattributed-response.js";
+import { newSpanId } from "../telemetry/trace-context.js";
 import type { ConnectionUse } from "./connection-use.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import { ProbeSuppression } from "./probe-suppression.js";
@@ -60,6 +61,7 @@
 
 /** A probe that was sent. */
 interface SentProbe {
+    readonly id: string;
     readonly service: Service;
     readonly tracker: UpstreamTracker;
     readonly upstream: UpstreamEntry;
@@ -140,17 +142,20 @@
     }
 
     private async send({ service, runtime }: ProbeTarget, upstream: UpstreamEntry): Promise<void> {
-        const { clock, transport, onProbe } = this.options;
+        const { clock, transport, headerProtocol, onProbe } = this.options;
         const response: { outcome: ProbeOutcome | "foreign"; } = { outcome: "failed" };
-        const sent: SentProbe = { service, tracker: runtime.tracker, upstream, sentAtMs: clock.nowMs(), use: undefined };
+        const { tracker } = runtime;
+        const id = `probe.${newSpanId()}`;
+        const sent: SentProbe = { id, service, tracker, upstream, sentAtMs: clock.nowMs(), use: undefined };
+        const headers = { host: `${upstream.address}:${upstream.port}`, ...headerProtocol.probeHeaders(service, id) };
         const request = {
             method: "GET",
             path: service.probePath ?? "/",
-            headers: ["host", `${upstream.address}:${upstream.port}`],
+            headers: Object.entries(headers).flat(),
             body: undefined,
             isRepeatable: true,
             timeoutMs: cancelAfterMs,
-            mayBegin: () => runtime.tracker.acceptsRequests(upstream),
+            mayBegin: () => tracker.acceptsRequests(upstream),
             onBegin: (use: ConnectionUse) => {
                 sent.use = use;
             },
@@ -175,16 +180,19 @@
     /** Applies the response to a probe; `foreign` for one that belongs to a request. */
     private handleResponse(sent: SentProbe, status: number, headers: IncomingHttpHeaders): ProbeOutcome | "foreign" {
         const { clock, headerProtocol, onNotice } = this.options;
-        const { service, tracker, upstream, sentAtMs, use } = sent;
+        const { id, service, tracker, upstream, sentAtMs, use } = sent;
         const parsed = headerProtocol.readResponseHead({
             status,
             headers,
             service,
             upstream: upstream.id,
             requestHeaders: undefined,
-            attemptId: undefined,
-            precedingRequests: use?.precedingRequests,
+            attemptId: id,
+            use,
         });
+        if (parsed.echoesId && use !== undefined) {
+            use.echoes.ofProbe = true;
+        }
         const { attribution, load, misdirected, notice } = parsed;
         if (attribution === "foreign") {
             this.reportForeign(sent, status);
--- a/packages/daemon/test/apply-shed.test.ts
+++ b/packages/daemon/test/apply-shed.test.ts
@@ -18,6 +18,7 @@
     outcome: "not-run",
     shed: true,
     attribution: "own",
+    echoesId: false,
     misdirected: false,
     confirmed: false,
     failed: false,
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -34,12 +34,14 @@
         };
     },
     attemptHeaders: () => ({}),
+    probeHeaders: () => ({}),
     callerHeaders: () => ({}),
     formatRetryAfter: delayMs => String(delayMs / 1000),
     readResponseHead: ({ status, headers }: ResponseHead): ParsedResponse => {
         const shed = status === 503;
         return {
             attribution: "own",
+            echoesId: false,
             mismatch: undefined,
             outcome: shed ? "not-run" : "ran",
             shed,
--- a/packages/standin/src/standin-answer.ts
+++ b/packages/standin/src/standin-answer.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { STATUS_CODES } from "node:http";
+import { type IncomingMessage, STATUS_CODES } from "node:http";
 
 /** Header with the id of an attempt, which answers echo. */
 export const attemptHeader = "x-attempt-id";
@@ -30,3 +30,9 @@
         "",
         body,
     ].join("\r\n"));
+
+/** Returns the header that repeats the id of an attempt, if the request has one. */
+export const echoOf = ({ headers }: IncomingMessage): Record<string, string> => {
+    const id = headers[attemptHeader];
+    return typeof id === "string" ? { [attemptHeader]: id } : {};
+};
