Own protocol: a head without an id proves nothing where ids are repeated

The path that is left: the response to the first request of a connection is lost, and a copy without an id is the first head that arrives there, which counted as proof.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -10,7 +10,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Readable } from "node:stream";
 import { newSpanId } from "../telemetry/trace-context.js";
-import { noEchoes } from "../upstream/connection-use.js";
+import { remoteUse } from "../upstream/connection-use.js";
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import type { DetourClient } from "./detour-client.js";
@@ -66,7 +66,7 @@
             ...request,
             onBegin: use => {
                 this.hasBegun = true;
-                request.onBegin?.({ ...use, precedingRequests: undefined, echoes: noEchoes() });
+                request.onBegin?.(remoteUse(use.connection));
             },
         };
         this.result = this.run();
--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -103,7 +103,11 @@
             url: request.path,
         });
         const headers = request.needsNewConnection === true ? [...request.headers, newConnectionHeader, "1"] : request.headers;
-        return new HttpAttempt({ address, port, connectTimeoutMs }, agent, { ...request, headers, path: url }, sink);
+        return new HttpAttempt({ address, port, connectTimeoutMs, echoes: { hasEchoed: false } }, agent, {
+            ...request,
+            headers,
+            path: url,
+        }, sink);
     }
 }
 
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -87,8 +87,8 @@
 /** Whether the upstream has repeated any id on this connection. */
 const echoesIds = ({ use }: ResponseHead): boolean => use !== undefined && (use.echoes.ofRequest || use.echoes.ofProbe);
 
-/** Whether a head without an id is doubtful; over another instance nothing is known of the connection. */
-const expectsIds = (head: ResponseHead): boolean => echoesIds(head) || head.use?.precedingRequests === undefined;
+/** Whether a head without an id is doubtful; over another instance nothing is known of the upstream's heads. */
+const expectsIds = ({ use }: ResponseHead): boolean => use?.precedingRequests === undefined || use.upstreamEchoes.hasEchoed;
 
 const attributionOf = (head: ResponseHead): Attribution => {
     const { headers, service, attemptId, requestHeaders, use } = head;
@@ -101,7 +101,7 @@
     if (isExpected) {
         return "foreign";
     }
-    return use?.precedingRequests === 0 ? "own" : "unproved";
+    return use?.precedingRequests === 0 && !use.upstreamEchoes.hasEchoed ? "own" : "unproved";
 };
 
 const outcomeOfStatus = (status: number, reportedOutcome: string | readonly string[] | undefined): Outcome => {
--- a/packages/daemon/src/request/receive-head.ts
+++ b/packages/daemon/src/request/receive-head.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import { recordEcho } from "../upstream/connection-use.js";
 import { applyResponse } from "./apply-response.js";
 import type { AttemptOptions } from "./attempt-options.js";
 import type { AttemptRecord } from "./decision-record.js";
@@ -42,7 +43,7 @@
         use: record.use,
     });
     if (response.echoesId && record.use !== undefined) {
-        record.use.echoes.ofRequest = true;
+        recordEcho(record.use, "ofRequest");
     }
     record.headMs = progress.ageMs;
     record.attribution = response.attribution;
--- a/packages/daemon/src/upstream/connection-use.ts
+++ b/packages/daemon/src/upstream/connection-use.ts
@@ -14,6 +14,11 @@
     ofProbe: boolean;
 }
 
+/** Whether any response of an upstream has repeated the id of its attempt; shared by all connections to it. */
+export interface UpstreamEchoes {
+    hasEchoed: boolean;
+}
+
 /** A connection at the time at which a request begins on it. */
 export interface ConnectionUse {
     /** Number of the connection, unique in this process. */
@@ -21,6 +26,7 @@
     /** Number of requests that were written to it before; `undefined` for a connection of another instance. */
     readonly precedingRequests: number | undefined;
     readonly echoes: ConnectionEchoes;
+    readonly upstreamEchoes: UpstreamEchoes;
 }
 
 interface ConnectionRecord {
@@ -32,23 +38,35 @@
 const records = new WeakMap<Socket, ConnectionRecord>();
 let lastConnection = 0;
 
-/** Returns the record of a connection on which nothing has been echoed. */
-export const noEchoes = (): ConnectionEchoes => ({ ofRequest: false, ofProbe: false });
+/** Returns the use of a connection of another instance, of which nothing else is known. */
+export const remoteUse = (connection: number): ConnectionUse => ({
+    connection,
+    precedingRequests: undefined,
+    echoes: { ofRequest: false, ofProbe: false },
+    upstreamEchoes: { hasEchoed: false },
+});
+
+/** Records that a response has repeated the id of its attempt. */
+export const recordEcho = ({ echoes, upstreamEchoes }: ConnectionUse, kind: keyof ConnectionEchoes): void => {
+    echoes[kind] = true;
+    upstreamEchoes.hasEchoed = true;
+};
 
 /**
  * Records that a request begins on a connection.
  *
  * @param socket - The connection.
+ * @param upstreamEchoes - What is known of its upstream.
  * @returns The connection before this request.
  */
-export const recordUse = (socket: Socket): ConnectionUse => {
+export const recordUse = (socket: Socket, upstreamEchoes: UpstreamEchoes): ConnectionUse => {
     let record = records.get(socket);
     if (record === undefined) {
         lastConnection += 1;
-        record = { connection: lastConnection, echoes: noEchoes(), requests: 0 };
+        record = { connection: lastConnection, echoes: { ofRequest: false, ofProbe: false }, requests: 0 };
         records.set(socket, record);
     }
     const { connection, echoes, requests: precedingRequests } = record;
     record.requests += 1;
-    return { connection, precedingRequests, echoes };
+    return { connection, precedingRequests, echoes, upstreamEchoes };
 };
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -11,7 +11,7 @@
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { AttemptCancelledError, AttemptWithdrawnError, ConnectTimeoutError, EarlyResponseError } from "./attempt-errors.js";
-import { recordUse } from "./connection-use.js";
+import { recordUse, type UpstreamEchoes } from "./connection-use.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
@@ -20,6 +20,7 @@
     readonly address: string;
     readonly port: number;
     readonly connectTimeoutMs: number;
+    readonly echoes: UpstreamEchoes;
 }
 
 /** Maximum size of a response's status line and headers. */
@@ -150,7 +151,7 @@
         socket.off("data", this.withdrawOnEarlyData);
         if (!this.finished && !this.withdrawIfDisallowed()) {
             this.sent = true;
-            this.outgoing.onBegin?.(recordUse(socket));
+            this.outgoing.onBegin?.(recordUse(socket, this.target.echoes));
         }
     }
 
--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -9,6 +9,7 @@
 import { isSameIncarnation } from "@harrierhitch/decision";
 import { Agent } from "node:http";
 import { checkPort, type PortState } from "./check-port.js";
+import type { UpstreamEchoes } from "./connection-use.js";
 import { HttpAttempt } from "./http-attempt.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTarget, UpstreamTransport } from "./upstream-transport.js";
@@ -16,6 +17,7 @@
 interface AgentEntry {
     readonly agent: UpstreamAgent;
     readonly target: UpstreamTarget;
+    readonly echoes: UpstreamEchoes;
 }
 
 /** Idle timeout of connections, in milliseconds; an upstream may announce a shorter one. */
@@ -49,7 +51,7 @@
             return { result, cancel: () => undefined, resume: () => undefined };
         }
         return new HttpAttempt(
-            { ...entry.target.upstream, connectTimeoutMs: entry.target.connectTimeoutMs },
+            { ...entry.target.upstream, connectTimeoutMs: entry.target.connectTimeoutMs, echoes: entry.echoes },
             request.needsNewConnection === true ? this.singleUseAgent : entry.agent,
             request,
             sink,
@@ -73,7 +75,8 @@
 }
 
 const createAgent = (target: UpstreamTarget): AgentEntry => {
-    return { target, agent: new UpstreamAgent({ connections: target.connections, keepAliveMs }) };
+    const agent = new UpstreamAgent({ connections: target.connections, keepAliveMs });
+    return { target, agent, echoes: { hasEchoed: false } };
 };
 
 const isSameTarget = (a: UpstreamTarget, b: UpstreamTarget): boolean =>
--- a/packages/daemon/src/upstream/prober.ts
+++ b/packages/daemon/src/upstream/prober.ts
@@ -13,7 +13,7 @@
 import type { ReceivedNotice } from "../request/response-notice.js";
 import type { UnattributedResponse } from "../request/unattributed-response.js";
 import { newSpanId } from "../telemetry/trace-context.js";
-import type { ConnectionUse } from "./connection-use.js";
+import { type ConnectionUse, recordEcho } from "./connection-use.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import { ProbeSuppression } from "./probe-suppression.js";
 import type { ServiceRuntime } from "./service-runtime.js";
@@ -191,7 +191,7 @@
             use,
         });
         if (parsed.echoesId && use !== undefined) {
-            use.echoes.ofProbe = true;
+            recordEcho(use, "ofProbe");
         }
         const { attribution, load, misdirected, notice } = parsed;
         if (attribution === "foreign") {
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -5,7 +5,7 @@
 import type { Upstream } from "@harrierhitch/configuration";
 import { type Clock, sleep, type UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult } from "@harrierhitch/decision";
-import { noEchoes } from "../../src/upstream/connection-use.js";
+import { remoteUse } from "../../src/upstream/connection-use.js";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTransport } from "../../src/upstream/upstream-transport.js";
 import type { DepartureChecker } from "./departure-checker.js";
 import { modelCallerHeader } from "./model-request.js";
@@ -76,7 +76,7 @@
                 return;
             }
             state.hasBegun = true;
-            request.onBegin?.({ connection: 1, precedingRequests: undefined, echoes: noEchoes() });
+            request.onBegin?.(remoteUse(1));
             await sleep(this.clock, oneWayDelayMs);
             model.recordArrival(this.instance);
             if (request.path !== modelProbePath) {
