Read a streamed body only when its request may begin

Callers of requests with chunked or long bodies got 503 with the outcome not-run although their request had run (found by the review of this fix). The first byte of a request is held back until what its caller sent has been read. The body was piped at once, and when a body ends, Node writes everything that is held back (OutgoingMessage.end uncorks the connection fully). The request was at its upstream while the attempt counted as not begun. If the upstream might no longer get requests when the wait ended (draining, backoff, rate limit, another server at its address, unread caller), the attempt ended as withdrawn, not-run: a false promise, without another attempt, since such a body cannot be sent twice.

The body is piped when the request begins. A withdrawn request keeps its body and can be sent elsewhere. The last check before the first byte also asks whether the response has been sent meanwhile (a body that did not arrive in time).

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -210,7 +210,7 @@
         const { record, attemptId } = this;
         const { connection } = progress.response;
         const mayBegin = (): boolean =>
-            !progress.response.callerDisconnected && !connection.isUnread
+            !progress.response.isOver && !connection.isUnread
             && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (use: ConnectionUse): void => {
             this.record.sentMs = progress.ageMs;
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -92,7 +92,6 @@
     private send(body: UpstreamRequest["body"]): void {
         if (body instanceof Readable) {
             body.on("error", error => this.request.destroy(error));
-            body.pipe(this.request);
             this.request.on("close", () => body.destroy());
         }
         else {
@@ -100,6 +99,7 @@
         }
     }
 
+    /** Ends the attempt: data that arrives while nothing is written cannot be its response. */
     private readonly withdrawOnEarlyData = (): void => {
         const error = new EarlyResponseError();
         this.request.destroy(error);
@@ -152,6 +152,11 @@
         if (!this.finished && !this.withdrawIfDisallowed()) {
             this.sent = true;
             this.outgoing.onBegin?.(recordUse(socket, this.target.echoes));
+            const { body } = this.outgoing;
+            if (body instanceof Readable) {
+                // Node writes what is held back when a body ends, so no body is read before.
+                body.pipe(this.request);
+            }
         }
     }
 
