Close an idle connection before one for a second attempt is opened

The connection that a second attempt at the same upstream opens came on top of those that the limit allows; beyond MaxConns the upstream resets it, and the request counts as unknown. One idle connection is closed first. connection-limits.test.ts failed before (2 open with a limit of 1). If none is idle, the limit is still exceeded by one.

--- a/packages/daemon/src/upstream/http-transport.ts
+++ b/packages/daemon/src/upstream/http-transport.ts
@@ -50,9 +50,13 @@
             const result = Promise.resolve({ end: "connect-failed", status: undefined, detail, sent: false } as const);
             return { result, cancel: () => undefined, resume: () => undefined };
         }
+        const { needsNewConnection = false } = request;
+        if (needsNewConnection) {
+            entry.agent.closeOneIdle();
+        }
         return new HttpAttempt(
             { ...entry.target.upstream, connectTimeoutMs: entry.target.connectTimeoutMs, echoes: entry.echoes },
-            request.needsNewConnection === true ? this.singleUseAgent : entry.agent,
+            needsNewConnection ? this.singleUseAgent : entry.agent,
             request,
             sink,
         );
--- a/packages/daemon/src/upstream/upstream-agent.ts
+++ b/packages/daemon/src/upstream/upstream-agent.ts
@@ -47,6 +47,11 @@
         this.closeIdle();
     }
 
+    /** Closes one idle connection, if there is any, so that another one may be opened. */
+    closeOneIdle(): void {
+        Object.values(this.freeSockets).flat()[0]?.destroy();
+    }
+
     /** Closes idle connections. */
     closeIdle(): void {
         Object.values(this.freeSockets).flat().forEach(socket => socket?.destroy());
