Between instances: close a connection out of step, and attribute checks of ports

A response with another id left its connection in use, so that the next request on it was answered wrongly as well (path-lost). And a check of a port by another instance was concluded from whatever response came: a late 'not-sent closed' counted as a crash of the upstream. Such a response closes its connection now, and checks have ids.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -83,11 +83,15 @@
 
     onHead(status: number, headers: IncomingHttpHeaders): boolean {
         // What arrives before the request was sent answers another one; the attempt ends, so that it is not sent afterwards.
-        this.received = this.hasBegun ? readDetourResult(headers, this.id) : undefined;
-        if (this.received?.type !== "answered") {
-            return this.hasBegun;
+        if (!this.hasBegun) {
+            return false;
+        }
+        this.received = readDetourResult(headers, this.id);
+        if (this.received.type === "answered") {
+            return this.options.sink.onHead(status, withoutDetourHeaders(headers));
         }
-        return this.options.sink.onHead(status, withoutDetourHeaders(headers));
+        // A connection on which a response of unknown origin arrived carries nothing further.
+        return this.received.type !== "lost";
     }
 
     onData(chunk: Buffer): boolean {
--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -9,11 +9,12 @@
 import type { Member } from "@harrierhitch/protocol";
 import type { Agent as HttpAgent } from "node:http";
 import type { Agent as HttpsAgent } from "node:https";
+import { newSpanId } from "../telemetry/trace-context.js";
 import { checkPort, type PortState } from "../upstream/check-port.js";
 import { HttpAttempt } from "../upstream/http-attempt.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { type DetourAction, formatDetour } from "./detour-address.js";
-import { detourHeader, type DetourResult, parseDetourResult } from "./detour-result.js";
+import { detourIdHeader, type DetourResult, readDetourResult } from "./detour-result.js";
 import { newConnectionHeader } from "./new-connection-header.js";
 
 /** Options of {@link DetourClient}. */
@@ -58,11 +59,14 @@
     /** Asks another instance whether an upstream accepts its connections. */
     async check(peer: Member, upstream: UpstreamEntry): Promise<PortState> {
         let state: PortState = "silent";
-        const request = { method: "GET", path: "/", headers: ["host", "instance"], body: undefined, timeoutMs: checkTimeoutMs };
+        const id = newSpanId();
+        const headers = ["host", "instance", detourIdHeader, id];
+        const request = { method: "GET", path: "/", headers, body: undefined, timeoutMs: checkTimeoutMs };
         const attempt = this.open(peer, upstream, request, {
-            onHead: (_, headers) => {
-                state = portStateOf(parseDetourResult(headers[detourHeader]));
-                return true;
+            onHead: (_, received) => {
+                const result = readDetourResult(received, id);
+                state = portStateOf(result);
+                return result.type !== "lost";
             },
             onData: () => true,
         }, "check");
--- a/packages/daemon/test/detour-attribution.test.ts
+++ b/packages/daemon/test/detour-attribution.test.ts
@@ -110,3 +110,19 @@
         assert.deepEqual({ end, sent }, { end: "withdrawn", sent: false });
     });
 });
+
+test("a connection to another instance on which a response to another request arrived carries nothing further", async () => {
+    let first = "";
+    const send = await start((socket, id, count) => {
+        first = count === 1 ? id : first;
+        if (count === 2) {
+            socket.write(response("not-sent withdrawn", first));
+        }
+        setTimeout(() => socket.write(response("not-sent withdrawn", id)), count === 1 ? 0 : 30);
+    });
+    const ends: string[] = [];
+    for (const path of ["first", "second", "third"]) {
+        ends.push((await send(path)).end);
+    }
+    assert.deepEqual(ends, ["withdrawn", "path-lost", "withdrawn"]);
+});
