Callers' connections: errors after CONNECT, and responses before a close

A caller that sent CONNECT and reset its connection ended the process: Node removes its error listener, and the reset is an unhandled error. And a connection that ends after its outstanding responses was destroyed at once, so that a caller that sends on gets a reset and loses what it has not read. The error is handled; the connection is kept for a while after the last response, as after a problem.

connection-ends.test.ts failed before (uncaught error twice; 1.5 MB lost).

--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -46,7 +46,11 @@
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("checkContinue", (request, response) => this.handleContinue(request, response));
         this.server.on("checkExpectation", (request, response) => this.handleExpectation(request, response));
-        this.server.on("connect", (_, socket: Duplex) => this.problems.end(socket, upgradeProblem));
+        this.server.on("connect", (_, socket: Duplex) => {
+            // Node has removed its own listener, and a reset must not end this process.
+            socket.on("error", () => socket.destroy());
+            this.problems.end(socket, upgradeProblem);
+        });
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
             this.problems.end(socket, parserProblem(error));
         });
--- a/packages/daemon/src/request/connection-problems.ts
+++ b/packages/daemon/src/request/connection-problems.ts
@@ -97,15 +97,16 @@
     const headers = { ...problemHeaders(problem, Buffer.byteLength(body)), connection: "close" };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.end(`HTTP/1.1 ${status} ${title}\r\n${lines.join("")}\r\n${body}`);
-    // What arrives meanwhile is read, since a reset would discard the problem.
-    setTimeout(() => socket.destroy(), lingerMs).unref();
+    destroyLater(socket);
 };
 
 /** Closes a connection when everything that was written has been sent. */
 const destroySoon = (socket: Duplex): void => {
-    if (socket.writableFinished) {
-        socket.destroy();
-        return;
-    }
-    socket.end(() => socket.destroy());
+    socket.end();
+    destroyLater(socket);
+};
+
+/** Closes a connection after a while; what arrives meanwhile is read, since a reset would discard what was sent. */
+const destroyLater = (socket: Duplex): void => {
+    setTimeout(() => socket.destroy(), lingerMs).unref();
 };
