--- a/packages/standin/src/soak/soak-callers.ts
+++ b/packages/standin/src/soak/soak-callers.ts
@@ -5,7 +5,7 @@
  */
 
 import type { RandomSource } from "@harrierhitch/core";
-import { Agent, request } from "node:http";
+import { Agent, type ClientRequest, request } from "node:http";
 import type { EntryProcess } from "./entry-process.js";
 import type { ObservedResponse } from "./observed-response.js";
 import type { SoakChecker } from "./soak-checker.js";
@@ -115,9 +115,22 @@
             });
         });
         outgoing.on("error", resolveLost);
-        outgoing.end(method === "POST" ? "body" : undefined);
+        if (method === "POST") {
+            sendBody(outgoing, Number(number.slice(1)) % 2 === 0);
+        }
+        else {
+            outgoing.end();
+        }
     });
 
+/** Sends a body with a length, or in chunks, which instances stream. */
+const sendBody = (outgoing: ClientRequest, isChunked: boolean): void => {
+    if (isChunked) {
+        outgoing.write("bo");
+    }
+    outgoing.end(isChunked ? "dy" : "body");
+};
+
 const isResponseTo = (body: string, number: string): boolean => {
     try {
         return (JSON.parse(body) as { readonly key?: string; }).key === number;
