Frame streamed bodies for all methods

Node adds Transfer-Encoding only for methods whose requests usually have a body, and the caller's own header is not forwarded, since it belongs to its connection. Every attempt, direct or through another instance, adds it where a streamed body has no length.

--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -60,7 +60,7 @@
             port,
             method: outgoing.method,
             path: outgoing.path,
-            headers: outgoing.headers as string[],
+            headers: framedHeaders(outgoing),
             maxHeaderSize: maximumResponseHeadBytes,
             setHost: false,
         });
@@ -225,6 +225,12 @@
     }
 }
 
+/** Returns the headers with the framing of the body. Node adds none for methods whose requests usually have no body. */
+const framedHeaders = ({ headers, body }: UpstreamRequest): string[] => {
+    const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
+    return body instanceof Readable && !hasLength ? [...headers, "transfer-encoding", "chunked"] : [...headers];
+};
+
 const codeOf = (error: Error): string => "code" in error ? String(error.code) : "";
 
 const describe = (thrown: Error): string => {
