Keep the length of a body that Connection names

The length is kept whatever Connection names, and a body without one gets its own. connection-named-length.test.ts failed before: GET /smuggled ran.

--- a/packages/daemon/src/request/headers.ts
+++ b/packages/daemon/src/request/headers.ts
@@ -36,7 +36,8 @@
     connection: string | undefined,
     replaced: Readonly<Record<string, string | undefined>>,
 ): string[] => {
-    const dropped = namedByConnection(connection);
+    // Without its length, a body would be read as the next request.
+    const dropped = namedByConnection(connection).filter(name => name !== "content-length");
     const result: string[] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]?.toLowerCase() ?? "";
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -228,7 +228,12 @@
 /** Returns the headers with the framing of the body. Node adds none for methods whose requests usually have no body. */
 const framedHeaders = ({ headers, body }: UpstreamRequest): string[] => {
     const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-    return body instanceof Readable && !hasLength ? [...headers, "transfer-encoding", "chunked"] : [...headers];
+    if (hasLength || body === undefined) {
+        return [...headers];
+    }
+    return body instanceof Readable
+        ? [...headers, "transfer-encoding", "chunked"]
+        : [...headers, "content-length", String(body.length)];
 };
 
 const codeOf = (error: Error): string => "code" in error ? String(error.code) : "";
