Do not hedge a request whose body is streamed

Since a streamed body is read when its request begins. Only bodies that two attempts may send at once are hedged.

--- a/packages/daemon/src/request/hedge.ts
+++ b/packages/daemon/src/request/hedge.ts
@@ -28,7 +28,7 @@
 
 /** Whether the request allows a second attempt while the first one is running. */
 export const allowsHedge = (progress: RequestProgress, body: RequestBody): boolean =>
-    progress.sentAttempts < progress.route.kind.maximumAttempts && body.canReplay && !progress.response.callerDisconnected;
+    progress.sentAttempts < progress.route.kind.maximumAttempts && body.canShare && !progress.response.callerDisconnected;
 
 /** What the start of a hedge depends on; the state of a service has these. */
 export interface HedgeConditions {
--- a/packages/daemon/src/request/read-body.ts
+++ b/packages/daemon/src/request/read-body.ts
@@ -16,7 +16,7 @@
     readonly replayBytes: number;
 }
 
-const emptyBody: RequestBody = { canReplay: true, buffered: undefined, open: () => undefined };
+const emptyBody: RequestBody = { canReplay: true, canShare: true, buffered: undefined, open: () => undefined };
 
 /**
  * Waits for a request's body if it is small, or prepares to stream it.
@@ -40,7 +40,7 @@
     }
     if (length !== undefined && Number(length) <= limits.replayBytes) {
         const buffered = await readBuffered(received);
-        return { canReplay: true, buffered, open: () => buffered };
+        return { canReplay: true, canShare: true, buffered, open: () => buffered };
     }
     if (received.isMemoryExhausted) {
         throw new BodyMemoryError();
--- a/packages/daemon/src/request/request-body.ts
+++ b/packages/daemon/src/request/request-body.ts
@@ -11,6 +11,8 @@
 export interface RequestBody {
     /** Whether the body can be sent again after a failed attempt. */
     readonly canReplay: boolean;
+    /** Whether two attempts may send it at the same time. */
+    readonly canShare: boolean;
     /** The complete body, if it is buffered. */
     readonly buffered: Buffer | undefined;
     /** Returns the body for the next attempt; `undefined` for a request without a body. */
--- a/packages/daemon/src/request/streamed-body.ts
+++ b/packages/daemon/src/request/streamed-body.ts
@@ -12,6 +12,7 @@
 /** A body that is read ahead as far as the memory of its connection allows, and streamed. */
 export class StreamedBody implements RequestBody {
     readonly buffered = undefined;
+    readonly canShare = false;
     private opened = false;
 
     /**
