--- a/packages/daemon/src/request/caller-connection.ts
+++ b/packages/daemon/src/request/caller-connection.ts
@@ -33,6 +33,8 @@
     private waitingBytes = 0;
     /** Bytes that the connection may hold beyond its share while it is read before a request begins. */
     private reservedBytes = 0;
+    /** Most bytes that it may hold in this way until it gives the reserve back; `undefined` while it has none. */
+    private reserveBoundBytes: number | undefined;
     private isPaused = false;
     private isResumeScheduled = false;
     /** Fulfilled when what arrived during a pause has been read. */
@@ -142,18 +144,15 @@
         if (this.unread) {
             return;
         }
-        this.reservedBytes = this.heldBytes + ReadingReserve.bytes;
+        this.reserveBoundBytes ??= this.heldBytes + ReadingReserve.bytes;
+        this.reservedBytes = this.reserveBoundBytes;
         this.resume();
         await this.catchUp();
         this.reservedBytes = 0;
         this.updateReading();
     }
 
-    /**
-     * Adds a listener for the close of the connection by the caller.
-     *
-     * @returns Removes the listener.
-     */
+    /** Adds a listener for the close of the connection by the caller; returns a function that removes it. */
     onLeave(listener: () => void): () => void {
         this.leaveListeners.add(listener);
         return () => this.leaveListeners.delete(listener);
@@ -177,6 +176,7 @@
             return;
         }
         if (this.reservedBytes === 0) {
+            this.reserveBoundBytes = undefined;
             this.options.memory.reserve.giveBack(this);
         }
         if ((this.isPaused || this.options.socket.isPaused()) && !this.isResumeScheduled) {
