Own protocol: repeated ids of probes say nothing of requests

An upstream whose health endpoint alone repeats ids had every response to a request taken for a foreign one after a probe on the same connection. It is unproved now; the case of configured-attribution.test.ts that expected foreign expects that.

--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -84,9 +84,6 @@
     ...readBackoff(status, headers),
 });
 
-/** Whether the upstream has repeated any id on this connection. */
-const echoesIds = ({ use }: ResponseHead): boolean => use !== undefined && (use.echoes.ofRequest || use.echoes.ofProbe);
-
 /** Whether a head without an id is doubtful; over another instance nothing is known of the upstream's heads. */
 const expectsIds = ({ use }: ResponseHead): boolean => use?.precedingRequests === undefined || use.upstreamEchoes.hasEchoed;
 
@@ -96,9 +93,9 @@
     if (echoed !== undefined) {
         return echoed === attemptId ? "own" : "foreign";
     }
-    // Upstreams may repeat the ids of requests only.
-    const isExpected = requestHeaders === undefined ? use?.echoes.ofProbe === true : echoesIds(head);
-    if (isExpected) {
+    // Upstreams may repeat the ids of requests or of probes only.
+    const isProbe = requestHeaders === undefined;
+    if (isProbe ? use?.echoes.ofProbe === true : use?.echoes.ofRequest === true) {
         return "foreign";
     }
     return use?.precedingRequests === 0 && !use.upstreamEchoes.hasEchoed ? "own" : "unproved";
