Planned stop: each connection ends after its last response

Cause, one of several: only requests that arrived after the announcement got `Connection: close`. A connection whose response was in flight stayed open, took further requests, and was still open when the time was over. Node's `close` also destroys connections whose response has been ended but not sent, so slow readers lost theirs.

A connection now takes no further request once the stop is announced, unless it is idle, in which case it takes one. Its last response has `Connection: close`; if the head was sent before, the connection closes after the last byte. Idle connections and those with half of a head close with the port. A response counts until the caller's connection has taken it. What is cut off at the end is reset, since a response without a length would look complete after a regular close.

Ruled out: keeping the connection open and refusing further requests on it, which costs callers a round trip.

--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -8,9 +8,9 @@
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { BufferedResponse } from "./buffered-response.js";
 import type { CallerConnection } from "./caller-connection.js";
+import type { CallerResponseOptions } from "./caller-response-options.js";
 import { definedHeaders, responseHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
-import type { ReadAheadMemory } from "./read-ahead-memory.js";
 import { ReadAhead } from "./read-ahead.js";
 import { ReceivedBody } from "./received-body.js";
 import { hasBody } from "./request-body.js";
@@ -24,6 +24,10 @@
 export class CallerResponse {
     /** Number of requests on the connection that had no complete response when this one arrived. */
     readonly ahead: number;
+    readonly connection: CallerConnection;
+    private readonly request: IncomingMessage;
+    private readonly response: ServerResponse;
+    private readonly isLast: () => boolean;
     private readonly disconnectListeners = new Set<() => void>();
     private disconnected = false;
     private finished = false;
@@ -33,18 +37,13 @@
     /** The body of the request as it arrives; `undefined` if it has none. */
     readonly received: ReceivedBody | undefined;
 
-    /**
-     * @param request - The caller's request.
-     * @param response - The response to write.
-     * @param connection - The caller's connection.
-     * @param memory - Memory for what the caller has not read of a streamed response; `undefined` to read no more than Node buffers.
-     */
-    constructor(
-        private readonly request: IncomingMessage,
-        private readonly response: ServerResponse,
-        readonly connection: CallerConnection,
-        memory?: ReadAheadMemory,
-    ) {
+    /** @param options - The request, its connection and the response to write. */
+    constructor(options: CallerResponseOptions) {
+        const { request, response, connection, memory, isLast = () => false } = options;
+        this.request = request;
+        this.response = response;
+        this.connection = connection;
+        this.isLast = isLast;
         this.ahead = this.connection.begin();
         this.writes = new WaitingWrites(response, connection);
         this.readAhead = memory && new ReadAhead(memory, (chunk, onTaken) => response.write(chunk, onTaken));
@@ -243,8 +242,9 @@
         return status;
     }
 
-    /** Announces the close of the connection if the request body was not read completely. */
+    /** Announces the close of the connection, also if the request body was not read completely. */
     private get closingHeaders(): OutgoingHttpHeaders {
-        return hasBody(this.request) && !this.request.complete ? { connection: "close" } : {};
+        const isBodyUnread = hasBody(this.request) && !this.request.complete;
+        return isBodyUnread || this.isLast() ? { connection: "close" } : {};
     }
 }
--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -7,11 +7,12 @@
 import type { Configuration, Settings } from "@harrierhitch/configuration";
 import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { createServer as createTlsServer } from "node:https";
+import { createServer as createTlsServer, Server as TlsServer } from "node:https";
 import type { Duplex } from "node:stream";
 import { listenOn } from "../listen.js";
 import type { CallerConnections } from "./caller-connections.js";
 import { CallerResponse } from "./caller-response.js";
+import { ConnectionEnds } from "./connection-ends.js";
 import { ConnectionProblems } from "./connection-problems.js";
 import type { Problem } from "./problem.js";
 import { hasBody } from "./request-body.js";
@@ -33,7 +34,8 @@
 export class CallersServer {
     private readonly server: Server;
     private readonly tasks = new Set<Promise<void>>();
-    private readonly problems = new ConnectionProblems();
+    private readonly ends = new ConnectionEnds();
+    private readonly problems = new ConnectionProblems(this.ends);
     private stopping = false;
     private hasServedAny = false;
     private maximumBodyBytes: number;
@@ -43,6 +45,10 @@
         this.server = createHttpServer(options.settings);
         this.maximumBodyBytes = options.settings.maximumBodyBytes;
         this.server.maxConnections = options.settings.maximumConnections;
+        // Called by `close`; Node takes a connection for idle whose response has ended but is not sent yet.
+        Object.assign(this.server, { closeIdleConnections: () => this.ends.closeIdle() });
+        const isSecure = this.server instanceof TlsServer;
+        this.server.on(isSecure ? "secureConnection" : "connection", (socket: Duplex) => this.ends.add(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("checkContinue", (request, response) => this.handleContinue(request, response));
         this.server.on("checkExpectation", (request, response) => this.handleExpectation(request, response));
@@ -70,9 +76,13 @@
         return listenOn(this.server, this.options.settings);
     }
 
-    /** Adds `Connection: close` to the responses to all further requests. */
+    /**
+     * Closes connections after their outstanding responses, which take no further request meanwhile. An idle connection takes one
+     * more, since its caller may already have sent it.
+     */
     announceStop(): void {
         this.stopping = true;
+        this.ends.endBusy();
     }
 
     /** Applies the limits of a configuration; for a limit of 0 the settings apply. */
@@ -84,25 +94,25 @@
     }
 
     /**
-     * Accepts no more connections and waits for the requests in flight.
+     * Accepts no more connections, closes those without a request, and waits until callers have taken the outstanding responses.
      *
      * @param expired - Ends the wait when fulfilled.
-     * @returns The number of requests that were aborted.
+     * @returns The number of responses that were cut off.
      */
     async close(expired: Promise<void>): Promise<number> {
-        this.stopping = true;
+        this.announceStop();
         const closed = new Promise<void>(resolve => {
             this.server.close(() => resolve());
         });
-        this.server.closeIdleConnections();
-        await Promise.race([Promise.all([closed, ...this.tasks]), expired]);
-        const abortedRequests = this.tasks.size;
+        const tasksEnded = closed.then(() => Promise.all(this.tasks));
+        await Promise.race([tasksEnded, expired]);
+        const abortedResponses = this.ends.abortAll();
         this.server.closeAllConnections();
-        return abortedRequests;
+        return abortedResponses;
     }
 
     private handleExpectation(request: IncomingMessage, nodeResponse: ServerResponse): void {
-        if (!this.problems.isEnding(request.socket)) {
+        if (!this.ends.isEnding(request.socket)) {
             const detail = `cannot meet ${request.headers.expect}`;
             const problem: Problem = { kind: "expectation-failed", detail, outcome: "not-run" };
             this.toResponse(request, nodeResponse).sendProblem(problem, undefined);
@@ -111,19 +121,17 @@
 
     private handleContinue(request: IncomingMessage, nodeResponse: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
-        if (length <= this.maximumBodyBytes && !this.problems.isEnding(request.socket)) {
+        if (length <= this.maximumBodyBytes && !this.ends.isEnding(request.socket)) {
             nodeResponse.writeContinue();
         }
         this.handleRequest(request, nodeResponse);
     }
 
     private handleRequest(request: IncomingMessage, nodeResponse: ServerResponse): void {
-        if (this.problems.isEnding(request.socket)) {
+        if (this.ends.isEnding(request.socket)) {
+            request.resume();
             return;
         }
-        if (this.stopping) {
-            nodeResponse.setHeader("connection", "close");
-        }
         const response = this.toResponse(request, nodeResponse);
         const problem = findRequestProblem(request);
         if (problem !== undefined) {
@@ -143,8 +151,17 @@
 
     private toResponse(request: IncomingMessage, nodeResponse: ServerResponse): CallerResponse {
         const { connections } = this.options;
-        const response = new CallerResponse(request, nodeResponse, connections.of(request.socket), connections.readAhead);
-        nodeResponse.once("close", this.problems.begin(request, response));
+        const response = new CallerResponse({
+            request,
+            response: nodeResponse,
+            connection: connections.of(request.socket),
+            memory: connections.readAhead,
+            isLast: () => this.ends.isLast(request),
+        });
+        nodeResponse.once("close", this.ends.begin(request, response));
+        if (this.stopping) {
+            this.ends.end(request.socket);
+        }
         return response;
     }
 }
--- a/packages/daemon/src/request/connection-problems.ts
+++ b/packages/daemon/src/request/connection-problems.ts
@@ -4,51 +4,21 @@
  * @packageDocumentation
  */
 
-import type { IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 import type { CallerResponse } from "./caller-response.js";
+import { closeLater, type ConnectionEnds } from "./connection-ends.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 
-/** Time for a caller to read a problem before its connection is closed, in milliseconds. */
-const lingerMs = 1000;
-
-interface ConnectionState {
-    /** Requests without a complete response, in their order. */
-    readonly open: Map<IncomingMessage, CallerResponse>;
-    /** Whether nothing further that arrives is served. */
-    isEnding: boolean;
-}
-
 /**
  * Answers requests that cannot be read. A problem is a statement about one request: it is sent in the turn of that request, only if
  * nothing of it was passed on, and nothing of it is passed on later. Where this cannot be held, the connection is closed instead.
  */
 export class ConnectionProblems {
-    private readonly states = new WeakMap<Duplex, ConnectionState>();
+    /** Connections on which something could not be read. */
+    private readonly failed = new WeakSet<Duplex>();
 
-    /** Whether what arrives on a connection is not served any more. */
-    isEnding(socket: Duplex): boolean {
-        return this.states.get(socket)?.isEnding === true;
-    }
-
-    /**
-     * Records a request whose response is outstanding.
-     *
-     * @param request - The request.
-     * @param response - The response.
-     * @returns Records that the response is complete.
-     */
-    begin(request: IncomingMessage, response: CallerResponse): () => void {
-        const { socket } = request;
-        const state = this.stateOf(socket);
-        state.open.set(request, response);
-        return () => {
-            state.open.delete(request);
-            if (state.isEnding && state.open.size === 0) {
-                destroySoon(socket);
-            }
-        };
-    }
+    /** @param ends - Ends the connections. */
+    constructor(private readonly ends: ConnectionEnds) {}
 
     /**
      * Ends a connection after the responses that are outstanding.
@@ -57,28 +27,24 @@
      * @param problem - What is wrong with the request that was being read.
      */
     end(socket: Duplex, problem: Problem): void {
-        const state = this.stateOf(socket);
-        if (state.isEnding) {
+        const outstanding = this.ends.outstanding(socket);
+        const isClosing = this.ends.isEnding(socket) && outstanding.length === 0;
+        if (isClosing || this.failed.has(socket)) {
             return;
         }
-        state.isEnding = true;
-        const [, incomplete] = [...state.open].find(([request]) => !request.complete) ?? [];
+        const [, incomplete] = outstanding.find(([request]) => !request.complete) ?? [];
+        this.failed.add(socket);
+        this.ends.end(socket);
         if (!socket.writable) {
             socket.destroy();
         }
         else if (incomplete !== undefined) {
             endIncomplete(incomplete, problem);
         }
-        else if (state.open.size === 0) {
+        else if (outstanding.length === 0) {
             writeRawProblem(socket, problem);
         }
     }
-
-    private stateOf(socket: Duplex): ConnectionState {
-        const state = this.states.get(socket) ?? { open: new Map(), isEnding: false };
-        this.states.set(socket, state);
-        return state;
-    }
 }
 
 /** Responds to a request of which only a part has arrived, unless an upstream may have received some of it. */
@@ -97,16 +63,5 @@
     const headers = { ...problemHeaders(problem, Buffer.byteLength(body)), connection: "close" };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.end(`HTTP/1.1 ${status} ${title}\r\n${lines.join("")}\r\n${body}`);
-    destroyLater(socket);
-};
-
-/** Closes a connection when everything that was written has been sent. */
-const destroySoon = (socket: Duplex): void => {
-    socket.end();
-    destroyLater(socket);
-};
-
-/** Closes a connection after a while; what arrives meanwhile is read, since a reset would discard what was sent. */
-const destroyLater = (socket: Duplex): void => {
-    setTimeout(() => socket.destroy(), lingerMs).unref();
+    closeLater(socket);
 };
--- a/packages/daemon/test/caller-response.test.ts
+++ b/packages/daemon/test/caller-response.test.ts
@@ -26,7 +26,7 @@
         pauses,
     });
     const request = { socket, headers: {} } as unknown as IncomingMessage;
-    const callerResponse = new CallerResponse(request, response as unknown as ServerResponse, connection);
+    const callerResponse = new CallerResponse({ request, response: response as unknown as ServerResponse, connection });
     return { socket, response, callerResponse };
 };
 
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -167,7 +167,11 @@
     }
 
     private toResponse(request: IncomingMessage, response: ModelResponse): CallerResponse {
-        return new CallerResponse(request, response as unknown as ServerResponse, this.connections.of(request.socket));
+        return new CallerResponse({
+            request,
+            response: response as unknown as ServerResponse,
+            connection: this.connections.of(request.socket),
+        });
     }
 
     private selectInstance(): Instance | undefined {
