Planned stop: its time follows the supervisor's bound

Cause: stopDelayMs + stopTimeoutMs were constants for a bound of six seconds. What could not end by then was reset, so that callers learned nothing.

`stopMs` is the supervisor's bound, filled in by the platform, and the only source of the times; an eighth of it, at most a second, is reserved for closing. stopDelayMs exists for the balancer's checks and does not grow with it; at a bound of 2 s the port closes after half of the time for requests. Requests see the end of the stop as their deadline: what is hopeless is rejected when it is decided, what waits is decided again at the announcement, the rest is told `stopping` (not-run) or `interrupted` at the end. Changed settings apply to later stops, and shorten a stop that runs; a longer bound is not trusted during a stop. A daemon that is stopped while it starts, or before it joins its fleet, announces that it leaves.

Ruled out: keeping both keys, which leaves two sources of one time.

--- a/packages/configuration/src/settings-schema.ts
+++ b/packages/configuration/src/settings-schema.ts
@@ -5,7 +5,17 @@
  */
 
 import * as z from "zod";
-import { choiceKey, endpointKey, integerKey, nameKey, numberKey, optionalSection, optionalTextKey, textKey } from "./key.js";
+import {
+    choiceKey,
+    endpointKey,
+    integerKey,
+    millisecondsKey,
+    nameKey,
+    numberKey,
+    optionalSection,
+    optionalTextKey,
+    textKey,
+} from "./key.js";
 import { boundsSection } from "./settings-bounds.js";
 import { budgetsSection } from "./settings-budgets.js";
 import { endpointsKey, portKey, tlsKeys, trustsNetworkKey } from "./settings-keys.js";
@@ -182,12 +192,13 @@
             maximum: 600_000,
             defaultValue: 5000,
         }),
-        stopTimeoutMs: integerKey({
-            description: "Maximum time for requests in flight to finish in a planned stop.",
-            unit: "ms",
+        stopMs: millisecondsKey({
+            description:
+                "Time from the signal for a planned stop until the process is killed. Requests in flight may use it, except for a "
+                + "small part that is reserved for closing; if it is shorter than twice stopDelayMs, the port closes earlier.",
             minimum: 0,
             maximum: 3_600_000,
-            defaultValue: 60_000,
+            defaultValue: 65_000,
         }),
     }),
     budgets: budgetsSection,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,13 +5,14 @@
  */
 
 import type { ServicePolicy, Settings } from "@harrierhitch/configuration";
-import { type Clock, type RandomSource, sleep, SystemClock, SystemRandom } from "@harrierhitch/core";
+import { type Clock, type RandomSource, SystemClock, SystemRandom } from "@harrierhitch/core";
 import { type FleetTimes, fleetTimesFor } from "@harrierhitch/published";
 import type { DaemonOptions, DaemonPorts } from "./daemon-options.js";
 import { Instance } from "./instance.js";
 import type { OperatorServiceOptions } from "./operators/operator-service.js";
 import { OperatorsEndpoint } from "./operators/operators-endpoint.js";
 import { PeerJoiner } from "./peers/peer-joiner.js";
+import { PlannedStop } from "./planned-stop.js";
 import { defaultPlatform } from "./platform/default-platform.js";
 import { PlatformLink } from "./platform/platform-link.js";
 import { platformOptions } from "./platform/platform-options.js";
@@ -52,8 +53,9 @@
     private readonly operators: OperatorsEndpoint;
     private readonly peers: PeerJoiner;
     private tracing: Tracing | undefined;
+    private readonly plannedStop: PlannedStop;
     private resolveStopped: () => void = () => undefined;
-    private stopped: Promise<void> | undefined;
+    private started: Promise<DaemonPorts> | undefined;
 
     /** @param options - Settings and replaceable parts. */
     constructor(options: DaemonOptions) {
@@ -83,10 +85,20 @@
         this.callers = this.createCallersServer();
         this.operators = this.createOperatorsEndpoint();
         this.peers = this.createPeerJoiner();
+        this.plannedStop = new PlannedStop({
+            ...{ clock, log, instance: this.instance, callers: this.callers, peers: this.peers, limits: settings.limits },
+            whenStarted: async () => this.started,
+            closeRest: () => this.closeRest(),
+        });
     }
 
     /** Starts listening, exchanging state with other instances and watching the platform. */
-    async start(): Promise<DaemonPorts> {
+    start(): Promise<DaemonPorts> {
+        this.started = this.open();
+        return this.started;
+    }
+
+    private async open(): Promise<DaemonPorts> {
         // The callers' port opens first, since callers may already be connecting.
         const callers = await this.callers.listen();
         this.platform.start();
@@ -107,9 +119,10 @@
         return ports;
     }
 
-    /** Applies changed settings: gossip seeds take effect now, everything else at the next start. */
+    /** Applies changed settings: gossip seeds and the limits of a stop take effect now, everything else at the next start. */
     reload(settings: Settings): void {
         this.peers.reload(settings.peers);
+        this.plannedStop.reload(settings.limits);
         this.log.write(events.settingsReloaded, { seeds: settings.peers?.seeds });
     }
 
@@ -118,10 +131,10 @@
         this.log.write(events.settingsInvalid, { error });
     }
 
-    /** Stops gracefully: requests in flight may finish within the configured timeout. */
-    stop(): Promise<void> {
-        this.stopped ??= this.runStop();
-        return this.stopped;
+    /** Stops gracefully: requests in flight may finish within the time that the settings allow. */
+    async stop(): Promise<void> {
+        await this.plannedStop.run();
+        this.resolveStopped();
     }
 
     /** Metrics in the Prometheus text format. */
@@ -129,28 +142,12 @@
         return this.operators.metricsText();
     }
 
-    private async runStop(): Promise<void> {
-        const { stopDelayMs, stopTimeoutMs } = this.settings.limits;
-        this.log.write(events.stopRequested, { stopDelayMs, stopTimeoutMs });
-        this.instance.beginStop();
-        this.callers.announceStop();
-        void this.instance.fleet?.announceLeaving();
-        await sleep(this.clock, stopDelayMs);
-        this.log.write(events.callersPortClosed, { inFlight: this.callers.inFlight });
-        const closed = new AbortController();
-        const expired = sleep(this.clock, stopTimeoutMs, closed.signal);
-        const [abortedRequests] = await Promise.all([this.callers.close(expired), Promise.race([this.peers.drain(), expired])]);
-        closed.abort();
-        if (abortedRequests > 0) {
-            this.log.write(events.stopAbortedRequests, { requests: abortedRequests });
-        }
+    private async closeRest(): Promise<void> {
         this.stallDetector.stop();
         this.platform.stop();
         await this.transport.close();
         await this.tracing?.close();
         await Promise.all([this.operators.close(), this.peers.close()]);
-        this.log.write(events.stopped);
-        this.resolveStopped();
     }
 
     private resumeAfterStall(stallMs: number): void {
@@ -235,7 +232,7 @@
             platformAgeMs: () => this.platform.lastResponseAgeMs,
             drain: () => {
                 void this.stop();
-                return this.settings.limits.stopDelayMs;
+                return this.plannedStop.plan.portClosesMs;
             },
         };
     }
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
+import { Deadline, type Generation, type InstanceId, instanceId, upstreamId } from "@harrierhitch/core";
 import type { UpstreamLimits } from "@harrierhitch/decision";
 import type { DrainMessage, Fleet } from "@harrierhitch/fleet";
 import { ActiveConfiguration, type ApplyResult, type UpstreamDirectory } from "@harrierhitch/published";
@@ -50,6 +50,7 @@
     private readonly probeBudget: ProbeBudget;
     private readonly telemetry: Telemetry;
     private readonly requestDispatcher: RequestDispatcher;
+    private readonly requestsEnd: Deadline;
     private hasContactedPeers = false;
     private isGossipSuppressed = false;
     private readonly stallRecovery: StallRecovery;
@@ -60,6 +61,7 @@
         const { settings, clock, random, parser } = parts;
         this.telemetry = new Telemetry(parts.log, parts.metrics);
         this.id = instanceId(settings.instance.id);
+        this.requestsEnd = new Deadline(clock);
         this.incarnation = Math.floor(clock.wallMs());
         this.startupGate = new StartupGate(clock);
         this.stallRecovery = new StallRecovery({ log: parts.log, transport: parts.transport, fleet: () => this.fleet });
@@ -96,21 +98,15 @@
             },
         }));
         this.probeBudget = new ProbeBudget(clock);
+        const { explanations, crashes, probeBudget, requestsEnd } = this;
         const services = createRequestServices({
-            parts,
-            instance: this.id,
-            incarnation: this.incarnation,
-            explanations: this.explanations,
-            crashes: this.crashes,
-            probeBudget: this.probeBudget,
-            telemetry: this.telemetry,
+            ...{ parts, explanations, crashes, probeBudget, requestsEnd, telemetry: this.telemetry },
+            ...{ instance: this.id, incarnation: this.incarnation },
         });
         const { activeConfiguration, services: registry, telemetry } = this;
         this.requestDispatcher = new RequestDispatcher({
             services,
-            activeConfiguration: activeConfiguration,
-            registry,
-            telemetry,
+            ...{ activeConfiguration, registry, telemetry },
             samples: new LowDiscrepancySequence(random),
         });
     }
@@ -151,6 +147,12 @@
         this.stopping = true;
     }
 
+    /** Gives up all requests at a time, and decides again on those that wait, which may have less time left. */
+    endRequestsAt(atMs: number): void {
+        this.requestsEnd.bringForward(atMs);
+        this.services.all().forEach(({ queue }) => queue.releaseAll());
+    }
+
     /** Serves one request; never rejects. */
     async serve(request: IncomingMessage, response: CallerResponse): Promise<void> {
         try {
--- a/packages/daemon/src/peers/peer-joiner.ts
+++ b/packages/daemon/src/peers/peer-joiner.ts
@@ -65,6 +65,11 @@
         this.endpoint?.reload(settings);
     }
 
+    /** Tells the fleet that this instance leaves; if it joins later, it tells it then. */
+    announceLeaving(): void {
+        void this.options.instance.fleet?.announceLeaving();
+    }
+
     /** Waits for the requests of other instances that are in flight. */
     async drain(): Promise<void> {
         await this.endpoint?.drain();
@@ -103,6 +108,10 @@
             availabilityZone: this.options.settings.instance.availabilityZone,
             maximumHeaderBytes: this.options.settings.callers.maximumHeaderBytes,
         });
-        return await this.endpoint.start();
+        const port = await this.endpoint.start();
+        if (this.options.instance.stage === "stopping") {
+            this.announceLeaving();
+        }
+        return port;
     }
 }
--- a/packages/daemon/src/request/create-request-services.ts
+++ b/packages/daemon/src/request/create-request-services.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { InstanceId } from "@harrierhitch/core";
+import type { Deadline, InstanceId } from "@harrierhitch/core";
 import type { InstanceParts } from "../instance-parts.js";
 import type { ExplanationStore } from "../operators/explanation-store.js";
 import { RateLimitLog } from "../telemetry/rate-limit-log.js";
@@ -25,11 +25,12 @@
     readonly explanations: ExplanationStore;
     readonly crashes: CrashDetector;
     readonly probeBudget: ProbeBudget;
+    readonly requestsEnd: Deadline;
     readonly telemetry: Telemetry;
 }
 
 export const createRequestServices = (options: CreateRequestServicesOptions): RequestServices => {
-    const { parts, instance, incarnation, explanations, crashes, probeBudget, telemetry } = options;
+    const { parts, instance, incarnation, explanations, crashes, probeBudget, requestsEnd, telemetry } = options;
     const { settings, clock, random, transport, headerProtocol, log, metrics, polls, onTraced } = parts;
     const { limits, callers, traces } = settings;
     const rateLimitLog = new RateLimitLog({ clock, log, metrics });
@@ -51,6 +52,7 @@
         }),
         explanations,
         crashes,
+        requestsEnd,
         requestIds: new RequestIds(instance, incarnation),
         bodyLimits: {
             maximumBytes: callers.maximumBodyBytes,
--- a/packages/daemon/src/request/hold-queue.ts
+++ b/packages/daemon/src/request/hold-queue.ts
@@ -117,6 +117,11 @@
         }
     }
 
+    /** Releases all requests to be decided again. */
+    releaseAll(): void {
+        [...this.entries].forEach(entry => entry.finish("decide-again"));
+    }
+
     /** Number of queued requests of the same workspace that go before a position. */
     countAhead(position: QueuePosition): number {
         return [...this.entries].filter(entry => entry.workspace === position.workspace && this.compare(entry, position) < 0)
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 
-import type { Clock } from "@harrierhitch/core";
 import { BodyCutShortError, BodyMemoryError, BodyTooLargeError } from "./body-error.js";
 import { type BodyLimits, readBody } from "./read-body.js";
 import { hasBody, type RequestBody } from "./request-body.js";
@@ -16,13 +15,11 @@
  *
  * @param progress - The request.
  * @param limits - Limits of bodies.
- * @param clock - The clock.
  * @returns The body; `undefined` if the request is finished.
  */
 export const receiveBody = async (
     progress: RequestProgress,
     limits: BodyLimits,
-    clock: Clock,
 ): Promise<RequestBody | undefined> => {
     const { maximumDepth } = progress.record.configuration.fleet;
     if (progress.metadata.depth >= maximumDepth) {
@@ -31,7 +28,7 @@
     }
     try {
         const body = readBody(progress.request, progress.response.received, limits);
-        return await (hasBody(progress.request) ? beforeDeadline(progress, clock, body) : body);
+        return await (hasBody(progress.request) ? beforeDeadline(progress, body) : body);
     }
     catch (thrown) {
         if (thrown instanceof BodyTooLargeError) {
@@ -51,13 +48,13 @@
 };
 
 /** Gives up a request whose body is not complete at its deadline. */
-const beforeDeadline = (progress: RequestProgress, clock: Clock, body: Promise<RequestBody>): Promise<RequestBody | undefined> =>
+const beforeDeadline = (progress: RequestProgress, body: Promise<RequestBody>): Promise<RequestBody | undefined> =>
     new Promise((resolve, reject) => {
-        const timer = clock.after(progress.remainingMs, () => {
+        const removeExpiry = progress.expiry.onPassed(() => {
             progress.giveUpAtDeadline();
             resolve(undefined);
         });
-        void body.then(resolve, reject).finally(() => timer.cancel());
+        void body.then(resolve, reject).finally(removeExpiry);
     });
 
 /**
--- a/packages/daemon/src/request/request-hold.ts
+++ b/packages/daemon/src/request/request-hold.ts
@@ -31,7 +31,7 @@
     progress.stage = "queued";
     const result = await runtime.queue.wait({
         ...progress.latencyBudget.queuePosition,
-        untilMs: Math.min(heldSinceMs + holdLeftMs, progress.deadlineAtMs),
+        untilMs: heldSinceMs + holdLeftMs,
         onDisconnect: listener => progress.response.onCallerDisconnect(listener),
     });
     progress.heldMs += clock.nowMs() - heldSinceMs;
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -19,6 +19,7 @@
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
 import { rejectionRetryAfterMs } from "./rejection-retry-after.js";
 import type { RequestBody } from "./request-body.js";
+import { RequestExpiry, stoppingRetryAfterMs } from "./request-expiry.js";
 import { requestKeyOf } from "./request-key.js";
 import type { RequestMetadata } from "./request-metadata.js";
 import { RequestReserve } from "./request-reserve.js";
@@ -44,7 +45,8 @@
     readonly request: IncomingMessage;
     readonly response: CallerResponse;
     readonly arrivedAtMs: number;
-    readonly deadlineAtMs: number;
+    /** When the request is given up. */
+    readonly expiry: RequestExpiry;
     readonly metadata: RequestMetadata;
     readonly trace: TraceContext;
     readonly record: DecisionRecord;
@@ -78,14 +80,12 @@
         this.arrivedAtMs = arrivedAtMs;
         this.callerAddress = request.socket.remoteAddress ?? "";
         this.metadata = services.headerProtocol.readRequestMetadata(request, configuration, route.kind);
-        this.deadlineAtMs = this.arrivedAtMs + this.metadata.timeoutMs;
+        const { clock, requestsEnd } = services;
+        this.expiry = new RequestExpiry({ clock, arrivedAtMs, timeoutMs: this.metadata.timeoutMs, requestsEnd });
         this.latencyBudget = new LatencyBudget({
-            clock: services.clock,
-            runtime,
-            route,
+            ...{ clock, runtime, route, arrivedAtMs },
             metadata: this.metadata,
-            arrivedAtMs,
-            deadlineAtMs: this.deadlineAtMs,
+            deadlineAtMs: this.expiry.deadlineAtMs,
         });
         this.reserve = new RequestReserve({ clock: services.clock, route, shortages: runtime.shortages });
         this.trace = continueTrace(request.headers["traceparent"], () => services.sampleTrace());
@@ -111,12 +111,12 @@
         return this.services.clock.nowMs() - this.arrivedAtMs;
     }
 
-    /** Milliseconds until the deadline. */
+    /** Milliseconds until the request is given up. */
     get remainingMs(): number {
-        return this.deadlineAtMs - this.services.clock.nowMs();
+        return this.expiry.remainingMs;
     }
 
-    /** Whether too little time is left until the deadline for another attempt. */
+    /** Whether too little time is left for another attempt. */
     get isLate(): boolean {
         return this.remainingMs <= minimumAttemptMs;
     }
@@ -128,7 +128,7 @@
 
     /** Milliseconds for which the request may still wait in the queue. */
     get holdLeftMs(): number {
-        return this.latencyBudget.holdLeftMs(this.heldMs);
+        return Math.max(0, Math.min(this.latencyBudget.holdLeftMs(this.heldMs), this.remainingMs));
     }
 
     /** {@link holdLeftMs} at the time of the last decision; 0 before the first. */
@@ -178,6 +178,9 @@
 
     /** Value of `Retry-After` if the request is rejected now, in milliseconds. */
     get retryAfterMs(): number {
+        if (this.expiry.isByStop) {
+            return stoppingRetryAfterMs;
+        }
         const { tracker: { upstreamWaits }, roomInMs } = this.runtime;
         const { remainingMs, services: { random } } = this;
         return rejectionRetryAfterMs(this.record, { waits: upstreamWaits, remainingMs, roomInMs, random });
@@ -226,10 +229,9 @@
         this.giveUp({ kind: "overloaded", detail, outcome, retryAfterMs: this.retryAfterMs });
     }
 
-    /** Ends the request because its deadline has passed. */
+    /** Ends the request because its deadline has passed, or the time that a planned stop leaves it. */
     giveUpAtDeadline(): true {
-        const detail = `no answer within ${this.metadata.timeoutMs} ms`;
-        this.giveUp({ kind: "deadline", detail, outcome: this.outcomeSoFar() });
+        this.giveUp(this.expiry.problem(this.outcomeSoFar()));
         return true;
     }
 }
--- a/packages/daemon/src/request/request-services.ts
+++ b/packages/daemon/src/request/request-services.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Clock, RandomSource, ServiceName } from "@harrierhitch/core";
+import type { Clock, Deadline, RandomSource, ServiceName } from "@harrierhitch/core";
 import type { Decision, DecisionInput } from "@harrierhitch/decision";
 import type { ExplanationStore } from "../operators/explanation-store.js";
 import type { PollMonitor } from "../poll-monitor.js";
@@ -29,6 +29,8 @@
     readonly explanations: ExplanationStore;
     readonly crashes: CrashDetector;
     readonly requestIds: RequestIds;
+    /** When requests are given up because of a planned stop. */
+    readonly requestsEnd: Deadline;
     readonly bodyLimits: BodyLimits;
     /** Maximum size of a response that is buffered until it is complete. */
     readonly responseBufferBytes: number;
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -54,7 +54,7 @@
         const stopWatching = watchDeparture(progress, services.polls);
         services.explanations.begin(progress.record);
         this.runtime.retryBudget.deposit();
-        const body = await receiveBody(progress, services.bodyLimits, services.clock);
+        const body = await receiveBody(progress, services.bodyLimits);
         if (body !== undefined && await awaitPipelineOrder(progress)) {
             await this.serve(body);
         }
@@ -62,14 +62,13 @@
     }
 
     private async serve(body: RequestBody): Promise<void> {
-        const { clock } = this.services;
         const { progress } = this;
-        const expiry = clock.after(progress.remainingMs, () => this.mailbox.post({ type: "expired" }));
+        const removeExpiry = progress.expiry.onPassed(() => this.mailbox.post({ type: "expired" }));
         const removeListener = progress.response.onCallerDisconnect(() => this.cancelForCaller());
         for (let finished = false; !finished;) {
             finished = this.running.size === 0 ? await this.decideNext(body) : await this.handle(await this.mailbox.take(), body);
         }
-        expiry.cancel();
+        removeExpiry();
         removeListener();
     }
 
--- a/packages/daemon/src/request/upstream-selection.ts
+++ b/packages/daemon/src/request/upstream-selection.ts
@@ -82,11 +82,11 @@
             : { ...placed, decision, isExploration: false };
     }
 
-    /** Whether a request that was queued or tried before has less time left than the upstream's latency. */
+    /** Whether a request that was queued, tried before or is cut short by a planned stop has less time left than the upstream's latency. */
     isDeadlineTooClose(upstream: UpstreamId, tried: readonly UpstreamId[]): boolean {
         const { progress } = this;
         const isFirst = progress.heldMs === 0 && tried.length === 0;
-        return !isFirst && progress.remainingMs < (this.factsOf(upstream)?.latencyMs ?? 0);
+        return (!isFirst || progress.expiry.isByStop) && progress.remainingMs < (this.factsOf(upstream)?.latencyMs ?? 0);
     }
 
     /** Facts about an upstream in the last decision. */
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -22,6 +22,7 @@
     callersPortClosed: { number: 111, level: "info", message: "callers' port closed, finishing requests in flight" },
     stopAbortedRequests: { number: 112, level: "warn", message: "planned stop aborted requests that exceeded its time limit" },
     stopped: { number: 113, level: "info", message: "daemon stopped" },
+    stopRepeated: { number: 116, level: "info", message: "planned stop was requested again; it goes on unchanged" },
     processStalled: { number: 120, level: "warn", message: "process was stalled; state was refreshed" },
     configurationAccepted: { number: 200, level: "info", message: "configuration accepted" },
     configurationInvalid: { number: 201, level: "error", message: "configuration is invalid and was rejected" },
--- a/packages/standin/src/soak/entry-process.ts
+++ b/packages/standin/src/soak/entry-process.ts
@@ -53,7 +53,7 @@
             peersPort,
             seedPorts,
         });
-        await writeFile(file, settings.replace("stopDelayMs = 0", "stopDelayMs = 300\nstopTimeoutMs = 6000"));
+        await writeFile(file, settings.replace("stopDelayMs = 0", "stopDelayMs = 300\nstopMs = 6300"));
         this.incarnation += 1;
         const child = startChild(programs.standin, ["daemon", "--settings", file, "--ports", this.mappedPorts]);
         this.child = child;
--- a/packages/standin/test/attempt-outcomes.test.ts
+++ b/packages/standin/test/attempt-outcomes.test.ts
@@ -42,7 +42,7 @@
 };
 
 /** Streams every response that is not followed by another attempt. */
-const withoutBuffer = "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\nanswerBufferBytes = 0\n";
+const withoutBuffer = "[limits]\nstopDelayMs = 0\nstopMs = 1000\nanswerBufferBytes = 0\n";
 
 describe("the caller of a request that may have run is not told otherwise", () => {
     [503, 500].forEach(status =>
--- a/packages/standin/test/caller-faults.test.ts
+++ b/packages/standin/test/caller-faults.test.ts
@@ -12,7 +12,7 @@
 before(async () => {
     system = await startSystem({
         upstreams: [{ meanServiceMs: 40 }],
-        settings: "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\nreplayBodyBytes = 1000\n",
+        settings: "[limits]\nstopDelayMs = 0\nstopMs = 1000\nreplayBodyBytes = 1000\n",
     });
 });
 
--- a/packages/standin/test/detours.test.ts
+++ b/packages/standin/test/detours.test.ts
@@ -12,7 +12,7 @@
 
 let fleet: CutOffFleet;
 
-const settings = "[limits]\nstopDelayMs = 100\nstopTimeoutMs = 5000\nreplayBodyBytes = 1024\n";
+const settings = "[limits]\nstopDelayMs = 100\nstopMs = 5100\nreplayBodyBytes = 1024\n";
 
 /** Cuts off the first instance and waits until it serves through another one. */
 const cutFirst = async (): Promise<void> => {
--- a/packages/standin/test/drain-listeners.test.ts
+++ b/packages/standin/test/drain-listeners.test.ts
@@ -30,7 +30,7 @@
         const record = ({ name, message }: Error): number => warnings.push(`${name}: ${message}`);
         process.on("warning", record);
         const upstream = new ScriptedUpstream(sendInPieces);
-        const limits = `answerBufferBytes = 262144\nreadAheadBytes = ${readAheadBytes}\nstopDelayMs = 0\nstopTimeoutMs = 1000\n`;
+        const limits = `answerBufferBytes = 262144\nreadAheadBytes = ${readAheadBytes}\nstopDelayMs = 0\nstopMs = 1000\n`;
         const system = await startSystem({ upstreams: [{}], settings: `[limits]\n${limits}` });
         const socket = connect({ port: system.callersPort, host: "127.0.0.1" });
         try {
--- a/packages/standin/test/held-body.test.ts
+++ b/packages/standin/test/held-body.test.ts
@@ -31,7 +31,7 @@
             socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
         }
     });
-    const limits = "[limits]\nreplayBodyBytes = 1024\nstopDelayMs = 0\nstopTimeoutMs = 1000\n";
+    const limits = "[limits]\nreplayBodyBytes = 1024\nstopDelayMs = 0\nstopMs = 1000\n";
     const system = await startSystem({ upstreams: [{}], settings: limits });
     try {
         system.platform.publish("configuration", system.document(2, [await upstream.listen()]));
--- a/packages/standin/test/held-requests.ts
+++ b/packages/standin/test/held-requests.ts
@@ -47,8 +47,9 @@
 `;
 
 /** Starts a system whose upstream answers nothing at first. */
-export const startHoldingSystem = (service = ""): Promise<System> =>
+export const startHoldingSystem = (service = "", settings = ""): Promise<System> =>
     startSystem({
+        settings,
         upstreams: [{ hang: true, slots: 50, queue: 50 }],
         kind,
         service: `maximumHoldMs = 60000\n${service}`,
--- a/packages/standin/test/incomplete-bodies.test.ts
+++ b/packages/standin/test/incomplete-bodies.test.ts
@@ -18,7 +18,7 @@
             held.push(socket);
         }
     });
-    const limits = "[limits]\nreplayBodyBytes = 1024\nstopDelayMs = 0\nstopTimeoutMs = 1000\n";
+    const limits = "[limits]\nreplayBodyBytes = 1024\nstopDelayMs = 0\nstopMs = 1000\n";
     const system = await startSystem({
         upstreams: [{}],
         settings: limits,
--- a/packages/standin/test/pipelined-callers.test.ts
+++ b/packages/standin/test/pipelined-callers.test.ts
@@ -20,7 +20,7 @@
     let system: System;
 
     before(async () => {
-        system = await start("stopDelayMs = 0\nstopTimeoutMs = 1000\n");
+        system = await start("stopDelayMs = 0\nstopMs = 1000\n");
     });
 
     after(() => system.stop());
@@ -91,7 +91,7 @@
 });
 
 test("a non-repeatable request behind a response that closes the connection never runs", async () => {
-    const system = await start("stopDelayMs = 300\nstopTimeoutMs = 1000\n");
+    const system = await start("stopDelayMs = 300\nstopMs = 1300\n");
     let received = "";
     const socket = openCaller(system.callersPort, read("before"));
     socket.on("data", data => {
--- a/packages/standin/test/rolling-restart.test.ts
+++ b/packages/standin/test/rolling-restart.test.ts
@@ -7,7 +7,7 @@
 import { after, test } from "node:test";
 import { startDaemon, startSystem, waitUntil } from "./system.js";
 
-const settings = "[limits]\nstopDelayMs = 300\nstopTimeoutMs = 5000\n";
+const settings = "[limits]\nstopDelayMs = 300\nstopMs = 5300\n";
 
 test("while all instances are replaced under load, no request is aborted or repeated and no generation reverts", async () => {
     const system = await startSystem({ upstreams: [{ meanServiceMs: 5 }, { meanServiceMs: 5 }, { meanServiceMs: 5 }], settings });
--- a/packages/standin/test/slow-readers.test.ts
+++ b/packages/standin/test/slow-readers.test.ts
@@ -43,7 +43,7 @@
         upstreams: [{}],
         kind: "timeoutMs = 60000\n",
         service: `maximumConnections = ${slowCallers}\n`,
-        settings: `[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\nreadAheadBytes = ${readAheadBytes}\n`
+        settings: `[limits]\nstopDelayMs = 0\nstopMs = 1000\nreadAheadBytes = ${readAheadBytes}\n`
             + `readAheadConnectionBytes = ${2 * bodyBytes}\n`,
     });
     system.platform.publish("configuration", system.document(2, [await upstream.listen()]));
--- a/packages/standin/test/stalled-upstream.test.ts
+++ b/packages/standin/test/stalled-upstream.test.ts
@@ -32,7 +32,7 @@
         service: "probePath = /load\n",
         configuration: "[policy.stall]\nchooser = round-robin\nprobeTimeoutMs = 100\nstallPercent = 50\n",
         settings:
-            "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\n[budgets]\nretryShare = 0.2\nprobesPerSecond = 60\nretrySlack = 60\n",
+            "[limits]\nstopDelayMs = 0\nstopMs = 1000\n[budgets]\nretryShare = 0.2\nprobesPerSecond = 60\nretrySlack = 60\n",
     });
     try {
         const ports = await Promise.all(upstreams.map(upstream => upstream.listen()));
--- a/packages/standin/test/system.ts
+++ b/packages/standin/test/system.ts
@@ -101,7 +101,7 @@
 [platform]
 addresses = 127.0.0.1:${platformPort}
 retryMs = 20
-${settings.includes("[limits]") ? "" : "[limits]\nstopDelayMs = 0\nstopTimeoutMs = 1000\n"}
+${settings.includes("[limits]") ? "" : "[limits]\nstopDelayMs = 0\nstopMs = 1000\n"}
 ${settings}`;
     const checked = checkSettings("settings.ini", text);
     if (checked.value === undefined) {
