Planned stop: further signals do not end the process

Cause: `process.once` removes the listener, so the second signal has Node's default action. No listener was installed before the daemon had started either, when the callers' port is open already.

The listeners are installed first and stay; signals that arrive before the daemon starts are handled then.

--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -17,6 +17,7 @@
 import { readFileSync } from "node:fs";
 import { Daemon } from "./daemon.js";
 import type { PlatformAdapter } from "./platform/platform.js";
+import { ProcessSignals } from "./process-signals.js";
 import type { UpstreamTransport } from "./upstream/upstream-transport.js";
 import { version } from "./version.js";
 
@@ -51,14 +52,14 @@
     });
 
 const runDaemon = async (file: string, { adapter, transport }: DaemonProgramOptions): Promise<void> => {
+    const signals = new ProcessSignals();
     try {
         const settings = valueOrThrow(checkSettings(file, readFileSync(file, "utf8")));
         const policies = readPolicies(settings);
         const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }), ...(transport && { transport }) });
-        await daemon.start();
-        const stop = () => void daemon.stop();
-        process.once("SIGTERM", stop).once("SIGINT", stop);
-        process.on("SIGHUP", () => reload(file, daemon));
+        const started = daemon.start();
+        signals.attach({ stop: () => void daemon.stop(), reload: () => reload(file, daemon) });
+        await started;
         await daemon.whenStopped;
         process.exit(exitCodes.stopped);
     }
