Planned stop: a detour is in flight until the other instance has taken its response

An instance that stopped closed the connections of its peers when the last response of a detour had been written to Node's buffers. The caller of the other instance lost its response if it read slowly.

stopping-detours.test.ts before: "aborted", with 40 MB for a reader that begins late; passes now.

--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -86,6 +86,7 @@
             respond(request, response, result);
         }
         telemetry.detourServed({ address, result, waitedMs, durationMs: clock.nowMs() - startedAtMs });
+        await whenClosed(response);
     }
 
     /** Returns why nothing can be sent to the upstream; a check always opens a connection, since the last response may be older than a crash. */
@@ -149,6 +150,10 @@
     }
 }
 
+/** Resolves when the other instance has taken a response, or its connection was closed. */
+const whenClosed = (response: ServerResponse): Promise<void> =>
+    response.closed ? Promise.resolve() : new Promise(resolve => response.once("close", resolve));
+
 /** Forwards the response of an upstream at the pace at which the other instance reads. */
 const responseSink = (request: IncomingMessage, response: ServerResponse, attempt: () => Attempt): ResponseSink => ({
     onHead: (status: number, headers: IncomingHttpHeaders) => {
