Refuse requests that upstreams may read otherwise than this instance

What upstreams got, each from one request of a caller:

- with `Transfer-Encoding: gzip, chunked`: a body without its coding, so a changed body;
- with two `Host` headers: both, while the route is chosen by the first;
- with `Connection: host`: no `Host`;
- with HTTP/1.0 and chunks, or another version: a request whose end depends on the reader.

Cause: the hop-by-hop headers are dropped by name, without a look at what they say; only what Node's parser refuses was refused.

Such heads get 400 and end their connection, as what the parser refuses does; no 100 Continue is sent for them. `Host` stays when `Connection` names it, as the length does.

--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -16,6 +16,7 @@
 import { ConnectionProblems } from "./connection-problems.js";
 import type { Problem } from "./problem.js";
 import { hasBody } from "./request-body.js";
+import { findRequestProblem, upgradeProblem } from "./request-problem.js";
 
 /** Serves one request; it never rejects. */
 export type RequestHandler = (request: IncomingMessage, response: CallerResponse) => Promise<void>;
@@ -121,7 +122,8 @@
 
     private handleContinue(request: IncomingMessage, nodeResponse: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
-        if (length <= this.maximumBodyBytes && !this.ends.isEnding(request.socket)) {
+        const isWanted = length <= this.maximumBodyBytes && findRequestProblem(request) === undefined;
+        if (isWanted && !this.ends.isEnding(request.socket)) {
             nodeResponse.writeContinue();
         }
         this.handleRequest(request, nodeResponse);
@@ -135,6 +137,9 @@
         const response = this.toResponse(request, nodeResponse);
         const problem = findRequestProblem(request);
         if (problem !== undefined) {
+            if (problem.endsConnection) {
+                this.ends.end(request.socket);
+            }
             response.sendProblem(problem, undefined);
             return;
         }
@@ -182,21 +187,6 @@
         : createTlsServer({ ...options, cert: readFileSync(settings.certificateFile), key: readFileSync(settings.keyFile) });
 };
 
-const upgradeProblem: Problem = {
-    kind: "upgrade-not-supported",
-    detail: "the load balancer passes on plain HTTP requests only",
-    outcome: "not-run",
-};
-
-const findRequestProblem = (request: IncomingMessage): Problem | undefined => {
-    if (request.headers.upgrade !== undefined) {
-        return upgradeProblem;
-    }
-    return request.httpVersion === "1.1" && request.headers.host === undefined
-        ? { kind: "bad-request", detail: "the header Host is missing", outcome: "not-run" }
-        : undefined;
-};
-
 const parserProblem = (error: NodeJS.ErrnoException): Problem => {
     switch (error.code) {
         case "HPE_HEADER_OVERFLOW":
--- a/packages/daemon/src/request/headers.ts
+++ b/packages/daemon/src/request/headers.ts
@@ -20,6 +20,9 @@
     "expect",
 ]);
 
+/** Headers of a request without which an upstream would read another one; they are forwarded even if `Connection` names them. */
+const decisive: ReadonlySet<string> = new Set(["content-length", "host"]);
+
 const namedByConnection = (value: string | undefined): readonly string[] =>
     value === undefined || value === "keep-alive" ? [] : value.split(",").map(name => name.trim().toLowerCase());
 
@@ -36,8 +39,7 @@
     connection: string | undefined,
     replaced: Readonly<Record<string, string | undefined>>,
 ): string[] => {
-    // Without its length, a body would be read as the next request.
-    const dropped = namedByConnection(connection).filter(name => name !== "content-length");
+    const dropped = namedByConnection(connection).filter(name => !decisive.has(name));
     const result: string[] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]?.toLowerCase() ?? "";
