Responses without framing that are cut off do not look complete

A caller of HTTP/1.0 gets a streamed response that has no length without framing. A 204 is passed on without the length that its upstream stated, since some callers wait for that body and take the next response for it.

--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -6,6 +6,7 @@
 
 import type { RequestId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { abortResponse } from "./abort-response.js";
 import type { BufferedResponse } from "./buffered-response.js";
 import type { CallerConnection } from "./caller-connection.js";
 import type { CallerResponseOptions } from "./caller-response-options.js";
@@ -131,7 +132,7 @@
         }
         this.hasHead = true;
         this.writes.write(0, () => {
-            this.response.writeHead(status, { ...responseHeaders(headers, extraHeaders), ...this.closingHeaders });
+            this.response.writeHead(status, this.headersOf(status, headers, extraHeaders));
             this.readAhead?.open();
         });
     }
@@ -180,7 +181,7 @@
     }
 
     private writeBuffered({ status, headers, body, isFramed }: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
-        const forwardedHeaders = { ...responseHeaders(headers, extraHeaders), ...this.closingHeaders };
+        const forwardedHeaders = this.headersOf(status, headers, extraHeaders);
         const mayHaveBody = this.request.method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
         if (mayHaveBody && isFramed) {
             forwardedHeaders["content-length"] = body.length;
@@ -194,9 +195,15 @@
         this.response.end(body);
     }
 
-    /** Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end. */
+    private headersOf(status: number, headers: IncomingHttpHeaders, extraHeaders: OutgoingHttpHeaders): OutgoingHttpHeaders {
+        // Some callers would wait for the body, and take the next response for it.
+        const withoutLength = status === noContentStatus ? { "content-length": undefined } : {};
+        return { ...responseHeaders(headers, { ...extraHeaders, ...withoutLength }), ...this.closingHeaders };
+    }
+
+    /** Aborts an incomplete response. */
     abort(): void {
-        this.afterBody(() => this.abortInTurn());
+        this.afterBody(() => abortResponse(this.response));
     }
 
     /** Acts in turn, when what was read ahead has been written. */
@@ -204,22 +211,6 @@
         this.writes.write(0, () => this.readAhead === undefined ? action() : this.readAhead.whenWritten(action));
     }
 
-    private abortInTurn(): void {
-        const { socket } = this.response;
-        if (socket !== null && this.response.headersSent && !this.isUnframed) {
-            this.response.flushHeaders();
-            socket.destroySoon();
-        }
-        else {
-            this.response.destroy();
-        }
-    }
-
-    /** Whether the response is delimited only by the end of the connection. */
-    private get isUnframed(): boolean {
-        return !this.response.hasHeader("content-length") && !this.response.chunkedEncoding;
-    }
-
     /**
      * Sends a problem, unless a response head was sent or the caller has disconnected.
      *
--- a/packages/daemon/src/request/connection-ends.ts
+++ b/packages/daemon/src/request/connection-ends.ts
@@ -5,9 +5,8 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { TLSSocket } from "node:tls";
+import { resetConnection } from "./abort-response.js";
 import type { CallerResponse } from "./caller-response.js";
 
 /** Time for a caller to read the last response before its connection is closed, in milliseconds. */
@@ -92,7 +91,7 @@
      */
     abortAll(): number {
         const states = [...this.states];
-        states.forEach(([socket, { open }]) => open.size > 0 ? reset(socket) : socket.destroy());
+        states.forEach(([socket, { open }]) => open.size > 0 ? resetConnection(socket) : socket.destroy());
         return states.reduce((responses, [, { open }]) => responses + open.size, 0);
     }
 
@@ -108,16 +107,6 @@
     }
 }
 
-/** Resets a connection; one with TLS is closed, which shows the caller that it was cut off. */
-const reset = (socket: Duplex): void => {
-    if (socket instanceof Socket && !(socket instanceof TLSSocket)) {
-        socket.resetAndDestroy();
-    }
-    else {
-        socket.destroy();
-    }
-};
-
 /** Closes a connection when everything that was written has been sent. */
 const closeAfterWrites = (socket: Duplex): void => {
     if (socket.writable) {
