A response with an unknown transfer coding or an invalid status is no answer

`Transfer-Encoding: gzip, chunked` was passed on as a body without its coding; `gzip` alone, whose end is that of the connection, even got a length, so that a cut one looked complete.

--- a/packages/daemon/src/request/request-problem.ts
+++ b/packages/daemon/src/request/request-problem.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { isSupportedTransferCoding } from "../transfer-coding.js";
 import type { Problem } from "./problem.js";
 
 /** A problem of a request's head. */
@@ -15,9 +16,6 @@
 
 const supportedVersions: ReadonlySet<string> = new Set(["1.0", "1.1"]);
 
-/** The only transfer coding that is removed here; a body with another one would be passed on without it. */
-const supportedTransferCoding = "chunked";
-
 export const upgradeProblem: RequestProblem = {
     kind: "upgrade-not-supported",
     detail: "the load balancer passes on plain HTTP requests only",
@@ -47,7 +45,5 @@
     if (coding !== undefined && httpVersion === "1.0") {
         return "HTTP/1.0 has no transfer codings";
     }
-    return coding === undefined || coding.toLowerCase() === supportedTransferCoding
-        ? undefined
-        : `the transfer coding ${coding} is not supported`;
+    return isSupportedTransferCoding(coding) ? undefined : `the transfer coding ${coding} is not supported`;
 };
--- a/packages/daemon/src/upstream/attempt-errors.ts
+++ b/packages/daemon/src/upstream/attempt-errors.ts
@@ -43,3 +43,8 @@
         super("data arrived on the connection before the request was written");
     }
 }
+
+/** The head of a response is valid for the parser, but cannot be passed on. */
+export class UnusableResponseError extends HarrierhitchError {
+    readonly code = "unusable-response";
+}
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -10,8 +10,16 @@
 import { Agent as HttpsAgent } from "node:https";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
-import { AttemptCancelledError, AttemptWithdrawnError, ConnectTimeoutError, EarlyResponseError } from "./attempt-errors.js";
+import {
+    AttemptCancelledError,
+    AttemptWithdrawnError,
+    ConnectTimeoutError,
+    EarlyResponseError,
+    UnusableResponseError,
+} from "./attempt-errors.js";
 import { recordUse, type UpstreamEchoes } from "./connection-use.js";
+import { framedHeaders } from "./framed-headers.js";
+import { findResponseProblem } from "./response-problem.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
@@ -166,6 +174,13 @@
             response.resume();
             return;
         }
+        const problem = findResponseProblem(response);
+        if (problem !== undefined) {
+            const error = new UnusableResponseError(problem);
+            this.request.destroy(error);
+            this.fail(error);
+            return;
+        }
         this.response = response;
         if (this.agent instanceof UpstreamAgent) {
             this.agent.recordIdleTimeout(response.socket, response.headers["keep-alive"] as string | undefined);
@@ -212,7 +227,7 @@
         if (!this.sent) {
             return error instanceof AttemptWithdrawnError || error instanceof EarlyResponseError ? "withdrawn" : "connect-failed";
         }
-        return codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
+        return error instanceof UnusableResponseError || codeOf(error).startsWith("HPE_") ? "garbled" : "reset";
     }
 
     private finish(end: AttemptEnd, detail: string, refused = false): void {
@@ -225,17 +240,6 @@
     }
 }
 
-/** Returns the headers with the framing of the body. Node adds none for methods whose requests usually have no body. */
-const framedHeaders = ({ headers, body }: UpstreamRequest): string[] => {
-    const hasLength = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-    if (hasLength || body === undefined) {
-        return [...headers];
-    }
-    return body instanceof Readable
-        ? [...headers, "transfer-encoding", "chunked"]
-        : [...headers, "content-length", String(body.length)];
-};
-
 const codeOf = (error: Error): string => "code" in error ? String(error.code) : "";
 
 const describe = (thrown: Error): string => {
