--- a/packages/daemon/src/request/abort-response.ts
+++ b/packages/daemon/src/request/abort-response.ts
@@ -9,13 +9,18 @@
 import type { Duplex } from "node:stream";
 import { TLSSocket } from "node:tls";
 
-/** Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end. */
-export const abortResponse = (response: ServerResponse): void => {
+/**
+ * Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end.
+ *
+ * @param response - The response.
+ * @param hasLength - Whether its head states the length; Node does not keep headers that are passed to `writeHead`.
+ */
+export const abortResponse = (response: ServerResponse, hasLength: boolean): void => {
     const { socket } = response;
     if (socket === null || !response.headersSent) {
         response.destroy();
     }
-    else if (response.hasHeader("content-length") || response.chunkedEncoding) {
+    else if (hasLength || response.chunkedEncoding) {
         response.flushHeaders();
         socket.destroySoon();
     }
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -33,6 +33,8 @@
     private disconnected = false;
     private finished = false;
     private hasHead = false;
+    /** Whether a head that states the length of the body was sent. */
+    private hasLength = false;
     private readonly writes: WaitingWrites;
     private readonly readAhead: ReadAhead | undefined;
     /** The body of the request as it arrives; `undefined` if it has none. */
@@ -132,7 +134,9 @@
         }
         this.hasHead = true;
         this.writes.write(0, () => {
-            this.response.writeHead(status, this.headersOf(status, headers, extraHeaders));
+            const forwardedHeaders = this.headersOf(status, headers, extraHeaders);
+            this.hasLength = forwardedHeaders["content-length"] !== undefined;
+            this.response.writeHead(status, forwardedHeaders);
             this.readAhead?.open();
         });
     }
@@ -203,7 +207,7 @@
 
     /** Aborts an incomplete response. */
     abort(): void {
-        this.afterBody(() => abortResponse(this.response));
+        this.afterBody(() => abortResponse(this.response, this.hasLength));
     }
 
     /** Acts in turn, when what was read ahead has been written. */
