--- a/packages/standin/test/soak-checker.test.ts
+++ b/packages/standin/test/soak-checker.test.ts
@@ -4,23 +4,10 @@
 
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import type { ObservedResponse } from "../src/soak/observed-response.js";
 import { PathChecker } from "../src/soak/path-checker.js";
 import { SoakChecker } from "../src/soak/soak-checker.js";
 import { noAnnouncement } from "../src/upstream-standin.js";
-
-const observed = (change: Partial<ObservedResponse> = {}): ObservedResponse => ({
-    number: "r1",
-    method: "GET",
-    entry: "entry-1",
-    incarnation: 1,
-    status: 200,
-    outcome: "ran",
-    isCorrect: true,
-    durationMs: 10,
-    duringPlannedStop: false,
-    ...change,
-});
+import { observed } from "./observed.js";
 
 interface Case {
     readonly name: string;
--- a/packages/standin/test/stop-series.test.ts
+++ b/packages/standin/test/stop-series.test.ts
@@ -7,6 +7,7 @@
 import { generateFaults } from "../src/soak/fault-schedule.js";
 import { SoakChecker } from "../src/soak/soak-checker.js";
 import { stopSeriesOf } from "../src/soak/stop-series.js";
+import { observed } from "./observed.js";
 
 test("a long soak has short and long stops, with one and with several signals", () => {
     const stops = generateFaults({ seed: 7, durationMs: 600_000, surplus: false }).filter(({ kind }) => kind === "stop")
@@ -20,16 +21,6 @@
 test("the checker reports an instance that did not end in the time of its stop, and a quoted request that ran", () => {
     const checker = new SoakChecker(7000);
     checker.recordKilled("entry-1", 2000);
-    checker.recordResponse({
-        number: "r1",
-        method: "DELETE",
-        entry: "entry-1",
-        incarnation: 1,
-        status: 200,
-        outcome: "ran",
-        isCorrect: true,
-        durationMs: 10,
-        duringPlannedStop: false,
-    });
+    checker.recordResponse(observed({ method: "DELETE" }));
     assert.deepEqual(checker.finish(() => 1).map(({ promise }) => promise), ["stop", "asked"]);
 });
