Planned stop: a request behind one in flight is told that it has not run

Only what follows a response that said so is dropped.

stopping-connections.test.ts: "a request behind one in flight is not passed on, and is told so" fails before (no second response).

--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -16,7 +16,7 @@
 import { ConnectionProblems } from "./connection-problems.js";
 import type { Problem } from "./problem.js";
 import { hasBody } from "./request-body.js";
-import { findRequestProblem, upgradeProblem } from "./request-problem.js";
+import { findRequestProblem, stoppingProblem, upgradeProblem } from "./request-problem.js";
 
 /** Serves one request; it never rejects. */
 export type RequestHandler = (request: IncomingMessage, response: CallerResponse) => Promise<void>;
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Closes connections after their outstanding responses, which take no further request meanwhile. An idle connection takes one
-     * more, since its caller may already have sent it.
+     * Closes connections after their outstanding responses, and rejects further requests on them meanwhile. An idle connection takes
+     * one more, since its caller may already have sent it.
      */
     announceStop(): void {
         this.stopping = true;
@@ -113,7 +113,7 @@
     }
 
     private handleExpectation(request: IncomingMessage, nodeResponse: ServerResponse): void {
-        if (!this.ends.isEnding(request.socket)) {
+        if (this.ends.stageOf(request.socket) !== "closing") {
             const detail = `cannot meet ${request.headers.expect}`;
             const problem: Problem = { kind: "expectation-failed", detail, outcome: "not-run" };
             this.toResponse(request, nodeResponse).sendProblem(problem, undefined);
@@ -123,19 +123,20 @@
     private handleContinue(request: IncomingMessage, nodeResponse: ServerResponse): void {
         const length = Number(request.headers["content-length"] ?? 0);
         const isWanted = length <= this.maximumBodyBytes && findRequestProblem(request) === undefined;
-        if (isWanted && !this.ends.isEnding(request.socket)) {
+        if (isWanted && this.ends.stageOf(request.socket) === "serving") {
             nodeResponse.writeContinue();
         }
         this.handleRequest(request, nodeResponse);
     }
 
     private handleRequest(request: IncomingMessage, nodeResponse: ServerResponse): void {
-        if (this.ends.isEnding(request.socket)) {
+        const stage = this.ends.stageOf(request.socket);
+        if (stage === "closing") {
             request.resume();
             return;
         }
         const response = this.toResponse(request, nodeResponse);
-        const problem = findRequestProblem(request);
+        const problem = findRequestProblem(request) ?? (stage === "rejecting" ? stoppingProblem : undefined);
         if (problem !== undefined) {
             if (problem.endsConnection) {
                 this.ends.end(request.socket);
@@ -161,11 +162,11 @@
             response: nodeResponse,
             connection: connections.of(request.socket),
             memory: connections.readAhead,
-            isLast: () => this.ends.isLast(request),
+            isLast: () => this.ends.takeLast(request),
         });
         nodeResponse.once("close", this.ends.begin(request, response));
         if (this.stopping) {
-            this.ends.end(request.socket);
+            this.ends.endAfterResponses(request.socket);
         }
         return response;
     }
--- a/packages/daemon/src/request/connection-ends.ts
+++ b/packages/daemon/src/request/connection-ends.ts
@@ -12,14 +12,19 @@
 /** Time for a caller to read the last response before its connection is closed, in milliseconds. */
 const lingerMs = 1000;
 
+/**
+ * What becomes of a request that arrives on a connection: it is served, rejected because the connection ends after the outstanding
+ * responses, or dropped because its caller was told that the connection closes, or nothing that follows can be read.
+ */
+export type ConnectionStage = "serving" | "rejecting" | "closing";
+
 interface ConnectionState {
     /** Requests without a complete response, in their order. */
     readonly open: Map<IncomingMessage, CallerResponse>;
-    /** Whether no further request is taken. */
-    isEnding: boolean;
+    stage: ConnectionStage;
 }
 
-/** The open connections of callers with their outstanding responses. A connection that is ending takes no further request. */
+/** The open connections of callers with their outstanding responses. */
 export class ConnectionEnds {
     private readonly states = new Map<Duplex, ConnectionState>();
 
@@ -28,15 +33,18 @@
         this.stateOf(socket);
     }
 
-    /** Whether no further request is taken from a connection. */
-    isEnding(socket: Duplex): boolean {
-        return this.states.get(socket)?.isEnding === true;
+    stageOf(socket: Duplex): ConnectionStage {
+        return this.states.get(socket)?.stage ?? "serving";
     }
 
-    /** Whether the response to a request is the last one on its connection. */
-    isLast(request: IncomingMessage): boolean {
-        const state = this.states.get(request.socket);
-        return state?.isEnding === true && [...state.open.keys()].at(-1) === request;
+    /** Returns whether the response to a request is the last one on its connection; no further request is taken then. */
+    takeLast(request: IncomingMessage): boolean {
+        const state = this.stateOf(request.socket);
+        const isLast = state.stage !== "serving" && [...state.open.keys()].at(-1) === request;
+        if (isLast) {
+            state.stage = "closing";
+        }
+        return isLast;
     }
 
     /** Outstanding responses of a connection with their requests, in their order. */
@@ -57,30 +65,30 @@
         state.open.set(request, response);
         return () => {
             state.open.delete(request);
-            if (state.isEnding && state.open.size === 0) {
+            if (state.stage !== "serving" && state.open.size === 0) {
                 closeAfterWrites(socket);
             }
         };
     }
 
-    /** Takes no further request from a connection, and closes it after the outstanding responses. */
+    /** Drops what follows on a connection, and closes it after the outstanding responses. */
     end(socket: Duplex): void {
-        const state = this.stateOf(socket);
-        if (!state.isEnding) {
-            state.isEnding = true;
-            // Node would close it at once after a response with `Connection: close`.
-            Object.assign(socket, { destroySoon: () => closeAfterWrites(socket) });
-        }
+        this.leaveServing(socket, "closing");
     }
 
-    /** Calls {@link end} for all connections with outstanding responses. */
+    /** Rejects what follows on a connection, and closes it after the last response. */
+    endAfterResponses(socket: Duplex): void {
+        this.leaveServing(socket, "rejecting");
+    }
+
+    /** Calls {@link endAfterResponses} for all connections with outstanding responses. */
     endBusy(): void {
-        this.states.forEach(({ open }, socket) => open.size > 0 ? this.end(socket) : undefined);
+        this.states.forEach(({ open }, socket) => open.size > 0 ? this.endAfterResponses(socket) : undefined);
     }
 
     /** Closes all connections without an outstanding response, unless their last response was just sent. */
     closeIdle(): void {
-        this.states.forEach(({ open, isEnding }, socket) => open.size > 0 || isEnding ? undefined : socket.destroy());
+        this.states.forEach(({ open, stage }, socket) => open.size > 0 || stage !== "serving" ? undefined : socket.destroy());
     }
 
     /**
@@ -100,11 +108,22 @@
         if (existing !== undefined) {
             return existing;
         }
-        const state: ConnectionState = { open: new Map(), isEnding: false };
-        this.states.set(socket, state);
-        socket.once("close", () => this.states.delete(socket));
+        const state: ConnectionState = { open: new Map(), stage: "serving" };
+        if (!socket.closed) {
+            this.states.set(socket, state);
+            socket.once("close", () => this.states.delete(socket));
+        }
         return state;
     }
+
+    private leaveServing(socket: Duplex, stage: ConnectionStage): void {
+        const state = this.stateOf(socket);
+        if (state.stage === "serving") {
+            // Node would close it at once after a response with `Connection: close`.
+            Object.assign(socket, { destroySoon: () => closeAfterWrites(socket) });
+        }
+        state.stage = state.stage === "closing" ? state.stage : stage;
+    }
 }
 
 /** Closes a connection when everything that was written has been sent. */
--- a/packages/daemon/src/request/connection-problems.ts
+++ b/packages/daemon/src/request/connection-problems.ts
@@ -28,7 +28,7 @@
      */
     end(socket: Duplex, problem: Problem): void {
         const outstanding = this.ends.outstanding(socket);
-        const isClosing = this.ends.isEnding(socket) && outstanding.length === 0;
+        const isClosing = this.ends.stageOf(socket) !== "serving" && outstanding.length === 0;
         if (isClosing || this.failed.has(socket)) {
             return;
         }
--- a/packages/daemon/src/request/request-problem.ts
+++ b/packages/daemon/src/request/request-problem.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import { isSupportedTransferCoding } from "../transfer-coding.js";
 import type { Problem } from "./problem.js";
+import { stoppingRetryAfterMs } from "./request-expiry.js";
 
 /** A problem of a request's head. */
 export interface RequestProblem extends Problem {
@@ -23,6 +24,15 @@
     endsConnection: false,
 };
 
+/** Problem of a request behind the last one that a connection takes before a planned stop. */
+export const stoppingProblem: RequestProblem = {
+    kind: "stopping",
+    detail: "the instance stops, and the connection ends after this response",
+    outcome: "not-run",
+    retryAfterMs: stoppingRetryAfterMs,
+    endsConnection: false,
+};
+
 /** Returns why a request cannot be passed on; `undefined` if it can. */
 export const findRequestProblem = (request: IncomingMessage): RequestProblem | undefined => {
     const detail = malformation(request);
