--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -169,7 +169,7 @@
         else {
             const stop = stopSeriesOf({ durationMs, target });
             if (!await entry.stop(stop)) {
-                this.servers.checker.recordKilled(entry.options.name, stop.stopMs);
+                this.servers.checker.recordUnplannedEnd(entry.options.name, stop.stopMs);
             }
         }
         await entry.start();
--- a/packages/standin/src/soak/soak-checker.ts
+++ b/packages/standin/src/soak/soak-checker.ts
@@ -86,8 +86,8 @@
         return this.responses.length;
     }
 
-    /** Records that an instance did not end in the time of its planned stop. */
-    recordKilled(entry: string, stopMs: number): void {
+    /** Records that a planned stop did not end by itself in its time, or with an error. */
+    recordUnplannedEnd(entry: string, stopMs: number): void {
         this.addViolation("stop", `${entry} did not end as planned within ${stopMs} ms`);
     }
 
--- a/packages/standin/src/soak/stop-series.ts
+++ b/packages/standin/src/soak/stop-series.ts
@@ -24,7 +24,7 @@
     ["SIGHUP", "SIGHUP", "SIGTERM", "SIGTERM", "SIGHUP"],
 ];
 
-/** Numbers of values that a fault's random numbers are divided into beyond what they select. */
+/** What the numbers of a fault have beyond this resolution selects nothing else, so that it can be used without further draws. */
 const resolution = 1000;
 
 /** Returns the series of a planned fault; the same fault has the same series. */
--- a/packages/standin/test/endless-bytes.test.ts
+++ b/packages/standin/test/endless-bytes.test.ts
@@ -115,7 +115,7 @@
                 assert.ok(before < 2 * unreadBytes, `${before} bytes`);
                 await sleep(200);
             }
-            upstream.answer = ({ headers: [] }, socket) => socket.destroy();
+            upstream.answer = (_, socket) => socket.destroy();
             callers.forEach(caller => caller.destroy());
             await waitUntil(() => writers.every(({ isClosed }) => isClosed));
             await idle(upstream);
--- a/packages/standin/test/stop-series.test.ts
+++ b/packages/standin/test/stop-series.test.ts
@@ -20,7 +20,7 @@
 
 test("the checker reports an instance that did not end in the time of its stop, and a quoted request that ran", () => {
     const checker = new SoakChecker(7000);
-    checker.recordKilled("entry-1", 2000);
+    checker.recordUnplannedEnd("entry-1", 2000);
     checker.recordResponse(observed({ method: "DELETE" }));
     assert.deepEqual(checker.finish(() => 1).map(({ promise }) => promise), ["stop", "asked"]);
 });
