Planned stop: a TLS handshake that is not complete does not delay the end

Cause: Node reports a secure connection only after its handshake, so that it was not among the connections that close with the port. Connections are recorded from their accept now, and those without a complete handshake close with the port; none of them has a request. Ruled out: a shorter handshake timeout, which also ends callers that are merely slow while nothing stops.

--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -8,12 +8,14 @@
 import { readFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, Server as TlsServer } from "node:https";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { listenOn } from "../listen.js";
 import type { CallerConnections } from "./caller-connections.js";
 import { CallerResponse } from "./caller-response.js";
 import { ConnectionEnds } from "./connection-ends.js";
 import { ConnectionProblems } from "./connection-problems.js";
+import { Handshakes } from "./handshakes.js";
 import type { Problem } from "./problem.js";
 import { hasBody } from "./request-body.js";
 import { findRequestProblem, stoppingProblem, upgradeProblem } from "./request-problem.js";
@@ -36,6 +38,7 @@
     private readonly server: Server;
     private readonly tasks = new Set<Promise<void>>();
     private readonly ends = new ConnectionEnds();
+    private readonly handshakes = new Handshakes();
     private readonly problems = new ConnectionProblems(this.ends);
     private stopping = false;
     private hasServedAny = false;
@@ -47,9 +50,13 @@
         this.maximumBodyBytes = options.settings.maximumBodyBytes;
         this.server.maxConnections = options.settings.maximumConnections;
         // Called by `close`; Node takes a connection for idle whose response has ended but is not sent yet.
-        Object.assign(this.server, { closeIdleConnections: () => this.ends.closeIdle() });
+        Object.assign(this.server, { closeIdleConnections: () => this.closeIdle() });
         const isSecure = this.server instanceof TlsServer;
-        this.server.on(isSecure ? "secureConnection" : "connection", (socket: Duplex) => this.ends.add(socket));
+        this.server.on("connection", socket => isSecure ? this.handshakes.add(socket) : this.ends.add(socket));
+        this.server.on("secureConnection", (socket: Socket) => {
+            this.handshakes.complete(socket);
+            this.ends.add(socket);
+        });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("checkContinue", (request, response) => this.handleContinue(request, response));
         this.server.on("checkExpectation", (request, response) => this.handleExpectation(request, response));
@@ -112,6 +119,11 @@
         return abortedResponses;
     }
 
+    private closeIdle(): void {
+        this.handshakes.closeAll();
+        this.ends.closeIdle();
+    }
+
     private handleExpectation(request: IncomingMessage, nodeResponse: ServerResponse): void {
         if (this.ends.stageOf(request.socket) !== "closing") {
             const detail = `cannot meet ${request.headers.expect}`;
