Signals before the start: a test that does not depend on the moment

The two tests of signals "before the start is complete" send them when the ports are open, which the daemon reports when its start is all but over; they passed before as well, and could hardly fail. They keep their assertions under a name that says so.

--- a/packages/daemon/src/process-signals.ts
+++ b/packages/daemon/src/process-signals.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 
+import type { EventEmitter } from "node:events";
+
 /** Actions on signals. */
 export interface SignalActions {
     /** Called on each SIGTERM and SIGINT. */
@@ -20,10 +22,11 @@
     private actions: SignalActions | undefined;
     private readonly early = new Set<keyof SignalActions>();
 
-    constructor() {
-        process.on("SIGTERM", () => this.handle("stop"));
-        process.on("SIGINT", () => this.handle("stop"));
-        process.on("SIGHUP", () => this.handle("reload"));
+    /** @param source - What emits the signals; this process by default. */
+    constructor(source: Pick<EventEmitter, "on"> = process) {
+        source.on("SIGTERM", () => this.handle("stop"));
+        source.on("SIGINT", () => this.handle("stop"));
+        source.on("SIGHUP", () => this.handle("reload"));
     }
 
     /** Sets the actions, and performs those of earlier signals. */
--- a/packages/standin/test/planned-stop-signals.test.ts
+++ b/packages/standin/test/planned-stop-signals.test.ts
@@ -93,7 +93,7 @@
     });
 });
 
-describe("before the start is complete", { timeout: 60_000 }, () => {
+describe("just after the ports have opened", { timeout: 60_000 }, () => {
     test("SIGTERM stops the daemon as planned", async () => {
         const exited = once(daemon.process, "exit");
         await daemon.line("callers");
