--- a/packages/daemon/test/body-framing.test.ts
+++ b/packages/daemon/test/body-framing.test.ts
@@ -2,13 +2,11 @@
  * Guards against streamed bodies that are sent without framing, so that the upstream reads them as the next request.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { createServer, METHODS } from "node:http";
-import type { AddressInfo } from "node:net";
 import { Readable } from "node:stream";
 import { after, before, beforeEach, describe, test } from "node:test";
-import { HttpTransport } from "../src/upstream/http-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
 const received: string[] = [];
 const server = createServer((request, response) => {
@@ -42,11 +40,7 @@
 describe("an upstream reads what was sent", () => {
     METHODS.filter(method => method !== "CONNECT").forEach(method => {
         test(`with ${method}`, async () => {
-            const transport = new HttpTransport();
-            const service = serviceName("main");
-            const { port } = server.address() as AddressInfo;
-            const upstream = { id: upstreamId("u1"), service, address: "127.0.0.1", port, availabilityZone: "hall-a", slots: 1 };
-            transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+            const { transport, upstream } = openTransport(portOf(server));
             const expected: string[] = [];
             for (const pieces of Object.values(bodies)) {
                 const text = pieces.join("");
--- a/packages/daemon/test/connection-limits.test.ts
+++ b/packages/daemon/test/connection-limits.test.ts
@@ -2,18 +2,14 @@
  * Guards against more connections to an upstream than allowed.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { HttpTransport } from "../src/upstream/http-transport.js";
 import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
-const open = (address: string, port: number) => {
-    const transport = new HttpTransport();
-    const service = serviceName("main");
-    const upstream = { id: upstreamId("u1"), service, address, port, availabilityZone: "hall-a", slots: 1 };
-    transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+const open = (port: number) => {
+    const { transport, upstream } = openTransport(port);
     const send = (options: Partial<UpstreamRequest> = {}) =>
         transport.send(
             upstream,
@@ -35,7 +31,7 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { transport, send } = open("127.0.0.1", (server.address() as AddressInfo).port);
+    const { transport, send } = open(portOf(server));
     assert.equal((await send().result).end, "answered");
     assert.equal((await send({ needsNewConnection: true }).result).end, "answered");
     await transport.close();
--- a/packages/daemon/test/detour-attribution.test.ts
+++ b/packages/daemon/test/detour-attribution.test.ts
@@ -2,9 +2,8 @@
  * Guards against the belief that another instance sent nothing, if its statement answers another request on the connection.
  */
 
-import { SeededRandom, serviceName, SystemClock, upstreamId } from "@harrierhitch/core";
-import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
-import type { Member } from "@harrierhitch/protocol";
+import { SeededRandom, serviceName, SystemClock } from "@harrierhitch/core";
+import type { AttemptResult } from "@harrierhitch/decision";
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
@@ -14,6 +13,7 @@
 import { DetourPeers } from "../src/detour/detour-peers.js";
 import { Detours } from "../src/detour/detours.js";
 import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+import { detouredUpstream, peerAt, peerResponse } from "./peer-response.js";
 
 /** Answers a detour; `count` is its number among all that arrived. */
 type Script = (socket: Socket, id: string, count: number) => void;
@@ -27,11 +27,6 @@
     server?.close();
 });
 
-const response = (result: string, id: string): string =>
-    `HTTP/1.1 503 Busy\r\nx-harrierhitch-detour: ${result}\r\n${
-        id === "" ? "" : `x-harrierhitch-detour-id: ${id}\r\n`
-    }content-length: 0\r\n\r\n`;
-
 /** Starts another instance, and sends requests through it over one connection. */
 const start = async (script: Script) => {
     received = [];
@@ -48,19 +43,12 @@
     const connections = new Agent({ keepAlive: true, maxSockets: 1 });
     agent = connections;
     const clock = new SystemClock();
-    const member = { instance: "entry-2", availabilityZone: "hall-a", address: "127.0.0.1", port } as Member;
+    const member = peerAt(port);
     const detours = new Detours({
         clock,
         client: new DetourClient({ fleet: "test", instance: "entry-1", agent: () => connections }),
         peers: new DetourPeers({ clock, random: new SeededRandom(1), availabilityZone: "hall-a", members: () => [member] }),
     });
-    const upstream = {
-        id: upstreamId("u1"),
-        address: "127.0.0.1",
-        port: 1,
-        availabilityZone: "hall-a",
-        slots: 1,
-    } as UpstreamEntry;
     return (path: string, options: Partial<UpstreamRequest> = {}): Promise<AttemptResult> => {
         const request = {
             method: "POST",
@@ -70,7 +58,7 @@
             timeoutMs: 1000,
             ...options,
         };
-        const attempt = detours.send(serviceName("main"), upstream, request, { onHead: () => true, onData: () => true });
+        const attempt = detours.send(serviceName("main"), detouredUpstream, request, { onHead: () => true, onData: () => true });
         setTimeout(() => attempt.cancel("timed-out"), 500).unref();
         return attempt.result;
     };
@@ -83,7 +71,7 @@
             let first = "";
             const send = await start((socket, id, count) => {
                 first = count === 1 ? id : first;
-                socket.write(response("not-sent withdrawn", count === 1 ? id : idOf(first)));
+                socket.write(peerResponse("not-sent withdrawn", count === 1 ? id : idOf(first)));
             });
             assert.equal((await send("first")).sent, false);
             const { end, sent } = await send("second");
@@ -93,9 +81,9 @@
 
     test("not if it arrives before the request was sent, which is not sent then", async () => {
         const send = await start((socket, id, count) => {
-            socket.write(response("not-sent withdrawn", id));
+            socket.write(peerResponse("not-sent withdrawn", id));
             if (count === 1) {
-                setTimeout(() => socket.write(response("not-sent withdrawn", id)), 50);
+                setTimeout(() => socket.write(peerResponse("not-sent withdrawn", id)), 50);
             }
         });
         await send("first");
@@ -105,7 +93,7 @@
     });
 
     test("and if it has the id of the request", async () => {
-        const send = await start((socket, id) => socket.write(response("not-sent withdrawn", id)));
+        const send = await start((socket, id) => socket.write(peerResponse("not-sent withdrawn", id)));
         const { end, sent } = await send("first");
         assert.deepEqual({ end, sent }, { end: "withdrawn", sent: false });
     });
@@ -116,9 +104,9 @@
     const send = await start((socket, id, count) => {
         first = count === 1 ? id : first;
         if (count === 2) {
-            socket.write(response("not-sent withdrawn", first));
+            socket.write(peerResponse("not-sent withdrawn", first));
         }
-        setTimeout(() => socket.write(response("not-sent withdrawn", id)), count === 1 ? 0 : 30);
+        setTimeout(() => socket.write(peerResponse("not-sent withdrawn", id)), count === 1 ? 0 : 30);
     });
     const ends: string[] = [];
     for (const path of ["first", "second", "third"]) {
--- a/packages/daemon/test/early-response.test.ts
+++ b/packages/daemon/test/early-response.test.ts
@@ -3,12 +3,11 @@
  * was written.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { after, before, describe, test } from "node:test";
-import { HttpTransport } from "../src/upstream/http-transport.js";
 import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
 const rejection = "HTTP/1.1 503 Busy\r\nx-request-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
 
@@ -43,12 +42,7 @@
         test(name, async () => {
             receivedPaths.length = 0;
             sockets.length = 0;
-            const transport = new HttpTransport();
-            const { port } = server.address() as AddressInfo;
-            const id = upstreamId("u1");
-            const service = serviceName("main");
-            const upstream = { id, service, address: "127.0.0.1", port, availabilityZone: "hall-a", slots: 1 };
-            transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+            const { transport, upstream } = openTransport(portOf(server));
             const heads: number[] = [];
             const send = (path: string, whenCallerRead?: UpstreamRequest["whenCallerRead"]) =>
                 transport.send(
--- a/packages/daemon/test/held-streamed-body.test.ts
+++ b/packages/daemon/test/held-streamed-body.test.ts
@@ -3,13 +3,12 @@
  * what is held back until what the caller sent has been read.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { PassThrough } from "node:stream";
 import { after, before, beforeEach, describe, test } from "node:test";
-import { HttpTransport } from "../src/upstream/http-transport.js";
 import type { UpstreamRequest } from "../src/upstream/upstream-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
 let received = "";
 const sockets: Socket[] = [];
@@ -38,11 +37,7 @@
 const pause = (durationMs = 30): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
 
 const open = () => {
-    const transport = new HttpTransport();
-    const service = serviceName("main");
-    const { port } = server.address() as AddressInfo;
-    const upstream = { id: upstreamId("u1"), service, address: "127.0.0.1", port, availabilityZone: "hall-a", slots: 1 };
-    transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+    const { transport, upstream } = openTransport(portOf(server));
     const send = (request: Pick<UpstreamRequest, "body" | "headers"> & Partial<UpstreamRequest>) =>
         transport.send(upstream, { method: "POST", path: "/", ...request }, { onHead: () => true, onData: () => true });
     return { transport, send };
--- a/packages/daemon/test/leftover-bytes.test.ts
+++ b/packages/daemon/test/leftover-bytes.test.ts
@@ -2,12 +2,11 @@
  * Guards against a rejection that is put together from bytes behind a complete response and later ones, on a kept connection.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { describe, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { HttpTransport } from "../src/upstream/http-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
 const whole = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const surplus = "HTTP/1.1 503 Busy\r\nx-request-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
@@ -36,11 +35,7 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const transport = new HttpTransport();
-    const service = serviceName("main");
-    const { port } = server.address() as AddressInfo;
-    const upstream = { id: upstreamId("u1"), service, address: "127.0.0.1", port, availabilityZone: "hall-a", slots: 1 };
-    transport.configure([{ upstream, service, connections: 1, connectTimeoutMs: 1000 }]);
+    const { transport, upstream } = openTransport(portOf(server));
     const statuses: number[] = [];
     const send = (path: string) => {
         const attempt = transport.send(
--- a/packages/daemon/test/withdrawn.test.ts
+++ b/packages/daemon/test/withdrawn.test.ts
@@ -2,13 +2,11 @@
  * Guards against sending a request that waited for a connection to an upstream that meanwhile began to drain or to back off.
  */
 
-import { serviceName, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import { after, before, beforeEach, describe, test } from "node:test";
-import { HttpTransport } from "../src/upstream/http-transport.js";
 import type { ResponseSink, UpstreamRequest } from "../src/upstream/upstream-transport.js";
+import { openTransport, portOf } from "./http-upstream.js";
 
 const receivedPaths: string[] = [];
 const pendingResponses: ServerResponse[] = [];
@@ -41,19 +39,7 @@
     receivedPaths.length = 0;
 });
 
-const open = () => {
-    const transport = new HttpTransport();
-    const upstream = {
-        id: upstreamId("u1"),
-        service: serviceName("main"),
-        address: "127.0.0.1",
-        port: (server.address() as AddressInfo).port,
-        availabilityZone: "hall-a",
-        slots: 1,
-    };
-    transport.configure([{ upstream, service: upstream.service, connections: 1, connectTimeoutMs: 1000 }]);
-    return { transport, upstream };
-};
+const open = () => openTransport(portOf(server));
 
 const withdrawn = { end: "withdrawn", status: undefined, sent: false, refused: false };
 
