--- a/packages/daemon/test/stopping-connections.test.ts
+++ b/packages/daemon/test/stopping-connections.test.ts
@@ -31,6 +31,17 @@
     return caller;
 };
 
+/** Sends the head and the beginning of a response, and waits until its caller has received them. */
+const beginResponse = async (path: string, caller: { readonly received: string; }, headers = {}) => {
+    const response = callers.held.get(path);
+    response?.writeHead(200, headers, {});
+    response?.write(Buffer.from("begin"), () => undefined);
+    await until(() => caller.received.includes("begin"));
+    return response;
+};
+
+const inChunks = { "transfer-encoding": "chunked" };
+
 describe("when a planned stop is announced", { timeout: testTimeoutMs }, () => {
     test("a response in flight closes its connection", async () => {
         const caller = await openWith("/first");
@@ -58,10 +69,7 @@
     test("a request that arrives when its caller was told that the connection closes is dropped", async () => {
         const caller = await openWith("/first");
         callers.server.announceStop();
-        const response = callers.held.get("/first");
-        response?.writeHead(200, { "transfer-encoding": "chunked" }, {});
-        response?.write(Buffer.from("begin"), () => undefined);
-        await until(() => caller.received.includes("begin"));
+        const response = await beginResponse("/first", caller, inChunks);
         caller.socket.write(post("/second", 4, "body"));
         await sleep(settleMs);
         response?.end();
@@ -82,10 +90,7 @@
 
     test("a response whose head was sent before completes, and its connection closes after the last byte", async () => {
         const caller = await openWith("/streamed");
-        const response = callers.held.get("/streamed");
-        response?.writeHead(200, { "transfer-encoding": "chunked" }, {});
-        response?.write(Buffer.from("begin"), () => undefined);
-        await until(() => caller.received.includes("begin"));
+        const response = await beginResponse("/streamed", caller, inChunks);
         callers.server.announceStop();
         response?.write(Buffer.from("end"), () => undefined);
         response?.end();
@@ -175,10 +180,7 @@
         const caller = callers.open("POST /old HTTP/1.0\r\ncontent-length: 4\r\n\r\nbody");
         await until(() => callers.passedOn.includes("/old"));
         const isReset = assert.rejects(caller.closed, { code: "ECONNRESET" });
-        const response = callers.held.get("/old");
-        response?.writeHead(200, {}, {});
-        response?.write(Buffer.from("begin"), () => undefined);
-        await until(() => caller.received.endsWith("begin"));
+        await beginResponse("/old", caller);
         callers.server.announceStop();
         assert.equal(await callers.server.close(Promise.resolve()), 1);
         await isReset;
