Soak: the injector of faults takes the checker that it reports to

It reached the checker through the servers, which had a getter for nothing else, beside the part of the same checker that it was given. No behaviour changed; the soak's tests pass.

--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -9,7 +9,7 @@
 import type { EntryProcess } from "./entry-process.js";
 import { noFault, type ProxyFault } from "./fault-proxy.js";
 import type { FaultKind, PlannedFault } from "./fault-schedule.js";
-import type { PathChecker } from "./path-checker.js";
+import type { SoakChecker } from "./soak-checker.js";
 import type { SoakServers, SoakUpstream } from "./soak-servers.js";
 import { stopSeriesOf } from "./stop-series.js";
 import { sendSurplus } from "./surplus-fault.js";
@@ -72,12 +72,12 @@
     /**
      * @param entries - The entry instances.
      * @param servers - The upstreams and the platform.
-     * @param checker - Records when instances were cut off.
+     * @param checker - Records when instances were cut off, and planned stops that did not end as planned.
      */
     constructor(
         private readonly entries: readonly EntryProcess[],
         private readonly servers: SoakServers,
-        private readonly checker: PathChecker,
+        private readonly checker: SoakChecker,
     ) {}
 
     /** Injects all faults; resolves when the last one has ended and all processes run again. */
@@ -169,7 +169,7 @@
         else {
             const stop = stopSeriesOf({ durationMs, target });
             if (!await entry.stop(stop)) {
-                this.servers.checker.recordUnplannedEnd(entry.options.name, stop.stopMs);
+                this.checker.recordUnplannedEnd(entry.options.name, stop.stopMs);
             }
         }
         await entry.start();
@@ -182,7 +182,7 @@
         if (entry === undefined || candidates.length < 2) {
             return;
         }
-        const { checker } = this;
+        const { pathChecker } = this.checker;
         const { incarnation, options: { name, paths } } = entry;
         const fromMs = performance.now();
         this.cutOffEntries.add(entry);
@@ -203,7 +203,7 @@
         this.servers.clearAnnouncements();
         await wait(durationMs - lostResponsesMs);
         clearInterval(poll);
-        checker.recordCut({
+        pathChecker.recordCut({
             entry: name,
             incarnation,
             fromMs,
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -69,10 +69,6 @@
         });
     }
 
-    get checker(): SoakChecker {
-        return this.options.checker;
-    }
-
     /** Starts listening and publishes the first configuration. */
     async start(): Promise<{ readonly platformPort: number; }> {
         await Promise.all(this.upstreams.map(async upstream => {
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -89,7 +89,7 @@
         const leaving = new LeavingCallers({ random: new SeededRandom(seed + 2), entries: processes, checker: leaveChecker });
         const generationPolls = setInterval(() => void pollGenerations(processes, checker), generationPollMs);
         const plannedFaults = generateFaults({ seed, durationMs: seconds * 1000, surplus, onlyStops });
-        await new FaultInjector(processes, servers, checker.pathChecker).injectAll(plannedFaults);
+        await new FaultInjector(processes, servers, checker).injectAll(plannedFaults);
         leaving.stop();
         await wait(recoveryMs);
         await load.stop();
