Report requests that are answered before they are routed

On call, nothing showed why a caller gets 400 or 503 `stopping` from an instance: these answers have no request id, no event and no metric. That was so for heads that cannot be read, and added callers who were served before.

Event 409 has the problem, its detail, method, target and caller; `harrierhitch_early_problems_total` counts by problem. What is not told to a caller, as when it resets its connection, is not counted.

request-framing.test.ts: two malformed heads count 0 before and 2 now; a reset connection counts 0. Ruled out: an explanation record for each, whose memory any stranger could use up.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,6 +21,7 @@
 import { CallerConnections } from "./request/caller-connections.js";
 import { CallersServer } from "./request/callers-server.js";
 import { StallDetector } from "./stall-detector.js";
+import { reportEarlyProblem } from "./telemetry/early-problems.js";
 import { type EventLog, openLog } from "./telemetry/event-log.js";
 import { events } from "./telemetry/event.js";
 import { loadTracing } from "./telemetry/load-tracing.js";
@@ -195,6 +196,7 @@
         return new CallersServer({
             settings: this.settings.callers,
             connections: new CallerConnections(this.reading.pauses, this.polls, this.reading.readAhead),
+            onProblem: (problem, request) => reportEarlyProblem(this.log, this.metrics, problem, request),
             handler: (request, response) => {
                 this.stallDetector.check();
                 return this.instance.serve(request, response);
--- a/packages/daemon/src/request/callers-server.ts
+++ b/packages/daemon/src/request/callers-server.ts
@@ -28,6 +28,8 @@
     readonly settings: Settings["callers"];
     readonly handler: RequestHandler;
     readonly connections: CallerConnections;
+    /** Called for each request that is answered before it reaches the handler; without it if its head could not be read. */
+    readonly onProblem?: (problem: Problem, request: IncomingMessage | undefined) => void;
 }
 
 /** Interval at which the server checks connections for timeouts. */
@@ -39,7 +41,7 @@
     private readonly tasks = new Set<Promise<void>>();
     private readonly ends = new ConnectionEnds();
     private readonly handshakes = new Handshakes();
-    private readonly problems = new ConnectionProblems(this.ends);
+    private readonly problems: ConnectionProblems;
     private stopping = false;
     private hasServedAny = false;
     private maximumBodyBytes: number;
@@ -47,6 +49,7 @@
     /** @param options - Addresses, limits and the handler. */
     constructor(private readonly options: CallersServerOptions) {
         this.server = createHttpServer(options.settings);
+        this.problems = new ConnectionProblems(this.ends, problem => options.onProblem?.(problem, undefined));
         this.maximumBodyBytes = options.settings.maximumBodyBytes;
         this.server.maxConnections = options.settings.maximumConnections;
         // Called by `close`; Node takes a connection for idle whose response has ended but is not sent yet.
@@ -128,7 +131,7 @@
         if (this.ends.stageOf(request.socket) !== "closing") {
             const detail = `cannot meet ${request.headers.expect}`;
             const problem: Problem = { kind: "expectation-failed", detail, outcome: "not-run" };
-            this.toResponse(request, nodeResponse).sendProblem(problem, undefined);
+            this.reject(request, this.toResponse(request, nodeResponse), problem);
         }
     }
 
@@ -153,7 +156,7 @@
             if (problem.endsConnection) {
                 this.ends.end(request.socket);
             }
-            response.sendProblem(problem, undefined);
+            this.reject(request, response, problem);
             return;
         }
         if (!hasBody(request)) {
@@ -167,6 +170,11 @@
         this.hasServedAny = true;
     }
 
+    private reject(request: IncomingMessage, response: CallerResponse, problem: Problem): void {
+        this.options.onProblem?.(problem, request);
+        response.sendProblem(problem, undefined);
+    }
+
     private toResponse(request: IncomingMessage, nodeResponse: ServerResponse): CallerResponse {
         const { connections } = this.options;
         const response = new CallerResponse({
--- a/packages/daemon/src/request/connection-problems.ts
+++ b/packages/daemon/src/request/connection-problems.ts
@@ -17,8 +17,11 @@
     /** Connections on which something could not be read. */
     private readonly failed = new WeakSet<Duplex>();
 
-    /** @param ends - Ends the connections. */
-    constructor(private readonly ends: ConnectionEnds) {}
+    /**
+     * @param ends - Ends the connections.
+     * @param onProblem - Called for each problem that a caller is told.
+     */
+    constructor(private readonly ends: ConnectionEnds, private readonly onProblem: (problem: Problem) => void) {}
 
     /**
      * Ends a connection after the responses that are outstanding.
@@ -38,22 +41,28 @@
         if (!socket.writable) {
             socket.destroy();
         }
-        else if (incomplete !== undefined) {
-            endIncomplete(incomplete, problem);
+        else if (incomplete !== undefined && endIncomplete(incomplete, problem)) {
+            this.onProblem(problem);
         }
         else if (outstanding.length === 0) {
             writeRawProblem(socket, problem);
+            this.onProblem(problem);
         }
     }
 }
 
-/** Responds to a request of which only a part has arrived, unless an upstream may have received some of it. */
-const endIncomplete = (response: CallerResponse, problem: Problem): void => {
+/**
+ * Responds to a request of which only a part has arrived, unless an upstream may have received some of it.
+ *
+ * @returns Whether the caller is told the problem.
+ */
+const endIncomplete = (response: CallerResponse, problem: Problem): boolean => {
     const isSent = response.received?.isTaken !== true
         && response.sendProblem(problem, undefined, { connection: "close" }) !== undefined;
     if (!isSent) {
         response.abort();
     }
+    return isSent;
 };
 
 /** Sends a problem on a connection without outstanding responses. */
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -75,6 +75,7 @@
     requestUnrouted: { number: 405, level: "info", message: "no route matches the request" },
     callerLeft: { number: 406, level: "info", message: "caller disconnected before its response was complete" },
     readingPaused: { number: 407, level: "info", message: "reading from a caller's connection was paused for long" },
+    earlyProblem: { number: 409, level: "info", message: "request was answered with a problem before it was routed" },
     responseNotTaken: { number: 408, level: "warn", message: "response was not taken for the answer to its request" },
     settingsReloaded: { number: 114, level: "info", message: "settings were reloaded" },
     settingsInvalid: {
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -34,6 +34,12 @@
     readonly problems = this.counter("harrierhitch_problems_total", "Problem answers", ["problem"]);
 
     /** Requests whose callers disconnected early, by what the request was waiting for. */
+    readonly earlyProblems = this.counter(
+        "harrierhitch_early_problems_total",
+        "Requests that were answered with a problem before they were routed",
+        ["problem"],
+    );
+
     readonly callersLeft = this.counter(
         "harrierhitch_callers_left_total",
         "Requests whose callers disconnected before their responses were complete",
--- a/packages/standin/test/request-framing.test.ts
+++ b/packages/standin/test/request-framing.test.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { METHODS } from "node:http";
 import { after, afterEach, before, describe, test } from "node:test";
+import { openCaller } from "./raw-caller.js";
 import { RecordingUpstream, statusesIn } from "./recording-upstream.js";
 import { valuesOf } from "./strict-reader.js";
 
@@ -17,6 +18,11 @@
 afterEach(() => upstream.clear());
 
 const badRequest = 400;
+/** Number of requests that were counted as malformed. */
+const earlyProblems = async (): Promise<number> => {
+    const text = await upstream.system.daemon.metricsText();
+    return Number(/^harrierhitch_early_problems_total\{problem="bad-request"\} (\d+)$/m.exec(text)?.[1] ?? 0);
+};
 const chunked = "3\r\nabc\r\n0\r\n\r\n";
 
 describe("a request that upstreams may read otherwise gets 400, ends its connection and is not passed on", () => {
@@ -55,6 +61,22 @@
         });
     });
 
+    test("and is counted", async () => {
+        const before = await earlyProblems();
+        await upstream.send("POST /once/a HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n");
+        await upstream.send("POST /once/a HTTP/1.1\r\nhost: x\r\ncontent-length: +3\r\n\r\nabc");
+        assert.equal(await earlyProblems() - before, 2);
+    });
+
+    test("but a connection that its caller resets is not counted", async () => {
+        const before = await earlyProblems();
+        const caller = openCaller(upstream.system.callersPort, "POST /once/a HTTP/1.1\r\nhost: x\r\n");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        caller.resetAndDestroy();
+        await upstream.send("GET /safe/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        assert.equal(await earlyProblems(), before);
+    });
+
     test("also if it expects 100 Continue", async () => {
         const head = "PUT /safe/a HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ntransfer-encoding: gzip, chunked\r\n\r\n";
         const { text } = await upstream.send(head);
