Planned stop: a log that nobody reads does not keep the process from ending

Cause: the log is written by a thread of Node's pool, which is blocked in `write`; the exit joins that thread. /proc showed the main thread in a futex and one thread in `sock_alloc_send_pskb`. Closing the log before the exit did not help, since the thread stays blocked.

The stop waits for its lines to be written, a second at most and never beyond its time; if they are not, the process ends by SIGTERM, whose default action waits for no thread. The stop itself is complete by then. Ruled out: a non-blocking descriptor, since standard output may be a socket, which cannot be opened again; SIGKILL, which looks like a supervisor that lost patience.

planned-stop-signals.test.ts, "a log that nobody reads ...": ends by SIGTERM now.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,7 @@
 import type { OperatorServiceOptions } from "./operators/operator-service.js";
 import { OperatorsEndpoint } from "./operators/operators-endpoint.js";
 import { PeerJoiner } from "./peers/peer-joiner.js";
-import { PlannedStop } from "./planned-stop.js";
+import { PlannedStop, type StopResult } from "./planned-stop.js";
 import { defaultPlatform } from "./platform/default-platform.js";
 import { PlatformLink } from "./platform/platform-link.js";
 import { platformOptions } from "./platform/platform-options.js";
@@ -38,7 +38,7 @@
     /** The instance that serves requests. */
     readonly instance: Instance;
     /** Fulfilled when a planned stop has completed, whatever triggered it. */
-    readonly whenStopped: Promise<void>;
+    readonly whenStopped: Promise<StopResult>;
     private readonly settings: Settings;
     private readonly times: FleetTimes;
     private readonly clock: Clock;
@@ -55,13 +55,13 @@
     private readonly peers: PeerJoiner;
     private tracing: Tracing | undefined;
     private readonly plannedStop: PlannedStop;
-    private resolveStopped: () => void = () => undefined;
+    private resolveStopped: (result: StopResult) => void = () => undefined;
     private started: Promise<DaemonPorts> | undefined;
 
     /** @param options - Settings and replaceable parts. */
     constructor(options: DaemonOptions) {
         const { settings } = options;
-        this.whenStopped = new Promise<void>(resolve => {
+        this.whenStopped = new Promise<StopResult>(resolve => {
             this.resolveStopped = resolve;
         });
         this.settings = settings;
@@ -134,8 +134,7 @@
 
     /** Stops gracefully: requests in flight may finish within the time that the settings allow. */
     async stop(): Promise<void> {
-        await this.plannedStop.run();
-        this.resolveStopped();
+        this.resolveStopped(await this.plannedStop.run());
     }
 
     /** Metrics in the Prometheus text format. */
--- a/packages/daemon/src/planned-stop.ts
+++ b/packages/daemon/src/planned-stop.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { type Clock, Deadline } from "@harrierhitch/core";
+import { type Clock, Deadline, sleep } from "@harrierhitch/core";
 import type { Instance } from "./instance.js";
 import type { PeerJoiner } from "./peers/peer-joiner.js";
 import type { CallersServer } from "./request/callers-server.js";
@@ -26,6 +26,15 @@
     readonly closeRest: () => Promise<void>;
 }
 
+/** How a planned stop has ended. */
+export interface StopResult {
+    /** Whether nobody reads the log, so that the process cannot exit: Node waits for what it writes. */
+    readonly isLogBlocked: boolean;
+}
+
+/** Longest time for which the reader of the log is waited for, in milliseconds. */
+const maximumFlushMs = 1000;
+
 /** Stops a daemon within the time that its supervisor allows. */
 export class PlannedStop {
     private readonly portCloses: Deadline;
@@ -33,7 +42,7 @@
     private readonly processEnds: Deadline;
     private limits: StopLimits;
     private requestedAtMs: number | undefined;
-    private running: Promise<void> | undefined;
+    private running: Promise<StopResult> | undefined;
 
     /** @param options - The parts that are stopped. */
     constructor(private readonly options: PlannedStopOptions) {
@@ -60,7 +69,7 @@
     }
 
     /** Stops the daemon; resolves when the stop is complete. Further calls have no effect on it. */
-    run(): Promise<void> {
+    run(): Promise<StopResult> {
         if (this.running !== undefined) {
             this.options.log.write(events.stopRepeated, { ageMs: this.options.clock.nowMs() - (this.requestedAtMs ?? 0) });
         }
@@ -68,7 +77,7 @@
         return this.running;
     }
 
-    private async stop(): Promise<void> {
+    private async stop(): Promise<StopResult> {
         const { clock, log, instance, callers, peers } = this.options;
         this.requestedAtMs = clock.nowMs();
         this.schedule();
@@ -85,9 +94,14 @@
         if (abortedRequests > 0) {
             log.write(events.stopAbortedRequests, { requests: abortedRequests });
         }
-        await Promise.race([this.options.closeRest(), this.processEnds.passed(finished.signal)]);
-        finished.abort();
+        const processEnds = this.processEnds.passed(finished.signal);
+        await Promise.race([this.options.closeRest(), processEnds]);
         log.write(events.stopped);
+        const isLogWritten = log.flush().then(() => true);
+        const isOver = Promise.race([sleep(clock, maximumFlushMs, finished.signal), processEnds]).then(() => false);
+        const isLogBlocked = !await Promise.race([isLogWritten, isOver]);
+        finished.abort();
+        return { isLogBlocked };
     }
 
     private schedule(): void {
--- a/packages/daemon/src/process-signals.ts
+++ b/packages/daemon/src/process-signals.ts
@@ -36,6 +36,12 @@
         this.early.clear();
     }
 
+    /** Ends this process by SIGTERM, which does not wait for threads that are blocked in a system call. */
+    endProcess(): void {
+        process.removeAllListeners("SIGTERM");
+        process.kill(process.pid, "SIGTERM");
+    }
+
     private handle(name: keyof SignalActions): void {
         if (this.actions === undefined) {
             this.early.add(name);
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -60,7 +60,10 @@
         const started = daemon.start();
         signals.attach({ stop: () => void daemon.stop(), reload: () => reload(file, daemon) });
         await started;
-        await daemon.whenStopped;
+        const { isLogBlocked } = await daemon.whenStopped;
+        if (isLogBlocked) {
+            signals.endProcess();
+        }
         process.exit(exitCodes.stopped);
     }
     catch (thrown) {
--- a/packages/daemon/src/telemetry/event-log.ts
+++ b/packages/daemon/src/telemetry/event-log.ts
@@ -42,9 +42,12 @@
 /** Longest time for which lines are buffered, in milliseconds; a killed process loses them. */
 const flushIntervalMs = 500;
 
+type StandardOutput = ReturnType<typeof pino.destination>;
+
 /** Writes events as JSON, one object per line. Never blocks; lines beyond the limits are dropped. */
 export class EventLog {
     private readonly logger: Logger;
+    private readonly output: StandardOutput | undefined;
     private readonly clock: Clock;
     private readonly linesPerSecond: number;
     private windowStartMs = -Infinity;
@@ -57,9 +60,8 @@
         this.linesPerSecond = options.linesPerSecond ?? defaultLinesPerSecond;
         const { level, base = {} } = options;
         const settings = { level, base, serializers: { error: pino.stdSerializers.err } };
-        this.logger = options.destination === undefined
-            ? pino(settings, this.openStandardOutput())
-            : pino(settings, options.destination);
+        this.output = options.destination === undefined ? this.openStandardOutput() : undefined;
+        this.logger = pino(settings, options.destination ?? this.output);
     }
 
     /** Writes an event unless the rate limit is reached. */
@@ -77,6 +79,12 @@
         this.logger[kind.level]({ event: kind.number, ...fields }, kind.message);
     }
 
+    /** Writes the buffered lines to standard output; does not resolve while nobody reads it. */
+    flush(): Promise<void> {
+        const { output } = this;
+        return output === undefined ? Promise.resolve() : new Promise(resolve => output.flush(() => resolve()));
+    }
+
     private advanceWindow(): void {
         const nowMs = this.clock.nowMs();
         if (nowMs - this.windowStartMs < windowMs) {
@@ -96,7 +104,7 @@
         this.options.onDropped?.(lines);
     }
 
-    private openStandardOutput(): DestinationStream {
+    private openStandardOutput(): StandardOutput {
         const output = pino.destination({
             dest: 1,
             sync: false,
--- a/packages/standin/test/planned-stop-signals.test.ts
+++ b/packages/standin/test/planned-stop-signals.test.ts
@@ -31,7 +31,13 @@
 
 const writeSettings = (stopMs: number | string): Promise<void> => {
     const options = { id: "entry-2", availabilityZone: "hall-a", fleet: "signals", platformPort: system.platformPort };
-    return writeFile(file, loopbackSettings(options).replace("stopDelayMs = 0", `stopDelayMs = 50\nstopMs = ${stopMs}`));
+    return writeFile(
+        file,
+        loopbackSettings(options).replace(
+            "stopDelayMs = 0",
+            `stopDelayMs = 50\nstopMs = ${stopMs}\n[log]\nlinesPerSecond = 100000`,
+        ),
+    );
 };
 
 const startDaemonProcess = (): Child => startChild(programs.daemon, ["--settings", file]);
@@ -93,6 +99,22 @@
     });
 });
 
+test("a log that nobody reads does not keep the process from ending", { timeout: 60_000 }, async () => {
+    const { callers } = await daemon.line<{ callers: number; }>("callers");
+    await daemon.line("generation");
+    daemon.process.stdout?.pause();
+    const settled = await Promise.all(Array.from({ length: 3000 }, async (_, index) => {
+        await sleep(index / 4);
+        const response = await fetch(`http://127.0.0.1:${callers}/lost-${"x".repeat(900)}`);
+        await response.text();
+        return response.status;
+    }));
+    assert.ok(settled.every(status => status === 404));
+    const exited = once(daemon.process, "exit");
+    daemon.process.kill("SIGTERM");
+    assert.deepEqual(await exited, [null, "SIGTERM"]);
+});
+
 describe("just after the ports have opened", { timeout: 60_000 }, () => {
     test("SIGTERM stops the daemon as planned", async () => {
         const exited = once(daemon.process, "exit");
