The framing of responses in the log: what delimits a body at the upstream, on the way and to the caller

Framing is a type of its own that travels with the head of a response: lines 403 and 332 name it, line 410 and a counter follow responses that end with their connection to the caller.

--- a/packages/daemon/src/detour/detour-attempt.ts
+++ b/packages/daemon/src/detour/detour-attempt.ts
@@ -12,6 +12,7 @@
 import { newSpanId } from "../telemetry/trace-context.js";
 import { remoteUse } from "../upstream/connection-use.js";
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
+import type { Framing } from "../upstream/framing.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import type { DetourClient } from "./detour-client.js";
 import type { DetourPeers } from "./detour-peers.js";
@@ -81,14 +82,14 @@
         this.inner?.resume();
     }
 
-    onHead(status: number, headers: IncomingHttpHeaders): boolean {
+    onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean {
         // What arrives before the request was sent answers another one; the attempt ends, so that it is not sent afterwards.
         if (!this.hasBegun) {
             return false;
         }
         this.received = readDetourResult(headers, this.id);
         if (this.received.type === "answered") {
-            return this.options.sink.onHead(status, withoutDetourHeaders(headers));
+            return this.options.sink.onHead(status, withoutDetourHeaders(headers), framing);
         }
         // A connection on which a response of unknown origin arrived carries nothing further.
         return this.received.type !== "lost";
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -5,17 +5,17 @@
  */
 
 import type { Clock } from "@harrierhitch/core";
-import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
-import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
-import { requestHeaders, responseHeaders } from "../request/headers.js";
+import type { UpstreamEntry } from "@harrierhitch/decision";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { requestHeaders } from "../request/headers.js";
 import { hasBody } from "../request/request-body.js";
 import type { PathTelemetry } from "../telemetry/path-telemetry.js";
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { RoutedTransport } from "../upstream/routed-transport.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
-import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { type DetourAddress, parseDetour } from "./detour-address.js";
-import { detourHeader, detourIdHeader, type DetourResult, formatDetourResult, type NotSentReason } from "./detour-result.js";
+import { DetourResponse, resultHeaders } from "./detour-response.js";
+import { detourIdHeader, type DetourResult, type NotSentReason } from "./detour-result.js";
 import { newConnectionHeader } from "./new-connection-header.js";
 
 /** Options of {@link DetourListener}. */
@@ -75,17 +75,24 @@
         const destination = this.destinationOf(address);
         const reason = this.rejectionOf(address) ?? await this.obstacleOf(address, destination);
         const waitedMs = clock.nowMs() - startedAtMs;
+        const forwarded = new DetourResponse(request, response);
         let result: DetourResult = { type: "answered" };
         if (reason !== undefined || destination === undefined) {
             result = { type: "not-sent", reason: reason ?? "unknown-upstream" };
         }
         else if (address.action === "send") {
-            result = await this.forward(address, destination, request, response);
+            result = await this.forward(address, destination, request, forwarded);
         }
         if (!response.headersSent) {
             respond(request, response, result);
         }
-        telemetry.detourServed({ address, result, waitedMs, durationMs: clock.nowMs() - startedAtMs });
+        telemetry.detourServed({
+            address,
+            result,
+            framing: forwarded.framing,
+            waitedMs,
+            durationMs: clock.nowMs() - startedAtMs,
+        });
         await whenClosed(response);
     }
 
@@ -126,10 +133,11 @@
         address: DetourAddress,
         { runtime, upstream }: Destination,
         request: IncomingMessage,
-        response: ServerResponse,
+        forwarded: DetourResponse,
     ): Promise<DetourResult> {
+        const { response } = forwarded;
         const { clock, transport } = this.options;
-        const attempt: Attempt = transport.send(upstream, {
+        const attempt = transport.send(upstream, {
             method: request.method ?? "GET",
             path: address.url,
             headers: requestHeaders(request.rawHeaders, request.headers.connection, {
@@ -141,12 +149,13 @@
             mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
             ...(address.request === "" ? {} : { patienceMs: defaultPatienceMs }),
-        }, responseSink(request, response, () => attempt));
+        }, forwarded);
+        forwarded.onDrain(() => attempt.resume());
         const timer = clock.after(address.timeoutMs, () => attempt.cancel("timed-out"));
         response.once("close", () => attempt.cancel("cancelled"));
         const result = await attempt.result;
         timer.cancel();
-        return finishResponse(response, result);
+        return forwarded.finish(result);
     }
 }
 
@@ -154,41 +163,6 @@
 const whenClosed = (response: ServerResponse): Promise<void> =>
     response.closed ? Promise.resolve() : new Promise(resolve => response.once("close", resolve));
 
-/** Forwards the response of an upstream at the pace at which the other instance reads. */
-const responseSink = (request: IncomingMessage, response: ServerResponse, attempt: () => Attempt): ResponseSink => ({
-    onHead: (status: number, headers: IncomingHttpHeaders) => {
-        response.writeHead(status, responseHeaders(headers, resultHeaders(request, { type: "answered" })));
-        response.flushHeaders();
-        return true;
-    },
-    onData: chunk => {
-        const isWritable = response.write(chunk);
-        if (!isWritable) {
-            response.once("drain", () => attempt().resume());
-        }
-        return isWritable;
-    },
-});
-
-/** Ends a response that has begun, or aborts it if it is incomplete; returns what to respond if none has begun. */
-const finishResponse = (response: ServerResponse, { end, sent, refused }: AttemptResult): DetourResult => {
-    if (response.headersSent) {
-        if (end === "answered") {
-            response.end();
-            return { type: "answered" };
-        }
-        response.destroy();
-        return { type: "lost" };
-    }
-    if (sent) {
-        return { type: end === "reset" ? "reset" : "lost" };
-    }
-    if (end === "withdrawn") {
-        return { type: "not-sent", reason: "withdrawn" };
-    }
-    return { type: "not-sent", reason: refused === true ? "closed" : "silent" };
-};
-
 const respond = (request: IncomingMessage, response: ServerResponse, result: DetourResult): void => {
     const status = result.type === "not-sent" ? notSentStatus : result.type === "answered" ? 204 : failedStatus;
     // What is left of the request's body must not be taken for the next request.
@@ -200,9 +174,3 @@
     });
     response.end();
 };
-
-/** Headers with the result of a detour, and with its id if it has one. */
-const resultHeaders = ({ headers }: IncomingMessage, result: DetourResult): OutgoingHttpHeaders => {
-    const { [detourIdHeader]: id } = headers;
-    return { [detourHeader]: formatDetourResult(result), ...(id === undefined ? {} : { [detourIdHeader]: id }) };
-};
--- /dev/null
+++ b/packages/daemon/src/detour/detour-response.ts
@@ -0,0 +1,72 @@
+/**
+ * The response of an upstream as it is passed on to the instance that asked for it.
+ *
+ * @packageDocumentation
+ */
+
+import type { AttemptResult } from "@harrierhitch/decision";
+import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { responseHeaders } from "../request/headers.js";
+import type { Framing } from "../upstream/framing.js";
+import type { ResponseSink } from "../upstream/upstream-transport.js";
+import { detourHeader, detourIdHeader, type DetourResult, formatDetourResult } from "./detour-result.js";
+
+/** Forwards the response of an upstream at the pace at which the other instance reads. */
+export class DetourResponse implements ResponseSink {
+    /** What delimits the body of the upstream's response; `undefined` without one. */
+    framing: Framing | undefined;
+    private resume: () => void = () => undefined;
+
+    /**
+     * @param request - The request of the other instance.
+     * @param response - The response to it.
+     */
+    constructor(private readonly request: IncomingMessage, readonly response: ServerResponse) {}
+
+    /** Sets what is called when the other instance has read enough to go on. */
+    onDrain(resume: () => void): void {
+        this.resume = resume;
+    }
+
+    onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean {
+        const { request, response } = this;
+        this.framing = framing;
+        response.writeHead(status, responseHeaders(headers, resultHeaders(request, { type: "answered" })));
+        response.flushHeaders();
+        return true;
+    }
+
+    onData(chunk: Buffer): boolean {
+        const isWritable = this.response.write(chunk);
+        if (!isWritable) {
+            this.response.once("drain", () => this.resume());
+        }
+        return isWritable;
+    }
+
+    /** Ends a response that has begun, or aborts it if it is incomplete; returns what to respond if none has begun. */
+    finish({ end, sent, refused }: AttemptResult): DetourResult {
+        const { response } = this;
+        if (response.headersSent) {
+            if (end === "answered") {
+                response.end();
+                return { type: "answered" };
+            }
+            response.destroy();
+            return { type: "lost" };
+        }
+        if (sent) {
+            return { type: end === "reset" ? "reset" : "lost" };
+        }
+        if (end === "withdrawn") {
+            return { type: "not-sent", reason: "withdrawn" };
+        }
+        return { type: "not-sent", reason: refused === true ? "closed" : "silent" };
+    }
+}
+
+/** Headers with the result of a detour, and with its id if it has one. */
+export const resultHeaders = ({ headers }: IncomingMessage, result: DetourResult): OutgoingHttpHeaders => {
+    const { [detourIdHeader]: id } = headers;
+    return { [detourHeader]: formatDetourResult(result), ...(id === undefined ? {} : { [detourIdHeader]: id }) };
+};
--- a/packages/daemon/src/request/abort-response.ts
+++ b/packages/daemon/src/request/abort-response.ts
@@ -8,19 +8,20 @@
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { TLSSocket } from "node:tls";
+import type { Framing } from "../upstream/framing.js";
 
 /**
  * Aborts an incomplete response. If its body is framed, data that was already written is still sent, but not its end.
  *
  * @param response - The response.
- * @param hasLength - Whether its head states the length; Node does not keep headers that are passed to `writeHead`.
+ * @param framing - What delimits its body; `undefined` if its head was not written.
  */
-export const abortResponse = (response: ServerResponse, hasLength: boolean): void => {
+export const abortResponse = (response: ServerResponse, framing: Framing | undefined): void => {
     const { socket } = response;
     if (socket === null || !response.headersSent) {
         response.destroy();
     }
-    else if (hasLength || response.chunkedEncoding) {
+    else if (framing === "length" || framing === "chunks") {
         response.flushHeaders();
         socket.destroySoon();
     }
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -8,6 +8,7 @@
 import { type AttemptResult, type InFlightRequest, outcomeOf, type UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { ConnectionUse } from "../upstream/connection-use.js";
+import type { Framing } from "../upstream/framing.js";
 import type { Attempt, ResponseSink } from "../upstream/upstream-transport.js";
 import { isShedWithHeadroom } from "./apply-response.js";
 import { isUpstreamFailure } from "./attempt-ends.js";
@@ -72,8 +73,9 @@
         this.attempt.cancel(end);
     }
 
-    onHead(status: number, headers: IncomingHttpHeaders): boolean {
+    onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean {
         this.stallWatch.stop();
+        this.record.framing = framing;
         const { services } = this.options;
         const { attemptId, record, startedAtMs } = this;
         const response = receiveHead(this.options, { status, headers, attemptId, record, startedAtMs });
@@ -92,6 +94,7 @@
 
     onData(chunk: Buffer): boolean {
         this.record.payloadBytes += chunk.length;
+        this.record.responseBytes += chunk.length;
         if (this.isForwarded) {
             return this.forwardBody(chunk);
         }
--- a/packages/daemon/src/request/caller-response.ts
+++ b/packages/daemon/src/request/caller-response.ts
@@ -6,21 +6,19 @@
 
 import type { RequestId } from "@harrierhitch/core";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { type Framing, mayHaveBody } from "../upstream/framing.js";
 import { abortResponse } from "./abort-response.js";
 import type { BufferedResponse } from "./buffered-response.js";
 import type { CallerConnection } from "./caller-connection.js";
 import type { CallerResponseOptions } from "./caller-response-options.js";
-import { definedHeaders, responseHeaders } from "./headers.js";
+import { forwardedHead, sentFraming } from "./forwarded-head.js";
+import { definedHeaders } from "./headers.js";
 import { type Problem, problemBody, problemHeaders, problemKinds } from "./problem.js";
 import { ReadAhead } from "./read-ahead.js";
 import { ReceivedBody } from "./received-body.js";
 import { hasBody } from "./request-body.js";
 import { WaitingWrites } from "./waiting-writes.js";
 
-/** Statuses of responses without a body. */
-const noContentStatus = 204;
-const notModifiedStatus = 304;
-
 /** Sends an upstream's response or a problem; an incomplete response is aborted so that the caller can detect it. */
 export class CallerResponse {
     /** Number of requests on the connection that had no complete response when this one arrived. */
@@ -33,8 +31,8 @@
     private disconnected = false;
     private finished = false;
     private hasHead = false;
-    /** Whether a head that states the length of the body was sent. */
-    private hasLength = false;
+    /** What delimits the body of the upstream's response that is being sent; `undefined` before its head was written. */
+    framing: Framing | undefined;
     private readonly writes: WaitingWrites;
     private readonly readAhead: ReadAhead | undefined;
     /** The body of the request as it arrives; `undefined` if it has none. */
@@ -134,9 +132,7 @@
         }
         this.hasHead = true;
         this.writes.write(0, () => {
-            const forwardedHeaders = this.headersOf(status, headers, extraHeaders);
-            this.hasLength = forwardedHeaders["content-length"] !== undefined;
-            this.response.writeHead(status, forwardedHeaders);
+            this.writeHeadOf(status, { ...forwardedHead(status, headers, extraHeaders), ...this.closingHeaders });
             this.readAhead?.open();
         });
     }
@@ -190,29 +186,29 @@
     }
 
     private writeBuffered({ status, headers, body, isFramed }: BufferedResponse, extraHeaders: OutgoingHttpHeaders): void {
-        const forwardedHeaders = this.headersOf(status, headers, extraHeaders);
-        const mayHaveBody = this.request.method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
-        if (mayHaveBody && isFramed) {
+        const { method = "" } = this.request;
+        const forwardedHeaders = { ...forwardedHead(status, headers, extraHeaders), ...this.closingHeaders };
+        const hasContent = mayHaveBody({ method, status });
+        if (hasContent && isFramed) {
             forwardedHeaders["content-length"] = body.length;
         }
-        else if (mayHaveBody) {
+        else if (hasContent) {
             forwardedHeaders["connection"] = "close";
             this.response.useChunkedEncodingByDefault = false;
         }
         this.readAhead?.addComplete(body.length);
-        this.response.writeHead(status, forwardedHeaders);
+        this.writeHeadOf(status, forwardedHeaders);
         this.response.end(body);
     }
 
-    private headersOf(status: number, headers: IncomingHttpHeaders, extraHeaders: OutgoingHttpHeaders): OutgoingHttpHeaders {
-        // Some callers would wait for the body, and take the next response for it.
-        const withoutLength = status === noContentStatus ? { "content-length": undefined } : {};
-        return { ...responseHeaders(headers, { ...extraHeaders, ...withoutLength }), ...this.closingHeaders };
+    private writeHeadOf(status: number, headers: OutgoingHttpHeaders): void {
+        this.response.writeHead(status, headers);
+        this.framing = sentFraming(this.request, this.response, headers);
     }
 
     /** Aborts an incomplete response. */
     abort(): void {
-        this.afterBody(() => abortResponse(this.response, this.hasLength));
+        this.afterBody(() => abortResponse(this.response, this.framing));
     }
 
     /** Acts in turn, when what was read ahead has been written. */
--- a/packages/daemon/src/request/complete-request.ts
+++ b/packages/daemon/src/request/complete-request.ts
@@ -19,6 +19,7 @@
     const { record, departure, trace } = progress;
     services.crashes.recordCompleted(record.id, progress.mayHaveRun);
     record.durationMs = progress.ageMs;
+    record.callerFraming = progress.response.framing;
     services.explanations.finish(record);
     if (departure !== undefined) {
         services.onDeparture(record, departure);
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -10,6 +10,7 @@
 import { newSpanId } from "../telemetry/trace-context.js";
 import type { PortState } from "../upstream/check-port.js";
 import type { ConnectionUse } from "../upstream/connection-use.js";
+import type { Framing } from "../upstream/framing.js";
 import type { Attribution } from "./header-protocol.js";
 import type { ProblemKind } from "./problem.js";
 import type { PauseReason } from "./reading-pauses.js";
@@ -41,6 +42,10 @@
     headMs: number | undefined;
     /** Whose response that is. */
     attribution: Attribution | undefined;
+    /** What delimits its body. */
+    framing: Framing | undefined;
+    /** Bytes of its body that were read. */
+    responseBytes: number;
     /** Why nothing was read from the caller's connection when the first byte was sent; `undefined` if it was read. */
     pausedFor: PauseReason | undefined;
     endedMs: number | undefined;
@@ -63,6 +68,8 @@
     use: undefined,
     headMs: undefined,
     attribution: undefined,
+    framing: undefined,
+    responseBytes: 0,
     pausedFor: undefined,
     endedMs: undefined,
     result: undefined,
@@ -96,4 +103,6 @@
     interruption?: Interruption;
     /** Longest time for which a streamed response was not read from its upstream; absent if it was read at once. */
     longestPauseMs?: number;
+    /** What delimits the body of the response to the caller; absent if no response of an upstream was sent. */
+    callerFraming?: Framing | undefined;
 }
--- a/packages/daemon/src/telemetry/attempt-metrics.ts
+++ b/packages/daemon/src/telemetry/attempt-metrics.ts
@@ -32,6 +32,13 @@
         ["service", "attribution"],
     );
 
+    /** Requests of which a response ended with its upstream's connection, by service and what delimits the response to the caller. */
+    readonly unframedResponses = this.counter(
+        "harrierhitch_responses_unframed_total",
+        "Requests of which a response ended with its upstream's connection",
+        ["service", "caller"],
+    );
+
     /** Requests that upstreams shed, by service and whether the upstream reported headroom. */
     readonly sheds = this.counter("harrierhitch_sheds_total", "Requests shed by upstreams", ["service", "headroom"]);
 }
--- a/packages/daemon/src/telemetry/attempt-telemetry.ts
+++ b/packages/daemon/src/telemetry/attempt-telemetry.ts
@@ -43,7 +43,7 @@
 
 /** Returns where and when an attempt was sent and answered, and what its outcome is based on, for the log. */
 export const exchangeLogFields = (attempt: AttemptRecord) => {
-    const { use, sentMs, headMs, attribution } = attempt;
+    const { use, sentMs, headMs, attribution, framing, responseBytes } = attempt;
     return {
         evidence: evidenceOf(attempt),
         attribution,
@@ -51,6 +51,8 @@
         preceding: use?.precedingRequests,
         sentMs: sentMs === undefined ? undefined : Math.round(sentMs),
         headMs: headMs === undefined ? undefined : Math.round(headMs),
+        framing,
+        responseBytes: framing === undefined ? undefined : responseBytes,
     };
 };
 
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -84,6 +84,7 @@
     readingPaused: { number: 407, level: "info", message: "reading from a caller's connection was paused for long" },
     earlyProblem: { number: 409, level: "info", message: "request was answered with a problem before it was routed" },
     responseNotTaken: { number: 408, level: "warn", message: "response was not taken for the answer to its request" },
+    unframedResponse: { number: 410, level: "info", message: "response ended with its upstream's connection" },
     settingsReloaded: { number: 114, level: "info", message: "settings were reloaded" },
     settingsInvalid: {
         number: 115,
--- a/packages/daemon/src/telemetry/path-telemetry.ts
+++ b/packages/daemon/src/telemetry/path-telemetry.ts
@@ -6,6 +6,7 @@
 
 import type { DetourAddress } from "../detour/detour-address.js";
 import { type DetourResult, formatDetourResult } from "../detour/detour-result.js";
+import type { Framing } from "../upstream/framing.js";
 import type { ReachabilityChange } from "../upstream/reachability-change.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
@@ -15,6 +16,8 @@
 export interface ServedDetour {
     readonly address: DetourAddress;
     readonly result: DetourResult;
+    /** What delimits the body of the upstream's response; `undefined` without one. */
+    readonly framing: Framing | undefined;
     /** Time until the request was sent on or rejected. */
     readonly waitedMs: number;
     /** Time until its response ended. */
@@ -49,7 +52,7 @@
     }
 
     /** Counts a detour that this instance served, and logs it under the id of its request; probes are only counted. */
-    detourServed({ address, result, waitedMs, durationMs }: ServedDetour): void {
+    detourServed({ address, result, framing, waitedMs, durationMs }: ServedDetour): void {
         const { request, instance, upstream } = address;
         this.metrics.detoursServed.inc({ result: formatDetourResult(result) });
         this.metrics.detourDuration.observe(durationMs / 1000);
@@ -59,6 +62,7 @@
                 from: instance,
                 upstream,
                 result: formatDetourResult(result),
+                framing,
                 waitedMs: Math.round(waitedMs),
                 durationMs: Math.round(durationMs),
             });
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -20,6 +20,7 @@
 import { type ConfigurationReport, reportConfiguration } from "./configuration-report.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
+import { reportUnframed } from "./framing-telemetry.js";
 import type { Metrics } from "./metrics.js";
 
 /** Writes log events and updates metrics. */
@@ -164,6 +165,7 @@
         if (record.problem !== undefined) {
             this.metrics.problems.inc({ problem: record.problem });
         }
+        reportUnframed(this.log, this.metrics, record);
         const { id, outcome, status } = record;
         const durationMs = Math.round(record.durationMs ?? 0);
         this.log.write(events.requestServed, { request: id, route: route.name, outcome, status, durationMs });
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -8,6 +8,7 @@
 import type { AttemptResult, UpstreamEntry } from "@harrierhitch/decision";
 import type { IncomingHttpHeaders } from "node:http";
 import type { ConnectionUse } from "./connection-use.js";
+import type { Framing } from "./framing.js";
 import type { Reachability } from "./reachability.js";
 import type { Attempt, ResponseSink, UpstreamRequest, UpstreamTransport } from "./upstream-transport.js";
 
@@ -61,12 +62,12 @@
         this.inner.resume();
     }
 
-    onHead(status: number, headers: IncomingHttpHeaders): boolean {
+    onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean {
         const { reachability, upstream, sink } = this.options;
         this.hasResponse = true;
         this.patienceTimer?.cancel();
         reachability.recordResponse(upstream.id);
-        return sink.onHead(status, headers);
+        return sink.onHead(status, headers, framing);
     }
 
     onData(chunk: Buffer): boolean {
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -17,20 +17,14 @@
     EarlyResponseError,
     UnusableResponseError,
 } from "./attempt-errors.js";
-import { recordUse, type UpstreamEchoes } from "./connection-use.js";
+import { recordUse } from "./connection-use.js";
 import { framedHeaders } from "./framed-headers.js";
+import { framingOf } from "./framing.js";
+import type { HttpAttemptTarget } from "./http-attempt-target.js";
 import { findResponseProblem } from "./response-problem.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
-/** Where an attempt connects to. */
-export interface HttpAttemptTarget {
-    readonly address: string;
-    readonly port: number;
-    readonly connectTimeoutMs: number;
-    readonly echoes: UpstreamEchoes;
-}
-
 /** Maximum size of a response's status line and headers. */
 const maximumResponseHeadBytes = 32_768;
 
@@ -191,7 +185,8 @@
         response.on("error", error => this.onError(error));
         response.on("data", (chunk: Buffer) => this.onData(chunk));
         response.on("end", () => this.onEnd());
-        if (!this.sink.onHead(response.statusCode ?? 0, response.headers)) {
+        const { statusCode: status = 0, headers } = response;
+        if (!this.sink.onHead(status, headers, framingOf({ method: this.outgoing.method, status, headers }))) {
             this.cancel("cancelled");
         }
     }
--- a/packages/daemon/src/upstream/routed-transport.ts
+++ b/packages/daemon/src/upstream/routed-transport.ts
@@ -27,9 +27,9 @@
     private sendProbe(upstream: Upstream, request: UpstreamRequest, sink: ResponseSink): Attempt {
         const { direct, reachability } = this.options;
         const attempt = direct.send(upstream, request, {
-            onHead: (status, headers) => {
+            onHead: (status, headers, framing) => {
                 reachability.recordResponse(upstream.id);
-                return sink.onHead(status, headers);
+                return sink.onHead(status, headers, framing);
             },
             onData: chunk => sink.onData(chunk),
         });
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -11,6 +11,7 @@
 import type { Readable } from "node:stream";
 import type { PortState } from "./check-port.js";
 import type { ConnectionUse } from "./connection-use.js";
+import type { Framing } from "./framing.js";
 
 export interface UpstreamRequest {
     readonly method: string;
@@ -44,11 +45,11 @@
 /** Receives the response of an attempt. */
 export interface ResponseSink {
     /**
-     * Receives the status and headers.
+     * Receives the status and headers, and what delimits the body.
      *
      * @returns Whether to continue; otherwise the attempt is cancelled.
      */
-    onHead(status: number, headers: IncomingHttpHeaders): boolean;
+    onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean;
     /**
      * Receives a chunk of the body.
      *
--- a/packages/daemon/test/model/model-transport.ts
+++ b/packages/daemon/test/model/model-transport.ts
@@ -61,7 +61,7 @@
             };
             await sleep(this.clock, oneWayDelayMs);
             model.recordNotified(this.instance);
-            if (sink.onHead(status, headers) && responseBytes > 0) {
+            if (sink.onHead(status, headers, "length") && responseBytes > 0) {
                 sink.onData(Buffer.alloc(responseBytes));
             }
             settle({ end: "answered", status, detail: "", sent: true });
--- a/packages/daemon/test/stopping-detours.test.ts
+++ b/packages/daemon/test/stopping-detours.test.ts
@@ -21,7 +21,7 @@
     const answered: AttemptResult = { end: "answered", status: 200, detail: "", sent: true };
     const result = new Promise<AttemptResult>(resolve =>
         setImmediate(() => {
-            sink.onHead(200, { "content-length": String(text.length) });
+            sink.onHead(200, { "content-length": String(text.length) }, "length");
             sink.onData(text);
             resolve(answered);
         })
