Responses of 204 and 304 end with their head, whatever length they state

The request was held until its deadline: 504. The attempt now ends with such a head and closes the connection, whose state is unknown.

--- a/packages/daemon/src/upstream/framing.ts
+++ b/packages/daemon/src/upstream/framing.ts
@@ -32,6 +32,11 @@
 export const mayHaveBody = ({ method, status }: Pick<FramedHead, "method" | "status">): boolean =>
     method !== "HEAD" && status !== noContentStatus && status !== notModifiedStatus;
 
+/** Returns whether the head of a response without a body states one; some parsers would then wait for it. */
+export const statesAbsentBody = ({ method, status, headers }: FramedHead): boolean =>
+    method !== "HEAD" && !mayHaveBody({ method, status })
+    && (headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0);
+
 /** Returns what delimits the body of a received response. */
 export const framingOf = (head: FramedHead): Framing => {
     if (!mayHaveBody(head)) {
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -19,7 +19,7 @@
 } from "./attempt-errors.js";
 import { recordUse } from "./connection-use.js";
 import { framedHeaders } from "./framed-headers.js";
-import { framingOf } from "./framing.js";
+import { framingOf, statesAbsentBody } from "./framing.js";
 import type { HttpAttemptTarget } from "./http-attempt-target.js";
 import { findResponseProblem } from "./response-problem.js";
 import { UpstreamAgent } from "./upstream-agent.js";
@@ -186,9 +186,14 @@
         response.on("data", (chunk: Buffer) => this.onData(chunk));
         response.on("end", () => this.onEnd());
         const { statusCode: status = 0, headers } = response;
-        if (!this.sink.onHead(status, headers, framingOf({ method: this.outgoing.method, status, headers }))) {
+        const head = { method: this.outgoing.method, status, headers };
+        if (!this.sink.onHead(status, headers, framingOf(head))) {
             this.cancel("cancelled");
         }
+        else if (statesAbsentBody(head)) {
+            this.finish("answered", "");
+            this.request.destroy();
+        }
     }
 
     private onInformation(): void {
--- a/packages/standin/test/response-framing.test.ts
+++ b/packages/standin/test/response-framing.test.ts
@@ -69,6 +69,12 @@
             assert.doesNotMatch(text, /content-length/i);
         });
 
+        test("a response that states that nothing has changed ends with its head", async () => {
+            answerWith("HTTP/1.1 304 Not Modified\r\n$ECHOcontent-length: 5\r\n\r\n");
+            const { text } = await get();
+            assert.deepEqual(statusesIn(text), [304]);
+        });
+
         test("a response to HEAD has the length but no body", async () => {
             answerWith(head("content-length: 5\r\n"));
             const { text } = await get("1.1", "HEAD");
