--- a/packages/daemon/test/endless-detours.test.ts
+++ b/packages/daemon/test/endless-detours.test.ts
@@ -2,19 +2,13 @@
  * Guards against bytes without end from an upstream behind another instance, which keep the request, a connection or memory.
  */
 
-import { SeededRandom, serviceName, SystemClock } from "@harrierhitch/core";
 import type { AttemptResult } from "@harrierhitch/decision";
 import assert from "node:assert/strict";
-import { Agent, createServer as createHttpServer } from "node:http";
 import { createServer, type Socket } from "node:net";
 import { describe, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DetourClient } from "../src/detour/detour-client.js";
-import { DetourListener, type DetourListenerOptions } from "../src/detour/detour-listener.js";
-import { DetourPeers } from "../src/detour/detour-peers.js";
-import { Detours } from "../src/detour/detours.js";
-import { openTransport, portOf } from "./http-upstream.js";
-import { peerAt } from "./peer-response.js";
+import { openHop } from "./detour-hop.js";
+import { portOf } from "./http-upstream.js";
 
 const piece = "x".repeat(16_384);
 const head = "HTTP/1.1 200 OK\r\n";
@@ -52,44 +46,18 @@
         });
     });
     await new Promise<void>(resolve => upstreamServer.listen(0, "127.0.0.1", resolve));
-    const { transport, upstream } = openTransport(portOf(upstreamServer));
-    const clock = new SystemClock();
-    const listener = new DetourListener({
-        clock,
-        fleet: "test",
-        transport: { send: transport.send.bind(transport), obstacleTo: () => Promise.resolve(undefined) },
-        telemetry: { detourServed: () => undefined, detourFailed: (error: unknown) => assert.fail(String(error)) },
-        services: () => [{ tracker: { find: () => upstream, acceptsRequests: () => true } }],
-        isMember: () => true,
-        isStopping: () => false,
-    } as unknown as DetourListenerOptions);
-    const peer = createHttpServer((request, response) => listener.handle(request, response));
-    await new Promise<void>(resolve => peer.listen(0, "127.0.0.1", resolve));
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    const detours = new Detours({
-        clock,
-        client: new DetourClient({ fleet: "test", instance: "entry-1", agent: () => agent }),
-        peers: new DetourPeers({
-            clock,
-            random: new SeededRandom(1),
-            availabilityZone: "hall-a",
-            members: () => [peerAt(portOf(peer))],
-        }),
-    });
+    const hop = await openHop(portOf(upstreamServer));
     const request = { method: "POST", path: "/x", headers: ["host", "x"], body: Buffer.from("body"), timeoutMs: 60_000 };
     const sink = { onHead: () => true, onData: () => isRead };
-    const attempt = detours.send(serviceName("main"), upstream, request, sink);
+    const attempt = hop.send(request, sink);
     const timer = setTimeout(() => attempt.cancel("timed-out"), patienceMs);
     const result: AttemptResult = await attempt.result;
     clearTimeout(timer);
-    await listener.drain();
+    await hop.drain();
     while (!connections.every(({ closed }) => closed)) {
         await sleep(5);
     }
-    agent.destroy();
-    peer.closeAllConnections();
-    peer.close();
-    await transport.close();
+    await hop.stop();
     upstreamServer.close();
     return { end: result.end, connections: connections.length, writtenBytes };
 };
