A reset together with the last bytes is no end of a response that ends with its connection

What callers saw: a cut response that ended regularly, like a complete one. Cause: libuv reports the end of the stream when a partial read and a hang-up are found in the same turn of the event loop, also after a reset, and Node's parser then counts a response without a length as complete. A busy process finds them so; had ruled resets out with an idle stand-in. The attempt ends as reset: another one if the request may be repeated, else 502 or a reset of the caller's connection. Not told: an upstream whose process is killed, since its kernel ends the connection regularly.

--- a/packages/daemon/src/upstream/attempt-errors.ts
+++ b/packages/daemon/src/upstream/attempt-errors.ts
@@ -48,3 +48,12 @@
 export class UnusableResponseError extends HarrierhitchError {
     readonly code = "unusable-response";
 }
+
+/** The connection was reset before the end of a response that ends with its connection. */
+export class ResponseResetError extends HarrierhitchError {
+    readonly code = "response-reset";
+
+    constructor() {
+        super("the connection was reset, and nothing else delimits the response");
+    }
+}
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -5,8 +5,8 @@
  */
 
 import type { AttemptEnd, AttemptResult } from "@harrierhitch/decision";
-import { type Agent as HttpAgent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
-import { Agent as HttpsAgent } from "node:https";
+import type { Agent as HttpAgent, ClientRequest, IncomingMessage } from "node:http";
+import type { Agent as HttpsAgent } from "node:https";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { codeOf, describeError, endOfError } from "./attempt-end.js";
@@ -15,19 +15,18 @@
     AttemptWithdrawnError,
     ConnectTimeoutError,
     EarlyResponseError,
+    ResponseResetError,
     UnusableResponseError,
 } from "./attempt-errors.js";
+import { ConnectionEnd } from "./connection-end.js";
 import { recordUse } from "./connection-use.js";
-import { framedHeaders } from "./framed-headers.js";
 import { framingOf, statesAbsentBody } from "./framing.js";
 import type { HttpAttemptTarget } from "./http-attempt-target.js";
+import { openUpstreamRequest } from "./open-upstream-request.js";
 import { findResponseProblem } from "./response-problem.js";
 import { UpstreamAgent } from "./upstream-agent.js";
 import type { Attempt, ResponseSink, UpstreamRequest } from "./upstream-transport.js";
 
-/** Maximum size of a response's status line and headers. */
-const maximumResponseHeadBytes = 32_768;
-
 /** Most informational responses before a response; a faulty upstream may send them without end. */
 const maximumInformationalHeads = 32;
 
@@ -37,6 +36,8 @@
     private readonly request: ClientRequest;
     private settle: (result: AttemptResult) => void = () => undefined;
     private response: IncomingMessage | undefined;
+    /** How the connection ends, if it delimits the response; `undefined` otherwise. */
+    private connectionEnd: ConnectionEnd | undefined;
     private cancelled: AttemptCancelledError | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
     private informationalHeads = 0;
@@ -58,18 +59,7 @@
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
-        const { address, port } = target;
-        this.request = openRequest({
-            agent,
-            protocol: agent instanceof HttpsAgent ? "https:" : "http:",
-            host: address,
-            port,
-            method: outgoing.method,
-            path: outgoing.path,
-            headers: framedHeaders(outgoing),
-            maxHeaderSize: maximumResponseHeadBytes,
-            setHost: false,
-        });
+        this.request = openUpstreamRequest(target, agent, outgoing);
         this.attachHandlers();
         this.send(outgoing.body);
     }
@@ -187,7 +177,11 @@
         response.on("end", () => this.onEnd());
         const { statusCode: status = 0, headers } = response;
         const head = { method: this.outgoing.method, status, headers };
-        if (!this.sink.onHead(status, headers, framingOf(head))) {
+        const framing = framingOf(head);
+        if (framing === "close") {
+            this.connectionEnd = new ConnectionEnd(response.socket);
+        }
+        if (!this.sink.onHead(status, headers, framing)) {
             this.cancel("cancelled");
         }
         else if (statesAbsentBody(head)) {
@@ -216,7 +210,10 @@
     }
 
     private onEnd(): void {
-        if (this.response?.complete === true) {
+        if (this.connectionEnd?.wasReset === true) {
+            this.fail(new ResponseResetError());
+        }
+        else if (this.response?.complete === true) {
             this.finish("answered", "");
         }
     }
