An attempt that is cancelled while its last data is read does not end the process

What callers saw: refused connections; an instance ended with an unhandled AttemptCancelledError. Cause: the attempt destroyed its request with an error. If the end of the response is read in the same turn, Node has removed its listener for the errors of the connection by the time it reports the error there. Fix: requests are destroyed without an error; the attempt has its end already.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -33,6 +33,7 @@
 export { type EventKind, events } from "./telemetry/event.js";
 export { Metrics } from "./telemetry/metrics.js";
 export { type PortState } from "./upstream/check-port.js";
+export { ConnectionEnd } from "./upstream/connection-end.js";
 export { HttpTransport } from "./upstream/http-transport.js";
 export {
     type Attempt,
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -70,7 +70,8 @@
             // Discards what was written but not acknowledged; otherwise a request held up by the network would still arrive.
             this.request.socket?.resetAndDestroy();
         }
-        this.request.destroy(this.cancelled);
+        // Without an error: while the last data is read, Node has removed its listener for the errors of the connection.
+        this.request.destroy();
         this.fail(this.cancelled);
     }
 
@@ -198,9 +199,8 @@
     }
 
     private endAsUnusable(problem: string): void {
-        const error = new UnusableResponseError(problem);
-        this.request.destroy(error);
-        this.fail(error);
+        this.request.destroy();
+        this.fail(new UnusableResponseError(problem));
     }
 
     private onData(chunk: Buffer): void {
