--- a/packages/standin/src/program.ts
+++ b/packages/standin/src/program.ts
@@ -154,6 +154,11 @@
             description: "Let full upstreams send surplus answers",
             negativeDescription: "Keep to the other faults",
         },
+        unframed: {
+            type: "boolean",
+            default: false,
+            description: "Let upstreams send answers that end with their connection",
+        },
         onlyStops: {
             type: "boolean",
             default: false,
@@ -171,6 +176,7 @@
                 callers: Number(args.callers),
                 basePort: Number(args.basePort),
                 surplus: args.surplus,
+                unframed: args.unframed,
                 onlyStops: args.onlyStops,
             });
             process.stdout.write(`${JSON.stringify({ seed, ...result })}\n`);
--- a/packages/standin/src/soak/limit-checker.ts
+++ b/packages/standin/src/soak/limit-checker.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 
-import type { UpstreamAnnouncement } from "../upstream-standin.js";
+import type { UpstreamAnnouncement } from "../upstream-announcement.js";
 
 /** An announced rate limit and the requests that count towards it. */
 interface LimitState {
--- a/packages/standin/src/soak/soak-servers.ts
+++ b/packages/standin/src/soak/soak-servers.ts
@@ -6,9 +6,11 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { PlatformStandin } from "../platform-standin.js";
-import { type SurplusPlacement, surplusPlacements } from "../surplus-answers.js";
+import type { SurplusPlacement } from "../surplus-answers.js";
+import type { UnframedEnding } from "../unframed-answers.js";
+import { noAnnouncement, type UpstreamAnnouncement } from "../upstream-announcement.js";
 import { defaultUpstreamBehaviour, type UpstreamBehaviour } from "../upstream-behaviour.js";
-import { noAnnouncement, type UpstreamAnnouncement, upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
+import { upstreamProbePath, UpstreamStandin } from "../upstream-standin.js";
 import type { EntryProcess } from "./entry-process.js";
 import { FaultProxy, type ProxyFault } from "./fault-proxy.js";
 import { entryHeader } from "./soak-callers.js";
@@ -125,13 +127,17 @@
 
     /** Number of surplus answers that upstreams sent, by their place. */
     get surplusCounts(): Readonly<Partial<Record<SurplusPlacement, number>>> {
-        const counts: Partial<Record<SurplusPlacement, number>> = {};
-        this.upstreams.forEach(({ standin }) =>
-            surplusPlacements.forEach(placement => {
-                counts[placement] = (counts[placement] ?? 0) + (standin.surplus.sent[placement] ?? 0);
-            })
-        );
-        return counts;
+        return sumOf(this.upstreams.map(({ standin }) => standin.surplus.sent));
+    }
+
+    /** Number of answers that ended with their connection, by their ending. */
+    get unframedCounts(): Readonly<Partial<Record<UnframedEnding, number>>> {
+        return sumOf(this.upstreams.map(({ standin }) => standin.unframed.sent));
+    }
+
+    /** Whether an upstream spoilt an answer to the request with a number, which may then be broken off towards its caller. */
+    hasSpoilt(number: string): boolean {
+        return this.upstreams.some(({ standin }) => standin.unframed.spoilt.has(number));
     }
 
     /** Returns how often upstreams ran the request with a number. */
@@ -205,3 +211,10 @@
         ].join("\n");
     }
 }
+
+/** Adds up counts by their names. */
+const sumOf = <Name extends string>(counts: readonly Partial<Record<Name, number>>[]): Partial<Record<Name, number>> =>
+    counts.reduce<Partial<Record<Name, number>>>((sum, some) => {
+        (Object.keys(some) as Name[]).forEach(name => sum[name] = (sum[name] ?? 0) + (some[name] ?? 0));
+        return sum;
+    }, {});
--- a/packages/standin/src/upstream-behaviour.ts
+++ b/packages/standin/src/upstream-behaviour.ts
@@ -34,6 +34,8 @@
     readonly chatter: number;
     /** Share of the answers of which a surplus copy is sent. */
     readonly surplusShare: number;
+    /** Share of the answers that end with their connection, some of them not as they should. */
+    readonly unframedShare: number;
     /** Number of requests in flight that is reported; `undefined` reports the actual number. */
     readonly reportedInFlight: number | undefined;
     /** Time after the start within which service times are multiplied by `coldFactor`, in milliseconds. */
@@ -58,6 +60,7 @@
     limitPerSecond: undefined,
     chatter: 0,
     surplusShare: 0,
+    unframedShare: 0,
     reportedInFlight: undefined,
     coldMs: 0,
     coldFactor: 3,
