A response with a header name that no message may contain is no answer

What callers saw: nothing; their connection was closed although the upstream had answered. Cause: the parser of Node 20.19.0 accepts a space in a name, which Node refuses to write; the error ended the request behind the point at which it could still be answered. New cases that held before: statuses of two and four digits, control characters in values, a space behind the name of the length, a negative length. Fix: such a head is garbled, like one with another transfer coding: another attempt, or 502.

--- a/packages/daemon/src/upstream/response-problem.ts
+++ b/packages/daemon/src/upstream/response-problem.ts
@@ -9,8 +9,15 @@
 
 const lowestStatus = 100;
 
+/** Names that a message may contain (RFC 9110, section 5.6.2); some parsers accept others, which nobody can write. */
+const headerName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
+
 /** Returns why the head of a response cannot be used; `undefined` if it can. */
 export const findResponseProblem = ({ statusCode = 0, headers }: IncomingMessage): string | undefined => {
+    const invalidName = Object.keys(headers).find(name => !headerName.test(name));
+    if (invalidName !== undefined) {
+        return `the header name ${JSON.stringify(invalidName)} is not valid`;
+    }
     const coding = headers["transfer-encoding"];
     if (statusCode < lowestStatus) {
         return `the status ${statusCode} is not valid`;
--- a/packages/standin/test/response-framing.test.ts
+++ b/packages/standin/test/response-framing.test.ts
@@ -51,6 +51,13 @@
             "a length that is not a number": `${head("content-length: 5x\r\n")}hello`,
             "two lengths": `${head("content-length: 5\r\ncontent-length: 5\r\n")}hello`,
             "a status below 100": "HTTP/1.1 099 Odd\r\n$ECHOcontent-length: 5\r\n\r\nhello",
+            "a status of four digits": "HTTP/1.1 1200 Odd\r\n$ECHOcontent-length: 5\r\n\r\nhello",
+            "a status of two digits": "HTTP/1.1 20 Odd\r\n$ECHOcontent-length: 5\r\n\r\nhello",
+            "a null character in a header": `${head("a: b\0c\r\ncontent-length: 5\r\n")}hello`,
+            "a control character in a header": `${head("a: b\x7fc\r\ncontent-length: 5\r\n")}hello`,
+            "a name that no header may have": `${head("a b: c\r\ncontent-length: 5\r\n")}hello`,
+            "a space behind the name of the length": `${head("content-length : 5\r\n")}hello`,
+            "a negative length": `${head("content-length: -5\r\n")}hello`,
             "a switch of protocols": "HTTP/1.1 101 Switching\r\n$ECHOupgrade: x\r\nconnection: upgrade\r\n\r\nbytes",
         };
         Object.entries(refused).forEach(([name, text]) => {
