Detours: an incomplete response with a stated end is closed at once again

Cause: abortResponse waits until what was written is sent; towards an instance that does not read, that would keep the request in flight. Only a response without a stated end needs the reset.

--- a/packages/daemon/src/detour/detour-response.ts
+++ b/packages/daemon/src/detour/detour-response.ts
@@ -61,7 +61,7 @@
                 response.end();
                 return { type: "answered" };
             }
-            abortResponse(response, this.sentFraming);
+            this.abort();
             return { type: "lost" };
         }
         if (sent) {
@@ -72,6 +72,17 @@
         }
         return { type: "not-sent", reason: refused === true ? "closed" : "silent" };
     }
+
+    /** Closes the connection at once, since nobody waits for the rest; only a reset is no end if nothing else delimits the response. */
+    private abort(): void {
+        const { response } = this;
+        if (this.sentFraming === "close") {
+            abortResponse(response, this.sentFraming);
+        }
+        else {
+            response.destroy();
+        }
+    }
 }
 
 /** Headers with the result of a detour, and with its id if it has one. */
