--- a/packages/standin/src/soak/fault-injector.ts
+++ b/packages/standin/src/soak/fault-injector.ts
@@ -35,7 +35,7 @@
     "upstream-fails": () => ({ failStatus: 500 }),
     "upstream-slow": () => ({ slowness: 20 }),
     "upstream-rests": durationMs => ({ restMs: Math.round(durationMs) + 1000 }),
-    "upstream-unframed": () => ({ unframedShare: 0.5 }),
+    "upstream-unframed": () => ({ unframedShare: 0.8 }),
 };
 
 const { hang, reset, failStatus, slowness, restMs, unframedShare } = initialBehaviour;
--- a/packages/standin/src/soak/fault-schedule.ts
+++ b/packages/standin/src/soak/fault-schedule.ts
@@ -64,7 +64,7 @@
 const surplusIntervalMs = 1500;
 
 /** Mean time between the starts of two faults of the kind `upstream-unframed`, in milliseconds. */
-const unframedIntervalMs = 700;
+const unframedIntervalMs = 350;
 
 /** Longest duration of a fault, in milliseconds. */
 const maximumFaultMs = 1500;
--- a/packages/standin/src/unframed-answers.ts
+++ b/packages/standin/src/unframed-answers.ts
@@ -25,9 +25,10 @@
     readonly sent: Partial<Record<UnframedEnding, number>> = {};
     /** Numbers of the requests whose answer was reset or followed by another one. */
     readonly spoilt = new Set<string>();
+    private count = 0;
 
     /**
-     * @param random - Decides which answers are sent so, and how they end.
+     * @param random - Decides which answers are sent so; their endings take turns.
      * @param share - Returns the share of these answers.
      */
     constructor(private readonly random: RandomSource, private readonly share: () => number) {}
@@ -37,7 +38,8 @@
         if (this.share() === 0 || answer.body === "" || this.random.next() >= this.share()) {
             return false;
         }
-        const ending = unframedEndings[Math.floor(this.random.next() * unframedEndings.length)] ?? "whole";
+        const ending = unframedEndings[this.count % unframedEndings.length] ?? "whole";
+        this.count += 1;
         this.sent[ending] = (this.sent[ending] ?? 0) + 1;
         if (ending === "reset" || ending === "followed") {
             this.spoilt.add(String(number));
