An error of this program in one attempt ends that attempt only

Fix: errors of a sink end their attempt as garbled; an attempt that is rejected nevertheless is logged (402) and ends as cancelled, and its request goes on: another attempt if it may, else 502 with its outcome. That replaces the request's own event. Its timers end as well.

--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -18,6 +18,7 @@
 import { ResponseBuffer } from "./buffered-response.js";
 import type { ObservedCrash } from "./crash-detector.js";
 import { type AttemptRecord, newAttemptRecord } from "./decision-record.js";
+import { failAttempt } from "./fail-attempt.js";
 import type { ParsedResponse } from "./header-protocol.js";
 import { receiveHead, rejectSecondResponse } from "./receive-head.js";
 import { recordHedgeLoser, recordServiceTime, type ServiceTimeSample } from "./record-service-time.js";
@@ -41,7 +42,8 @@
     private readonly stallWatch: StallWatch;
     private status = 0;
     private surplusSearch: SurplusSearch | undefined;
-    private isForwarded = false;
+    /** Whether the response head was sent to the caller. */
+    isForwarded = false;
     private discardedBytes = 0;
 
     /** @param options - The request and the selected upstream. */
@@ -54,7 +56,11 @@
         progress.stage = progress.stage === "running" ? "running" : "connecting";
         this.attempt = services.transport.send(upstream, this.buildRequest(), this);
         this.stallWatch = new StallWatch(options, { record: this.record, cancel: () => this.cancel("cancelled") });
-        this.ended = this.attempt.result.then(result => this.finish(this.stallWatch.resultOf(result)));
+        this.ended = this.attempt.result.then(result => this.finish(this.stallWatch.resultOf(result)))
+            .catch((thrown: unknown) => {
+                this.stallWatch.stop();
+                return failAttempt(options, this, this.inFlightRequest, thrown);
+            });
     }
 
     private get attemptId(): string {
--- a/packages/daemon/src/request/request-event.ts
+++ b/packages/daemon/src/request/request-event.ts
@@ -10,8 +10,6 @@
 /** An event of a request with running attempts. */
 export type RequestEvent =
     | { readonly type: "ended"; readonly task: AttemptTask; readonly report: AttemptReport; }
-    /** An attempt has failed with an internal error. */
-    | { readonly type: "failed"; readonly error: Error; }
     /** The hedge interval has passed without a response. */
     | { readonly type: "hedge-due"; }
     /** The deadline has passed. */
--- a/packages/daemon/src/request/request-task.ts
+++ b/packages/daemon/src/request/request-task.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { asError, type UpstreamId } from "@harrierhitch/core";
+import type { UpstreamId } from "@harrierhitch/core";
 import type { ChooseDecision, Decision } from "@harrierhitch/decision";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import type { AttemptReport } from "./attempt-report.js";
@@ -108,8 +108,6 @@
             case "ended":
                 this.running.delete(event.task);
                 return this.handleAttemptEnd(event.report, body);
-            case "failed":
-                throw event.error;
             case "hedge-due":
                 await this.startHedge(body);
                 this.scheduleHedge(0);
@@ -151,10 +149,7 @@
         const task: AttemptTask = new AttemptTask({ services, runtime, progress, body, upstream, selectionFacts, mayStream });
         this.tried.push(id);
         this.running.add(task);
-        task.ended.then(
-            report => this.mailbox.post({ type: "ended", task, report }),
-            (thrown: unknown) => this.mailbox.post({ type: "failed", error: asError(thrown) }),
-        );
+        void task.ended.then(report => this.mailbox.post({ type: "ended", task, report }));
         this.scheduleHedge();
         return true;
     }
--- a/packages/daemon/src/upstream/direct-attempt.ts
+++ b/packages/daemon/src/upstream/direct-attempt.ts
@@ -51,7 +51,7 @@
         this.stopWatching = reachability.onLost(upstream.id, () => this.endAtLostPath());
         const { patienceMs = defaultPatienceMs } = request;
         this.awaitResponse(patienceMs, patienceMs);
-        this.result = this.inner.result.then(result => this.finish(result));
+        this.result = this.inner.result.finally(() => this.release()).then(result => this.resultOf(result));
     }
 
     cancel(end: "timed-out" | "cancelled"): void {
@@ -124,10 +124,13 @@
         return !this.hasEnded && !this.hasResponse;
     }
 
-    private finish(result: AttemptResult): AttemptResult {
+    private release(): void {
         this.hasEnded = true;
         this.stopWatching();
         this.patienceTimer?.cancel();
+    }
+
+    private resultOf(result: AttemptResult): AttemptResult {
         if (!this.isPathLost) {
             return result;
         }
--- a/packages/daemon/src/upstream/http-attempt.ts
+++ b/packages/daemon/src/upstream/http-attempt.ts
@@ -21,6 +21,7 @@
 import { ConnectionEnd } from "./connection-end.js";
 import { recordUse } from "./connection-use.js";
 import { framingOf, statesAbsentBody } from "./framing.js";
+import { GuardedSink } from "./guarded-sink.js";
 import type { HttpAttemptTarget } from "./http-attempt-target.js";
 import { openUpstreamRequest } from "./open-upstream-request.js";
 import { findResponseProblem } from "./response-problem.js";
@@ -34,6 +35,7 @@
 export class HttpAttempt implements Attempt {
     readonly result: Promise<AttemptResult>;
     private readonly request: ClientRequest;
+    private readonly sink: ResponseSink;
     private settle: (result: AttemptResult) => void = () => undefined;
     private response: IncomingMessage | undefined;
     /** How the connection ends, if it delimits the response; `undefined` otherwise. */
@@ -54,8 +56,9 @@
         private readonly target: HttpAttemptTarget,
         private readonly agent: HttpAgent | HttpsAgent,
         private readonly outgoing: UpstreamRequest,
-        private readonly sink: ResponseSink,
+        sink: ResponseSink,
     ) {
+        this.sink = new GuardedSink(sink, error => this.abort(error));
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
@@ -70,9 +73,7 @@
             // Discards what was written but not acknowledged; otherwise a request held up by the network would still arrive.
             this.request.socket?.resetAndDestroy();
         }
-        // Without an error: while the last data is read, Node has removed its listener for the errors of the connection.
-        this.request.destroy();
-        this.fail(this.cancelled);
+        this.abort(this.cancelled);
     }
 
     resume(): void {
@@ -89,7 +90,7 @@
 
     private send(body: UpstreamRequest["body"]): void {
         if (body instanceof Readable) {
-            body.on("error", error => this.request.destroy(error));
+            body.on("error", error => this.abort(error));
             this.request.on("close", () => body.destroy());
         }
         else {
@@ -98,17 +99,13 @@
     }
 
     /** Ends the attempt: data that arrives while nothing is written cannot be its response. */
-    private readonly withdrawOnEarlyData = (): void => {
-        const error = new EarlyResponseError();
-        this.request.destroy(error);
-        this.fail(error);
-    };
+    private readonly withdrawOnEarlyData = (): void => this.abort(new EarlyResponseError());
 
     /** Withdraws the request if its upstream may no longer receive it, since it may have waited for a connection. */
     private withdrawIfDisallowed(): boolean {
         const isAllowed = this.outgoing.mayBegin?.() ?? true;
         if (!isAllowed) {
-            this.request.destroy(new AttemptWithdrawnError());
+            this.abort(new AttemptWithdrawnError());
         }
         return !isAllowed;
     }
@@ -125,7 +122,7 @@
             return;
         }
         const { connectTimeoutMs } = this.target;
-        this.connectTimer = setTimeout(() => this.request.destroy(new ConnectTimeoutError(connectTimeoutMs)), connectTimeoutMs);
+        this.connectTimer = setTimeout(() => this.abort(new ConnectTimeoutError(connectTimeoutMs)), connectTimeoutMs);
         socket.setNoDelay(true);
         socket.cork();
         socket.once("connect", () => {
@@ -166,7 +163,7 @@
         }
         const problem = findResponseProblem(response);
         if (problem !== undefined) {
-            this.endAsUnusable(problem);
+            this.abort(new UnusableResponseError(problem));
             return;
         }
         this.response = response;
@@ -194,15 +191,10 @@
     private onInformation(): void {
         this.informationalHeads += 1;
         if (this.informationalHeads > maximumInformationalHeads) {
-            this.endAsUnusable(`more than ${maximumInformationalHeads} informational responses`);
+            this.abort(new UnusableResponseError(`more than ${maximumInformationalHeads} informational responses`));
         }
     }
 
-    private endAsUnusable(problem: string): void {
-        this.request.destroy();
-        this.fail(new UnusableResponseError(problem));
-    }
-
     private onData(chunk: Buffer): void {
         if (!this.finished && !this.sink.onData(chunk)) {
             this.response?.pause();
@@ -232,6 +224,15 @@
         }
     }
 
+    /**
+     * Ends the attempt and its connection. Node is not told of the error: while the last data of a response is read, it has removed its
+     * listener for the errors of the connection.
+     */
+    private abort(error: Error): void {
+        this.request.destroy();
+        this.fail(error);
+    }
+
     private fail(error: Error): void {
         this.finish(this.cancelled?.end ?? endOfError(error, this.sent), describeError(error), codeOf(error) === "ECONNREFUSED");
     }
