--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -42,8 +42,7 @@
     private readonly stallWatch: StallWatch;
     private status = 0;
     private surplusSearch: SurplusSearch | undefined;
-    /** Whether the response head was sent to the caller. */
-    isForwarded = false;
+    private isForwarded = false;
     private discardedBytes = 0;
 
     /** @param options - The request and the selected upstream. */
@@ -59,7 +58,8 @@
         this.ended = this.attempt.result.then(result => this.finish(this.stallWatch.resultOf(result)))
             .catch((thrown: unknown) => {
                 this.stallWatch.stop();
-                return failAttempt(options, this, this.inFlightRequest, thrown);
+                const { record, inFlightRequest: inFlight, isForwarded } = this;
+                return failAttempt(options, { record, inFlight, isForwarded }, thrown);
             });
     }
 
--- a/packages/daemon/src/request/fail-attempt.ts
+++ b/packages/daemon/src/request/fail-attempt.ts
@@ -9,23 +9,31 @@
 import { events } from "../telemetry/event.js";
 import type { AttemptOptions } from "./attempt-options.js";
 import type { AttemptReport } from "./attempt-report.js";
-import type { AttemptTask } from "./attempt-task.js";
+import type { AttemptRecord } from "./decision-record.js";
+
+/** An attempt that has failed. */
+export interface FailedAttempt {
+    readonly record: AttemptRecord;
+    /** Its place among the requests of the upstream. */
+    readonly inFlight: InFlightRequest;
+    /** Whether the response head was sent to the caller. */
+    readonly isForwarded: boolean;
+}
 
 /**
  * Logs the error and ends the attempt as cancelled, since its upstream is not the cause.
  *
  * @param options - The request and its upstream.
- * @param task - The attempt.
- * @param inFlight - Its place among the requests of the upstream.
+ * @param attempt - The attempt.
  * @param thrown - The error.
  */
 export const failAttempt = (
     { services, runtime, progress }: AttemptOptions,
-    { hasBegun, isForwarded, record }: Pick<AttemptTask, "hasBegun" | "isForwarded" | "record">,
-    inFlight: InFlightRequest,
+    { record, inFlight, isForwarded }: FailedAttempt,
     thrown: unknown,
 ): AttemptReport => {
     const error = asError(thrown);
+    const hasBegun = record.sentMs !== undefined;
     services.log.write(events.requestFailed, { request: progress.record.id, error });
     runtime.tracker.finishRequest(inFlight);
     runtime.queue.wake();
