--- /dev/null
+++ b/review/lib2/store-worker.mjs
@@ -0,0 +1,60 @@
+/**
+ * Runs the store in a thread of its own, so that clients and servers do not wait for its large answers.
+ */
+
+import { isMainThread, parentPort, Worker, workerData } from "node:worker_threads";
+import { Store } from "./store.mjs";
+
+/** The store as the other stand-ins use it. */
+export class RemoteStore {
+    #pending = new Map();
+    #last = 0;
+
+    async listen(host) {
+        this.worker = new Worker(new URL(import.meta.url), { workerData: { host } });
+        this.address = await new Promise((resolve, reject) => {
+            this.worker.once("message", resolve);
+            this.worker.once("error", reject);
+        });
+        this.worker.on("message", id => {
+            this.#pending.get(id)?.();
+            this.#pending.delete(id);
+        });
+    }
+
+    /** Writes an item; resolves when the store has acknowledged it. */
+    put(key, text) {
+        return this.#send({ key, text });
+    }
+
+    /** Removes an item; resolves when the store has acknowledged it. */
+    remove(key) {
+        return this.#send({ key });
+    }
+
+    close() {
+        return this.worker?.terminate();
+    }
+
+    #send(message) {
+        this.#last += 1;
+        const id = this.#last;
+        this.worker.postMessage({ id, ...message });
+        return new Promise(resolve => this.#pending.set(id, resolve));
+    }
+}
+
+if (!isMainThread) {
+    const store = new Store();
+    await store.listen(workerData.host);
+    parentPort.on("message", ({ id, key, text }) => {
+        if (text === undefined) {
+            store.remove(key);
+        }
+        else {
+            store.put(key, text);
+        }
+        parentPort.postMessage(id);
+    });
+    parentPort.postMessage(store.address);
+}
--- /dev/null
+++ b/review/lib2/store.mjs
@@ -0,0 +1,128 @@
+/**
+ * Stand-in for the platform's metadata store: ranges, single keys and watches, as PROTOCOL.md describes them.
+ */
+
+import { createServer } from "node:http";
+
+/** Time for which changes are kept, in milliseconds. */
+const historyMs = 20_000;
+
+export class Store {
+    items = new Map();
+    history = [];
+    /** Revision up to which changes have been forgotten. */
+    forgotten = 0;
+    revision = 100;
+    waiting = new Set();
+    server = createServer((request, response) => this.#handle(request, response));
+
+    async listen(host) {
+        await new Promise(resolve => this.server.listen(0, host, resolve));
+        this.address = `${host}:${this.server.address().port}`;
+    }
+
+    close() {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    /** Writes an item. */
+    put(key, text) {
+        this.revision += 1;
+        const created = this.items.get(key)?.CreateRev ?? this.revision;
+        const encoded = Buffer.from(text).toString("base64");
+        const item = { Key: key, Value: encoded, Revision: this.revision, CreateRev: created, Lease: 0 };
+        this.items.set(key, item);
+        this.#record(item);
+    }
+
+    remove(key) {
+        if (this.items.delete(key)) {
+            this.revision += 1;
+            this.#record({ Key: key, Revision: this.revision, Removed: true });
+        }
+    }
+
+    #record(event) {
+        const nowMs = performance.now();
+        this.history.push({ event, text: JSON.stringify(event), atMs: nowMs });
+        this.#forget(nowMs - historyMs);
+        [...this.waiting].forEach(wake => wake());
+    }
+
+    #forget(beforeMs) {
+        const kept = this.history.findIndex(({ atMs }) => atMs >= beforeMs);
+        const dropped = this.history.splice(0, kept < 0 ? this.history.length : kept);
+        this.forgotten = dropped.at(-1)?.event.Revision ?? this.forgotten;
+    }
+
+    #handle(request, response) {
+        const url = new URL(request.url, "http://store");
+        const prefix = url.searchParams.get("PathPrefix") ?? "";
+        const after = url.searchParams.get("after");
+        if (url.pathname === "/v1/kv-key") {
+            const item = this.items.get(url.searchParams.get("Key") ?? "");
+            this.#answer(response, item === undefined ? 404 : 200, { ...item, StoreRevision: this.revision });
+        }
+        else if (url.pathname === "/v1/kv-range") {
+            const items = [...this.items.values()]
+                .filter(({ Key }) => Key.startsWith(prefix) && (after === null || Key > after))
+                .sort((a, b) => a.Key < b.Key ? -1 : 1);
+            this.#answer(response, 200, { items, MorePages: false, StoreRevision: this.revision });
+        }
+        else if (url.pathname === "/v1/kv-watch") {
+            this.#watch(response, prefix, Number(after), Number(url.searchParams.get("WaitMs") ?? 0));
+        }
+        else {
+            this.#answer(response, 404, {});
+        }
+    }
+
+    #watch(response, prefix, after, waitMs) {
+        this.#forget(performance.now() - historyMs);
+        if (after < this.forgotten) {
+            this.#answer(response, 410, {});
+            return;
+        }
+        const send = isOver => {
+            const events = this.history.filter(({ event: { Key, Revision } }) => Key.startsWith(prefix) && Revision > after);
+            if (events.length > 0 || isOver) {
+                clearTimeout(timer);
+                this.waiting.delete(wake);
+                void sendEvents(response, events, this.revision);
+            }
+        };
+        const wake = () => send(false);
+        const timer = setTimeout(() => send(true), waitMs);
+        this.waiting.add(wake);
+        response.once("close", () => {
+            clearTimeout(timer);
+            this.waiting.delete(wake);
+        });
+        send(waitMs === 0);
+    }
+
+    #answer(response, status, body) {
+        const text = JSON.stringify(body);
+        response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+        response.end(text);
+    }
+}
+
+/** Sends the events one by one, as fast as they are read. */
+const sendEvents = async (response, events, revision) => {
+    const start = "{\"events\":[";
+    const end = `],"StoreRevision":${revision}}`;
+    const length = events.reduce((sum, { text }) => sum + Buffer.byteLength(text), 0) + Math.max(0, events.length - 1);
+    response.writeHead(200, { "content-type": "application/json", "content-length": start.length + length + end.length });
+    response.write(start);
+    for (const [index, { text }] of events.entries()) {
+        if (response.destroyed) {
+            return;
+        }
+        if (!response.write(index === 0 ? text : `,${text}`)) {
+            await new Promise(resolve => response.once("drain", resolve).once("close", resolve));
+        }
+    }
+    response.end(end);
+};
