--- a/review/lib2/world.mjs
+++ b/review/lib2/world.mjs
@@ -65,19 +65,25 @@
     }
 
     /** Returns the next version of the configuration. */
-    nextConfiguration(routes, services) {
+    nextConfiguration(routes, services, limits = {}) {
         this.#version += 2;
         return {
             Version: this.#version,
             Routes: routes,
             Services: services.map(Name => ({ Name, HealthPath: "/healthz", MaxConns: 220, Protocol: "h1", Tls: false })),
-            Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 67_108_864, HeaderTimeout: "3000ms", IdleTimeout: "15000ms" },
+            Limits: {
+                MaxHeaderBytes: 16_384,
+                MaxBodyBytes: 67_108_864,
+                HeaderTimeout: "3000ms",
+                IdleTimeout: "15000ms",
+                ...limits,
+            },
         };
     }
 
     /** Publishes a version of the configuration; resolves when the store has acknowledged it. */
-    async publish(routes, services) {
-        const configuration = this.nextConfiguration(routes, services);
+    async publish(routes, services, limits) {
+        const configuration = this.nextConfiguration(routes, services, limits);
         const text = JSON.stringify(configuration);
         await this.store.put("op/config", text);
         return { version: configuration.Version, bytes: text.length };
