--- a/review/lib2/world.mjs
+++ b/review/lib2/world.mjs
@@ -47,13 +47,18 @@
         this.root = resolve(folder, "../..");
         this.recordFile = join(folder, "record.txt");
         this.directory = mkdtempSync(join(tmpdir(), "review-"));
-        // Each run has addresses of its own, since the port of the metrics is fixed.
-        this.net = 16 + process.pid % 200;
         this.startedAtMs = performance.now();
         writeFileSync(this.recordFile, "");
         this.store = new RemoteStore();
     }
 
+    /** Returns a loopback address. Each run has its own, since the port of the metrics is fixed. */
+    address(role, number) {
+        const { pid } = process;
+        const third = 4 * (Math.floor(pid / 200) % 60) + ["store", "server", "instance"].indexOf(role);
+        return `127.${16 + pid % 200}.${third}.${number}`;
+    }
+
     get nowMs() {
         return performance.now() - this.startedAtMs;
     }
@@ -90,7 +95,7 @@
     }
 
     async addServer(service, { workMs = () => 50, size = () => 1000, behave, slots = 3 } = {}) {
-        const host = `127.${this.net}.2.${this.servers.length + 1}`;
+        const host = this.address("server", this.servers.length + 1);
         const { store, runs } = this;
         const server = new Server({ store, runs, service, zone: "zone-1", host, workMs, size, behave, slots });
         this.servers.push(await server.start());
@@ -99,7 +104,7 @@
 
     /** Starts the instances and waits until they are ready and know each other. */
     async startInstances(count, bounds = {}) {
-        const ips = Array.from({ length: count }, (_, index) => `127.${this.net}.3.${index + 1}`);
+        const ips = Array.from({ length: count }, (_, index) => this.address("instance", index + 1));
         const [front, ready, control] = await Promise.all([0, 1, 2].map(() => freePort(ips[0])));
         const { root, directory, store } = this;
         const seeds = ips.map(ip => `${ip}:${control}`);
@@ -201,7 +206,7 @@
 export const runCase = async (url, play) => {
     const world = new World(url);
     try {
-        await world.store.listen(`127.${world.net}.1.1`);
+        await world.store.listen(world.address("store", 1));
         await world.finish(await play(world));
     }
     catch (thrown) {
