--- a/review/lib2/server.mjs
+++ b/review/lib2/server.mjs
@@ -45,10 +45,11 @@
             this.http.listen(this.port, this.host, 1024, resolve);
         });
         this.port = this.http.address().port;
-        this.register("ready");
+        await this.register("ready");
         return this;
     }
 
+    /** Writes its entry; resolves when the store has acknowledged it. */
     register(state) {
         void this.store.put(
             `servers/${this.id}`,
@@ -65,9 +66,16 @@
         );
     }
 
+    /** Says that it leaves, and serves on; resolves when the store has acknowledged that. */
     drain() {
         this.isLeaving = true;
-        this.register("draining");
+        return this.register("draining");
+    }
+
+    /** Ends after it has drained. */
+    async leave() {
+        await this.store.remove(`servers/${this.id}`);
+        this.close();
     }
 
     /** Ends as by a crash: connections are reset, and the entry stays for the given time. */
--- a/review/lib2/store-worker.mjs
+++ b/review/lib2/store-worker.mjs
@@ -32,6 +32,11 @@
         return this.#send({ key });
     }
 
+    /** Sets the age of the second and further pages of reads that may be stale. */
+    setStalePages(milliseconds) {
+        return this.#send({ stalePagesMs: milliseconds });
+    }
+
     close() {
         return this.worker?.terminate();
     }
@@ -47,8 +52,11 @@
 if (!isMainThread) {
     const store = new Store();
     await store.listen(workerData.host);
-    parentPort.on("message", ({ id, key, text }) => {
-        if (text === undefined) {
+    parentPort.on("message", ({ id, key, text, stalePagesMs }) => {
+        if (stalePagesMs !== undefined) {
+            store.stalePagesMs = stalePagesMs;
+        }
+        else if (text === undefined) {
             store.remove(key);
         }
         else {
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -7,6 +7,9 @@
 /** Time for which changes are kept, in milliseconds. */
 const historyMs = 20_000;
 
+/** Size of the items from which a page ends, in bytes. */
+const pageBytes = 1_000_000;
+
 export class Store {
     items = new Map();
     history = [];
@@ -14,6 +17,10 @@
     forgotten = 0;
     revision = 100;
     waiting = new Set();
+    /** All changes since the start, for reads that may be stale. */
+    #changes = [];
+    /** Age of the second and further pages of reads that may be stale, in milliseconds. */
+    stalePagesMs = 0;
     server = createServer((request, response) => this.#handle(request, response));
 
     async listen(host) {
@@ -45,6 +52,7 @@
 
     #record(event) {
         const nowMs = performance.now();
+        this.#changes.push({ event, atMs: nowMs });
         this.history.push({ event, text: JSON.stringify(event), atMs: nowMs });
         this.#forget(nowMs - historyMs);
         [...this.waiting].forEach(wake => wake());
@@ -65,10 +73,9 @@
             this.#answer(response, item === undefined ? 404 : 200, { ...item, StoreRevision: this.revision });
         }
         else if (url.pathname === "/v1/kv-range") {
-            const items = [...this.items.values()]
-                .filter(({ Key }) => Key.startsWith(prefix) && (after === null || Key > after))
-                .sort((a, b) => a.Key < b.Key ? -1 : 1);
-            this.#answer(response, 200, { items, MorePages: false, StoreRevision: this.revision });
+            const isStale = url.searchParams.get("AllowStale") === "1" && after !== null;
+            const { items, revision } = isStale ? this.#stateAt(performance.now() - this.stalePagesMs) : this;
+            this.#answer(response, 200, pageOf(items, revision, prefix, after ?? ""));
         }
         else if (url.pathname === "/v1/kv-watch") {
             this.#watch(response, prefix, Number(after), Number(url.searchParams.get("WaitMs") ?? 0));
@@ -78,6 +85,14 @@
         }
     }
 
+    /** Returns the items as they were at a time, with the revision of then. */
+    #stateAt(atMs) {
+        const items = new Map();
+        const changes = this.#changes.filter(change => change.atMs <= atMs);
+        changes.forEach(({ event }) => event.Removed === true ? items.delete(event.Key) : items.set(event.Key, event));
+        return { items, revision: changes.at(-1)?.event.Revision ?? 0 };
+    }
+
     #watch(response, prefix, after, waitMs) {
         this.#forget(performance.now() - historyMs);
         if (after < this.forgotten) {
@@ -109,6 +124,19 @@
     }
 }
 
+/** Returns the page of items that follows a key. */
+const pageOf = (items, revision, prefix, after) => {
+    const following = [...items.values()]
+        .filter(({ Key }) => Key.startsWith(prefix) && Key > after)
+        .sort((a, b) => a.Key < b.Key ? -1 : 1);
+    let bytes = 0;
+    const page = following.filter(({ Value }, index) => {
+        bytes += Value.length;
+        return index === 0 || bytes <= pageBytes;
+    });
+    return { items: page, MorePages: page.length < following.length, StoreRevision: revision };
+};
+
 /** Sends the events one by one, as fast as they are read. */
 const sendEvents = async (response, events, revision) => {
     const start = "{\"events\":[";
--- a/review/lib2/world.mjs
+++ b/review/lib2/world.mjs
@@ -40,6 +40,7 @@
     instances = [];
     isOver = false;
     #version = 1;
+    #serverCount = 0;
 
     /** @param url - The module of the case, in whose folder the record is written. */
     constructor(url) {
@@ -95,11 +96,12 @@
     }
 
     async addServer(service, { workMs = () => 50, size = () => 1000, behave, slots = 3 } = {}) {
-        const host = this.address("server", this.servers.length + 1);
+        this.#serverCount += 1;
+        const host = this.address("server", this.#serverCount);
         const { store, runs } = this;
         const server = new Server({ store, runs, service, zone: "zone-1", host, workMs, size, behave, slots });
-        this.servers.push(await server.start());
-        return server;
+        this.servers.push(server);
+        return await server.start();
     }
 
     /** Starts the instances and waits until they are ready and know each other. */
@@ -138,6 +140,19 @@
         });
     }
 
+    /** Stops a process as planned. */
+    async stop(instance) {
+        instance.isStopping = true;
+        const { code, signal } = await instance.stop();
+        this.record(`${instance.options.name} has stopped: code ${code}, signal ${signal}`);
+    }
+
+    /** Starts a stopped process again. */
+    restart(instance) {
+        instance.isStopping = false;
+        this.#run(instance);
+    }
+
     /** The last fatal error that a process wrote. */
     lastWords({ options: { directory, name } }) {
         const lines = readFileSync(join(directory, `${name}.log`), "utf8").split("\n").filter(line =>
