--- a/review/lib2/store-worker.mjs
+++ b/review/lib2/store-worker.mjs
@@ -10,9 +10,15 @@
     #pending = new Map();
     #last = 0;
 
-    async listen(host) {
-        this.worker = new Worker(new URL(import.meta.url), { workerData: { host } });
-        this.address = await new Promise((resolve, reject) => {
+    /**
+     * Starts the store.
+     *
+     * @param host - Its address.
+     * @param otherHost - Address at which it lists the same items with other addresses of servers; none by default.
+     */
+    async listen(host, otherHost) {
+        this.worker = new Worker(new URL(import.meta.url), { workerData: { host, otherHost } });
+        [this.address, this.otherAddress] = await new Promise((resolve, reject) => {
             this.worker.once("message", resolve);
             this.worker.once("error", reject);
         });
@@ -27,6 +33,11 @@
         return this.#send({ key, text });
     }
 
+    /** Lists a server at another address to those that ask at the other address of the store. */
+    mapAddress(address, other) {
+        return this.#send({ address, other });
+    }
+
     /** Removes an item; resolves when the store has acknowledged it. */
     remove(key) {
         return this.#send({ key });
@@ -51,9 +62,12 @@
 
 if (!isMainThread) {
     const store = new Store();
-    await store.listen(workerData.host);
-    parentPort.on("message", ({ id, key, text, stalePagesMs }) => {
-        if (stalePagesMs !== undefined) {
+    await store.listen(workerData.host, workerData.otherHost);
+    parentPort.on("message", ({ id, key, text, stalePagesMs, address, other }) => {
+        if (address !== undefined) {
+            store.otherAddresses.set(address, other);
+        }
+        else if (stalePagesMs !== undefined) {
             store.stalePagesMs = stalePagesMs;
         }
         else if (text === undefined) {
@@ -64,5 +78,5 @@
         }
         parentPort.postMessage(id);
     });
-    parentPort.postMessage(store.address);
+    parentPort.postMessage([store.address, store.otherAddress]);
 }
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -21,16 +21,28 @@
     #changes = [];
     /** Age of the second and further pages of reads that may be stale, in milliseconds. */
     stalePagesMs = 0;
-    server = createServer((request, response) => this.#handle(request, response));
+    /** Addresses of servers as some machines are to see them, who reach these servers on a path of their own. */
+    otherAddresses = new Map();
 
-    async listen(host) {
-        await new Promise(resolve => this.server.listen(0, host, resolve));
-        this.address = `${host}:${this.server.address().port}`;
+    async listen(host, otherHost = host) {
+        this.address = await this.#open(host, false);
+        this.otherAddress = await this.#open(otherHost, true);
     }
 
-    close() {
-        this.server.close();
-        this.server.closeAllConnections();
+    async #open(host, isOther) {
+        const server = createServer((request, response) => this.#handle(request, response, isOther));
+        await new Promise(resolve => server.listen(0, host, resolve));
+        return `${host}:${server.address().port}`;
+    }
+
+    /** Returns an item as it is listed at one of the addresses. */
+    #seen(item, isOther) {
+        if (!isOther || item.Value === undefined || !item.Key.startsWith("servers/")) {
+            return item;
+        }
+        const entry = JSON.parse(Buffer.from(item.Value, "base64").toString());
+        const Address = this.otherAddresses.get(entry.Address) ?? entry.Address;
+        return { ...item, Value: Buffer.from(JSON.stringify({ ...entry, Address })).toString("base64") };
     }
 
     /** Writes an item. */
@@ -64,7 +76,7 @@
         this.forgotten = dropped.at(-1)?.event.Revision ?? this.forgotten;
     }
 
-    #handle(request, response) {
+    #handle(request, response, isOther) {
         const url = new URL(request.url, "http://store");
         const prefix = url.searchParams.get("PathPrefix") ?? "";
         const after = url.searchParams.get("after");
@@ -75,10 +87,11 @@
         else if (url.pathname === "/v1/kv-range") {
             const isStale = url.searchParams.get("AllowStale") === "1" && after !== null;
             const { items, revision } = isStale ? this.#stateAt(performance.now() - this.stalePagesMs) : this;
-            this.#answer(response, 200, pageOf(items, revision, prefix, after ?? ""));
+            const page = pageOf(items, revision, prefix, after ?? "");
+            this.#answer(response, 200, { ...page, items: page.items.map(item => this.#seen(item, isOther)) });
         }
         else if (url.pathname === "/v1/kv-watch") {
-            this.#watch(response, prefix, Number(after), Number(url.searchParams.get("WaitMs") ?? 0));
+            this.#watch(response, isOther, prefix, Number(after), Number(url.searchParams.get("WaitMs") ?? 0));
         }
         else {
             this.#answer(response, 404, {});
@@ -93,7 +106,7 @@
         return { items, revision: changes.at(-1)?.event.Revision ?? 0 };
     }
 
-    #watch(response, prefix, after, waitMs) {
+    #watch(response, isOther, prefix, after, waitMs) {
         this.#forget(performance.now() - historyMs);
         if (after < this.forgotten) {
             this.#answer(response, 410, {});
@@ -104,7 +117,8 @@
             if (events.length > 0 || isOver) {
                 clearTimeout(timer);
                 this.waiting.delete(wake);
-                void sendEvents(response, events, this.revision);
+                const texts = events.map(({ event, text }) => isOther ? JSON.stringify(this.#seen(event, true)) : text);
+                void sendEvents(response, texts, this.revision);
             }
         };
         const wake = () => send(false);
@@ -138,13 +152,13 @@
 };
 
 /** Sends the events one by one, as fast as they are read. */
-const sendEvents = async (response, events, revision) => {
+const sendEvents = async (response, texts, revision) => {
     const start = "{\"events\":[";
     const end = `],"StoreRevision":${revision}}`;
-    const length = events.reduce((sum, { text }) => sum + Buffer.byteLength(text), 0) + Math.max(0, events.length - 1);
+    const length = texts.reduce((sum, text) => sum + Buffer.byteLength(text), 0) + Math.max(0, texts.length - 1);
     response.writeHead(200, { "content-type": "application/json", "content-length": start.length + length + end.length });
     response.write(start);
-    for (const [index, { text }] of events.entries()) {
+    for (const [index, text] of texts.entries()) {
         if (response.destroyed) {
             return;
         }
