Decision records and requests in flight refer to no configuration

Cause: each decision record referred to the configuration and the route of its request, which recordBytes did not count, so 4,000 records kept as many versions as had requests. Behind it were three more holders: the asynchronous function that serves a request kept the configuration in its variables until the request was finished; the hash kept the document's text until it was read, and also after that; in documents in the product's own syntax, names and clauses were parts of the whole text. The exchange with other instances kept one superseded configuration.

Records now keep the generation, the hash, names, and the policy's text and parameters, one object for each route and policy.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import { type Generation, generation, type ServiceName, serviceName, upstreamId } from "@harrierhitch/core";
-import { createHash } from "node:crypto";
+import { generation, type ServiceName, serviceName, upstreamId } from "@harrierhitch/core";
 import type { CheckResult } from "./check.js";
 import { configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
+import { type ConfigurationVersion, LazyConfigurationVersion, lazyDocumentHash } from "./configuration-version.js";
 import type { Finding } from "./finding.js";
 import { IniDocument } from "./ini-document.js";
 import type { Route, RouteGroup } from "./route.js";
@@ -17,10 +17,9 @@
 import type { Service } from "./service.js";
 
 /** A valid configuration with all references resolved. */
-export interface Configuration {
-    readonly generation: Generation;
-    /** SHA-256 hash of the document in hexadecimal. */
-    readonly hash: string;
+export interface Configuration extends ConfigurationVersion {
+    /** The generation and the hash alone. */
+    readonly version: ConfigurationVersion;
     readonly fleet: ConfigurationValues["fleet"];
     readonly services: ReadonlyMap<ServiceName, Service>;
     readonly callers: ConfigurationValues["callers"];
@@ -92,18 +91,6 @@
     return { value: undefined, findings: [{ file, section: "", key: "", line: undefined, message }] };
 };
 
-/**
- * Returns a function that computes the SHA-256 hash of a document in hexadecimal on its first call, which comes seconds after a
- * start: loading `node:crypto` takes a tenth of one.
- */
-export const lazyDocumentHash = (text: string): () => string => {
-    let hash: string | undefined;
-    return () => {
-        hash ??= createHash("sha256").update(text).digest("hex");
-        return hash;
-    };
-};
-
 const addRoutes = (document: IniDocument, configuration: Configuration): readonly Finding[] =>
     configuration.routes.flatMap(route => {
         const section = `route.${route.name}`;
@@ -224,10 +211,12 @@
         return { name, method, host, path, destinations };
     });
     const { fleet, callers } = values;
+    const version = new LazyConfigurationVersion(generation(values.generation), documentHash);
     return {
-        generation: generation(values.generation),
+        version,
+        generation: version.generation,
         get hash() {
-            return documentHash();
+            return version.hash;
         },
         fleet,
         callers,
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -7,13 +7,13 @@
 
 export { checkDocument, type CheckResult } from "./check.js";
 export { configurationSchema } from "./configuration-schema.js";
+export { type ConfigurationVersion, lazyDocumentHash } from "./configuration-version.js";
 export {
     checkConfiguration,
     checkDocumentSize,
     checkParsedConfiguration,
     type Configuration,
     type ConfigurationContext,
-    lazyDocumentHash,
     maximumDocumentBytes,
 } from "./configuration.js";
 export { createRecord } from "./create-record.js";
--- a/packages/configuration/src/ini-document.ts
+++ b/packages/configuration/src/ini-document.ts
@@ -5,7 +5,9 @@
  * @packageDocumentation
  */
 
+import { detachText } from "@harrierhitch/core";
 import { parse } from "ini";
+import { createRecord } from "./create-record.js";
 import type { Finding } from "./finding.js";
 
 /** Nested values of an INI document: text, a boolean, or a section. */
@@ -57,7 +59,7 @@
                 }
             }
         });
-        return new IniDocument(file, parse(text), lines, syntaxFindings);
+        return new IniDocument(file, detachValues(parse(text)), lines, syntaxFindings);
     }
 
     /**
@@ -81,6 +83,20 @@
     }
 }
 
+/** Copies the texts of values, which are parts of the document's text and would keep it alive. */
+const detachValues = (values: Readonly<Record<string, IniValue>>): Readonly<Record<string, IniValue>> =>
+    createRecord(Object.entries(values).map(([key, value]) => [detachText(key), detachValue(value)]));
+
+const detachValue = (value: IniValue): IniValue => {
+    if (typeof value === "string") {
+        return detachText(value);
+    }
+    if (Array.isArray(value)) {
+        return (value as readonly IniValue[]).map(detachValue);
+    }
+    return typeof value === "object" ? detachValues(value as Readonly<Record<string, IniValue>>) : value;
+};
+
 /** Whether the library would end the value at a `;` or `#` inside quotes. */
 const isCutByComment = (content: string): boolean => {
     const value = content.slice(content.indexOf("=") + 1).trim();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export { type Branded } from "./brand.js";
 export { type Clock, sleep, type Timer } from "./clock.js";
 export { Deadline } from "./deadline.js";
+export { detachText } from "./detach-text.js";
 export { asError, HarrierhitchError } from "./error.js";
 export { FakeClock } from "./fake-clock.js";
 export {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -27,7 +27,7 @@
     type ParsedResponse,
     type ResponseHead,
 } from "./request/header-protocol.js";
-export { numberHeader, pathOf, type RequestMetadata, textHeader } from "./request/request-metadata.js";
+export { numberHeader, recordedPathOf, type RequestMetadata, textHeader } from "./request/request-metadata.js";
 export { noNotice, readBackoff, type ResponseNotice } from "./request/response-notice.js";
 export { EventLog, type EventLogOptions } from "./telemetry/event-log.js";
 export { type EventKind, events } from "./telemetry/event.js";
--- a/packages/daemon/src/operators/explanation-message.ts
+++ b/packages/daemon/src/operators/explanation-message.ts
@@ -29,9 +29,9 @@
     create(ExplanationSchema, {
         requestId: record.id,
         arrivedAtUnixMs: record.arrivedAtUnixMs,
-        generation: BigInt(record.configuration.generation),
-        configurationHash: record.configuration.hash,
-        service: record.route.service.name,
+        generation: BigInt(record.version.generation),
+        configurationHash: record.version.hash,
+        service: record.route.service,
         route: record.route.name,
         traceId: record.traceId,
         policy: toPolicy(record),
@@ -52,8 +52,8 @@
     });
 
 const toPolicy = ({ route }: DecisionRecord): Policy => {
-    const { policy, chooser, refuseRetryAfterMs, refuseRetryAfterPercent, retryAfter, zonePlacement } = route.policy;
-    const { name, clauses, lines } = policy.source;
+    const { source, chooser, refuseRetryAfterMs, refuseRetryAfterPercent, retryAfter, zonePlacement } = route.policy;
+    const { name, clauses, lines } = source;
     return create(PolicySchema, {
         name,
         chooser,
--- a/packages/daemon/src/operators/explanation-store.ts
+++ b/packages/daemon/src/operators/explanation-store.ts
@@ -6,6 +6,8 @@
 
 import type { RequestId } from "@harrierhitch/core";
 import type { DecisionRecord } from "../request/decision-record.js";
+import { estimateOwnBytes, sharedPartsOf } from "./estimate-bytes.js";
+import { SharedParts } from "./shared-parts.js";
 
 /** Options of {@link ExplanationStore}. */
 export interface ExplanationStoreOptions {
@@ -13,21 +15,6 @@
     readonly maximumBytes: number;
 }
 
-/** Estimated heap sizes of a decision step, without its candidates, and of a candidate. */
-const stepBytes = 540;
-const candidateBytes = 250;
-
-/** Estimated heap sizes of a record, without its steps and attempts, and of an attempt. */
-const recordBytes = 700;
-const attemptBytes = 250;
-
-/** Estimates the memory that a record occupies, in bytes. */
-export const estimateBytes = (record: DecisionRecord): number => {
-    const candidates = record.steps.reduce((sum, step) => sum + step.input.upstreams.length, 0);
-    return recordBytes + stepBytes * record.steps.length + candidateBytes * candidates
-        + attemptBytes * record.attempts.length;
-};
-
 /** Stores the newest records within limits on entries and bytes. */
 export class ExplanationStore {
     private readonly finished = new Map<RequestId, { readonly record: DecisionRecord; readonly bytes: number; }>();
@@ -35,7 +22,8 @@
     private readonly order: RequestId[] = [];
     private oldest = 0;
     private readonly inFlight = new Map<RequestId, DecisionRecord>();
-    private totalBytes = 0;
+    private ownBytes = 0;
+    private readonly shared = new SharedParts();
 
     /** @param options - Limits. */
     constructor(private readonly options: ExplanationStoreOptions) {}
@@ -48,11 +36,12 @@
     /** Marks a record as finished and evicts the oldest ones beyond the limits. */
     finish(record: DecisionRecord): void {
         this.inFlight.delete(record.id);
-        const bytes = estimateBytes(record);
+        const bytes = estimateOwnBytes(record);
         this.finished.set(record.id, { record, bytes });
+        this.shared.add(sharedPartsOf(record));
         this.order[(this.oldest + this.finished.size - 1) % this.ringSize] = record.id;
-        this.totalBytes += bytes;
-        while (this.finished.size > this.options.maximumEntries || this.totalBytes > this.options.maximumBytes) {
+        this.ownBytes += bytes;
+        while (this.finished.size > this.options.maximumEntries || this.bytes > this.options.maximumBytes) {
             this.dropOldest();
         }
     }
@@ -67,9 +56,14 @@
         return this.finished.size;
     }
 
-    /** Estimated memory of the finished records, in bytes. */
+    /** Drops the older half of the finished records. */
+    dropOlderHalf(): void {
+        Array.from({ length: Math.ceil(this.finished.size / 2) }).forEach(() => this.dropOldest());
+    }
+
+    /** Estimated memory of the finished records with all that they refer to, in bytes. */
     get bytes(): number {
-        return this.totalBytes;
+        return this.ownBytes + this.shared.bytes;
     }
 
     private get ringSize(): number {
@@ -81,7 +75,8 @@
         const entry = id === undefined ? undefined : this.finished.get(id);
         if (id !== undefined && entry !== undefined) {
             this.finished.delete(id);
-            this.totalBytes -= entry.bytes;
+            this.ownBytes -= entry.bytes;
+            this.shared.remove(sharedPartsOf(entry.record));
             this.oldest = (this.oldest + 1) % this.ringSize;
         }
     }
--- a/packages/daemon/src/request/attempt-task.ts
+++ b/packages/daemon/src/request/attempt-task.ts
@@ -41,6 +41,7 @@
     private buffer: ResponseBuffer | undefined;
     private readonly stallWatch: StallWatch;
     private status = 0;
+    private use: ConnectionUse | undefined;
     private surplusSearch: SurplusSearch | undefined;
     private isForwarded = false;
     private discardedBytes = 0;
@@ -86,10 +87,9 @@
         this.stallWatch.stop();
         this.record.framing = framing;
         this.status = status;
-        this.surplusSearch = framing === "close" ? new SurplusSearch(this.record.use?.echoedIds ?? []) : undefined;
-        const { services } = this.options;
-        const { attemptId, record, startedAtMs } = this;
-        const response = receiveHead(this.options, { status, headers, attemptId, record, startedAtMs });
+        this.surplusSearch = framing === "close" ? new SurplusSearch(this.use?.echoedIds ?? []) : undefined;
+        const { attemptId, record, use, startedAtMs, options: { services } } = this;
+        const response = receiveHead(this.options, { status, headers, attemptId, record, use, startedAtMs });
         this.response = response;
         if (response.mismatch !== undefined) {
             return false;
@@ -233,7 +233,8 @@
             && runtime.tracker.maySend(upstream, this.inFlightRequest);
         const onBegin = (use: ConnectionUse): void => {
             this.record.sentMs = progress.ageMs;
-            this.record.use = use;
+            this.use = use;
+            this.record.use = { connection: use.connection, precedingRequests: use.precedingRequests };
             recordEchoedId(use, services.headerProtocol.echoedId(progress.request, attemptId));
             this.record.pausedFor = connection.pauses.reason;
             progress.stage = "running";
--- a/packages/daemon/src/request/configured-header-protocol.ts
+++ b/packages/daemon/src/request/configured-header-protocol.ts
@@ -17,7 +17,7 @@
     ResponseHead,
 } from "./header-protocol.js";
 import { outcomeHeader } from "./problem.js";
-import { numberHeader, pathOf, type RequestMetadata, textHeader } from "./request-metadata.js";
+import { numberHeader, recordedPathOf, type RequestMetadata, textHeader } from "./request-metadata.js";
 import { noNotice, readBackoff, type ResponseNotice } from "./response-notice.js";
 
 /** Statuses that gateways generate; they leave open whether the request ran. */
@@ -25,19 +25,19 @@
 
 /** Default {@link HeaderProtocol}, with header names from the configuration. */
 export class ConfiguredHeaderProtocol implements HeaderProtocol {
-    readRequestMetadata(request: IncomingMessage, { fleet }: Configuration, kind: RequestKind): RequestMetadata {
+    readRequestMetadata(request: IncomingMessage, fleet: Configuration["fleet"], kind: RequestKind): RequestMetadata {
         const callerTimeoutMs = numberHeader(request, fleet.timeoutHeader);
         return {
             timeoutMs: callerTimeoutMs === undefined ? kind.timeoutMs : Math.min(callerTimeoutMs, kind.timeoutMs),
             callerTimeoutMs,
             workspace: textHeader(request, fleet.workspaceHeader) ?? "",
             depth: numberHeader(request, fleet.depthHeader) ?? 0,
-            path: pathOf(request.url ?? "/"),
+            path: recordedPathOf(request.url ?? "/"),
         };
     }
 
     attemptHeaders(attempt: OutgoingAttempt): Readonly<Record<string, string | undefined>> {
-        const { configuration: { fleet: { timeoutHeader, depthHeader } }, service, attemptId, remainingMs, depth } = attempt;
+        const { fleet: { timeoutHeader, depthHeader }, service, attemptId, remainingMs, depth } = attempt;
         return { [timeoutHeader]: String(remainingMs), [depthHeader]: String(depth), [service.attemptHeader]: attemptId };
     }
 
--- a/packages/daemon/src/request/create-request-services.ts
+++ b/packages/daemon/src/request/create-request-services.ts
@@ -70,7 +70,7 @@
         onServed: (record, sampled) => {
             telemetry.requestServed(record);
             if (record.interruption !== undefined) {
-                metrics.responsesInterrupted.inc({ service: record.route.service.name, reason: record.interruption });
+                metrics.responsesInterrupted.inc({ service: record.route.service, reason: record.interruption });
             }
             if (sampled) {
                 onTraced?.(record);
--- a/packages/daemon/src/request/decision-log-fields.ts
+++ b/packages/daemon/src/request/decision-log-fields.ts
@@ -8,7 +8,7 @@
 import type { DecisionRecord } from "./decision-record.js";
 
 /** Returns the log fields of a request that was answered with a problem: its last decision and what that was based on. */
-export const problemLogFields = ({ steps, configuration: { generation } }: Pick<DecisionRecord, "steps" | "configuration">) => {
+export const problemLogFields = ({ steps, version: { generation } }: Pick<DecisionRecord, "steps" | "version">) => {
     const last = steps.at(-1);
     const upstreamsOut: Record<string, number> = {};
     (last?.decision.exclusions ?? []).forEach(reason => {
--- a/packages/daemon/src/request/decision-record.ts
+++ b/packages/daemon/src/request/decision-record.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Configuration, Route } from "@harrierhitch/configuration";
+import type { ConfigurationVersion } from "@harrierhitch/configuration";
 import type { Outcome, RequestId, RequestKey, UpstreamId } from "@harrierhitch/core";
 import type { AttemptResult, Decision, DecisionInput, Placement } from "@harrierhitch/decision";
 import { newSpanId } from "../telemetry/trace-context.js";
@@ -14,6 +14,7 @@
 import type { Attribution } from "./header-protocol.js";
 import type { ProblemKind } from "./problem.js";
 import type { PauseReason } from "./reading-pauses.js";
+import type { RecordedRoute } from "./recorded-route.js";
 
 /** A decision with its input. */
 export interface DecisionStep {
@@ -37,7 +38,7 @@
     /** Time at which the first byte was sent; `undefined` before. */
     sentMs: number | undefined;
     /** The connection on which it was sent; `undefined` before. */
-    use: ConnectionUse | undefined;
+    use: Pick<ConnectionUse, "connection" | "precedingRequests"> | undefined;
     /** Time at which the head of a response was received; `undefined` without one. */
     headMs: number | undefined;
     /** Whose response that is. */
@@ -80,14 +81,18 @@
 /** Why a streamed response was not complete; `unread`: it had not been read for some time, because its caller read slowly. */
 export type Interruption = "deadline" | "unread" | "upstream";
 
-/** The record of a request, filled in while it is served. */
+/**
+ * The record of a request, filled in while it is served. Records outlive configurations, so they refer to no part of one.
+ * `operators/estimate-bytes.ts` estimates what they keep.
+ */
 export interface DecisionRecord {
     readonly id: RequestId;
     readonly arrivedAtUnixMs: number;
-    readonly configuration: Configuration;
+    /** The configuration by which the request was routed. */
+    readonly version: ConfigurationVersion;
     /** Staleness of the published state by which the request was routed, in milliseconds. */
     readonly stalenessMs: number;
-    readonly route: Route;
+    readonly route: RecordedRoute;
     readonly traceId: string;
     /** Span ID of this hop. */
     readonly spanId: string;
--- a/packages/daemon/src/request/header-protocol.ts
+++ b/packages/daemon/src/request/header-protocol.ts
@@ -13,7 +13,7 @@
 
 /** An attempt for which request headers are written. */
 export interface OutgoingAttempt {
-    readonly configuration: Configuration;
+    readonly fleet: Configuration["fleet"];
     readonly service: Service;
     /** Id of the attempt, unique among all attempts of this instance. */
     readonly attemptId: string;
@@ -87,7 +87,7 @@
 /** Reads and writes the headers that callers, this instance and upstreams exchange. */
 export interface HeaderProtocol {
     /** Reads timeout, workspace, depth and path of a caller's request. */
-    readRequestMetadata(request: IncomingMessage, configuration: Configuration, kind: RequestKind): RequestMetadata;
+    readRequestMetadata(request: IncomingMessage, fleet: Configuration["fleet"], kind: RequestKind): RequestMetadata;
     /** Returns the headers, in lower case, that are set on an attempt's request; `undefined` removes one. */
     attemptHeaders(attempt: OutgoingAttempt): Readonly<Record<string, string | undefined>>;
     /** Returns the id that an upstream may repeat in its response to an attempt; `undefined` if there is none. */
--- a/packages/daemon/src/request/receive-body.ts
+++ b/packages/daemon/src/request/receive-body.ts
@@ -21,7 +21,7 @@
     progress: RequestProgress,
     limits: BodyLimits,
 ): Promise<RequestBody | undefined> => {
-    const { maximumDepth } = progress.record.configuration.fleet;
+    const { maximumDepth } = progress.fleet;
     if (progress.metadata.depth >= maximumDepth) {
         progress.giveUp({ kind: "too-deep", detail: `more than ${maximumDepth} hops`, outcome: "not-run" });
         return undefined;
--- a/packages/daemon/src/request/receive-head.ts
+++ b/packages/daemon/src/request/receive-head.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
-import { recordEcho } from "../upstream/connection-use.js";
+import { type ConnectionUse, recordEcho } from "../upstream/connection-use.js";
 import { applyResponse } from "./apply-response.js";
 import type { AttemptOptions } from "./attempt-options.js";
 import type { AttemptRecord } from "./decision-record.js";
@@ -20,6 +20,8 @@
     readonly attemptId: string;
     /** Record of the attempt, which is completed by the head. */
     readonly record: AttemptRecord;
+    /** The connection; `undefined` before a byte of the request was written. */
+    readonly use: ConnectionUse | undefined;
     readonly startedAtMs: number;
 }
 
@@ -32,7 +34,7 @@
  */
 export const receiveHead = (options: AttemptOptions, head: ReceivedHead): ParsedResponse => {
     const { services, progress, upstream } = options;
-    const { status, headers, attemptId, record } = head;
+    const { status, headers, attemptId, record, use } = head;
     const response = services.headerProtocol.readResponseHead({
         status,
         headers,
@@ -40,10 +42,10 @@
         upstream: upstream.id,
         requestHeaders: progress.request.headers,
         attemptId,
-        use: record.use,
+        use,
     });
-    if (response.echoesId && record.use !== undefined) {
-        recordEcho(record.use, "ofRequest");
+    if (response.echoesId && use !== undefined) {
+        recordEcho(use, "ofRequest");
     }
     record.headMs = progress.ageMs;
     record.attribution = response.attribution;
--- a/packages/daemon/src/request/rejection-retry-after.ts
+++ b/packages/daemon/src/request/rejection-retry-after.ts
@@ -4,12 +4,14 @@
  * @packageDocumentation
  */
 
+import type { Route } from "@harrierhitch/configuration";
 import type { RandomSource } from "@harrierhitch/core";
 import { earliestAvailableMs, jitteredRetryAfterMs, refusalRetryAfterMs, type UpstreamWait } from "@harrierhitch/decision";
 import type { AttemptRecord, DecisionRecord, DecisionStep } from "./decision-record.js";
 
 /** What the time depends on beside the record of the request. */
 export interface RejectionContext {
+    readonly route: Route;
     /** Time for which each upstream of the service is unavailable. */
     readonly waits: readonly UpstreamWait[];
     /** Milliseconds until the caller's deadline. */
@@ -33,8 +35,8 @@
  * @returns Milliseconds.
  */
 export const rejectionRetryAfterMs = (
-    { attempts, route, steps }: DecisionRecord,
-    { waits, remainingMs, roomInMs, random }: RejectionContext,
+    { attempts, steps }: Pick<DecisionRecord, "attempts" | "steps">,
+    { route, waits, remainingMs, roomInMs, random }: RejectionContext,
 ): number => {
     const waitMs = earliestAvailableMs(waits);
     if (waitMs !== undefined) {
--- a/packages/daemon/src/request/request-dispatcher.ts
+++ b/packages/daemon/src/request/request-dispatcher.ts
@@ -46,11 +46,21 @@
     constructor(private readonly options: RequestDispatcherOptions) {}
 
     /** Serves a request until it is finished. */
-    async serve({ request, response, arrivedAtMs, hasContactedPeers }: ArrivedRequest): Promise<void> {
+    async serve(arrived: ArrivedRequest): Promise<void> {
+        await this.route(arrived)?.run();
+    }
+
+    /**
+     * Finds the route of a request. Not part of the asynchronous function, whose variables would keep the configuration alive until
+     * the request is finished.
+     *
+     * @returns The task that serves the request; `undefined` if it was answered.
+     */
+    private route({ request, response, arrivedAtMs, hasContactedPeers }: ArrivedRequest): RequestTask | undefined {
         const { services, activeConfiguration: { current }, registry, telemetry } = this.options;
         if (response.callerDisconnected) {
             telemetry.callerLeftAtStart(services.clock.nowMs() - arrivedAtMs);
-            return;
+            return undefined;
         }
         if (current === undefined || !hasContactedPeers) {
             const detail = current === undefined ? "no configuration has been accepted yet" : "others have not been heard yet";
@@ -58,7 +68,7 @@
                 { kind: "not-ready", detail, outcome: "not-run", retryAfterMs: notReadyRetryAfterMs },
                 undefined,
             );
-            return;
+            return undefined;
         }
         const { configuration } = current;
         const stalenessMs = this.options.staleness.recordRouted();
@@ -69,12 +79,12 @@
         if (route === undefined || runtime === undefined) {
             telemetry.requestUnrouted(request, path, configuration.generation);
             response.sendProblem({ kind: "no-route", detail: `${request.method} ${path}`, outcome: "not-run" }, undefined);
-            return;
+            return undefined;
         }
         const progress = new RequestProgress(services, runtime, {
             ...{ configuration, stalenessMs, route, request, response, arrivedAtMs },
         });
-        await new RequestTask(services, runtime, progress).run();
+        return new RequestTask(services, runtime, progress);
     }
 
     private selectRoute(group: RouteGroup): Route | undefined {
--- a/packages/daemon/src/request/request-metadata.ts
+++ b/packages/daemon/src/request/request-metadata.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { detachText } from "@harrierhitch/core";
 import type { IncomingMessage } from "node:http";
 
 /** Metadata from the head of a request. */
@@ -29,15 +30,24 @@
     return queryIndex < 0 ? url : url.slice(0, queryIndex);
 };
 
+/** Returns the path of a URL for a record, which must not keep its query alive. */
+export const recordedPathOf = (url: string): string => {
+    const path = pathOf(url);
+    return path.length < url.length ? detachText(path) : path;
+};
+
 /** Returns the host of a request in lower case and without its port; empty if there is none. */
 export const hostOf = (request: IncomingMessage): string => (request.headers.host ?? "").toLowerCase().replace(/:\d*$/, "");
 
 /** Returns a header's text; `undefined` if it is missing, empty or repeated. */
 export const textHeader = (request: IncomingMessage, name: string): string | undefined => {
     const value = request.headers[name];
-    return typeof value === "string" && value !== "" ? value.slice(0, maximumValueLength) : undefined;
+    return typeof value === "string" && value !== "" ? truncate(value) : undefined;
 };
 
+const truncate = (value: string): string =>
+    value.length > maximumValueLength ? detachText(value.slice(0, maximumValueLength)) : value;
+
 /** Returns a header's value as a non-negative integer; `undefined` if it is none. */
 export const numberHeader = (request: IncomingMessage, name: string): number | undefined => {
     const text = textHeader(request, name);
--- a/packages/daemon/src/request/request-progress.ts
+++ b/packages/daemon/src/request/request-progress.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Route } from "@harrierhitch/configuration";
+import type { Configuration, Route } from "@harrierhitch/configuration";
 import type { Outcome, RequestKey } from "@harrierhitch/core";
 import type { IncomingMessage } from "node:http";
 import { events } from "../telemetry/event.js";
@@ -17,6 +17,7 @@
 import { evidenceOf } from "./evidence.js";
 import { LatencyBudget } from "./latency-budget.js";
 import { outcomeHeader, type Problem, type ProblemKind, problemKinds } from "./problem.js";
+import { recordedRouteOf } from "./recorded-route.js";
 import { rejectionRetryAfterMs } from "./rejection-retry-after.js";
 import type { RequestBody } from "./request-body.js";
 import { RequestExpiry, stoppingRetryAfterMs } from "./request-expiry.js";
@@ -42,6 +43,8 @@
 /** Tracks one request from its arrival to its response. */
 export class RequestProgress {
     readonly route: Route;
+    /** The fleet's section of the configuration by which the request was routed. */
+    readonly fleet: Configuration["fleet"];
     readonly request: IncomingMessage;
     readonly response: CallerResponse;
     readonly arrivedAtMs: number;
@@ -73,13 +76,14 @@
         private readonly runtime: ServiceRuntime,
         routed: RoutedRequest,
     ) {
-        const { configuration, stalenessMs, route, request, response, arrivedAtMs } = routed;
+        const { configuration: { fleet, version }, stalenessMs, route, request, response, arrivedAtMs } = routed;
         this.route = route;
+        this.fleet = fleet;
         this.request = request;
         this.response = response;
         this.arrivedAtMs = arrivedAtMs;
         this.callerAddress = request.socket.remoteAddress ?? "";
-        this.metadata = services.headerProtocol.readRequestMetadata(request, configuration, route.kind);
+        this.metadata = services.headerProtocol.readRequestMetadata(request, fleet, route.kind);
         const { clock, requestsEnd } = services;
         this.expiry = new RequestExpiry({ clock, arrivedAtMs, timeoutMs: this.metadata.timeoutMs, requestsEnd });
         this.latencyBudget = new LatencyBudget({
@@ -92,9 +96,9 @@
         this.record = {
             id: services.requestIds.next(),
             arrivedAtUnixMs: services.clock.wallMs(),
-            configuration,
+            version,
             stalenessMs,
-            route,
+            route: recordedRouteOf(route),
             traceId: this.trace.traceId,
             spanId: this.trace.spanId,
             parentSpanId: this.trace.parentSpanId,
@@ -160,11 +164,11 @@
 
     /** Response headers with the request ID, the decision, the outcome and what the caller recognizes the response by. */
     decisionHeaders(outcome: Outcome): Record<string, string | undefined> {
-        const { attempts, configuration } = this.record;
+        const { attempts, version } = this.record;
         const last = attempts.at(-1)?.upstream ?? "none";
         const policy = this.route.policy.policy.source.name;
         const parts = [
-            `generation=${configuration.generation}`,
+            `generation=${version.generation}`,
             `policy=${policy}`,
             `upstream=${last}`,
             `attempts=${attempts.length}`,
@@ -183,8 +187,8 @@
             return stoppingRetryAfterMs;
         }
         const { tracker: { upstreamWaits }, roomInMs } = this.runtime;
-        const { remainingMs, services: { random } } = this;
-        return rejectionRetryAfterMs(this.record, { waits: upstreamWaits, remainingMs, roomInMs, random });
+        const { remainingMs, route, services: { random } } = this;
+        return rejectionRetryAfterMs(this.record, { route, waits: upstreamWaits, remainingMs, roomInMs, random });
     }
 
     /** Ends the request with a problem response, and logs it. */
--- a/packages/daemon/src/request/routed-request.ts
+++ b/packages/daemon/src/request/routed-request.ts
@@ -9,7 +9,7 @@
 import type { CallerResponse } from "./caller-response.js";
 
 export interface RoutedRequest {
-    /** The configuration that applies to the request until it is finished. */
+    /** The configuration by which the request was routed. */
     readonly configuration: Configuration;
     /** Milliseconds since the last time as of which the configuration lacks no published change. */
     readonly stalenessMs: number;
--- a/packages/daemon/src/request/unattributed-response.ts
+++ b/packages/daemon/src/request/unattributed-response.ts
@@ -13,7 +13,7 @@
     readonly upstream: UpstreamId;
     /** The request that waited on the connection; `undefined` for a probe. */
     readonly request: RequestId | undefined;
-    readonly use: ConnectionUse | undefined;
+    readonly use: Pick<ConnectionUse, "connection" | "precedingRequests"> | undefined;
     readonly status: number;
     readonly attribution: Attribution;
     readonly detail: string | undefined;
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -36,12 +36,12 @@
 /** Returns the request that an attempt sends to its upstream. */
 export const buildUpstreamRequest = (options: UpstreamRequestOptions): UpstreamRequest => {
     const { services, runtime, progress, body, upstream, record: { spanId }, attemptId } = options;
-    const { request, metadata, trace } = progress;
-    const { configuration, attempts } = progress.record;
+    const { request, metadata, trace, fleet } = progress;
+    const { attempts } = progress.record;
     const { kind, service } = progress.route;
     const remainingMs = Math.max(1, Math.floor(progress.remainingMs - hopMarginMs));
     const depth = metadata.depth + 1;
-    const added = services.headerProtocol.attemptHeaders({ configuration, service, upstream, attemptId, remainingMs, depth });
+    const added = services.headerProtocol.attemptHeaders({ fleet, service, upstream, attemptId, remainingMs, depth });
     const headers = requestHeaders(request.rawHeaders, request.headers.connection, {
         ...added,
         traceparent: toTraceparent(trace, spanId),
--- a/packages/daemon/src/telemetry/framing-telemetry.ts
+++ b/packages/daemon/src/telemetry/framing-telemetry.ts
@@ -22,7 +22,7 @@
     if (attempt === undefined) {
         return;
     }
-    const { id, route: { service: { name: service } }, callerFraming, status, interruption } = record;
+    const { id, route: { service }, callerFraming, status, interruption } = record;
     metrics.unframedResponses.inc({ service, caller: callerFraming ?? "not-sent" });
     log.write(events.unframedResponse, {
         request: id,
--- a/packages/daemon/src/telemetry/spans.ts
+++ b/packages/daemon/src/telemetry/spans.ts
@@ -47,9 +47,9 @@
     endMs: record.durationMs ?? 0,
     attributes: {
         "harrierhitch.request_id": record.id,
-        "harrierhitch.generation": record.configuration.generation,
-        "harrierhitch.service": record.route.service.name,
-        "harrierhitch.kind": record.route.kind.name,
+        "harrierhitch.generation": record.version.generation,
+        "harrierhitch.service": record.route.service,
+        "harrierhitch.kind": record.route.kind,
         "harrierhitch.outcome": record.outcome ?? "unknown",
         "harrierhitch.problem": record.problem ?? "",
         "http.request.method": record.route.method,
@@ -67,7 +67,7 @@
     const common = { kind: SpanKind.INTERNAL, parentSpanId: record.spanId, failed: decision.policyFailure !== undefined };
     const attributes = {
         "harrierhitch.action": decision.action,
-        "harrierhitch.policy": record.route.policy.policy.source.name,
+        "harrierhitch.policy": record.route.policy.source.name,
         "harrierhitch.upstream": decision.action === "choose" ? decision.upstream : "",
         "harrierhitch.candidates": input.service.candidates,
         "harrierhitch.draws": [...input.draws],
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -38,7 +38,7 @@
 
     /** Counts and logs a completed attempt, with the facts that led to the selection of its upstream. */
     attemptEnded(record: DecisionRecord, attempt: AttemptRecord): void {
-        const service = record.route.service.name;
+        const service = record.route.service;
         const { result, upstream, outcome, startedMs, endedMs } = attempt;
         this.metrics.attempts.inc({ service, end: result?.end ?? "unknown" });
         if (result?.via !== undefined) {
@@ -63,7 +63,7 @@
             ...exchangeLogFields(attempt),
             startedMs: Math.round(startedMs),
             endedMs: endedMs === undefined ? undefined : Math.round(endedMs),
-            generation: record.configuration.generation,
+            generation: record.version.generation,
             stalenessMs: Number.isFinite(record.stalenessMs) ? Math.round(record.stalenessMs) : undefined,
             chosenBy: selectionLogFields(record, attempt),
         });
@@ -157,7 +157,7 @@
     /** Counts and logs a completed request. */
     requestServed(record: DecisionRecord): void {
         const { route } = record;
-        const labels = { service: route.service.name, kind: route.kind.name };
+        const labels = { service: route.service, kind: route.kind };
         this.metrics.requests.inc({ ...labels, outcome: record.outcome ?? "unknown" });
         this.metrics.requestDuration.observe(labels, (record.durationMs ?? 0) / 1000);
         admissionResultsOf(record).forEach(result => this.metrics.admissions.inc({ ...labels, result }));
--- a/packages/daemon/test/model/model-header-protocol.ts
+++ b/packages/daemon/test/model/model-header-protocol.ts
@@ -23,7 +23,7 @@
 
 /** The {@link HeaderProtocol} of the model. */
 export const modelHeaderProtocol: HeaderProtocol = {
-    readRequestMetadata: (request: IncomingMessage, _: Configuration, kind: RequestKind): RequestMetadata => {
+    readRequestMetadata: (request: IncomingMessage, _: Configuration["fleet"], kind: RequestKind): RequestMetadata => {
         const callerTimeoutMs = numberHeader(request, modelTimeoutHeader);
         return {
             timeoutMs: Math.min(callerTimeoutMs ?? kind.timeoutMs, kind.timeoutMs),
--- a/packages/fleet/src/document-exchange.ts
+++ b/packages/fleet/src/document-exchange.ts
@@ -5,7 +5,7 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import { lazyDocumentHash } from "@harrierhitch/configuration";
+import { type ConfigurationVersion, lazyDocumentHash } from "@harrierhitch/configuration";
 import { type Document, DocumentSchema, type Version } from "@harrierhitch/protocol";
 import type { LoadedConfiguration } from "@harrierhitch/published";
 import { takesPrecedence, versionOf } from "./configuration-message.js";
@@ -28,7 +28,7 @@
 export class DocumentExchange {
     /** The active document by the version that its edits apply to. */
     private readonly encoded = new Map<string, Document>();
-    private encodedFor: LoadedConfiguration | undefined;
+    private encodedFor: ConfigurationVersion | undefined;
     private canReadEdits = true;
 
     /** @param options - The active configuration, and what receives documents. */
@@ -87,8 +87,8 @@
     }
 
     private edited(current: LoadedConfiguration, version: Version, remote: Version | undefined): Document {
-        if (this.encodedFor !== current) {
-            this.encodedFor = current;
+        if (this.encodedFor !== current.configuration.version) {
+            this.encodedFor = current.configuration.version;
             this.encoded.clear();
         }
         const baseText = remote === undefined
