--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -97,6 +97,25 @@
         updates: [{ revision: 3, isSnapshot: true, entries: [entry("a", 1, "ready")] }],
         immediately: "a, b, c, d, e",
     },
+    {
+        name: "an upstream that a later snapshot lacks does not return with an outdated snapshot",
+        updates: [{ revision: 4, isSnapshot: true, entries: [entry("f", 4, "ready")] }],
+        immediately: "a, b, c, d, e",
+    },
+    {
+        name: "an upstream that a later snapshot lacks does not return with late changes",
+        updates: [{ revision: 6, entries: [entry("f", 4, "ready"), entry("g", 6, "ready")] }],
+        immediately: "a, b, c, d, e, g",
+    },
+    {
+        name: "a current snapshot restores an upstream whose change was missed",
+        updates: [{
+            revision: 5,
+            isSnapshot: true,
+            entries: [...names.map((name, index) => entry(name, index + 1, "ready")), entry("f", 4, "ready")],
+        }],
+        immediately: "a, b, c, d, e, f",
+    },
     {
         name: "an entry that cannot be parsed removes its upstream and no other",
         updates: [{ revision: 6, entries: [entry("a", 6, "bad")] }],
--- a/packages/fleet/test/zones.test.ts
+++ b/packages/fleet/test/zones.test.ts
@@ -65,6 +65,16 @@
         }],
         out: "",
     },
+    {
+        name: "a late message of the outage follows a snapshot without it, and nothing else was known of the zone",
+        updates: [{ revision: 8, isSnapshot: true, zones: [] }, { revision: 7, zones: [takenOut("a", 5)] }],
+        out: "",
+    },
+    {
+        name: "an outdated snapshot with the outage follows one without it",
+        updates: [{ revision: 8, isSnapshot: true, zones: [] }, { revision: 6, isSnapshot: true, zones: [takenOut("a", 5)] }],
+        out: "",
+    },
     {
         name: "two are out and one returns",
         updates: [{ revision: 7, zones: [takenOut("a", 5), takenOut("b", 6), putBack("a", 7)] }],
--- a/packages/published/src/upstream-directory.ts
+++ b/packages/published/src/upstream-directory.ts
@@ -6,7 +6,7 @@
 
 import type { CheckResult, DiscoveredUpstream, Finding } from "@harrierhitch/configuration";
 import { type Clock, type UpstreamId, upstreamId } from "@harrierhitch/core";
-import { type ZoneStatus, ZoneStatusTable } from "./zone-status-table.js";
+import { isCurrentSnapshot, type ZoneStatus, ZoneStatusTable } from "./zone-status-table.js";
 
 /** An entry of the directory as published by the platform or received from another instance. */
 export interface DirectoryEntry {
@@ -24,7 +24,7 @@
 
 /** Changes of the directory: a full snapshot or a delta. */
 export interface DirectoryUpdate {
-    /** Revision up to which all changes are included. */
+    /** Revision up to which all changes are included. Entries may be newer. */
     readonly revision: number;
     /** Whether this is a full snapshot, so that upstreams without an entry are removed. */
     readonly isSnapshot: boolean;
@@ -116,9 +116,12 @@
     /** Merges an update from the platform or from another instance. */
     merge(update: DirectoryUpdate): void {
         this.zones.merge(update, this.appliedRevision).forEach(change => this.options.onZoneChange(change));
-        const removals = [...update.entries.filter(entry => this.isRemoval(entry)), ...this.removalsImpliedBy(update)];
+        const entries = isCurrentSnapshot(update, this.appliedRevision)
+            ? update.entries
+            : update.entries.filter(entry => !this.isKnownToBeGone(entry));
+        const removals = [...entries.filter(entry => this.isRemoval(entry)), ...this.removalsImpliedBy(update)];
         const localGraceMs = Math.max(this.options.removalGraceMs(), this.isSuddenRemoval(removals) ? suddenGraceMs : 0);
-        update.entries.filter(entry => !removals.includes(entry)).forEach(entry => this.put(entry));
+        entries.filter(entry => !removals.includes(entry)).forEach(entry => this.put(entry));
         removals.forEach(removal => {
             this.remove(removal, removal.unconfirmedMs ?? localGraceMs);
         });
@@ -167,9 +170,14 @@
         return text === undefined && before?.upstream !== undefined && before.revision < revision;
     }
 
+    /** Whether an entry was removed up to the applied revision: otherwise it would be stored. */
+    private isKnownToBeGone({ upstream, revision, text }: DirectoryEntry): boolean {
+        return text !== undefined && revision <= this.appliedRevision && !this.entries.has(upstream);
+    }
+
     /** Returns removals of the stored upstreams that a snapshot doesn't contain. */
     private removalsImpliedBy(update: DirectoryUpdate): readonly DirectoryEntry[] {
-        if (!update.isSnapshot || update.revision < this.appliedRevision) {
+        if (!isCurrentSnapshot(update, this.appliedRevision)) {
             return [];
         }
         const present = new Set(update.entries.map(entry => entry.upstream));
--- a/packages/published/src/zone-status-table.ts
+++ b/packages/published/src/zone-status-table.ts
@@ -21,6 +21,16 @@
     readonly zones: readonly ZoneStatus[];
 }
 
+/**
+ * Whether an update holds everything that is published as of the applied revision or later, so that what it lacks is gone, and what
+ * it has is not.
+ *
+ * @param update - The update.
+ * @param appliedRevision - Revision up to which all changes are already applied.
+ */
+export const isCurrentSnapshot = ({ isSnapshot, revision }: Omit<ZoneUpdate, "zones">, appliedRevision: number): boolean =>
+    isSnapshot && revision >= appliedRevision;
+
 /** Stores the latest status of each availability zone; a status with a lower revision is ignored. */
 export class ZoneStatusTable {
     private readonly statuses = new Map<string, ZoneStatus>();
@@ -43,8 +53,11 @@
      * @returns The statuses that changed.
      */
     merge(update: ZoneUpdate, appliedRevision: number): readonly ZoneStatus[] {
-        const restored = update.isSnapshot && update.revision >= appliedRevision ? this.restoredBy(update) : [];
-        return [...update.zones, ...restored].filter(status => this.put(status));
+        if (isCurrentSnapshot(update, appliedRevision)) {
+            return [...update.zones, ...this.restoredBy(update)].filter(status => this.put(status));
+        }
+        // A zone of an earlier revision without a status here has been put back since.
+        return update.zones.filter(status => this.isNewer(status, appliedRevision) && this.put(status));
     }
 
     /**
@@ -57,6 +70,10 @@
         return [...this.statuses.values()].filter(status => isSnapshot ? status.isOut : status.revision > revision);
     }
 
+    private isNewer({ availabilityZone, revision }: ZoneStatus, appliedRevision: number): boolean {
+        return revision > appliedRevision || this.statuses.has(availabilityZone);
+    }
+
     /** Stores a status unless a later one is stored; returns whether the zone went out of service or back. */
     private put(status: ZoneStatus): boolean {
         const before = this.statuses.get(status.availabilityZone);
