Report the versions in memory and a heap that is nearly full

New: gauges of the versions in memory and of the heap's limit; event 121, once the heap has been above 85 % of its limit for three checks a second apart, so that garbage alone does not count.

The daemon's program watches the heap, not the daemon, since several daemons share a process in tests.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,6 +9,7 @@
 import { type FleetTimes, fleetTimesFor } from "@harrierhitch/published";
 import { createStalenessTelemetry } from "./create-staleness-telemetry.js";
 import type { DaemonOptions, DaemonPorts } from "./daemon-options.js";
+import { HeapWatch } from "./heap-watch.js";
 import { Instance } from "./instance.js";
 import type { OperatorServiceOptions } from "./operators/operator-service.js";
 import { OperatorsEndpoint } from "./operators/operators-endpoint.js";
@@ -128,6 +129,11 @@
         this.log.write(events.settingsReloaded, { seeds: settings.peers?.seeds });
     }
 
+    /** Frees and reports memory when the heap of this process is nearly full, until the process ends. */
+    watchHeap(): void {
+        new HeapWatch({ clock: this.clock, log: this.log, instance: this.instance }).start();
+    }
+
     /** Logs that changed settings are invalid and were not applied. */
     reloadFailed(error: Error): void {
         this.log.write(events.settingsInvalid, { error });
@@ -177,13 +183,7 @@
         const { clock, random, instance, log } = this;
         const { retryMs, watchMs } = this.settings.platform;
         return new PlatformLink({
-            platform,
-            clock,
-            random,
-            instance,
-            log,
-            retryMs,
-            watchMs,
+            ...{ platform, clock, random, instance, log, retryMs, watchMs },
             times: this.times,
             willJoin: () => this.peers.willJoin,
             hasCallers: () => this.callers.hasServed,
--- a/packages/daemon/src/operators/operators-endpoint.ts
+++ b/packages/daemon/src/operators/operators-endpoint.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Settings } from "@harrierhitch/configuration";
+import { processHeapUse } from "../heap-watch.js";
 import type { RpcEndpointOptions } from "../peers/rpc-endpoint-options.js";
 import { RpcServer } from "../peers/rpc-server.js";
 import { operatorsHttpHandler, readinessHandler } from "./http-handlers.js";
@@ -65,6 +66,8 @@
         metrics.inFlight.set(serviceOptions().requestsInFlight());
         metrics.records.set(explanations.entries);
         metrics.recordBytes.set(explanations.bytes);
+        metrics.configurations.set(instance.activeConfiguration.liveVersions);
+        metrics.heapLimit.set(processHeapUse().limitBytes);
         metrics.members.set(fleet?.members.alive.length ?? 1);
         metrics.discoveredUpstreams.set(directory.upstreams.length);
         metrics.zonesOut.set(directory.zonesOutOfService.length);
--- a/packages/daemon/src/program.ts
+++ b/packages/daemon/src/program.ts
@@ -58,6 +58,7 @@
         const policies = readPolicies(settings);
         const daemon = new Daemon({ settings, policies, ...(adapter && { adapter }), ...(transport && { transport }) });
         const started = daemon.start();
+        daemon.watchHeap();
         signals.attach({ stop: () => void daemon.stop(), reload: () => reload(file, daemon) });
         await started;
         const { isLogBlocked } = await daemon.whenStopped;
--- a/packages/daemon/src/telemetry/attempt-metrics.ts
+++ b/packages/daemon/src/telemetry/attempt-metrics.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import { MetricsRegistry } from "./metrics-registry.js";
+import { MemoryMetrics } from "./memory-metrics.js";
 
 /** Counts of attempts, sheds and traffic between zones. */
-export class AttemptMetrics extends MetricsRegistry {
+export class AttemptMetrics extends MemoryMetrics {
     /** Attempts at upstreams, by service and end. */
     readonly attempts = this.counter("harrierhitch_attempts_total", "Attempts at upstreams", ["service", "end"]);
 
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -24,6 +24,11 @@
     stopped: { number: 113, level: "info", message: "daemon stopped" },
     stopRepeated: { number: 116, level: "info", message: "planned stop was requested again; it goes on unchanged" },
     processStalled: { number: 120, level: "warn", message: "process was stalled; state was refreshed" },
+    heapNearlyFull: {
+        number: 121,
+        level: "warn",
+        message: "heap is nearly full; the older half of the decision records was dropped",
+    },
     configurationAccepted: { number: 200, level: "info", message: "configuration accepted" },
     configurationInvalid: { number: 201, level: "error", message: "configuration is invalid and was rejected" },
     configurationOlder: { number: 202, level: "warn", message: "older configuration was received and ignored" },
--- a/packages/daemon/src/telemetry/metrics.ts
+++ b/packages/daemon/src/telemetry/metrics.ts
@@ -239,10 +239,4 @@
 
     /** Requests in flight. */
     readonly inFlight = this.gauge("harrierhitch_requests_in_flight", "Requests being served");
-
-    /** Decision records stored for explanations. */
-    readonly records = this.gauge("harrierhitch_records", "Decision records kept");
-
-    /** Estimated memory of the decision records. */
-    readonly recordBytes = this.gauge("harrierhitch_record_bytes", "Estimated memory of the decision records");
 }
--- a/packages/published/src/active-configuration.ts
+++ b/packages/published/src/active-configuration.ts
@@ -44,6 +44,10 @@
     private rejected: RejectedConfiguration | undefined;
     /** The last documents before the active one, the latest first. */
     private replaced: readonly ReplacedDocument[] = [];
+    private live = 0;
+    private readonly collected = new FinalizationRegistry<undefined>(() => {
+        this.live -= 1;
+    });
 
     /** @param check - Parses and validates a document; {@link checkConfiguration} by default. */
     constructor(private readonly check: (file: string, text: string) => CheckResult<Configuration> = checkConfiguration) {}
@@ -67,6 +71,11 @@
             : this.replaced.find(isSame)?.text;
     }
 
+    /** Number of configurations that have been active and are still in memory. */
+    get liveVersions(): number {
+        return this.live;
+    }
+
     /** The newest document, if it was rejected; an earlier one remains active. */
     get rejection(): RejectedConfiguration | undefined {
         return this.rejected;
@@ -116,6 +125,8 @@
         }
         this.retain();
         this.loaded = { configuration, text };
+        this.live += 1;
+        this.collected.register(configuration, undefined);
         return { type: "accepted", configuration, conflict: isConflict };
     }
 
