An instance tells removals only since the revision from which it knows them

Cause: a read of the store does not contain what was removed before it. An instance that had just started sent the changes since the revision of the one that was behind, without these removals, and with its own revision. The receiver took that revision for its own, so that nothing told it any more.

A delta states the revision since which it is complete (new field "since"), and a receiver that does not have that revision ignores it; before, changes that were addressed to an instance and reached its successor made the successor claim all that they left out. Instances of earlier versions send no such field, and their deltas are taken as before.

Three tests of the directory name the cases.

--- a/packages/fleet/src/directory-message.ts
+++ b/packages/fleet/src/directory-message.ts
@@ -24,11 +24,12 @@
     if (directory.revision <= sinceRevision) {
         return create(DirectorySchema, { ...header, complete: sinceRevision < Infinity });
     }
-    const { isSnapshot, entries, zones } = directory.updatesSince(sinceRevision);
+    const { isSnapshot, sinceRevision: since = 0, entries, zones } = directory.updatesSince(sinceRevision);
     return create(DirectorySchema, {
         ...header,
         whole: isSnapshot,
         complete: true,
+        since: BigInt(since),
         listings: entries.map(({ upstream, revision, text, unconfirmedMs = 0 }) =>
             create(ListingSchema, {
                 upstream,
@@ -45,10 +46,11 @@
 };
 
 /** Decodes the directory of another instance; `undefined` if the message holds only its revision and staleness. */
-export const decodeDirectory = ({ complete, revision, whole, listings, zones }: Directory): DirectoryUpdate | undefined =>
+export const decodeDirectory = ({ complete, revision, since, whole, listings, zones }: Directory): DirectoryUpdate | undefined =>
     complete
         ? {
             revision: Number(revision),
+            sinceRevision: Number(since),
             isSnapshot: whole,
             entries: listings.map(({ upstream, revision: entryRevision, text, removed, doubtedMs }) =>
                 toDirectoryEntry(upstream, Number(entryRevision), removed ? undefined : text, doubtedMs)
--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -39,6 +39,17 @@
     return { clock, directory, state, invalid };
 };
 
+const openEmptyDirectory = (): UpstreamDirectory =>
+    new UpstreamDirectory({
+        clock: new FakeClock(),
+        read: (id, text) => ({ value: discoveredUpstream(id, text), findings: [] }),
+        removalGraceMs: () => 0,
+        onChange: () => undefined,
+        onZoneChange: () => undefined,
+        onRemovalConfirmed: () => undefined,
+        onInvalid: () => undefined,
+    });
+
 interface Case {
     readonly name: string;
     readonly graceMs?: number;
@@ -154,15 +165,7 @@
     first.directory.merge({ revision: 7, isSnapshot: false, entries: [entry("a", 6), entry("f", 7, "ready")], zones: [] });
     second.directory.merge(first.directory.updatesSince(second.directory.revision));
     assert.deepEqual([second.state(), second.directory.revision], [first.state(), 7]);
-    const third = new UpstreamDirectory({
-        clock: first.clock,
-        read: (id, text) => ({ value: discoveredUpstream(id, text), findings: [] }),
-        removalGraceMs: () => 0,
-        onChange: () => undefined,
-        onZoneChange: () => undefined,
-        onRemovalConfirmed: () => undefined,
-        onInvalid: () => undefined,
-    });
+    const third = openEmptyDirectory();
     third.merge(first.directory.updatesSince(0));
     assert.equal(third.upstreams.length, 5);
 });
@@ -180,3 +183,35 @@
     await second.clock.advance(100);
     assert.equal(second.state(), "b, c, d, e");
 });
+
+test("an instance that is behind the start of another one learns from it what was removed before", () => {
+    const restarted = openDirectory({ graceMs: 0 });
+    restarted.directory.merge({
+        revision: 9,
+        isSnapshot: true,
+        entries: names.slice(1).map((name, index) => entry(name, index + 2, "ready")),
+        zones: [],
+    });
+    const fresh = openEmptyDirectory();
+    fresh.merge(restarted.directory.updatesSince(0));
+    const behind = openDirectory({ graceMs: 0 });
+    behind.directory.merge(fresh.updatesSince(behind.directory.revision));
+    assert.deepEqual([behind.state(), behind.directory.revision], ["b, c, d, e", 9]);
+});
+
+test("an instance that has all changes since another one's start receives no snapshot from it", () => {
+    const first = openDirectory({ graceMs: 0 });
+    const second = openEmptyDirectory();
+    second.merge(first.directory.updatesSince(0));
+    second.merge({ revision: 6, isSnapshot: false, entries: [entry("a", 6)], zones: [] });
+    const update = second.updatesSince(first.directory.revision);
+    assert.deepEqual([update.isSnapshot, update.entries.map(({ upstream }) => String(upstream))], [false, ["a"]]);
+});
+
+test("changes since a revision that an instance no longer has, because it started again, are ignored", () => {
+    const first = openDirectory({ graceMs: 0 });
+    first.directory.merge({ revision: 6, isSnapshot: false, entries: [entry("a", 6, "leaving")], zones: [] });
+    const restarted = openEmptyDirectory();
+    restarted.merge(first.directory.updatesSince(5));
+    assert.deepEqual([restarted.revision, restarted.upstreams.length], [0, 0]);
+});
--- a/packages/published/src/index.ts
+++ b/packages/published/src/index.ts
@@ -8,6 +8,7 @@
 
 export { ActiveConfiguration, type LoadedConfiguration, type RejectedConfiguration } from "./active-configuration.js";
 export { type ApplyResult } from "./apply-result.js";
+export { type DirectoryEntry, toDirectoryEntry } from "./directory-entry.js";
 export {
     defaultBoundMs,
     defaultFleetTimes,
@@ -18,9 +19,7 @@
 } from "./fleet-times.js";
 export {
     type DirectoryChange,
-    type DirectoryEntry,
     type DirectoryUpdate,
-    toDirectoryEntry,
     UpstreamDirectory,
     type UpstreamDirectoryOptions,
 } from "./upstream-directory.js";
--- a/packages/published/src/upstream-directory.ts
+++ b/packages/published/src/upstream-directory.ts
@@ -5,23 +5,10 @@
  */
 
 import type { CheckResult, DiscoveredUpstream, Finding } from "@harrierhitch/configuration";
-import { type Clock, type UpstreamId, upstreamId } from "@harrierhitch/core";
+import type { Clock, UpstreamId } from "@harrierhitch/core";
+import type { DirectoryEntry } from "./directory-entry.js";
 import { isCurrentSnapshot, type ZoneStatus, ZoneStatusTable } from "./zone-status-table.js";
 
-/** An entry of the directory as published by the platform or received from another instance. */
-export interface DirectoryEntry {
-    readonly upstream: UpstreamId;
-    /** Revision of the platform at which it was published or removed. */
-    readonly revision: number;
-    /** Published text; `undefined` if the upstream was removed. */
-    readonly text: string | undefined;
-    /**
-     * Remaining milliseconds for which the sending instance treats a removal as unconfirmed; `undefined` for an entry
-     * from the platform, for which this instance determines the time itself.
-     */
-    readonly unconfirmedMs?: number;
-}
-
 /** Changes of the directory: a full snapshot or a delta. */
 export interface DirectoryUpdate {
     /** Revision up to which all changes are included. Entries may be newer. */
@@ -31,6 +18,8 @@
     readonly entries: readonly DirectoryEntry[];
     /** Availability zones whose status changed; in a snapshot, all zones that are out of service. */
     readonly zones: readonly ZoneStatus[];
+    /** Revision since which a delta has all changes; 0 by default, and in a snapshot. */
+    readonly sinceRevision?: number;
 }
 
 /** The change of one upstream by an update. */
@@ -87,6 +76,11 @@
     private readonly entries = new Map<UpstreamId, StoredEntry>();
     private readonly zones = new ZoneStatusTable();
     private appliedRevision = 0;
+    /**
+     * Revision since which all changes are stored, removals too. A snapshot does not tell what was removed before it, so an instance
+     * whose revision is lower can't be told either, and receives a snapshot.
+     */
+    private completeSince = 0;
     /** Removals that may be caused by expired entries and don't take effect yet. */
     private readonly unconfirmed = new Map<UpstreamId, UnconfirmedRemoval>();
 
@@ -113,8 +107,11 @@
         return this.zones.outOfService;
     }
 
-    /** Merges an update from the platform or from another instance. */
+    /** Merges an update from the platform or from another instance; a delta since a revision that is not applied is ignored. */
     merge(update: DirectoryUpdate): void {
+        if ((update.sinceRevision ?? 0) > this.appliedRevision) {
+            return;
+        }
         this.zones.merge(update, this.appliedRevision).forEach(change => this.options.onZoneChange(change));
         const entries = isCurrentSnapshot(update, this.appliedRevision)
             ? update.entries
@@ -125,6 +122,9 @@
         removals.forEach(removal => {
             this.remove(removal, removal.unconfirmedMs ?? localGraceMs);
         });
+        if (update.isSnapshot && update.revision > this.appliedRevision) {
+            this.completeSince = update.revision;
+        }
         this.appliedRevision = Math.max(this.appliedRevision, update.revision);
         this.evictOldRemovals();
     }
@@ -135,7 +135,7 @@
      * @param revision - That revision; 0 for a full snapshot.
      */
     updatesSince(revision: number): DirectoryUpdate {
-        const isSnapshot = revision === 0 || revision < this.appliedRevision - retainedRevisions;
+        const isSnapshot = revision === 0 || revision < this.completeSince;
         const stored = [...this.entries]
             .filter(([, entry]) => isSnapshot ? entry.text !== undefined : entry.revision > revision)
             .map(([upstream, entry]) => ({ upstream, revision: entry.revision, text: entry.text, unconfirmedMs: 0 }));
@@ -144,7 +144,8 @@
             .filter(({ removal }) => removal.revision > revision)
             .map(({ removal, untilMs }) => ({ ...removal, unconfirmedMs: Math.max(1, untilMs - nowMs) }));
         const zones = this.zones.statusesSince(revision, isSnapshot);
-        return { revision: this.appliedRevision, isSnapshot, entries: [...stored, ...unconfirmed], zones };
+        const sinceRevision = isSnapshot ? 0 : revision;
+        return { revision: this.appliedRevision, sinceRevision, isSnapshot, entries: [...stored, ...unconfirmed], zones };
     }
 
     private put({ upstream, revision, text }: DirectoryEntry): void {
@@ -218,23 +219,11 @@
     }
 
     private evictOldRemovals(): void {
+        this.completeSince = Math.max(this.completeSince, this.appliedRevision - retainedRevisions);
         this.entries.forEach((entry, id) => {
-            if (entry.text === undefined && entry.revision < this.appliedRevision - retainedRevisions) {
+            if (entry.text === undefined && entry.revision < this.completeSince) {
                 this.entries.delete(id);
             }
         });
     }
 }
-
-/** Creates a directory entry from the fields of a message. */
-export const toDirectoryEntry = (
-    upstream: string,
-    revision: number,
-    text: string | undefined,
-    unconfirmedMs: number,
-): DirectoryEntry => ({
-    upstream: upstreamId(upstream),
-    revision,
-    text,
-    unconfirmedMs,
-});
