Changes that cannot be used are replaced by a read of the current state

Cause: a failed watch is repeated from its revision whatever the reason. A response that is too large only grows; one that is not valid or not complete may stay so.

An oversized response now leads to a read of the current state at once, any other response that began and cannot be used when it happens for the second time since the same revision. Event 216 says so. The limit of a response stays; a call without a response is repeated as before, since a read would fail, too.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
     PlatformError,
     type PlatformOptions,
     type Publication,
+    UnusablePublicationError,
 } from "./platform/platform.js";
 export { type DaemonProgramOptions, exitCodes, runDaemonProgram } from "./program.js";
 export { noLimit, type ParsedLimit, readLimit } from "./request/announced-limit.js";
--- a/packages/daemon/src/platform/http-get.ts
+++ b/packages/daemon/src/platform/http-get.ts
@@ -6,7 +6,7 @@
 
 import { asError } from "@harrierhitch/core";
 import { Agent, get, type IncomingHttpHeaders } from "node:http";
-import { PlatformError } from "./platform.js";
+import { OversizedPublicationError, PlatformError, UnusablePublicationError } from "./platform.js";
 
 /** Options of {@link HttpClient}. */
 export interface HttpClientOptions {
@@ -50,26 +50,29 @@
  * @param client - Connections and limits.
  * @param call - The request.
  * @returns The complete response, whatever its status.
- * @throws {@link PlatformError} if no complete response arrives in time.
+ * @throws {@link PlatformError} if no response begins in time.
+ * @throws {@link UnusablePublicationError} if a response that has begun is not complete in time, or too large.
  */
 export const httpGet = ({ agent, options }: HttpClient, call: HttpGetRequest): Promise<HttpResponse> =>
     new Promise((resolve, reject) => {
         const { url, headers = {}, timeoutMs, signal } = call;
-        const fail = (error: Error): void => {
+        const fail = (error: Error, type: typeof PlatformError = PlatformError): void => {
             clearTimeout(timer);
             clearTimeout(transferTimer);
             request.destroy();
-            reject(new PlatformError(`${url}: ${asError(error).message}`, { cause: error }));
+            reject(new type(`${url}: ${asError(error).message}`, { cause: error }));
         };
         const request = get(url, { agent, headers, signal }, response => {
             const chunks: Buffer[] = [];
             let bytes = 0;
+            const failBody = (error: Error): void => fail(error, UnusablePublicationError);
             const pauseMs = Math.min(timeoutMs, maximumPauseMs);
             const resetTimer = (): void => {
                 clearTimeout(timer);
-                timer = setTimeout(() => fail(new PlatformError(`the response paused for ${pauseMs} ms`)), pauseMs);
+                timer = setTimeout(() => failBody(new PlatformError(`the response paused for ${pauseMs} ms`)), pauseMs);
             };
-            const onTransferTimeout = (): void => fail(new PlatformError(`the response took more than ${maximumTransferMs} ms`));
+            const onTransferTimeout = (): void =>
+                failBody(new PlatformError(`the response took more than ${maximumTransferMs} ms`));
             transferTimer = setTimeout(onTransferTimeout, maximumTransferMs);
             resetTimer();
             response.on("data", (chunk: Buffer) => {
@@ -77,10 +80,13 @@
                 bytes += chunk.length;
                 chunks.push(chunk);
                 if (bytes > options.maximumBytes) {
-                    fail(new PlatformError(`the response has more than ${options.maximumBytes} bytes`));
+                    fail(
+                        new PlatformError(`the response has more than ${options.maximumBytes} bytes`),
+                        OversizedPublicationError,
+                    );
                 }
             });
-            response.on("error", fail);
+            response.on("error", failBody);
             response.on("end", () => {
                 clearTimeout(timer);
                 clearTimeout(transferTimer);
@@ -89,5 +95,5 @@
         });
         let transferTimer: NodeJS.Timeout | undefined;
         let timer = setTimeout(() => fail(new PlatformError(`no response within ${timeoutMs} ms`)), timeoutMs);
-        request.on("error", fail);
+        request.on("error", error => fail(error));
     });
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -84,6 +84,7 @@
             checkForStall: options.checkForStall,
             onCallEnd: () => instance.fleet?.directReads.end(),
             onUnavailable: error => this.onUnavailable(error),
+            onUnusableChanges: (error, revision) => this.onUnusableChanges(error, revision),
             onRecovered: () => this.onRecovered(),
         });
     }
@@ -208,6 +209,10 @@
         instance.fleet?.stalenessTracker.confirm(clock.nowMs() - asOfMs);
     }
 
+    private onUnusableChanges(error: Error, revision: number): void {
+        this.options.log.write(events.changesUnusable, { revision, error });
+    }
+
     private onUnavailable(error: Error): void {
         const { fleet, directory } = this.options.instance;
         this.isUnavailable = true;
--- a/packages/daemon/src/platform/platform-watcher.ts
+++ b/packages/daemon/src/platform/platform-watcher.ts
@@ -5,7 +5,13 @@
  */
 
 import { asError, type Clock, type RandomSource, sleep } from "@harrierhitch/core";
-import { HistoryLostError, type Platform, type Publication } from "./platform.js";
+import {
+    HistoryLostError,
+    OversizedPublicationError,
+    type Platform,
+    type Publication,
+    UnusablePublicationError,
+} from "./platform.js";
 
 /** Kind of a publication: a snapshot that may be a few seconds old, a current snapshot, or the changes since a revision. */
 export type PublicationKind = "stale-snapshot" | "snapshot" | "changes";
@@ -33,6 +39,8 @@
     readonly onCallEnd: () => void;
     /** Called when the platform has failed after a success, or at the first call. */
     readonly onUnavailable: (error: Error) => void;
+    /** Called when the changes since a revision cannot be used, so that the current state is read in their place. */
+    readonly onUnusableChanges: (error: Error, revision: number) => void;
     /** Called when the platform responds again. */
     readonly onRecovered: () => void;
 }
@@ -53,6 +61,8 @@
     private stalledAtMs = -Infinity;
     /** Whether the next call must be a current read, because removals may be missing from the history. */
     private needsCurrentRead = false;
+    /** Revision of the last watch, if its response could not be used. */
+    private unusableRevision: number | undefined;
 
     /** @param options - The platform and callbacks. */
     constructor(private readonly options: PlatformWatcherOptions) {}
@@ -106,6 +116,7 @@
             });
             this.hasRead = true;
             this.needsCurrentRead = false;
+            this.unusableRevision = undefined;
             this.onResponse();
             checkForStall();
             // If the process stalled during the call, the response is only known to be newer than the request.
@@ -116,7 +127,7 @@
             if (isAborted(signal)) {
                 return;
             }
-            if (thrown instanceof HistoryLostError) {
+            if (thrown instanceof HistoryLostError || kind === "changes" && this.isUnusableAgain(thrown)) {
                 this.needsCurrentRead = true;
                 return;
             }
@@ -126,6 +137,23 @@
         }
     }
 
+    /**
+     * Returns whether a watch would fail again in the same way: its response is too large, or could not be used for the second time
+     * since the same revision.
+     */
+    private isUnusableAgain(thrown: unknown): boolean {
+        if (!(thrown instanceof UnusablePublicationError)) {
+            return false;
+        }
+        const revision = this.options.appliedRevision();
+        const isAgain = thrown instanceof OversizedPublicationError || this.unusableRevision === revision;
+        this.unusableRevision = revision;
+        if (isAgain) {
+            this.options.onUnusableChanges(thrown, revision);
+        }
+        return isAgain;
+    }
+
     private nextKind(): PublicationKind {
         if (this.needsCurrentRead) {
             return "snapshot";
--- a/packages/daemon/src/platform/platform.ts
+++ b/packages/daemon/src/platform/platform.ts
@@ -40,6 +40,7 @@
      * @param longPollMs - Longest time to wait for a change, in milliseconds; 0 returns the changes so far.
      * @returns The changes; none if nothing changed within that time.
      * @throws {@link HistoryLostError} if the changes since that revision are no longer available.
+     * @throws {@link UnusablePublicationError} if the response cannot be used.
      * @throws {@link PlatformError} if the call fails or the response is invalid.
      */
     watch(revision: number, signal: AbortSignal, longPollMs: number): Promise<Publication>;
@@ -55,6 +56,16 @@
     override readonly code = "history-lost";
 }
 
+/** A response began to arrive but cannot be used: it is not complete or not valid. The same call may fail in the same way. */
+export class UnusablePublicationError extends PlatformError {
+    override readonly code: string = "unusable-publication";
+}
+
+/** A response exceeds the limit. A later watch from the same revision returns the same changes, and more. */
+export class OversizedPublicationError extends UnusablePublicationError {
+    override readonly code = "oversized-publication";
+}
+
 export interface PlatformOptions {
     /** Addresses as `IP:port`, tried in order. */
     readonly addresses: readonly string[];
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -50,6 +50,11 @@
         message: "exchanges with other instances are delayed by the rate limit of a link",
     },
     platformRecovered: { number: 211, level: "info", message: "platform responds again" },
+    changesUnusable: {
+        number: 216,
+        level: "warn",
+        message: "changes from the platform cannot be used; the current state is read instead",
+    },
     entryInvalid: { number: 220, level: "error", message: "discovered upstream cannot be parsed and is not used" },
     entryChanged: { number: 221, level: "info", message: "discovered upstream was added, changed or removed" },
     directoryRead: { number: 222, level: "info", message: "discovered upstreams were read for the first time" },
