The instance that holds a connection searches it for late copies

Cause: only the instance that is asked by a caller searched such a body, and only for the ids that it knew. Over another instance it knows its own id alone; the instance in between did not search, and did not record the ids of requests that it sends for others, so that its own responses on the same connection were not protected either.

The asking instance now names the id that a response may repeat (new header x-harrierhitch-echoed-id, not sent to upstreams). The instance in between records it on the connection, searches responses that end with their connection, and aborts them when another response begins.

Tests: copies in one piece, after a while and byte by byte; ids known to requests of the instance itself. Without the change of the listener 4 of 5 fail; a body that quotes a response is passed on before and after.

--- a/packages/daemon/src/detour/detour-client.ts
+++ b/packages/daemon/src/detour/detour-client.ts
@@ -16,6 +16,7 @@
 import type { Attempt, ResponseSink, UpstreamRequest } from "../upstream/upstream-transport.js";
 import { type DetourAction, formatDetour } from "./detour-address.js";
 import { detourIdHeader, type DetourResult, readDetourResult } from "./detour-result.js";
+import { echoedIdHeader } from "./echoed-id-header.js";
 import { framingHeader } from "./framing-header.js";
 import { newConnectionHeader } from "./new-connection-header.js";
 
@@ -96,7 +97,8 @@
             return unsentAttempt("not in a fleet");
         }
         const onNewConnection = request.needsNewConnection === true ? [newConnectionHeader, "1"] : [];
-        const headers = [...request.headers, framingHeader, "1", ...onNewConnection];
+        const echoedId = request.echoedId === undefined ? [] : [echoedIdHeader, request.echoedId];
+        const headers = [...request.headers, framingHeader, "1", ...onNewConnection, ...echoedId];
         const target = { address, port, connectTimeoutMs, echoes: { hasEchoed: false } };
         return openAttempt(() => {
             const path = formatDetour({
--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -10,12 +10,14 @@
 import { requestHeaders } from "../request/headers.js";
 import { hasBody } from "../request/request-body.js";
 import type { PathTelemetry } from "../telemetry/path-telemetry.js";
+import { recordEchoedId } from "../upstream/connection-use.js";
 import { defaultPatienceMs } from "../upstream/direct-attempt.js";
 import type { RoutedTransport } from "../upstream/routed-transport.js";
 import type { ServiceRuntime } from "../upstream/service-runtime.js";
 import { type DetourAddress, parseDetour } from "./detour-address.js";
 import { DetourResponse, resultHeaders } from "./detour-response.js";
 import { detourIdHeader, type DetourResult, type NotSentReason } from "./detour-result.js";
+import { echoedIdHeader } from "./echoed-id-header.js";
 import { framingHeader } from "./framing-header.js";
 import { newConnectionHeader } from "./new-connection-header.js";
 
@@ -145,14 +147,20 @@
                 [detourIdHeader]: undefined,
                 [newConnectionHeader]: undefined,
                 [framingHeader]: undefined,
+                [echoedIdHeader]: undefined,
             }),
             needsNewConnection: request.headers[newConnectionHeader] !== undefined,
             body: hasBody(request) ? request : undefined,
             mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
+            onBegin: use => {
+                recordEchoedId(use, request.headers[echoedIdHeader]?.toString());
+                forwarded.recordUse(use);
+            },
             ...(address.request === "" ? {} : { patienceMs: defaultPatienceMs }),
         }, forwarded);
         forwarded.onDrain(() => attempt.resume());
+        forwarded.onSurplus(() => attempt.cancel("cancelled"));
         const timer = clock.after(address.timeoutMs, () => attempt.cancel("timed-out"));
         response.once("close", () => attempt.cancel("cancelled"));
         const result = await attempt.result;
--- a/packages/daemon/src/detour/detour-response.ts
+++ b/packages/daemon/src/detour/detour-response.ts
@@ -8,7 +8,9 @@
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { abortResponse } from "../request/abort-response.js";
 import { writeForwardedHead } from "../request/forwarded-head.js";
+import type { ConnectionUse } from "../upstream/connection-use.js";
 import type { Framing } from "../upstream/framing.js";
+import { SurplusSearch } from "../upstream/surplus-search.js";
 import type { ResponseSink } from "../upstream/upstream-transport.js";
 import { detourHeader, detourIdHeader, type DetourResult, formatDetourResult } from "./detour-result.js";
 import { framingHeader } from "./framing-header.js";
@@ -20,6 +22,10 @@
     /** What delimits the body on the way to the other instance. */
     private sentFraming: Framing | undefined;
     private resume: () => void = () => undefined;
+    private cancel: () => void = () => undefined;
+    private echoedIds: readonly string[] = [];
+    /** Finds a response to another request in a body that ends with its connection. */
+    private surplusSearch: SurplusSearch | undefined;
 
     /**
      * @param request - The request of the other instance.
@@ -32,11 +38,22 @@
         this.resume = resume;
     }
 
+    /** Sets what is called when a response to another request follows on the connection. */
+    onSurplus(cancel: () => void): void {
+        this.cancel = cancel;
+    }
+
+    /** Records the connection to the upstream on which the request begins. */
+    recordUse({ echoedIds }: ConnectionUse): void {
+        this.echoedIds = echoedIds;
+    }
+
     onHead(status: number, headers: IncomingHttpHeaders, framing: Framing): boolean {
         const { request, response } = this;
         const statesFraming = request.headers[framingHeader] !== undefined;
         const sentFraming = statesFraming && framing === "close" ? "chunks" : framing;
         this.framing = framing;
+        this.surplusSearch = framing === "close" ? new SurplusSearch(this.echoedIds) : undefined;
         this.sentFraming = writeForwardedHead(response, { status, headers, framing: sentFraming }, {
             ...resultHeaders(request, { type: "answered" }),
             [framingHeader]: statesFraming ? framing : undefined,
@@ -46,6 +63,11 @@
     }
 
     onData(chunk: Buffer): boolean {
+        if (this.surplusSearch?.add(chunk) === true) {
+            // Aborts the response, since nothing shows where it ends.
+            this.cancel();
+            return true;
+        }
         const isWritable = this.response.write(chunk);
         if (!isWritable) {
             this.response.once("drain", () => this.resume());
--- a/packages/daemon/src/request/upstream-request.ts
+++ b/packages/daemon/src/request/upstream-request.ts
@@ -52,6 +52,7 @@
         headers,
         body: body.open(),
         requestId: progress.record.id,
+        echoedId: services.headerProtocol.echoedId(request, attemptId),
         isRepeatable: kind.repeatable && body.canReplay,
         // A late response to an earlier attempt may have the same id.
         needsNewConnection: attempts.slice(0, -1).some(other => other.upstream === upstream.id && other.result?.sent !== false),
--- a/packages/daemon/src/upstream/upstream-transport.ts
+++ b/packages/daemon/src/upstream/upstream-transport.ts
@@ -20,6 +20,8 @@
     /** Alternating names and values. */
     readonly headers: readonly string[];
     readonly body: Buffer | Readable | undefined;
+    /** Id that the response may repeat; absent if there is none. */
+    readonly echoedId?: string | undefined;
     /** Id of the request; absent for a probe. */
     readonly requestId?: string;
     /** Whether the request may be sent again although an upstream may have received it. */
--- a/packages/daemon/test/detour-hop.ts
+++ b/packages/daemon/test/detour-hop.ts
@@ -19,6 +19,8 @@
     readonly port: number;
     /** Sends a request through the other instance. */
     send(request: UpstreamRequest, sink: ResponseSink): Attempt;
+    /** Sends a request of the other instance itself, over the same connections to the upstream. */
+    sendDirectly(request: UpstreamRequest, sink: ResponseSink): Attempt;
     /** Resolves when the other instance has no request in flight. */
     drain(): Promise<void>;
     stop(): Promise<void>;
@@ -54,6 +56,7 @@
     return {
         port,
         send: (request, sink) => detours.send(serviceName("main"), upstream, request, sink),
+        sendDirectly: (request, sink) => transport.send(upstream, request, sink),
         drain: () => listener.drain(),
         stop: async () => {
             agent.destroy();
