--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -32,6 +32,7 @@
     parseEndpoint,
     textKey,
 } from "./key.js";
+export { toMilliseconds } from "./parse-time.js";
 export {
     type ChooserName,
     chooserNames,
--- a/packages/configuration/src/key.ts
+++ b/packages/configuration/src/key.ts
@@ -7,6 +7,7 @@
 
 import { isIP } from "node:net";
 import * as z from "zod";
+import { toMilliseconds } from "./parse-time.js";
 
 // Compiling the schemas would delay the start, and each document is checked only once.
 z.config({ jitless: true });
@@ -83,7 +84,7 @@
     const optionsWithUnit = { ...options, unit: "ms" };
     const parse: Parse<number> = value => {
         const [, number, unit] = /^(\d+(?:\.\d+)?)(ms|s)?$/.exec(typeof value === "string" ? value : "") ?? [];
-        const timeMs = Number(number) * (unit === "s" ? 1000 : 1);
+        const timeMs = toMilliseconds(number ?? "", unit === "s" ? "s" : "ms");
         return timeMs >= options.minimum && timeMs <= options.maximum ? timeMs : undefined;
     };
     return key(parse, `a time ${range(optionsWithUnit)}, as 2500, 2500ms or 2.5s`, optionsWithUnit, "ms");
