Path prefixes that differ behind a colon are different routes

Two routes such as /seats:hold/ and /seats:free/ rejected a whole version: callers got 404 on both, and a route that moved in the same version stayed with its old service.

Cause: the check for duplicates ignores the names of parameters, which only routes with a single method have. Routes for all methods match prefixes, in which a colon has no meaning.

Test: both prefixes are found, and no other one; failed before.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -6,7 +6,7 @@
 
 import { generation, type ServiceName, serviceName, upstreamId } from "@harrierhitch/core";
 import type { CheckResult } from "./check.js";
-import { configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
+import { anyMethod, configurationSchema, type ConfigurationValues } from "./configuration-schema.js";
 import { type ConfigurationVersion, LazyConfigurationVersion, lazyDocumentHash } from "./configuration-version.js";
 import type { Finding } from "./finding.js";
 import { IniDocument } from "./ini-document.js";
@@ -142,9 +142,9 @@
     ];
 };
 
-/** Returns a key that is equal for routes that match the same requests; parameter names do not matter. */
+/** Returns a key that is equal for routes that match the same requests; parameter names do not matter, and prefixes have none. */
 const routeIdentity = ({ method, host, path }: ConfigurationValues["route"][string]): string =>
-    `${method} ${host} ${path.replace(/:[^/]+/g, ":")}`;
+    `${method} ${host} ${method === anyMethod ? path : path.replace(/:[^/]+/g, ":")}`;
 
 /** Returns a function that maps the name of an entry to the name of the first entry with the same identity, if any. */
 const findDuplicates = <Value>(
