A platform's configuration without routes is accepted

A version that removes the last route was rejected as a whole, so the removed route was served on. The check stays for documents in the product's own syntax, whose authors have no use for it.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -40,6 +40,8 @@
     readonly policies?: ReadonlyMap<string, ServicePolicy>;
     /** Whether upstreams come from service discovery, so that services may have no configured upstreams. */
     readonly discoversUpstreams?: boolean;
+    /** Whether a configuration without routes is valid, because its author may remove the last one. */
+    readonly mayHaveNoRoutes?: boolean;
 }
 
 /**
@@ -102,7 +104,7 @@
 const checkReferences = (
     document: IniDocument,
     values: ConfigurationValues,
-    { discoversUpstreams = false, policies }: ConfigurationContext,
+    { discoversUpstreams = false, mayHaveNoRoutes = false, policies }: ConfigurationContext,
 ): readonly Finding[] => {
     const findingAt = (section: string, key: string, message: string): Finding => {
         return { file: document.file, section, key, line: document.lineOf(section, key), message };
@@ -138,7 +140,9 @@
         ...Object.entries(values.kind).flatMap(([name, kind]) =>
             kind.policy === undefined ? [] : checkReference(`kind.${name}`, "policy", "policy", kind.policy)
         ),
-        ...(routes.length === 0 ? [findingAt("", "", "there is no route, so every request would be rejected")] : []),
+        ...(routes.length === 0 && !mayHaveNoRoutes
+            ? [findingAt("", "", "there is no route, so every request would be rejected")]
+            : []),
     ];
 };
 
