--- a/packages/configuration/src/configuration-schema.ts
+++ b/packages/configuration/src/configuration-schema.ts
@@ -108,7 +108,7 @@
         maximumAttempts: integerKey({
             description: "Maximum attempts for one request, including the first.",
             minimum: 1,
-            maximum: 10,
+            maximum: 1_000_000,
             defaultValue: 3,
         }),
         targetLatencyMs: integerKey({
@@ -121,7 +121,7 @@
         priority: integerKey({
             description: "Priority under overload; 0 is the highest.",
             minimum: 0,
-            maximum: 1000,
+            maximum: Number.MAX_SAFE_INTEGER,
             defaultValue: 0,
         }),
         largePayload: choiceKey(largePayloads, {
