--- a/packages/daemon/test/cut-heads-detour.test.ts
+++ b/packages/daemon/test/cut-heads-detour.test.ts
@@ -4,11 +4,10 @@
  */
 
 import assert from "node:assert/strict";
-import { connect, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { afterEach, describe, test } from "node:test";
-import { formatDetour } from "../src/detour/detour-address.js";
 import { HeadLines } from "../src/upstream/head-lines.js";
-import { type DetourHop, openHop } from "./detour-hop.js";
+import { askRaw, type DetourHop, openHop } from "./detour-hop.js";
 import { portOf } from "./http-upstream.js";
 
 const body = "hello";
@@ -53,28 +52,6 @@
     return (await hop.send(request, { onHead: () => true, onData: () => true }).result).end;
 };
 
-/** Returns the bytes of a response between the instances. */
-const responseOfHop = ({ port }: DetourHop): Promise<string> =>
-    new Promise(resolve => {
-        const url = formatDetour({
-            action: "send",
-            fleet: "test",
-            instance: "entry-1",
-            request: "",
-            upstream: "u1" as never,
-            startedAtMs: 0,
-            timeoutMs: 1000,
-            url: "/x",
-        });
-        let text = "";
-        const socket = connect(
-            port,
-            "127.0.0.1",
-            () => socket.write(`GET ${url} HTTP/1.1\r\nhost: i\r\nconnection: close\r\n\r\n`),
-        );
-        socket.on("data", data => text += data.toString("latin1")).on("close", () => resolve(text));
-    });
-
 const cutsOf = (head: string): readonly number[] => Array.from({ length: head.length }, (_, cut) => cut);
 
 describe("a head that breaks off is no answer", () => {
@@ -93,7 +70,7 @@
 
     Object.entries(ends).forEach(([end, finish]) => {
         test(`${end} after each byte from the other instance`, async () => {
-            const whole = await responseOfHop(await start(socket => socket.write(`${heads["with a length"] ?? ""}${body}`)));
+            const whole = await askRaw(await start(socket => socket.write(`${heads["with a length"] ?? ""}${body}`)));
             const head = whole.slice(0, whole.indexOf("\r\n\r\n") + 4);
             assert.match(head, /^HTTP\/1\.1 200 /);
             for (const cut of cutsOf(head)) {
--- a/packages/daemon/test/detour-hop.ts
+++ b/packages/daemon/test/detour-hop.ts
@@ -2,9 +2,11 @@
  * An instance that sends requests to an upstream through another one, both in this process.
  */
 
-import { SeededRandom, serviceName, SystemClock } from "@harrierhitch/core";
+import { SeededRandom, serviceName, SystemClock, upstreamId } from "@harrierhitch/core";
 import assert from "node:assert/strict";
 import { Agent, createServer, type RequestListener } from "node:http";
+import { connect } from "node:net";
+import { formatDetour } from "../src/detour/detour-address.js";
 import { DetourClient } from "../src/detour/detour-client.js";
 import { DetourListener, type DetourListenerOptions } from "../src/detour/detour-listener.js";
 import { DetourPeers } from "../src/detour/detour-peers.js";
@@ -66,3 +68,28 @@
         },
     };
 };
+
+/** Asks the other instance as one of an earlier version does, which states nothing about framing; returns the bytes, and `reset`. */
+export const askRaw = ({ port }: DetourHop): Promise<string> =>
+    new Promise(resolve => {
+        const url = formatDetour({
+            action: "send",
+            fleet: "test",
+            instance: "entry-1",
+            request: "",
+            upstream: upstreamId("u1"),
+            startedAtMs: 0,
+            timeoutMs: 1000,
+            url: "/x",
+        });
+        let text = "";
+        const socket = connect(
+            port,
+            "127.0.0.1",
+            () => socket.write(`GET ${url} HTTP/1.1\r\nhost: i\r\nconnection: close\r\n\r\n`),
+        );
+        socket.on("data", data => text += data.toString("latin1")).on("error", () => text += "reset").on(
+            "close",
+            () => resolve(text),
+        );
+    });
--- a/packages/daemon/test/shed-telemetry.test.ts
+++ b/packages/daemon/test/shed-telemetry.test.ts
@@ -15,8 +15,8 @@
 /** The parts of a record that the log line of an attempt uses. */
 const record = {
     id: "r-1",
-    route: { service: { name: "main" } },
-    configuration: { generation: 1 },
+    route: { service: "main" },
+    version: { generation: 1 },
     attempts: [],
     steps: [{
         input: { upstreams: [{ id: upstream, state: "ready", reportAgeMs: 3, shedRate: 0.41234 }] },
--- a/packages/daemon/test/unframed-detours.test.ts
+++ b/packages/daemon/test/unframed-detours.test.ts
@@ -4,10 +4,9 @@
 
 import assert from "node:assert/strict";
 import type { RequestListener } from "node:http";
-import { connect, createServer, type Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { afterEach, describe, test } from "node:test";
-import { formatDetour } from "../src/detour/detour-address.js";
-import { type DetourHop, openHop } from "./detour-hop.js";
+import { askRaw, type DetourHop, openHop } from "./detour-hop.js";
 import { portOf } from "./http-upstream.js";
 
 const heads: Readonly<Record<string, string>> = {
@@ -55,24 +54,6 @@
     return { ...received, end };
 };
 
-/** Asks for the same as an instance of an earlier version, which states nothing about framing. */
-const askAsEarlierVersion = ({ port }: DetourHop): Promise<string> =>
-    new Promise(resolve => {
-        const url = formatDetour({
-            action: "send",
-            fleet: "test",
-            instance: "entry-1",
-            request: "",
-            upstream: "u1" as never,
-            startedAtMs: 0,
-            timeoutMs: 1000,
-            url: "/x",
-        });
-        let text = "";
-        const socket = connect(port, "127.0.0.1", () => socket.write(`GET ${url} HTTP/1.1\r\nhost: instance\r\n\r\n`));
-        socket.on("data", data => text += data.toString()).on("error", () => text += "reset").on("close", () => resolve(text));
-    });
-
 describe("through another instance", () => {
     Object.entries(heads).forEach(([framing, text]) => {
         test(`a response with the framing ${framing} keeps it`, async () => {
@@ -88,14 +69,14 @@
 
     test("an instance of an earlier version gets it without a stated end", async () => {
         const hop = await start(heads["close"] ?? "", socket => socket.end());
-        const text = await askAsEarlierVersion(hop);
+        const text = await askRaw(hop);
         assert.match(text, /hello$/);
         assert.doesNotMatch(text, /\r\n(content-length|transfer-encoding):/i);
     });
 
     test("and no regular end after a reset", async () => {
         const hop = await start(heads["close"] ?? "", socket => socket.resetAndDestroy());
-        assert.match(await askAsEarlierVersion(hop), /reset$/);
+        assert.match(await askRaw(hop), /reset$/);
     });
 
     test("chunks of an instance of an earlier version state no end", async () => {
