An instance that is not ahead sends no directory changes

Found by reading and shown with the modules; not seen on real daemons.

Cause: to an instance that had the same revision or a later one, a sender encoded an empty delta that was complete and stated no revision since which it was. In the second request of an exchange, which carries a document, it reached the successor of the instance that had responded, and 0 is below every revision.

The message now states the revision and the staleness alone.

--- a/packages/fleet/src/directory-message.ts
+++ b/packages/fleet/src/directory-message.ts
@@ -22,7 +22,8 @@
 ): Directory => {
     const header = { revision: BigInt(directory.revision), ageMs: stalenessMs ?? -1 };
     if (directory.revision <= sinceRevision) {
-        return create(DirectorySchema, { ...header, complete: sinceRevision < Infinity });
+        // Not a delta: the message may reach a successor of the receiver, which has none of the changes before.
+        return create(DirectorySchema, header);
     }
     const { isSnapshot, sinceRevision: since = 0, entries, zones } = directory.updatesSince(sinceRevision);
     return create(DirectorySchema, {
--- /dev/null
+++ b/packages/fleet/test/second-request.test.ts
@@ -0,0 +1,46 @@
+/**
+ * Guards against published state that an instance misses or claims falsely after the second request of an exchange, which carries
+ * what the instance that responded lacks, and may reach its successor.
+ */
+
+import { upstreamId } from "@harrierhitch/core";
+import type { DirectoryEntry } from "@harrierhitch/published";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { configurationText } from "./documents.js";
+import { FakeFleet, type FakeNode } from "./fake-fleet.js";
+
+const entry = (id: string, revision: number): DirectoryEntry => ({ upstream: upstreamId(id), revision, text: "ready" });
+
+/** Starts an instance that has read some entries from the platform. */
+const startWith = (fleet: FakeFleet, id: string, revision: number, entries: readonly DirectoryEntry[]): FakeNode => {
+    const node = fleet.start(id, []);
+    node.directory.merge({ revision, isSnapshot: true, entries, zones: [] });
+    return node;
+};
+
+/** Exchanges state; the first request is answered by one instance, the second by another. */
+const exchange = (from: FakeNode, first: FakeNode, second = first): Promise<unknown> => {
+    const remaining = [first, second];
+    return from.fleet.exchange.initiate(request => {
+        const responder = remaining.shift();
+        assert.ok(responder !== undefined);
+        return responder.fleet.exchange.respond(request);
+    });
+};
+
+const upstreamsOf = ({ directory }: FakeNode): readonly string[] => directory.upstreams.map(({ id }) => String(id));
+
+test("a document that reaches the successor of its receiver does not make it claim the sender's revision", async () => {
+    const fleet = new FakeFleet(1);
+    const sender = startWith(fleet, "n1", 5, [entry("a", 4), entry("b", 5)]);
+    const predecessor = startWith(fleet, "n2", 7, [entry("a", 4), entry("b", 5), entry("c", 7)]);
+    sender.apply(configurationText(2));
+    const successor = fleet.start("n2", []);
+    await exchange(sender, predecessor, successor);
+    assert.equal(successor.activeConfiguration.current?.configuration.generation, 2);
+    assert.deepEqual([successor.directory.revision, upstreamsOf(successor)], [0, []]);
+    // A first read may be older than what the predecessor had.
+    successor.directory.merge({ revision: 4, isSnapshot: true, entries: [entry("a", 4)], zones: [] });
+    assert.deepEqual([successor.directory.revision, upstreamsOf(successor)], [4, ["a"]]);
+});
