--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -118,6 +118,15 @@
         updates: [{ revision: 6, entries: [entry("f", 4, "ready"), entry("g", 6, "ready")] }],
         immediately: "a, b, c, d, e, g",
     },
+    {
+        name: "an upstream that was removed, returned and is missing from a snapshot does not return with late changes",
+        updates: [
+            { revision: 6, entries: [entry("a", 6)] },
+            { revision: 9, isSnapshot: true, entries: names.slice(1).map((name, index) => entry(name, index + 2, "ready")) },
+            { revision: 8, entries: [entry("a", 6), entry("a", 7, "ready")] },
+        ],
+        immediately: "b, c, d, e",
+    },
     {
         name: "a current snapshot restores an upstream whose change was missed",
         updates: [{
--- a/packages/fleet/test/zones.test.ts
+++ b/packages/fleet/test/zones.test.ts
@@ -70,6 +70,15 @@
         updates: [{ revision: 8, isSnapshot: true, zones: [] }, { revision: 7, zones: [takenOut("a", 5)] }],
         out: "",
     },
+    {
+        name: "a late message of a second outage follows a snapshot without it",
+        updates: [
+            { revision: 6, zones: [takenOut("a", 5), putBack("a", 6)] },
+            { revision: 9, isSnapshot: true, zones: [] },
+            { revision: 8, zones: [takenOut("a", 5), putBack("a", 6), takenOut("a", 7)] },
+        ],
+        out: "",
+    },
     {
         name: "an outdated snapshot with the outage follows one without it",
         updates: [{ revision: 8, isSnapshot: true, zones: [] }, { revision: 6, isSnapshot: true, zones: [takenOut("a", 5)] }],
--- a/packages/published/src/zone-status-table.ts
+++ b/packages/published/src/zone-status-table.ts
@@ -56,8 +56,8 @@
         if (isCurrentSnapshot(update, appliedRevision)) {
             return [...update.zones, ...this.restoredBy(update)].filter(status => this.put(status));
         }
-        // A zone of an earlier revision without a status here has been put back since.
-        return update.zones.filter(status => this.isNewer(status, appliedRevision) && this.put(status));
+        // What is missing here although it is not newer has been replaced since, by a change that a snapshot does not contain.
+        return update.zones.filter(status => status.revision > appliedRevision && this.put(status));
     }
 
     /**
@@ -70,10 +70,6 @@
         return [...this.statuses.values()].filter(status => isSnapshot ? status.isOut : status.revision > revision);
     }
 
-    private isNewer({ availabilityZone, revision }: ZoneStatus, appliedRevision: number): boolean {
-        return revision > appliedRevision || this.statuses.has(availabilityZone);
-    }
-
     /** Stores a status unless a later one is stored; returns whether the zone went out of service or back. */
     private put(status: ZoneStatus): boolean {
         const before = this.statuses.get(status.availabilityZone);
