--- a/packages/fleet/src/directory-message.ts
+++ b/packages/fleet/src/directory-message.ts
@@ -46,6 +46,9 @@
     });
 };
 
+/** Whether a message changes the directory of its receiver, apart from the revision. */
+export const hasChanges = ({ whole, listings, zones }: Directory): boolean => whole || listings.length > 0 || zones.length > 0;
+
 /** Decodes the directory of another instance; `undefined` if the message holds only its revision and staleness. */
 export const decodeDirectory = ({ complete, revision, since, whole, listings, zones }: Directory): DirectoryUpdate | undefined =>
     complete
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -10,6 +10,7 @@
 import { versionOf } from "./configuration-message.js";
 import { encodeCrashRecords, mergeCrashRecords } from "./crash-message.js";
 import type { DirectReads } from "./direct-reads.js";
+import { hasChanges } from "./directory-message.js";
 import type { ExchangeCallOptions, ExchangeResult, SendExchange } from "./exchange-call.js";
 import type { ExchangeOptions } from "./exchange-options.js";
 import { encodeLimits, mergeLimits } from "./limit-message.js";
@@ -61,7 +62,7 @@
         const stalenessMs = this.published.mergeStaleness(response, Math.max(0, clock.nowMs() - startedAtMs - response.heldMs));
         const documents = this.published.documents.missing(response.configuration, response.readsEdits);
         const directory = this.published.directoryMessage(Number(response.directory?.revision ?? 0n));
-        if (documents.length > 0 || directory.listings.length > 0) {
+        if (documents.length > 0 || hasChanges(directory)) {
             const second = this.request(documents, directory, { receiver: instance });
             this.merge(instance, await send(second.request));
         }
--- a/packages/fleet/test/second-request.test.ts
+++ b/packages/fleet/test/second-request.test.ts
@@ -44,3 +44,30 @@
     successor.directory.merge({ revision: 4, isSnapshot: true, entries: [entry("a", 4)], zones: [] });
     assert.deepEqual([successor.directory.revision, upstreamsOf(successor)], [4, ["a"]]);
 });
+
+test("the instance that responded receives a zone that went out of service, without a change of an upstream", async () => {
+    const fleet = new FakeFleet(1);
+    const [sender, behind] = [startWith(fleet, "n1", 5, [entry("a", 5)]), startWith(fleet, "n2", 5, [entry("a", 5)])];
+    const zones = [{ availabilityZone: "zone-1", revision: 6, isOut: true }];
+    sender.directory.merge({ revision: 6, isSnapshot: false, entries: [], zones });
+    await exchange(sender, behind);
+    assert.deepEqual([behind.directory.revision, behind.directory.zonesOutOfService], [6, ["zone-1"]]);
+});
+
+test("the instance that responded receives a snapshot without entries", async () => {
+    const fleet = new FakeFleet(1);
+    const behind = startWith(fleet, "n2", 5, [entry("a", 5)]);
+    await exchange(startWith(fleet, "n1", 9, []), behind);
+    assert.deepEqual([behind.directory.revision, upstreamsOf(behind)], [9, []]);
+});
+
+test("an instance that has all changes receives no second request", async () => {
+    const fleet = new FakeFleet(1);
+    const [sender, current] = [startWith(fleet, "n1", 5, [entry("a", 5)]), startWith(fleet, "n2", 5, [entry("a", 5)])];
+    let requests = 0;
+    await sender.fleet.exchange.initiate(request => {
+        requests += 1;
+        return current.fleet.exchange.respond(request);
+    });
+    assert.equal(requests, 1);
+});
