A kept connection that the store has closed is no outage of the store

Cause: the store closes idle connections meanwhile. The first call after the waking was written to a closed connection ("socket hang up", event 210), which counted as an outage of the platform. What is removed after an outage may only have expired, so each removal learned then waited for a grace period of 1.3 s, also one from a sound instance.

A server may close a kept connection at any time, which says nothing about the server (RFC 9112, 9.5). The call is now repeated until it uses a new connection, unless its response has begun; each repetition uses up one of the kept ones. A new connection that fails is a failure as before.

Ruled out: the time until the removal is received (26 ms after the waking by the log), the long poll to a dead reader.

--- a/packages/daemon/src/platform/http-get.ts
+++ b/packages/daemon/src/platform/http-get.ts
@@ -44,8 +44,13 @@
     readonly body: Buffer;
 }
 
+/** A kept connection ended before a response, which the server may do at any time: this says nothing about the server. */
+class KeptConnectionError extends PlatformError {
+    override readonly code = "kept-connection";
+}
+
 /**
- * Sends a GET request.
+ * Sends a GET request, again if a kept connection ends before the response.
  *
  * @param client - Connections and limits.
  * @param call - The request.
@@ -53,9 +58,24 @@
  * @throws {@link PlatformError} if no response begins in time.
  * @throws {@link UnusablePublicationError} if a response that has begun is not complete in time, or too large.
  */
-export const httpGet = ({ agent, options }: HttpClient, call: HttpGetRequest): Promise<HttpResponse> =>
+export const httpGet = async (client: HttpClient, call: HttpGetRequest): Promise<HttpResponse> => {
+    // Each repetition has used up a kept connection; a new one that fails ends the loop.
+    for (;;) {
+        try {
+            return await getOnce(client, call);
+        }
+        catch (thrown) {
+            if (!(thrown instanceof KeptConnectionError)) {
+                throw thrown;
+            }
+        }
+    }
+};
+
+const getOnce = ({ agent, options }: HttpClient, call: HttpGetRequest): Promise<HttpResponse> =>
     new Promise((resolve, reject) => {
         const { url, headers = {}, timeoutMs, signal } = call;
+        let hasResponse = false;
         const fail = (error: Error, type: typeof PlatformError = PlatformError): void => {
             clearTimeout(timer);
             clearTimeout(transferTimer);
@@ -63,6 +83,7 @@
             reject(new type(`${url}: ${asError(error).message}`, { cause: error }));
         };
         const request = get(url, { agent, headers, signal }, response => {
+            hasResponse = true;
             const chunks: Buffer[] = [];
             let bytes = 0;
             const failBody = (error: Error): void => fail(error, UnusablePublicationError);
@@ -95,5 +116,8 @@
         });
         let transferTimer: NodeJS.Timeout | undefined;
         let timer = setTimeout(() => fail(new PlatformError(`no response within ${timeoutMs} ms`)), timeoutMs);
-        request.on("error", error => fail(error));
+        request.on("error", error => {
+            const isKept = request.reusedSocket && !hasResponse && !signal.aborted;
+            fail(error, isKept ? KeptConnectionError : PlatformError);
+        });
     });
