A call that fails because this process stalled is no outage of the store

Such a call is repeated at once. Only the first one after a response of the platform: an instance that is short of processor time stalls all the time, and the store must not be asked without a pause then.

Tests: platform-link, one case that failed before, one that a platform which is down counts as such all the same.

--- a/packages/daemon/src/platform/platform-watcher.ts
+++ b/packages/daemon/src/platform/platform-watcher.ts
@@ -33,7 +33,7 @@
     readonly appliedRevision: () => number;
     /** Receives the result of a call; it is complete as of `asOfMs`. */
     readonly onPublication: (publication: Publication, kind: PublicationKind, asOfMs: number) => void;
-    /** Called before a response is applied, to detect a stall while the response was under way. */
+    /** Called before a response is applied, and when a call has failed, to detect a stall meanwhile. */
     readonly checkForStall: () => void;
     /** Called when a result was applied, or a call failed. */
     readonly onCallEnd: () => void;
@@ -59,6 +59,8 @@
     private hasRead = false;
     private consecutiveFailures = 0;
     private stalledAtMs = -Infinity;
+    /** Whether a call was repeated because of a stall since the platform's last response. */
+    private hasRepeated = false;
     /** Whether the next call must be a current read, because removals may be missing from the history. */
     private needsCurrentRead = false;
     /** Revision of the last watch, if its response could not be used. */
@@ -131,6 +133,9 @@
                 this.needsCurrentRead = true;
                 return;
             }
+            if (this.hasFailedByStall(requestedAtMs)) {
+                return;
+            }
             this.onFailure(asError(thrown));
             this.options.onCallEnd();
             await sleep(clock, retryMs() * (0.5 + random.next()), signal);
@@ -154,6 +159,19 @@
         return isAgain;
     }
 
+    /**
+     * Whether a call may have failed because the process was stalled: its timeout passed, or its connection closed, meanwhile. Only
+     * one such call is repeated without counting as a failure, since an instance short of processor time stalls all the time.
+     */
+    private hasFailedByStall(requestedAtMs: number): boolean {
+        this.options.checkForStall();
+        if (this.stalledAtMs < requestedAtMs || this.hasRepeated) {
+            return false;
+        }
+        this.hasRepeated = true;
+        return true;
+    }
+
     private nextKind(): PublicationKind {
         if (this.needsCurrentRead) {
             return "snapshot";
@@ -177,6 +195,7 @@
 
     private onResponse(): void {
         this.respondedAtMs = this.options.clock.nowMs();
+        this.hasRepeated = false;
         if (this.consecutiveFailures > 0) {
             this.consecutiveFailures = 0;
             this.options.onRecovered();
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -22,6 +22,8 @@
     readonly calls: string[] = [];
     revision = 1;
     isDown = false;
+    /** Number of calls that fail next. */
+    failures = 0;
 
     constructor(private readonly clock: FakeClock) {}
 
@@ -40,7 +42,8 @@
 
     private respond(afterRevision: number): Promise<Publication> {
         const { revision } = this;
-        return this.isDown
+        this.failures -= 1;
+        return this.isDown || this.failures >= 0
             ? Promise.reject(new PlatformError("the platform is down"))
             : Promise.resolve({
                 revision,
@@ -150,6 +153,30 @@
         assert.ok(fleet.stalenessTracker.stalenessMs >= 6000, `${fleet.stalenessTracker.stalenessMs} ms`);
     });
 
+    test("that stalled during a call repeats it at once if it failed, and takes that for no outage", async () => {
+        const { clock, platform, link, stall } = await startLink([]);
+        await clock.advance(1000);
+        platform.failures = 1;
+        clock.pause(6000);
+        stall.isOver = true;
+        await clock.advance(0);
+        link.stop();
+        assert.deepEqual(platform.calls, ["read", `watch ${watchMs}`, `watch ${watchMs}`]);
+        assert.equal(link.removalGraceMs, 0);
+    });
+
+    test("that stalls during each call takes the second failure for an outage", async () => {
+        const { clock, platform, link, stall } = await startLink([]);
+        await clock.advance(1000);
+        platform.isDown = true;
+        clock.pause(6000);
+        stall.isOver = true;
+        await clock.advance(1000);
+        link.stop();
+        assert.ok(link.removalGraceMs > 0);
+        assert.ok(platform.calls.length <= 6, platform.calls.join(", "));
+    });
+
     test("that is alone watches for the configured time", async () => {
         const { clock, platform, link } = await startLink([]);
         await clock.advance(9000);
