A started instance is told the members that its predecessor had been told

Members of which an instance was told stayed unknown to its successor in the requests of the teller, if that had learned of the start from a third instance. The successor asks others for all members itself, so nothing was seen of it.

Cause: the position up to which members were told was kept by the name of the receiver, and dropped only by the message that showed the new incarnation first.

It is now kept with the incarnation that was told. A request that reaches a successor unexpectedly is followed by all members; the first contact counts as told, which spares one repetition.

--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -5,7 +5,7 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import type { Directory, Document, ExchangeRequest, ExchangeResponse, Member, MemberCursor } from "@harrierhitch/protocol";
+import type { Directory, Document, ExchangeRequest, ExchangeResponse, MemberCursor } from "@harrierhitch/protocol";
 import { ExchangeRequestSchema, ExchangeResponseSchema, Role } from "@harrierhitch/protocol";
 import { versionOf } from "./configuration-message.js";
 import { encodeCrashRecords, mergeCrashRecords } from "./crash-message.js";
@@ -16,6 +16,7 @@
 import { encodeLimits, mergeLimits } from "./limit-message.js";
 import { PublishedExchange } from "./published-exchange.js";
 import { QuarantineNotices } from "./quarantine-notices.js";
+import { SentCursors } from "./sent-cursors.js";
 
 /** Maximum duration of a long poll in milliseconds, whatever the request specifies. */
 const maximumLongPollMs = 5000;
@@ -24,8 +25,7 @@
 export class Exchange {
     /** Position up to which each peer's membership updates were received. */
     private readonly receivedCursors = new Map<string, MemberCursor>();
-    /** Position up to which the local membership updates were sent to each peer. */
-    private readonly sentCursors = new Map<string, MemberCursor>();
+    private readonly sentCursors: SentCursors;
     /** Requests that each peer quarantines. */
     private readonly quarantines = new Map<string, readonly string[]>();
     private readonly quarantineNotices: QuarantineNotices;
@@ -34,6 +34,7 @@
 
     /** @param options - Local state and callbacks. */
     constructor(private readonly options: ExchangeOptions) {
+        this.sentCursors = new SentCursors(options.members);
         this.published = new PublishedExchange(options);
         this.quarantineNotices = new QuarantineNotices(options.crashes);
     }
@@ -53,10 +54,13 @@
     async initiate(send: SendExchange, callOptions: ExchangeCallOptions = {}): Promise<ExchangeResult> {
         const { clock } = this.options;
         const startedAtMs = clock.nowMs();
+        const sentBefore = this.sentCursors.get(callOptions.receiver ?? "");
         const { request, sentCursor } = this.request([], this.published.directoryMessage(Infinity), callOptions);
         const response = await send(request);
         const instance = response.sender?.instance ?? "";
-        this.sentCursors.set(instance, sentCursor);
+        if (response.sender !== undefined) {
+            this.sentCursors.record(response.sender, sentBefore, sentCursor);
+        }
         this.merge(instance, response, callOptions.role !== undefined && callOptions.role !== Role.UNSPECIFIED);
         const isReadDirectly = this.published.requestDirectRead(response);
         const stalenessMs = this.published.mergeStaleness(response, Math.max(0, clock.nowMs() - startedAtMs - response.heldMs));
@@ -141,7 +145,6 @@
         const leaving = updates.filter(member => member.leaving && members.stateOf(member.instance) !== "left");
         const generationBefore = this.published.generation;
         const revisionBefore = directory.revision;
-        this.resetRestarted(message.sender);
         members.merge(updates, peer);
         if (message.$typeName === ExchangeResponseSchema.typeName && message.told !== undefined) {
             this.receivedCursors.set(peer, message.told);
@@ -165,11 +168,4 @@
             onUpdate(isUrgent ? "all" : scope);
         }
     }
-
-    /** Resends all membership updates to a peer that restarted. */
-    private resetRestarted(sender: Member | undefined): void {
-        if (sender !== undefined && this.options.members.find(sender.instance)?.incarnation !== sender.incarnation) {
-            this.sentCursors.delete(sender.instance);
-        }
-    }
 }
