A removal that is received again does not wait again

An upstream that was gone could get requests for two grace periods: a removal that was unconfirmed after an outage of the platform or among many waited anew when it arrived once more, from another instance or in the response to a watch that had been under way.

The earlier of the two ends now counts, so that no message delays a removal.

Tests: directory, one case that failed before, and one that a confirmed removal ends the wait.

--- a/packages/fleet/test/directory.test.ts
+++ b/packages/fleet/test/directory.test.ts
@@ -193,6 +193,26 @@
     assert.equal(second.state(), "b, c, d, e");
 });
 
+test("a removal that is received again takes effect when its first grace period ends", async () => {
+    const { clock, directory, state } = openDirectory({ graceMs: 700 });
+    const receive = (): void => directory.merge({ revision: 6, isSnapshot: false, entries: [entry("a", 6)], zones: [] });
+    receive();
+    await clock.advance(500);
+    receive();
+    await clock.advance(150);
+    assert.equal(state(), "a, b, c, d, e");
+    await clock.advance(100);
+    assert.equal(state(), "b, c, d, e");
+});
+
+test("a removal that another instance has confirmed takes effect at once", async () => {
+    const { clock, directory, state } = openDirectory({ graceMs: 700 });
+    directory.merge({ revision: 6, isSnapshot: false, entries: [entry("a", 6)], zones: [] });
+    await clock.advance(100);
+    directory.merge({ revision: 6, isSnapshot: false, entries: [{ ...entry("a", 6), unconfirmedMs: 0 }], zones: [] });
+    assert.equal(state(), "b, c, d, e");
+});
+
 test("an instance that is behind the start of another one learns from it what was removed before", () => {
     const restarted = openDirectory({ graceMs: 0 });
     restarted.directory.merge({
--- a/packages/published/src/upstream-directory.ts
+++ b/packages/published/src/upstream-directory.ts
@@ -202,7 +202,12 @@
             return;
         }
         const { clock } = this.options;
-        this.unconfirmed.set(removal.upstream, { removal, untilMs: clock.nowMs() + graceMs });
+        const pending = this.unconfirmed.get(removal.upstream);
+        const untilMs = clock.nowMs() + graceMs;
+        if (pending !== undefined && pending.removal.revision >= removal.revision && pending.untilMs <= untilMs) {
+            return;
+        }
+        this.unconfirmed.set(removal.upstream, { removal, untilMs });
         clock.after(graceMs, () => {
             if (this.unconfirmed.get(removal.upstream)?.removal === removal) {
                 this.unconfirmed.delete(removal.upstream);
