Report removals that wait for a grace period

Event 225 names the upstreams and the longest grace period, once for each update. The removals that wait are a class of their own.

--- a/packages/daemon/src/create-directory.ts
+++ b/packages/daemon/src/create-directory.ts
@@ -9,6 +9,9 @@
 import type { InstanceParts } from "./instance-parts.js";
 import { events } from "./telemetry/event.js";
 
+/** Maximum number of upstreams that one event names. */
+const maximumLoggedUpstreams = 16;
+
 /**
  * Creates the directory with the platform's parser; entries that cannot be parsed are logged.
  *
@@ -27,6 +30,14 @@
         clock,
         removalGraceMs,
         read: (id, text) => parser.parseUpstream(id, text),
+        onRemovalsUnconfirmed: (removals, graceMs) => {
+            log.write(events.removalsUnconfirmed, {
+                graceMs,
+                revision: Math.max(...removals.map(({ revision }) => revision)),
+                count: removals.length,
+                upstreams: removals.slice(0, maximumLoggedUpstreams).map(({ upstream }) => upstream),
+            });
+        },
         onInvalid: (id, findings, revision) => {
             metrics.invalidEntries.inc();
             log.write(events.entryInvalid, { upstream: id, revision, findings: findings.map(formatFinding) });
--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -60,6 +60,11 @@
     directoryRead: { number: 222, level: "info", message: "discovered upstreams were read for the first time" },
     zoneChanged: { number: 223, level: "warn", message: "availability zone was taken out of service or put back" },
     itemInvalid: { number: 224, level: "error", message: "published item cannot be parsed and is ignored" },
+    removalsUnconfirmed: {
+        number: 225,
+        level: "info",
+        message: "removed upstreams stay in use for a grace period, since their entries may only have expired",
+    },
     noPeerAnswered: { number: 230, level: "warn", message: "no peer answered; serving alone" },
     peerRefused: { number: 231, level: "warn", message: "another instance's call or connection was refused" },
     upstreamStateChanged: { number: 300, level: "info", message: "upstream changed state" },
--- a/packages/published/src/upstream-directory.ts
+++ b/packages/published/src/upstream-directory.ts
@@ -7,6 +7,7 @@
 import type { CheckResult, DiscoveredUpstream, Finding } from "@harrierhitch/configuration";
 import type { Clock, UpstreamId } from "@harrierhitch/core";
 import type { DirectoryEntry } from "./directory-entry.js";
+import { UnconfirmedRemovals } from "./unconfirmed-removals.js";
 import { isCurrentSnapshot, type ZoneStatus, ZoneStatusTable } from "./zone-status-table.js";
 
 /** Changes of the directory: a full snapshot or a delta. */
@@ -42,6 +43,8 @@
     readonly removalGraceMs: () => number;
     /** Called for each change. */
     readonly onChange: (change: DirectoryChange) => void;
+    /** Called with removals that don't take effect yet, and the longest of their grace periods in milliseconds. */
+    readonly onRemovalsUnconfirmed?: (removals: readonly DirectoryEntry[], graceMs: number) => void;
     /** Called when an unconfirmed removal takes effect. */
     readonly onRemovalConfirmed: () => void;
     /** Called when an availability zone is taken out of service or put back. */
@@ -50,11 +53,6 @@
     readonly onInvalid: (id: UpstreamId, findings: readonly Finding[], revision: number) => void;
 }
 
-interface UnconfirmedRemoval {
-    readonly removal: DirectoryEntry;
-    readonly untilMs: number;
-}
-
 interface StoredEntry {
     readonly revision: number;
     readonly text: string | undefined;
@@ -82,10 +80,18 @@
      */
     private completeSince = 0;
     /** Removals that may be caused by expired entries and don't take effect yet. */
-    private readonly unconfirmed = new Map<UpstreamId, UnconfirmedRemoval>();
+    private readonly unconfirmed: UnconfirmedRemovals;
 
     /** @param options - Clock, parser and callbacks. */
-    constructor(private readonly options: UpstreamDirectoryOptions) {}
+    constructor(private readonly options: UpstreamDirectoryOptions) {
+        this.unconfirmed = new UnconfirmedRemovals({
+            clock: options.clock,
+            onConfirmed: removal => {
+                this.put(removal);
+                options.onRemovalConfirmed();
+            },
+        });
+    }
 
     /** Revision up to which all changes are applied; 0 before the first update. */
     get revision(): number {
@@ -119,9 +125,7 @@
         const removals = [...entries.filter(entry => this.isRemoval(entry)), ...this.removalsImpliedBy(update)];
         const localGraceMs = Math.max(this.options.removalGraceMs(), this.isSuddenRemoval(removals) ? suddenGraceMs : 0);
         entries.filter(entry => !removals.includes(entry)).forEach(entry => this.put(entry));
-        removals.forEach(removal => {
-            this.remove(removal, removal.unconfirmedMs ?? localGraceMs);
-        });
+        this.remove(removals, localGraceMs);
         if (update.isSnapshot && update.revision > this.appliedRevision) {
             this.completeSince = update.revision;
         }
@@ -139,10 +143,7 @@
         const stored = [...this.entries]
             .filter(([, entry]) => isSnapshot ? entry.text !== undefined : entry.revision > revision)
             .map(([upstream, entry]) => ({ upstream, revision: entry.revision, text: entry.text, unconfirmedMs: 0 }));
-        const nowMs = this.options.clock.nowMs();
-        const unconfirmed = [...this.unconfirmed.values()]
-            .filter(({ removal }) => removal.revision > revision)
-            .map(({ removal, untilMs }) => ({ ...removal, unconfirmedMs: Math.max(1, untilMs - nowMs) }));
+        const unconfirmed = this.unconfirmed.since(revision);
         const zones = this.zones.statusesSince(revision, isSnapshot);
         const sinceRevision = isSnapshot ? 0 : revision;
         return { revision: this.appliedRevision, sinceRevision, isSnapshot, entries: [...stored, ...unconfirmed], zones };
@@ -195,26 +196,15 @@
         return sudden >= minimumSuddenRemovals && sudden > this.upstreams.length * suddenRemovalShare;
     }
 
-    /** Applies a removal after a grace period, unless a later entry replaces it. */
-    private remove(removal: DirectoryEntry, graceMs: number): void {
-        if (graceMs <= 0) {
-            this.put(removal);
-            return;
-        }
-        const { clock } = this.options;
-        const pending = this.unconfirmed.get(removal.upstream);
-        const untilMs = clock.nowMs() + graceMs;
-        if (pending !== undefined && pending.removal.revision >= removal.revision && pending.untilMs <= untilMs) {
-            return;
+    /** Applies removals, each after its grace period, unless a later entry replaces it. */
+    private remove(removals: readonly DirectoryEntry[], localGraceMs: number): void {
+        const graceMsOf = ({ unconfirmedMs = localGraceMs }: DirectoryEntry): number => unconfirmedMs;
+        const unconfirmed = removals.filter(removal => graceMsOf(removal) > 0);
+        if (unconfirmed.length > 0) {
+            this.options.onRemovalsUnconfirmed?.(unconfirmed, Math.max(...unconfirmed.map(graceMsOf)));
         }
-        this.unconfirmed.set(removal.upstream, { removal, untilMs });
-        clock.after(graceMs, () => {
-            if (this.unconfirmed.get(removal.upstream)?.removal === removal) {
-                this.unconfirmed.delete(removal.upstream);
-                this.put(removal);
-                this.options.onRemovalConfirmed();
-            }
-        });
+        unconfirmed.forEach(removal => this.unconfirmed.add(removal, graceMsOf(removal)));
+        removals.filter(removal => graceMsOf(removal) <= 0).forEach(removal => this.put(removal));
     }
 
     private notifyChange(change: DirectoryChange): void {
