A call without Host on the port of instances or operators does not end the process

Such a call is refused with 400 and event 231. Any other error that a call throws is caught, too: it gets 500, or a closed connection if the response had begun, and event 231; before, only the loading of the service was covered.

Tests: rpc-requests, 2 of 2 failed before.

--- a/packages/daemon/src/peers/rpc-server.ts
+++ b/packages/daemon/src/peers/rpc-server.ts
@@ -71,14 +71,16 @@
             fallback(request, response);
             return;
         }
+        if (request.headers.host === undefined) {
+            onRefused("a call without Host");
+            response.writeHead(400, { connection: "close" }).end();
+            return;
+        }
         this.rpc ??= openRpc();
-        this.rpc.then(
-            rpc => rpc(request, response),
-            (thrown: unknown) => {
-                onRefused(`the RPC service could not be loaded: ${asError(thrown).message}`);
-                response.writeHead(500).end();
-            },
-        );
+        this.rpc.then(rpc => rpc(request, response)).catch((thrown: unknown) => {
+            onRefused(`the RPC service failed: ${asError(thrown).message}`);
+            failResponse(response);
+        });
     }
 
     private reload(server: TlsServer): void {
@@ -93,3 +95,12 @@
         }
     }
 }
+
+/** Ends a response with an error, or its connection if it has begun. */
+const failResponse = (response: ServerResponse): void => {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    response.writeHead(500).end();
+};
