--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -132,13 +132,29 @@
 
     /** Returns the instances with callers that lack a revision published longer ago than the given time. */
     staleInstances(ms: number): readonly number[] {
-        const beforeMs = this.clock.nowMs() - ms;
-        const dueRevision = this.publishedAtMs.filter(atMs => atMs <= beforeMs).length - 1;
+        const dueRevision = this.dueRevision(ms);
         return [...this.instances.values()]
             .filter(({ directory, hasCallers }) => hasCallers && directory.revision < dueRevision)
             .map(({ id }) => id);
     }
 
+    /**
+     * Sends a request to an instance.
+     *
+     * @returns Whether it was routed by state that lacks a revision published longer ago than the given time, or was rejected.
+     */
+    async request(id: number, ms: number): Promise<"current" | "stale" | "rejected"> {
+        const { directory } = this.instances.get(id)!;
+        await Promise.resolve();
+        return directory.revision < this.dueRevision(ms) ? "stale" : "current";
+    }
+
+    /** The last revision published longer ago than the given time. */
+    private dueRevision(ms: number): number {
+        const beforeMs = this.clock.nowMs() - ms;
+        return this.publishedAtMs.findLastIndex(atMs => atMs <= beforeMs);
+    }
+
     private join(id: number, directory: UpstreamDirectory, activeConfiguration: ActiveConfiguration): Fleet {
         const { clock, random } = this;
         const notUsed = (): never => {
