A response of the platform confirms the state as of its first bytes, not of its end

Cause: a response counted as complete as of the moment at which its last byte had been read. The store wrote it before its first bytes arrived: 0.4 to 0.9 s earlier for a large document on a link of 7 Mbit/s, and by the turns of the event loop. Peers inherited the error. The age is now counted from the last poll of the event loop before the first bytes were read, or from the request if that is later. That also makes the confirmations of a process that stalls all the time useful: they counted from the request, up to the whole long poll earlier.

A timer that fires before the event loop has polled no longer fails a call whose response lies in the socket.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -188,6 +188,7 @@
             willJoin: () => this.peers.willJoin,
             hasCallers: () => this.callers.hasServed,
             checkForStall: () => this.stallDetector.check(),
+            deliveredUpToMs: () => this.stallDetector.deliveredUpToMs,
         });
     }
 
--- a/packages/daemon/src/platform/http-get.ts
+++ b/packages/daemon/src/platform/http-get.ts
@@ -29,6 +29,8 @@
     /** Time until the first bytes of the response, in milliseconds; on timeout the connection is closed. */
     readonly timeoutMs: number;
     readonly signal: AbortSignal;
+    /** Called when the first bytes of a response arrive. */
+    readonly onResponse?: (() => void) | undefined;
 }
 
 /** Longest time without further bytes of a response that has begun, in milliseconds. */
@@ -72,25 +74,38 @@
     }
 };
 
+/** Calls back after a delay, once what has arrived by then was delivered: a busy event loop runs timers before it polls. */
+const afterDelivery = (delayMs: number, action: () => void): { readonly cancel: () => void; } => {
+    let isCancelled = false;
+    const timer = setTimeout(() => setImmediate(() => isCancelled || action()), delayMs);
+    return {
+        cancel: () => {
+            isCancelled = true;
+            clearTimeout(timer);
+        },
+    };
+};
+
 const getOnce = ({ agent, options }: HttpClient, call: HttpGetRequest): Promise<HttpResponse> =>
     new Promise((resolve, reject) => {
-        const { url, headers = {}, timeoutMs, signal } = call;
+        const { url, headers = {}, timeoutMs, signal, onResponse } = call;
         let hasResponse = false;
         const fail = (error: Error, type: typeof PlatformError = PlatformError): void => {
-            clearTimeout(timer);
+            timer.cancel();
             clearTimeout(transferTimer);
             request.destroy();
             reject(new type(`${url}: ${asError(error).message}`, { cause: error }));
         };
         const request = get(url, { agent, headers, signal }, response => {
             hasResponse = true;
+            onResponse?.();
             const chunks: Buffer[] = [];
             let bytes = 0;
             const failBody = (error: Error): void => fail(error, UnusablePublicationError);
             const pauseMs = Math.min(timeoutMs, maximumPauseMs);
             const resetTimer = (): void => {
-                clearTimeout(timer);
-                timer = setTimeout(() => failBody(new PlatformError(`the response paused for ${pauseMs} ms`)), pauseMs);
+                timer.cancel();
+                timer = afterDelivery(pauseMs, () => failBody(new PlatformError(`the response paused for ${pauseMs} ms`)));
             };
             const onTransferTimeout = (): void =>
                 failBody(new PlatformError(`the response took more than ${maximumTransferMs} ms`));
@@ -109,13 +124,13 @@
             });
             response.on("error", failBody);
             response.on("end", () => {
-                clearTimeout(timer);
+                timer.cancel();
                 clearTimeout(transferTimer);
                 resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks) });
             });
         });
         let transferTimer: NodeJS.Timeout | undefined;
-        let timer = setTimeout(() => fail(new PlatformError(`no response within ${timeoutMs} ms`)), timeoutMs);
+        let timer = afterDelivery(timeoutMs, () => fail(new PlatformError(`no response within ${timeoutMs} ms`)));
         request.on("error", error => {
             const isKept = request.reusedSocket && !hasResponse && !signal.aborted;
             fail(error, isKept ? KeptConnectionError : PlatformError);
--- a/packages/daemon/src/platform/http-platform.ts
+++ b/packages/daemon/src/platform/http-platform.ts
@@ -21,30 +21,35 @@
     /** @param options - Addresses and timeouts. */
     constructor(private readonly options: PlatformOptions) {}
 
-    async read(signal: AbortSignal): Promise<Publication> {
+    async read(signal: AbortSignal, _: boolean, onResponse?: () => void): Promise<Publication> {
         this.options.onCall("read");
-        const result = await this.get({}, this.options.readTimeoutMs, signal);
+        const result = await this.get({}, this.options.readTimeoutMs, signal, onResponse);
         if (result.status === notModifiedStatus) {
             throw new PlatformError("the platform responded to an unconditional read with status 304");
         }
         return this.toPublication(result);
     }
 
-    async watch(_: number, signal: AbortSignal, longPollMs: number): Promise<Publication> {
+    async watch(_: number, signal: AbortSignal, longPollMs: number, onResponse?: () => void): Promise<Publication> {
         this.options.onCall("watch");
         const headers = { "if-none-match": this.version, "prefer": `wait=${Math.ceil(longPollMs / 1000)}` };
-        const result = await this.get(headers, longPollMs + watchGraceMs, signal);
+        const result = await this.get(headers, longPollMs + watchGraceMs, signal, onResponse);
         return result.status === notModifiedStatus
             ? { revision: this.revision, configuration: undefined, listings: [], zones: [] }
             : this.toPublication(result);
     }
 
-    private async get(headers: Readonly<Record<string, string>>, timeoutMs: number, signal: AbortSignal): Promise<HttpResponse> {
+    private async get(
+        headers: Readonly<Record<string, string>>,
+        timeoutMs: number,
+        signal: AbortSignal,
+        onResponse: (() => void) | undefined,
+    ): Promise<HttpResponse> {
         const { addresses, configurationKey } = this.options;
         const address = addresses[this.addressIndex % addresses.length] ?? "";
         const url = `http://${address}/keys/${encodeURIComponent(configurationKey)}`;
         try {
-            const result = await httpGet(this.client, { url, headers, timeoutMs, signal });
+            const result = await httpGet(this.client, { url, headers, timeoutMs, signal, onResponse });
             if (result.status !== 200 && result.status !== notModifiedStatus) {
                 throw new PlatformError(`${url} responded with status ${result.status}`);
             }
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -29,6 +29,8 @@
     readonly willJoin: () => boolean;
     /** Checks for a stall and, if there was one, calls {@link PlatformLink.recordStall}. */
     readonly checkForStall: () => void;
+    /** Time up to which all that had arrived has been delivered by the event loop. */
+    readonly deliveredUpToMs: () => number;
     /** Whether this instance has served callers; without callers it need not be up to date. */
     readonly hasCallers: () => boolean;
 }
@@ -82,6 +84,7 @@
             appliedRevision: () => instance.directory.revision,
             onPublication: (publication, kind, asOfMs) => this.applyPublication(publication, kind, asOfMs),
             checkForStall: options.checkForStall,
+            deliveredUpToMs: options.deliveredUpToMs,
             onCallEnd: () => instance.fleet?.directReads.end(),
             onUnavailable: error => this.onUnavailable(error),
             onUnusableChanges: (error, revision) => this.onUnusableChanges(error, revision),
--- a/packages/daemon/src/platform/platform-watcher.ts
+++ b/packages/daemon/src/platform/platform-watcher.ts
@@ -33,6 +33,8 @@
     readonly appliedRevision: () => number;
     /** Receives the result of a call; it is complete as of `asOfMs`. */
     readonly onPublication: (publication: Publication, kind: PublicationKind, asOfMs: number) => void;
+    /** Time up to which all that had arrived has been delivered by the event loop. */
+    readonly deliveredUpToMs: () => number;
     /** Called before a response is applied, and when a call has failed, to detect a stall meanwhile. */
     readonly checkForStall: () => void;
     /** Called when a result was applied, or a call failed. */
@@ -56,6 +58,10 @@
     private readonly stopping = new AbortController();
     private respondedAtMs: number | undefined;
     private calledAtMs: number | undefined;
+    /** Longest time for which the platform may hold the call in progress, in milliseconds. */
+    private callLongPollMs = 0;
+    /** Time after which the response to the call in progress was written; `undefined` while it has not begun. */
+    private writtenAfterMs: number | undefined;
     private hasRead = false;
     private consecutiveFailures = 0;
     private stalledAtMs = -Infinity;
@@ -79,6 +85,12 @@
         return this.calledAtMs === undefined ? undefined : this.options.clock.nowMs() - this.calledAtMs;
     }
 
+    /** Time for which the call in progress has had no response although one is due, in milliseconds. */
+    get unansweredMs(): number {
+        const { callMs, writtenAfterMs, callLongPollMs } = this;
+        return callMs === undefined || writtenAfterMs !== undefined ? 0 : Math.max(0, callMs - callLongPollMs);
+    }
+
     start(): void {
         void this.run();
     }
@@ -102,6 +114,7 @@
                 continue;
             }
             this.calledAtMs = clock.nowMs();
+            this.writtenAfterMs = undefined;
             const nextCallAtMs = this.calledAtMs + batchMs;
             await this.callOnce(signal);
             await sleep(clock, nextCallAtMs - clock.nowMs(), signal);
@@ -121,8 +134,7 @@
             this.unusableRevision = undefined;
             this.onResponse();
             checkForStall();
-            // If the process stalled during the call, the response is only known to be newer than the request.
-            onPublication(publication, kind, this.stalledAtMs >= requestedAtMs ? requestedAtMs : clock.nowMs());
+            onPublication(publication, kind, this.confirmedAtMs(requestedAtMs));
             this.options.onCallEnd();
         }
         catch (thrown) {
@@ -142,6 +154,15 @@
         }
     }
 
+    /**
+     * Returns the time up to which a response is certainly complete. It was written before its first bytes arrived, which is long before its
+     * end if it is large; and these may have waited for the event loop. It is always newer than the request.
+     */
+    private confirmedAtMs(requestedAtMs: number): number {
+        const hasStalled = this.stalledAtMs >= requestedAtMs;
+        return this.writtenAfterMs ?? (hasStalled ? requestedAtMs : this.options.clock.nowMs());
+    }
+
     /**
      * Returns whether a watch would fail again in the same way: its response is too large, or could not be used for the second time
      * since the same revision.
@@ -181,12 +202,19 @@
 
     private async call(kind: PublicationKind, signal: AbortSignal): Promise<Publication> {
         const { platform, appliedRevision, longPollMs } = this.options;
+        const requestedAtMs = this.options.clock.nowMs();
+        // A read consists of several responses, of which the first one is the oldest.
+        const onResponse = (): void => {
+            this.writtenAfterMs ??= Math.max(requestedAtMs, this.options.deliveredUpToMs());
+        };
         if (kind !== "changes") {
-            return platform.read(signal, kind === "stale-snapshot");
+            this.callLongPollMs = 0;
+            return platform.read(signal, kind === "stale-snapshot", onResponse);
         }
         const revision = appliedRevision();
         // While the platform fails, calls return at once so that a recovery is detected early.
-        const publication = await platform.watch(revision, signal, this.consecutiveFailures === 0 ? longPollMs() : 0);
+        this.callLongPollMs = this.consecutiveFailures === 0 ? longPollMs() : 0;
+        const publication = await platform.watch(revision, signal, this.callLongPollMs, onResponse);
         const { listings, zones, configuration } = publication;
         const isEmpty = listings.length === 0 && zones.length === 0 && configuration === undefined;
         // An empty response keeps the old revision, because a platform about to lose its history may omit changes.
--- a/packages/daemon/src/platform/platform.ts
+++ b/packages/daemon/src/platform/platform.ts
@@ -28,9 +28,10 @@
      *
      * @param signal - Cancels the read.
      * @param mayBeStale - Whether a result that is a few seconds old is acceptable.
+     * @param onResponse - Called when the first bytes of a response arrive.
      * @throws {@link PlatformError} if the call fails or the response is invalid.
      */
-    read(signal: AbortSignal, mayBeStale: boolean): Promise<Publication>;
+    read(signal: AbortSignal, mayBeStale: boolean, onResponse?: () => void): Promise<Publication>;
 
     /**
      * Waits for changes.
@@ -38,12 +39,13 @@
      * @param revision - The revision that the caller already has.
      * @param signal - Cancels the watch.
      * @param longPollMs - Longest time to wait for a change, in milliseconds; 0 returns the changes so far.
+     * @param onResponse - Called when the first bytes of the response arrive.
      * @returns The changes; none if nothing changed within that time.
      * @throws {@link HistoryLostError} if the changes since that revision are no longer available.
      * @throws {@link UnusablePublicationError} if the response cannot be used.
      * @throws {@link PlatformError} if the call fails or the response is invalid.
      */
-    watch(revision: number, signal: AbortSignal, longPollMs: number): Promise<Publication>;
+    watch(revision: number, signal: AbortSignal, longPollMs: number, onResponse?: () => void): Promise<Publication>;
 }
 
 /** A call to the platform failed or its response was invalid. */
--- a/packages/daemon/src/stall-detector.ts
+++ b/packages/daemon/src/stall-detector.ts
@@ -29,12 +29,22 @@
 export class StallDetector {
     private timer: Timer | undefined;
     private dueAtMs = 0;
+    private timersRanAtMs = 0;
 
     /** @param options - Clock and callback. */
     constructor(private readonly options: StallDetectorOptions) {}
 
+    /**
+     * Time up to which all that had arrived at open connections has been delivered. The event loop runs timers before it polls, and each poll
+     * delivers from every connection that has data.
+     */
+    get deliveredUpToMs(): number {
+        return this.timersRanAtMs;
+    }
+
     /** Starts the periodic checks. */
     start(): void {
+        this.timersRanAtMs = this.options.clock.nowMs();
         this.schedule();
     }
 
@@ -58,6 +68,7 @@
         const { clock } = this.options;
         this.dueAtMs = clock.nowMs() + checkIntervalMs;
         this.timer = clock.after(checkIntervalMs, () => {
+            this.timersRanAtMs = clock.nowMs();
             this.check();
             this.options.polls.sample();
             this.timer?.cancel();
--- a/packages/daemon/test/model/model-store.ts
+++ b/packages/daemon/test/model/model-store.ts
@@ -11,6 +11,9 @@
 /** Interval at which a watch looks for a change, in milliseconds. */
 const watchStepMs = 50;
 
+/** Longest time until a message is read, as a share of the mean. */
+const maximumReadingShare = 1.5;
+
 /** Bytes on the wire for each byte of a value, which is sent in base64. */
 const encodedShare = 4 / 3;
 
@@ -66,8 +69,8 @@
     /** Returns the access of an instance to the store. */
     protected createPlatform(id: number): Platform {
         return {
-            read: (_, mayBeStale) => this.respond(id, mayBeStale ? 0.1 : 1, 0),
-            watch: async (revision, signal, longPollMs) => {
+            read: (_, mayBeStale, onResponse) => this.respond(id, mayBeStale ? 0.1 : 1, 0, onResponse),
+            watch: async (revision, signal, longPollMs, onResponse) => {
                 const startedAtMs = this.clock.nowMs();
                 if (this.isUnresponsive && !this.serves(id)) {
                     await this.wait(longPollMs);
@@ -80,15 +83,20 @@
                     await this.wait(startedAtMs + longPollMs + silentCallMs - this.clock.nowMs());
                     throw new PlatformError("the store did not respond");
                 }
-                return await this.respond(id, 1, revision);
+                return await this.respond(id, 1, revision, onResponse);
             },
         };
     }
 
+    /** Time up to which an instance has read all that had arrived. */
+    protected deliveredUpToMs(id: number): number {
+        return this.clock.nowMs() - (this.busyMs.get(id) ?? 0) * maximumReadingShare;
+    }
+
     /** Time until an instance reads a message; zero without a random draw if it has processor time. */
     protected readingDelayMs(id: number): number {
         const busyMs = this.busyMs.get(id);
-        return busyMs === undefined ? 0 : busyMs * (0.5 + this.random.next());
+        return busyMs === undefined ? 0 : busyMs * (maximumReadingShare - this.random.next());
     }
 
     private async wait(delayMs: number): Promise<void> {
@@ -108,7 +116,12 @@
         return !this.isDown && !this.rejected.has(id) && !this.isolated.has(id);
     }
 
-    private async respond(id: number, cost: number, afterRevision: number): Promise<Publication> {
+    private async respond(
+        id: number,
+        cost: number,
+        afterRevision: number,
+        onResponse: () => void = () => undefined,
+    ): Promise<Publication> {
         this.calls += cost;
         await this.wait(this.serves(id) ? this.storeDelayMs : this.unansweredCallMs);
         if (!this.serves(id)) {
@@ -116,8 +129,9 @@
         }
         const { revision } = this;
         const configuration = afterRevision < this.configuration.revision ? this.configuration.text : undefined;
-        await this.transfer((configuration?.length ?? 0) * encodedShare);
         await this.wait(this.readingDelayMs(id));
+        onResponse();
+        await this.transfer((configuration?.length ?? 0) * encodedShare);
         const listings = afterRevision < revision ? [{ upstream: upstreamId("a"), revision, text: "ready" }] : [];
         return { revision, configuration, listings, zones: [] };
     }
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -91,6 +91,7 @@
             willJoin: () => instance.fleet === undefined,
             hasCallers: () => running.hasCallers,
             checkForStall: () => undefined,
+            deliveredUpToMs: () => this.deliveredUpToMs(id),
         });
         this.injectFault(link);
         const running: RunningInstance = {
--- a/packages/daemon/test/platform-link.test.ts
+++ b/packages/daemon/test/platform-link.test.ts
@@ -126,6 +126,7 @@
         willJoin: () => !hasJoined,
         hasCallers: () => true,
         checkForStall: () => stall.isOver ? link.recordStall() : undefined,
+        deliveredUpToMs: () => clock.nowMs(),
     });
     link.start();
     await clock.advance(0);
