Responses of other instances that come after the timeout are used

Now the timeout only selects another distributor; the response is used when it comes, within the bound more, and ends the backoff. Its age counts from the request, so a late one confirms no more than is true.

Subscribers of a distributor with stale state postponed their own read of the platform by up to 0.2 s for each instance (28 s of 142), which is right for a platform that fails, and wrong for a relay that is busy. They do so now only if that distributor reports that the platform does not serve it.

The tests of outages of the store keep their limits of calls.

--- a/packages/daemon/src/create-staleness-telemetry.ts
+++ b/packages/daemon/src/create-staleness-telemetry.ts
@@ -37,7 +37,7 @@
 
 const sourceOf = ({ clock, polls, instance, platform }: CreateStalenessTelemetryOptions): StalenessSource => {
     const { generation, directory: { revision }, fleet } = instance();
-    const response = fleet?.lastDistributorResponse;
+    const response = fleet?.calls.lastDistributorResponse;
     return {
         generation,
         revision,
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -178,7 +178,7 @@
 
     /**
      * A fleet member calls the platform when its distributors no longer send updates; relays do so a little earlier, so that
-     * one call serves the availability zone. While distributors respond that they are stale themselves, it rarely calls.
+     * one call serves the availability zone. While distributors are cut off from the platform, it rarely calls.
      */
     private dueInFleetInMs(fleet: Fleet): number {
         const { times, clock, random, hasCallers } = this.options;
@@ -188,7 +188,7 @@
             return Infinity;
         }
         const staleInMs = times.staleAfterMs - (isRelay ? times.relayLeadMs : 0) - this.stalenessMs;
-        if (!fleet.isDistributorStale) {
+        if (!fleet.calls.isDistributorCutOff) {
             this.directCallAtMs = undefined;
             return Math.max(staleInMs, fleet.joinedAtMs + joinGraceMs - nowMs);
         }
--- a/packages/fleet/src/exchange-call.ts
+++ b/packages/fleet/src/exchange-call.ts
@@ -22,6 +22,8 @@
     readonly instance: string;
     /** Staleness of the other instance's state in milliseconds; infinite if unconfirmed or if this instance lacks its changes. */
     readonly stalenessMs: number;
+    /** Time that the request and the response were under way, in milliseconds. */
+    readonly transitMs: number;
     /** Whether this instance reads a document from the platform, so that its state is behind for now. */
     readonly isReadDirectly: boolean;
 }
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -63,14 +63,15 @@
         }
         this.merge(instance, response, callOptions.role !== undefined && callOptions.role !== Role.UNSPECIFIED);
         const isReadDirectly = this.published.requestDirectRead(response);
-        const stalenessMs = this.published.mergeStaleness(response, Math.max(0, clock.nowMs() - startedAtMs - response.heldMs));
+        const transitMs = Math.max(0, clock.nowMs() - startedAtMs - response.heldMs);
+        const stalenessMs = this.published.mergeStaleness(response, transitMs);
         const documents = this.published.documents.missing(response.configuration, response.readsEdits);
         const directory = this.published.directoryMessage(Number(response.directory?.revision ?? 0n));
         if (documents.length > 0 || hasChanges(directory)) {
             const second = this.request(documents, directory, { receiver: instance });
             this.merge(instance, await send(second.request));
         }
-        return { instance, stalenessMs, isReadDirectly };
+        return { instance, stalenessMs, transitMs, isReadDirectly };
     }
 
     /** Responds to the exchange of another instance: at once if it lacks changes, otherwise on the next change or timeout. */
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -19,7 +19,7 @@
 import { Members } from "./members.js";
 import { NewQuarantines } from "./new-quarantines.js";
 import { PartitionRecovery } from "./partition-recovery.js";
-import { type DistributorResponse, PeerCalls } from "./peer-calls.js";
+import { PeerCalls } from "./peer-calls.js";
 import type { PeerAddress } from "./peer-clients.js";
 import { PeerLinks } from "./peer-links.js";
 import { Seeds } from "./seeds.js";
@@ -40,7 +40,8 @@
     readonly assignment: MemberAssignment;
     private readonly stopping = new AbortController();
     private readonly links: PeerLinks;
-    private readonly calls: PeerCalls;
+    /** The calls to other instances, and what they show about these. */
+    readonly calls: PeerCalls;
     /** Instances that are contacted to discover the others. */
     readonly seeds: Seeds;
     private readonly recovery: PartitionRecovery;
@@ -92,6 +93,7 @@
             clients: options.clients,
             times: this.times,
             exchange: this.exchange,
+            members: this.members,
             roles: this.roles,
             onExchange: options.onExchange,
             onFailure: (peer, error) => {
@@ -209,19 +211,6 @@
         return this.roles.joinedAtMs;
     }
 
-    /**
-     * Whether a reader or relay responded recently with stale state. That distributor then reads the platform itself, so
-     * its subscribers need not.
-     */
-    get isDistributorStale(): boolean {
-        return this.calls.isDistributorStale;
-    }
-
-    /** The last response of a reader or relay that this instance polled; `undefined` before the first. */
-    get lastDistributorResponse(): DistributorResponse | undefined {
-        return this.calls.lastDistributorResponse;
-    }
-
     /** Reads from the platform in place of large documents from other instances. */
     get directReads(): DirectReads {
         return this.exchange.directReads;
