A response with the status 101, or one above 599, is no answer

Status 000 and others below 100 were refused already, as were malformed ones, which the parser rejects.

Cause: only statuses below 100 were refused. Node reports a 101 without an `Upgrade` as a final response and reads its body until the connection ends. Now a final response has a status from 200 to 599 (RFC 9110, section 15), decided in one place for requests, probes and detours, which share the transport; anything else ends the attempt as `garbled` and closes its connection. The store's and other instances' responses are used with status 200 (or 304) only, before as after.

--- a/packages/daemon/src/upstream/response-problem.ts
+++ b/packages/daemon/src/upstream/response-problem.ts
@@ -7,7 +7,11 @@
 import type { IncomingMessage } from "node:http";
 import { isSupportedTransferCoding } from "../transfer-coding.js";
 
-const lowestStatus = 100;
+/**
+ * Statuses of final responses (RFC 9110, section 15). Informational ones precede them; a switch of protocols (101), which no forwarded
+ * request asks for, would leave both sides waiting.
+ */
+const finalStatuses = { lowest: 200, highest: 599 } as const;
 
 /** Names that a message may contain (RFC 9110, section 5.6.2); some parsers accept others, which nobody can write. */
 const headerName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
@@ -22,8 +26,8 @@
         return `the header name ${JSON.stringify(invalidName)} is not valid`;
     }
     const coding = headers["transfer-encoding"];
-    if (statusCode < lowestStatus) {
-        return `the status ${statusCode} is not valid`;
+    if (statusCode < finalStatuses.lowest || statusCode > finalStatuses.highest) {
+        return `the status ${statusCode} is not that of a final response`;
     }
     if (statusLine.test(statusMessage)) {
         return "the reason phrase contains another status line";
