The page of metrics begins with the published state

While an incident is examined, the users' platform keeps the beginning of each instance's page of metrics, some 3 kB.

--- a/packages/daemon/src/telemetry/memory-metrics.ts
+++ b/packages/daemon/src/telemetry/memory-metrics.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import { MetricsRegistry } from "./metrics-registry.js";
+import { StateMetrics } from "./state-metrics.js";
 
 /** What occupies memory, beside the default metrics of the process. */
-export class MemoryMetrics extends MetricsRegistry {
+export class MemoryMetrics extends StateMetrics {
     /** Decision records stored for explanations. */
     readonly records = this.gauge("harrierhitch_records", "Decision records kept");
 
--- a/packages/daemon/src/telemetry/metrics-registry.ts
+++ b/packages/daemon/src/telemetry/metrics-registry.ts
@@ -14,11 +14,9 @@
     /** The registry that is scraped. */
     readonly registry = new Registry();
 
-    /** @param processMetrics - Whether to collect the default process metrics. */
-    constructor(processMetrics = true) {
-        if (processMetrics) {
-            collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopPrecisionMs });
-        }
+    /** Collects the default metrics of the process, too. */
+    protected collectProcessMetrics(): void {
+        collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopPrecisionMs });
     }
 
     protected counter(name: string, help: string, labelNames: readonly string[]): Counter {
