An instance does not send on another's request by overdue state, and a started one has the whole bound

While its state is beyond the bound it now answers that the request was not sent (`withdrawn`), and the other instance decides again. unbegun-bodies.test.ts has the case; it fails without the check.

--- a/packages/daemon/src/detour/detour-listener.ts
+++ b/packages/daemon/src/detour/detour-listener.ts
@@ -32,6 +32,8 @@
     /** Whether an instance is a member of the fleet. */
     readonly isMember: (instance: string) => boolean;
     readonly isStopping: () => boolean;
+    /** Whether requests may be sent by the published state that this instance has. */
+    readonly isStateCurrent: () => boolean;
 }
 
 /** Most requests of other instances that are served at the same time. */
@@ -139,7 +141,7 @@
         forwarded: DetourResponse,
     ): Promise<DetourResult> {
         const { response } = forwarded;
-        const { clock, transport } = this.options;
+        const { clock, transport, isStateCurrent } = this.options;
         const attempt = transport.send(upstream, {
             method: request.method ?? "GET",
             path: address.url,
@@ -151,7 +153,7 @@
             }),
             needsNewConnection: request.headers[newConnectionHeader] !== undefined,
             body: hasBody(request) ? request : undefined,
-            mayBegin: () => !response.destroyed && runtime.tracker.acceptsRequests(upstream),
+            mayBegin: () => !response.destroyed && isStateCurrent() && runtime.tracker.acceptsRequests(upstream),
             isDirectOnly: true,
             onBegin: use => {
                 recordEchoedId(use, request.headers[echoedIdHeader]?.toString());
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -44,6 +44,8 @@
     readonly directory: UpstreamDirectory;
     /** This instance's membership in the fleet; `undefined` while it is standalone. */
     fleet: Fleet | undefined;
+    /** Holds requests while the published state may be older than its bound. */
+    readonly stateGate: InstanceParts["stateGate"];
     private readonly startupGate: StartupGate;
     private readonly probeBudget: ProbeBudget;
     private readonly telemetry: Telemetry;
@@ -61,6 +63,7 @@
         this.id = instanceId(settings.instance.id);
         this.requestsEnd = new Deadline(clock);
         this.incarnation = Math.floor(clock.wallMs());
+        this.stateGate = parts.stateGate;
         this.startupGate = new StartupGate(clock);
         this.stallRecovery = new StallRecovery({ log: parts.log, transport: parts.transport, fleet: () => this.fleet });
         this.activeConfiguration = new ActiveConfiguration((source, text) => parser.parseConfiguration(source, text));
@@ -96,12 +99,11 @@
             },
         }));
         this.probeBudget = new ProbeBudget(clock);
-        const { explanations, crashes, probeBudget, requestsEnd } = this;
+        const { activeConfiguration, crashes, explanations, probeBudget, requestsEnd, services: registry, telemetry } = this;
         const services = createRequestServices({
-            ...{ parts, explanations, crashes, probeBudget, requestsEnd, telemetry: this.telemetry },
+            ...{ parts, explanations, crashes, probeBudget, requestsEnd, telemetry },
             ...{ instance: this.id, incarnation: this.incarnation },
         });
-        const { activeConfiguration, services: registry, telemetry } = this;
         this.requestDispatcher = new RequestDispatcher({
             ...{ services, activeConfiguration, registry, telemetry, staleness: parts.staleness },
             samples: new LowDiscrepancySequence(random),
@@ -155,7 +157,7 @@
         try {
             const arrivedAtMs = this.parts.clock.nowMs();
             await Promise.all([response.awaitTurn(), this.stallRecovery.done]);
-            await (this.configuration === undefined ? this.startupGate.wait() : this.parts.stateGate.wait());
+            await (this.configuration === undefined ? this.startupGate.wait() : this.stateGate.wait());
             await this.requestDispatcher.serve({ request, response, arrivedAtMs, hasContactedPeers: this.hasContactedPeers });
         }
         catch (thrown) {
--- a/packages/daemon/src/peers/peer-endpoint.ts
+++ b/packages/daemon/src/peers/peer-endpoint.ts
@@ -59,6 +59,7 @@
             services: () => instance.services.all(),
             isMember: id => instance.fleet?.members.find(id) !== undefined,
             isStopping: () => instance.stage === "stopping",
+            isStateCurrent: () => instance.stateGate.isOpen,
         });
         this.clients = new ConnectClients(settings);
         this.server = new RpcServer({
--- a/packages/daemon/src/state-gate.ts
+++ b/packages/daemon/src/state-gate.ts
@@ -93,8 +93,7 @@
     /** An instance that has just started has read the platform, though possibly a copy that was a few seconds old. */
     private get limitMs(): number {
         const { clock, boundMs } = this.options;
-        const limitMs = boundMs - sendReserveMs;
-        return clock.nowMs() - this.startedAtMs < limitMs ? Infinity : limitMs;
+        return clock.nowMs() - this.startedAtMs < boundMs ? Infinity : boundMs - sendReserveMs;
     }
 
     private add(waiter: Waiter): void {
--- a/packages/daemon/test/stopping-detours.test.ts
+++ b/packages/daemon/test/stopping-detours.test.ts
@@ -39,6 +39,7 @@
         services: () => [{ tracker: { find: () => upstream, acceptsRequests: () => true } }],
         isMember: () => true,
         isStopping: () => false,
+        isStateCurrent: () => true,
     } as unknown as DetourListenerOptions);
     const server = createServer((request, response) => listener.handle(request, response));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/packages/daemon/test/unbegun-bodies.test.ts
+++ b/packages/daemon/test/unbegun-bodies.test.ts
@@ -80,7 +80,24 @@
     assert.deepEqual(read.slice(0, attempts.length), attempts.map(() => whole));
 });
 
-const cases: readonly { name: string; isWhole: boolean; isRefused: boolean; checks?: number; expected: string; }[] = [
+interface UnsentCase {
+    readonly name: string;
+    readonly isWhole: boolean;
+    readonly isRefused: boolean;
+    readonly isCurrent?: boolean;
+    readonly checks?: number;
+    readonly expected: string;
+}
+
+const cases: readonly UnsentCase[] = [
+    {
+        name: "withdrawn because published changes may be missing there",
+        isWhole: true,
+        isRefused: false,
+        isCurrent: false,
+        checks: 9,
+        expected: "503 not-sent withdrawn",
+    },
     { name: "withdrawn", isWhole: true, isRefused: false, expected: "503 not-sent withdrawn" },
     { name: "withdrawn while its body arrives", isWhole: false, isRefused: false, expected: "503 not-sent withdrawn" },
     {
@@ -101,7 +118,7 @@
     { name: "refused while its body arrives", isWhole: false, isRefused: true, expected: "503 not-sent closed" },
 ];
 
-cases.forEach(({ name, isWhole, isRefused, checks = 0, expected }) => {
+cases.forEach(({ name, isWhole, isRefused, isCurrent = true, checks = 0, expected }) => {
     test(`another instance states that a request that was ${name} was not sent`, async () => {
         let allowed = checks;
         const service = serviceName("main");
@@ -124,6 +141,7 @@
             services: () => [{ tracker: { find: () => upstream, acceptsRequests: () => isRefused || allowed-- > 0 } }] as never,
             isMember: () => true,
             isStopping: () => false,
+            isStateCurrent: () => isCurrent,
         });
         const peer = createServer((request, response) => listener.handle(request, response));
         const port = await listen(peer);
