--- a/packages/daemon/test/busy-instances.test.ts
+++ b/packages/daemon/test/busy-instances.test.ts
@@ -26,3 +26,20 @@
         });
     });
 });
+
+describe("no request is routed by state beyond the bound at instances that have time", () => {
+    const cases: readonly BusyFleetCase[] = [
+        { size: 24, busyMs: 1500, seed: 2 },
+        { size: 60, busyMs: 2000, seed: 2 },
+    ];
+    cases.forEach(busyCase => {
+        const { size, busyMs, seed } = busyCase;
+        test(`while readers and relays of ${size} read messages ${busyMs} ms late (seed ${seed})`, async t => {
+            const fleet = await startBusyFleet({ ...busyCase, areOnlyDistributorsBusy: true });
+            const result = await runBusyFleet(fleet, 12, 4);
+            fleet.stop();
+            t.diagnostic(JSON.stringify(result));
+            assert.equal(result.stale, 0);
+        });
+    });
+});
--- a/packages/daemon/test/model/busy-fleet.ts
+++ b/packages/daemon/test/model/busy-fleet.ts
@@ -2,6 +2,7 @@
  * Steps of the tests of instances that lack processor time, so that each of them reads every message late.
  */
 
+import type { Fleet } from "@harrierhitch/fleet";
 import { StoreFleet } from "./store-fleet.js";
 
 /** Time after which no request may be routed by state that lacks a published change, in milliseconds. */
@@ -17,6 +18,8 @@
     readonly size: number;
     readonly busyMs: number;
     readonly seed: number;
+    /** Whether only readers and relays lack processor time; all instances by default. */
+    readonly areOnlyDistributorsBusy?: boolean;
 }
 
 /** What became of the requests. */
@@ -33,8 +36,12 @@
     readonly lateArrivals: number;
 }
 
+const isDistributor = ({ fleet }: { readonly fleet: Fleet | undefined; }): boolean =>
+    fleet !== undefined && (fleet.roles.isReader || fleet.roles.isRelay);
+
 /** Starts instances with callers that read messages late from then on. */
-export const startBusyFleet = async ({ size, busyMs, seed }: BusyFleetCase): Promise<StoreFleet> => {
+export const startBusyFleet = async (busyCase: BusyFleetCase): Promise<StoreFleet> => {
+    const { size, busyMs, seed, areOnlyDistributorsBusy = false } = busyCase;
     const fleet = new StoreFleet(seed, boundMs);
     Array.from({ length: size }, (_, id) => fleet.clock.after(fleet.random.next() * 300, () => fleet.start(id)));
     fleet.publish();
@@ -43,7 +50,9 @@
         instance.hasCallers = true;
     });
     await fleet.clock.advance(2000);
-    fleet.instances.forEach(({ id }) => fleet.busyMs.set(id, busyMs));
+    [...fleet.instances.values()]
+        .filter(instance => !areOnlyDistributorsBusy || isDistributor(instance))
+        .forEach(({ id }) => fleet.busyMs.set(id, busyMs));
     return fleet;
 };
 
