--- a/packages/daemon/test/awaited-state.test.ts
+++ b/packages/daemon/test/awaited-state.test.ts
@@ -10,18 +10,7 @@
 import { EventLog } from "../src/telemetry/event-log.js";
 import { Metrics } from "../src/telemetry/metrics.js";
 import { StateGateTelemetry } from "../src/telemetry/state-gate-telemetry.js";
-
-const source = {
-    generation: 16,
-    revision: 120,
-    role: "subscriber",
-    distributor: "n7",
-    distributorStalenessMs: Infinity,
-    distributorAgeMs: 180.4,
-    platformAgeMs: -1,
-    platformCallMs: 350.2,
-    unseenMs: 40,
-} as const;
+import { source } from "./model/staleness-source.js";
 
 test("waits for newer state are logged once when they begin and once when they end, with the requests meanwhile", async () => {
     const clock = new FakeClock();
@@ -37,7 +26,7 @@
     const gate = new StateGate({
         ...{ clock, boundMs: 2500, stalenessMs },
         mayBeOverdue: () => false,
-        telemetry: new StateGateTelemetry({ log, metrics, stalenessMs, source: () => source }),
+        telemetry: new StateGateTelemetry({ log, metrics, stalenessMs, source: () => ({ ...source, platformCallMs: 350.2 }) }),
     });
     await clock.advance(3000);
     assert.equal(await gate.wait(), true);
--- a/packages/daemon/test/staleness-telemetry.test.ts
+++ b/packages/daemon/test/staleness-telemetry.test.ts
@@ -7,19 +7,8 @@
 import { test } from "node:test";
 import { EventLog } from "../src/telemetry/event-log.js";
 import { Metrics } from "../src/telemetry/metrics.js";
-import { type StalenessSource, StalenessTelemetry } from "../src/telemetry/staleness-telemetry.js";
-
-const source: StalenessSource = {
-    generation: 16,
-    revision: 120,
-    role: "subscriber",
-    distributor: "n7",
-    distributorStalenessMs: Infinity,
-    distributorAgeMs: 180.4,
-    platformAgeMs: -1,
-    platformCallMs: undefined,
-    unseenMs: 40,
-};
+import { StalenessTelemetry } from "../src/telemetry/staleness-telemetry.js";
+import { source } from "./model/staleness-source.js";
 
 test("state beyond its bound is logged once, with its source, and once when it is back, with the requests meanwhile", async () => {
     const clock = new FakeClock();
