The gate is open until an instance has been with the others for ten seconds

Until ten seconds after joining the state may now be beyond its bound, as it was everywhere before. Why it is confirmed so late after such a loss is not traced (postmortem, "What remains").

--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -43,6 +43,12 @@
  */
 const unansweredMs = 300;
 
+/**
+ * Time after joining in which the state may be beyond its bound, in milliseconds. After a loss of power of all instances, their state is
+ * confirmed late while they find each other; holding requests then cost more than it protected.
+ */
+export const joinSettleMs = 10_000;
+
 /**
  * Time after the platform's recovery in which entries that expired during the outage may still be missing although
  * their upstreams are running, in milliseconds.
@@ -108,12 +114,15 @@
 
     /**
      * Whether requests may be routed by the last known state, however old: the platform does not respond to this instance, or to the
-     * reader or relay that it polls; or there is no other instance that could know more.
+     * reader or relay that it polls; or there is no other instance that could know more, or this one has just joined, so that it may not be
+     * known yet who reads for whom.
      */
     get mayBeOverdue(): boolean {
-        const { fleet } = this.options.instance;
-        const isAlone = fleet?.roles.hasSubscribers !== true;
-        return isAlone || this.isUnavailable || this.isUnanswered || fleet.calls.isDistributorCutOff;
+        const { instance: { fleet }, clock } = this.options;
+        if (fleet?.roles.hasSubscribers !== true || clock.nowMs() - fleet.joinedAtMs < joinSettleMs) {
+            return true;
+        }
+        return this.isUnavailable || this.isUnanswered || fleet.calls.isDistributorCutOff;
     }
 
     /** A busy instance cannot tell whether its call was answered. */
