Events 405, 214 and 217 tell why state may be beyond its bound, and 405 how old it is

Event 405 now has the staleness and the source of the state, as 214 has, and all of them have overdueReason: alone, joined, unavailable, unanswered or cut-off.

mayBeOverdue is derived from the reason; its conditions are the same and in the same order. The new test of staleness-telemetry.test.ts needs the fields, so it does not compile without them.

--- a/packages/daemon/src/create-staleness-parts.ts
+++ b/packages/daemon/src/create-staleness-parts.ts
@@ -56,6 +56,7 @@
         platformAgeMs: platform().lastResponseAgeMs,
         platformCallMs: platform().callMs,
         unseenMs: polls.unseenMs,
+        overdueReason: platform().overdueReason,
     };
 };
 
--- a/packages/daemon/src/instance-parts.ts
+++ b/packages/daemon/src/instance-parts.ts
@@ -31,7 +31,7 @@
     /** Milliseconds for which removals published by the platform remain unconfirmed. */
     readonly removalGraceMs: () => number;
     /** The staleness of what the platform published, and its report. */
-    readonly staleness: Pick<StalenessTelemetry, "stalenessMs" | "recordRouted">;
+    readonly staleness: Pick<StalenessTelemetry, "stalenessMs" | "recordRouted" | "fields">;
     /** Holds requests while that state may be older than its bound. */
     readonly stateGate: StateGate;
     /** Called when another configuration has become active. */
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from "../telemetry/event-log.js";
 import { events } from "../telemetry/event.js";
 import { CallSchedule, nonReaderRetryMs } from "./call-schedule.js";
+import type { OverdueReason } from "./overdue-reason.js";
 import { PlatformWatcher, type PublicationKind } from "./platform-watcher.js";
 import type { Platform, Publication } from "./platform.js";
 
@@ -113,16 +114,27 @@
     }
 
     /**
-     * Whether requests may be routed by the last known state, however old: the platform does not respond to this instance, or to the
+     * Why requests may be routed by the last known state, however old: the platform does not respond to this instance, or to the
      * reader or relay that it polls; or there is no other instance that could know more, or this one has just joined, so that it may not be
-     * known yet who reads for whom.
+     * known yet who reads for whom. `undefined` if they may not.
      */
-    get mayBeOverdue(): boolean {
+    get overdueReason(): OverdueReason | undefined {
         const { instance: { fleet }, clock } = this.options;
-        if (fleet?.roles.hasSubscribers !== true || clock.nowMs() - fleet.joinedAtMs < joinSettleMs) {
-            return true;
+        if (fleet?.roles.hasSubscribers !== true) {
+            return "alone";
+        }
+        if (clock.nowMs() - fleet.joinedAtMs < joinSettleMs) {
+            return "joined";
+        }
+        if (this.isUnavailable || this.isUnanswered) {
+            return this.isUnavailable ? "unavailable" : "unanswered";
         }
-        return this.isUnavailable || this.isUnanswered || fleet.calls.isDistributorCutOff;
+        return fleet.calls.isDistributorCutOff ? "cut-off" : undefined;
+    }
+
+    /** Whether requests may be routed by the last known state, however old. */
+    get mayBeOverdue(): boolean {
+        return this.overdueReason !== undefined;
     }
 
     /** A busy instance cannot tell whether its call was answered. */
--- a/packages/daemon/src/request/request-dispatcher.ts
+++ b/packages/daemon/src/request/request-dispatcher.ts
@@ -26,7 +26,7 @@
     readonly registry: ServiceRegistry;
     readonly telemetry: Telemetry;
     /** Reports the staleness of the configuration. */
-    readonly staleness: Pick<StalenessTelemetry, "recordRouted">;
+    readonly staleness: Pick<StalenessTelemetry, "recordRouted" | "fields">;
     /** Random samples that spread requests over the destinations of a route. */
     readonly samples: LowDiscrepancySequence;
 }
@@ -84,7 +84,7 @@
         const route = group && this.selectRoute(group);
         const runtime = route && registry.get(route.service.name);
         if (route === undefined || runtime === undefined) {
-            telemetry.requestUnrouted(request, path, configuration.generation);
+            telemetry.requestUnrouted(request, path, this.options.staleness.fields);
             response.sendProblem({ kind: "no-route", detail: `${request.method} ${path}`, outcome: "not-run" }, undefined);
             return undefined;
         }
--- a/packages/daemon/src/telemetry/staleness-telemetry.ts
+++ b/packages/daemon/src/telemetry/staleness-telemetry.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { OverdueReason } from "../platform/overdue-reason.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import type { Metrics } from "./metrics.js";
@@ -25,6 +26,8 @@
     readonly platformCallMs: number | undefined;
     /** Greatest possible age of an event that the event loop has not delivered yet, in milliseconds. */
     readonly unseenMs: number;
+    /** Why requests may be routed by this state however old it is; `undefined` if they may not. */
+    readonly overdueReason: OverdueReason | undefined;
 }
 
 /** Options of {@link StalenessTelemetry}. */
@@ -54,6 +57,11 @@
         return this.options.stalenessMs();
     }
 
+    /** The staleness and where the state came from, for the log. */
+    get fields(): Readonly<Record<string, unknown>> {
+        return { ...rounded({ stalenessMs: this.stalenessMs }), ...rounded(this.options.source()) };
+    }
+
     /**
      * Records that a request is routed. The first one beyond the bound is logged, and the first one within it after that.
      *
@@ -65,7 +73,7 @@
         metrics.routedStaleness.observe(Math.min(stalenessMs, maximumObservedMs) / 1000);
         if (stalenessMs > boundMs) {
             if (this.overdueRequests === 0) {
-                log.write(events.stateOverdue, { ...rounded({ stalenessMs }), ...rounded(source()) });
+                log.write(events.stateOverdue, this.fields);
             }
             this.overdueRequests += 1;
             this.maximumMs = Math.max(this.maximumMs, stalenessMs);
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 
-import type { Generation } from "@harrierhitch/core";
 import { isMisdirected, type LimitChange, type LimitPace } from "@harrierhitch/decision";
 import type { DirectoryChange, UpstreamDirectory, ZoneStatus } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
@@ -171,10 +170,16 @@
         this.log.write(events.requestServed, { request: id, route: route.name, outcome, status, durationMs });
     }
 
-    /** Counts and logs a request that matches no route. */
-    requestUnrouted(request: IncomingMessage, path: string, generation: Generation): void {
+    /**
+     * Counts and logs a request that matches no route.
+     *
+     * @param request - The request.
+     * @param path - Its path.
+     * @param state - The published state by which it was routed: its staleness and where it came from.
+     */
+    requestUnrouted(request: IncomingMessage, path: string, state: Readonly<Record<string, unknown>>): void {
         this.metrics.problems.inc({ problem: "no-route" });
-        this.log.write(events.requestUnrouted, { method: request.method, host: request.headers.host, path, generation });
+        this.log.write(events.requestUnrouted, { method: request.method, host: request.headers.host, path, ...state });
     }
 
     /** Logs the initial directory in a single event, because one event per entry could exceed the log's rate limit. */
--- a/packages/daemon/test/model/model-fleet.ts
+++ b/packages/daemon/test/model/model-fleet.ts
@@ -203,7 +203,7 @@
             metrics: new Metrics(false),
             polls: new PollMonitor(),
             removalGraceMs: () => 0,
-            staleness: { stalenessMs: 0, recordRouted: () => 0 },
+            staleness: { stalenessMs: 0, recordRouted: () => 0, fields: {} },
             stateGate: new StateGate({
                 clock,
                 boundMs: this.options.boundMs ?? Infinity,
--- a/packages/daemon/test/staleness-telemetry.test.ts
+++ b/packages/daemon/test/staleness-telemetry.test.ts
@@ -4,20 +4,22 @@
 
 import { FakeClock } from "@harrierhitch/core";
 import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
 import { test } from "node:test";
 import { EventLog } from "../src/telemetry/event-log.js";
 import { Metrics } from "../src/telemetry/metrics.js";
 import { StalenessTelemetry } from "../src/telemetry/staleness-telemetry.js";
+import { Telemetry } from "../src/telemetry/telemetry.js";
 import { source } from "./model/staleness-source.js";
 
-test("state beyond its bound is logged once, with its source, and once when it is back, with the requests meanwhile", async () => {
-    const clock = new FakeClock();
+const openLog = () => {
     const lines: Record<string, unknown>[] = [];
-    const log = new EventLog({
-        level: "info",
-        clock,
-        destination: { write: line => lines.push(JSON.parse(line) as Record<string, unknown>) },
-    });
+    const destination = { write: (line: string) => lines.push(JSON.parse(line) as Record<string, unknown>) };
+    return { lines, log: new EventLog({ level: "info", clock: new FakeClock(), destination }) };
+};
+
+test("state beyond its bound is logged once, with its source, and once when it is back, with the requests meanwhile", async () => {
+    const { lines, log } = openLog();
     const metrics = new Metrics();
     let stalenessMs = 0;
     const telemetry = new StalenessTelemetry({
@@ -37,3 +39,16 @@
     assert.deepEqual([current?.["requests"], current?.["maximumMs"]], [3, 3400]);
     assert.match(await metrics.registry.metrics(), /harrierhitch_routed_staleness_seconds_count 8/);
 });
+
+test("the line of a request without a route tells how old the state was, where it came from, and why it may be older", () => {
+    const { lines, log } = openLog();
+    const metrics = new Metrics(false);
+    const { fields } = new StalenessTelemetry({ log, metrics, boundMs: 2500, stalenessMs: () => 2341.4, source: () => source });
+    const request = { method: "GET", headers: { host: "b" } } as unknown as IncomingMessage;
+    new Telemetry(log, metrics).requestUnrouted(request, "/c", fields);
+    const { event, path, stalenessMs, generation, revision, distributor, overdueReason } = lines[0]!;
+    assert.deepEqual(
+        { event, path, stalenessMs, generation, revision, distributor, overdueReason },
+        { event: 405, path: "/c", stalenessMs: 2341, generation: 16, revision: 120, distributor: "n7", overdueReason: "cut-off" },
+    );
+});
