Event 221 lists the changes of one publication in one line

Changes of the directory are now collected within one turn of the event loop and written as one line (32 at the most); where an upstream is only appears when it is added. Event 403 stays as it is: it is the one line for each attempt with its inputs.

Weighed: logging at debug level (loses the cause of a request that went to a removed upstream), a line for each service (the number of lines still grows with the entries).

entry-changes.test.ts does not compile without the change.

--- a/packages/daemon/src/telemetry/event.ts
+++ b/packages/daemon/src/telemetry/event.ts
@@ -58,7 +58,7 @@
     stateAwaited: { number: 217, level: "warn", message: "requests wait, since the state may soon be older than its bound" },
     stateAwaitEnded: { number: 218, level: "info", message: "requests are routed again after waiting for newer state" },
     entryInvalid: { number: 220, level: "error", message: "discovered upstream cannot be parsed and is not used" },
-    entryChanged: { number: 221, level: "info", message: "discovered upstream was added, changed or removed" },
+    entryChanged: { number: 221, level: "info", message: "discovered upstreams were added, changed or removed" },
     directoryRead: { number: 222, level: "info", message: "discovered upstreams were read for the first time" },
     zoneChanged: { number: 223, level: "warn", message: "availability zone was taken out of service or put back" },
     itemInvalid: { number: 224, level: "error", message: "published item cannot be parsed and is ignored" },
--- a/packages/daemon/src/telemetry/telemetry.ts
+++ b/packages/daemon/src/telemetry/telemetry.ts
@@ -17,6 +17,7 @@
 import { countZoneTraffic, exchangeLogFields, selectionLogFields } from "./attempt-telemetry.js";
 import { reportUnattributed } from "./attribution-telemetry.js";
 import { type ConfigurationReport, reportConfiguration } from "./configuration-report.js";
+import { EntryChanges } from "./entry-changes.js";
 import type { EventLog } from "./event-log.js";
 import { events } from "./event.js";
 import { reportUnframed } from "./framing-telemetry.js";
@@ -24,11 +25,15 @@
 
 /** Writes log events and updates metrics. */
 export class Telemetry {
+    private readonly entryChanges: EntryChanges;
+
     /**
      * @param log - Receives events.
      * @param metrics - Receives counts.
      */
-    constructor(private readonly log: EventLog, private readonly metrics: Metrics) {}
+    constructor(private readonly log: EventLog, private readonly metrics: Metrics) {
+        this.entryChanges = new EntryChanges(log);
+    }
 
     /** Counts and logs the result of applying a configuration. */
     configurationProcessed(report: ConfigurationReport): void {
@@ -193,20 +198,8 @@
     }
 
     /** Logs a directory entry that was added, changed or removed. */
-    entryChanged({ upstream, before, after, revision }: DirectoryChange): void {
-        if (entryState(before) === entryState(after)) {
-            return;
-        }
-        const { service, address, port, availabilityZone } = after ?? before ?? {};
-        this.log.write(events.entryChanged, {
-            upstream,
-            service,
-            address: `${address}:${port}`,
-            availabilityZone,
-            before: entryState(before),
-            after: entryState(after),
-            revision,
-        });
+    entryChanged(change: DirectoryChange): void {
+        this.entryChanges.record(change);
     }
 
     /** Logs an availability zone that was taken out of service or put back. */
@@ -230,6 +223,3 @@
         this.log.write(events.upstreamStateChanged, fields);
     }
 }
-
-const entryState = (upstream: DirectoryChange["after"]): string =>
-    upstream === undefined ? "absent" : upstream.draining ? "leaving" : "ready";
