Failing tests: state counts as complete as of a time at which it was not, and requests are routed by it

The link of an instance is one queue for what it receives from the store and from others (ModelLinks); before, responses of the store passed it without a queue.

--- a/packages/daemon/test/model/busy-fleet.ts
+++ b/packages/daemon/test/model/busy-fleet.ts
@@ -1,8 +1,9 @@
 /**
- * Steps of the tests of instances that lack processor time, so that each of them reads every message late.
+ * Steps of the tests of instances that read every message late, because they lack processor time or because it waits on its way.
  */
 
 import type { Fleet } from "@harrierhitch/fleet";
+import { createDocument, createRoutes } from "./large-configuration.js";
 import { StoreFleet } from "./store-fleet.js";
 
 /** Time after which no request may be routed by state that lacks a published change, in milliseconds. */
@@ -18,8 +19,12 @@
     readonly size: number;
     readonly busyMs: number;
     readonly seed: number;
-    /** Whether only readers and relays lack processor time; all instances by default. */
+    /** Whether only readers and relays read messages late; all instances by default. */
     readonly areOnlyDistributorsBusy?: boolean;
+    /** Whether messages wait on their way, which the instances cannot tell, and not for the processor. */
+    readonly isOnTheWay?: boolean;
+    /** Bytes per millisecond that the link of each instance takes; infinite by default. With it, each change is a large document. */
+    readonly linkBytesPerMs?: number;
 }
 
 /** What became of the requests. */
@@ -41,7 +46,7 @@
 
 /** Starts instances with callers that read messages late from then on. */
 export const startBusyFleet = async (busyCase: BusyFleetCase): Promise<StoreFleet> => {
-    const { size, busyMs, seed, areOnlyDistributorsBusy = false } = busyCase;
+    const { size, busyMs, seed, areOnlyDistributorsBusy = false, isOnTheWay = false, linkBytesPerMs = Infinity } = busyCase;
     const fleet = new StoreFleet(seed, boundMs);
     Array.from({ length: size }, (_, id) => fleet.clock.after(fleet.random.next() * 300, () => fleet.start(id)));
     fleet.publish();
@@ -52,10 +57,27 @@
     await fleet.clock.advance(2000);
     [...fleet.instances.values()]
         .filter(instance => !areOnlyDistributorsBusy || isDistributor(instance))
-        .forEach(({ id }) => fleet.busyMs.set(id, busyMs));
+        .forEach(({ id }) => (isOnTheWay ? fleet.wayMs : fleet.busyMs).set(id, busyMs));
+    fleet.linkBytesPerMs = linkBytesPerMs;
     return fleet;
 };
 
+/** Returns the documents to publish on links of limited speed: one route of 1,760 changes each time. */
+const createDocuments = (fleet: StoreFleet): () => string | undefined => {
+    if (fleet.linkBytesPerMs === Infinity) {
+        return () => undefined;
+    }
+    const routes = createRoutes(1760, fleet.random);
+    let published = 0;
+    return () => {
+        published += 1;
+        return createDocument(
+            published,
+            routes.map((route, index) => index === published ? route.replace("1200", "1300") : route),
+        );
+    };
+};
+
 /** Sends requests to all instances for some seconds while changes are published. */
 export const runBusyFleet = async (fleet: StoreFleet, seconds: number, changes: number): Promise<BusyFleetResult> => {
     const ends: { readonly result: string; readonly durationMs: number; }[] = [];
@@ -70,9 +92,10 @@
         ends.push({ result, durationMs: fleet.clock.nowMs() - sentAtMs });
     };
     const steps = seconds * 1000 / stepMs;
+    const nextDocument = createDocuments(fleet);
     for (let step = 0; step < steps; step += 1) {
         if (step % Math.ceil(steps / changes) === 20) {
-            fleet.publish();
+            fleet.publish(nextDocument());
         }
         await fleet.clock.advance(stepMs);
         const behind = fleet.staleInstances(boundMs);
--- a/packages/daemon/test/model/large-configuration.ts
+++ b/packages/daemon/test/model/large-configuration.ts
@@ -15,7 +15,8 @@
 /** A document whose first line is its generation, with one line of some 190 random bytes for each route. */
 export const createDocument = (generation: number, routes: readonly string[]): string => [generation, ...routes].join("\n");
 
-const createRoutes = (count: number, random: SeededRandom): string[] => {
+/** Returns lines of random routes. */
+export const createRoutes = (count: number, random: SeededRandom): string[] => {
     const name = (): string => random.next().toString(36).slice(2, 10);
     return Array.from({ length: count }, () =>
         JSON.stringify({
--- a/packages/daemon/test/model/model-store.ts
+++ b/packages/daemon/test/model/model-store.ts
@@ -4,6 +4,7 @@
 
 import { FakeClock, SeededRandom, upstreamId } from "@harrierhitch/core";
 import { type Platform, PlatformError, type Publication } from "../../src/platform/platform.js";
+import { ModelLinks, type Transfer } from "./model-links.js";
 
 /** Timeout of a call beyond its long poll, in milliseconds. */
 const silentCallMs = 1000;
@@ -34,6 +35,8 @@
     storeDelayMs = 4;
     /** Mean time until an instance that lacks processor time reads a message that has arrived, in milliseconds. */
     readonly busyMs = new Map<number, number>();
+    /** Mean time that a message to or from an instance waits on its way, in milliseconds; the instance cannot tell. */
+    readonly wayMs = new Map<number, number>();
     /** Time until an unanswered call fails, in milliseconds; with `isUnresponsive` it counts from the end of the long poll. */
     unansweredCallMs = 500;
     /** Whether calls during an outage are never answered, so that they last for their timeout even if the store recovers. */
@@ -42,11 +45,12 @@
     isUnresponsive = false;
     /** Bytes per millisecond that the link of each instance takes; infinite by default. */
     linkBytesPerMs = Infinity;
-    /** Bytes per millisecond that the link of the store takes; 1,000 Mbit/s. */
-    private readonly storeBytesPerMs = 125_000;
-    /** When the link of the store has sent all that it was given. */
-    private sentAtMs = 0;
+    protected readonly links = new ModelLinks(this.clock, () => this.linkBytesPerMs);
+    /** The link of the store, which all instances share; 1,000 Mbit/s. */
+    private readonly storeLink = new ModelLinks(this.clock, () => 125_000);
     private configuration = { text: undefined as string | undefined, revision: 0 };
+    /** The generation of each published configuration by its revision. */
+    private readonly generations = new Map<number, number>();
 
     /** @param seed - The seed of the random source. */
     constructor(seed: number) {
@@ -63,14 +67,29 @@
         this.publishedAtMs.push(this.clock.nowMs());
         if (text !== undefined) {
             this.configuration = { text, revision: this.revision };
+            this.generations.set(this.revision, Number.parseInt(text, 10));
         }
     }
 
+    /** The last revision published up to a time. */
+    revisionAt(atMs: number): number {
+        return this.publishedAtMs.findLastIndex(publishedAtMs => publishedAtMs <= atMs);
+    }
+
+    /** The generation of the configuration at a revision; 0 without one. */
+    generationAt(revision: number): number {
+        return [...this.generations].findLast(([publishedAt]) => publishedAt <= revision)?.[1] ?? 0;
+    }
+
     /** Returns the access of an instance to the store. */
     protected createPlatform(id: number): Platform {
         return {
-            read: (_, mayBeStale, onResponse) => this.respond(id, mayBeStale ? 0.1 : 1, 0, onResponse),
+            read: async (_, mayBeStale, onResponse) => {
+                await this.wait(this.wayDelayMs(id));
+                return await this.respond(id, mayBeStale ? 0.1 : 1, 0, onResponse);
+            },
             watch: async (revision, signal, longPollMs, onResponse) => {
+                await this.wait(this.wayDelayMs(id));
                 const startedAtMs = this.clock.nowMs();
                 if (this.isUnresponsive && !this.serves(id)) {
                     await this.wait(longPollMs);
@@ -99,17 +118,21 @@
         return busyMs === undefined ? 0 : busyMs * (maximumReadingShare - this.random.next());
     }
 
+    /** Time that a message waits on its way; zero without a random draw if there is nothing to wait for. */
+    protected wayDelayMs(id: number): number {
+        const wayMs = this.wayMs.get(id);
+        return wayMs === undefined ? 0 : wayMs * (0.5 + this.random.next());
+    }
+
     private async wait(delayMs: number): Promise<void> {
         if (delayMs > 0) {
             await new Promise<void>(resolve => this.clock.after(delayMs, resolve));
         }
     }
 
-    /** Waits until a response has passed the link of the store, which all share, and that of an instance. */
-    private async transfer(bytes: number): Promise<void> {
-        const nowMs = this.clock.nowMs();
-        this.sentAtMs = Math.max(nowMs, this.sentAtMs) + bytes / this.storeBytesPerMs;
-        await this.wait(bytes === 0 ? 0 : this.sentAtMs - nowMs + bytes / this.linkBytesPerMs);
+    /** Returns when a response has passed the link of the store, and that of an instance behind all that the instance receives. */
+    private transfer(id: number, bytes: number): Transfer {
+        return this.links.receive(id, bytes, this.storeLink.send(0, bytes));
     }
 
     private serves(id: number): boolean {
@@ -129,9 +152,10 @@
         }
         const { revision } = this;
         const configuration = afterRevision < this.configuration.revision ? this.configuration.text : undefined;
-        await this.wait(this.readingDelayMs(id));
+        const { beginsAtMs, endsAtMs } = this.transfer(id, (configuration?.length ?? 0) * encodedShare);
+        await this.wait(beginsAtMs - this.clock.nowMs() + this.readingDelayMs(id) + this.wayDelayMs(id));
         onResponse();
-        await this.transfer((configuration?.length ?? 0) * encodedShare);
+        await this.wait(endsAtMs - beginsAtMs);
         const listings = afterRevision < revision ? [{ upstream: upstreamId("a"), revision, text: "ready" }] : [];
         return { revision, configuration, listings, zones: [] };
     }
--- a/packages/daemon/test/model/peer-network.ts
+++ b/packages/daemon/test/model/peer-network.ts
@@ -7,6 +7,7 @@
 import type { FakeClock, SeededRandom } from "@harrierhitch/core";
 import type { PeerAddress, peerService } from "@harrierhitch/fleet";
 import { PeerService } from "@harrierhitch/protocol";
+import type { ModelLinks } from "./model-links.js";
 
 /** Port of instance 0; the others follow. */
 export const basePort = 7000;
@@ -21,8 +22,8 @@
     readonly isPartitioned?: (a: number, b: number) => boolean;
     /** Time until an instance reads a message that has arrived, in milliseconds. */
     readonly readingDelayMs?: (id: number) => number;
-    /** Bytes per millisecond that the link of each instance takes in each direction. */
-    readonly linkBytesPerMs?: () => number;
+    /** The links of the instances; messages take no time to pass them by default. */
+    readonly links?: ModelLinks;
 }
 
 /** Transports exchanges between instances. */
@@ -32,10 +33,6 @@
     /** Bytes of these requests and of their responses. */
     bytes = 0;
     private readonly services = new Map<number, Service>();
-    /** When the link of each instance has sent all that it was given. */
-    private readonly sentAtMs = new Map<number, number>();
-    /** When the link of each instance has received all that was sent to it. */
-    private readonly receivedAtMs = new Map<number, number>();
 
     constructor(
         private readonly clock: FakeClock,
@@ -91,13 +88,9 @@
 
     /** Waits until a message has passed both links, each of which sends one message after another, and has been read. */
     private async transfer(from: number, to: number, bytes: number): Promise<void> {
-        const { readingDelayMs = () => 0, linkBytesPerMs = () => Infinity } = this.options;
+        const { readingDelayMs = () => 0, links } = this.options;
         const nowMs = this.clock.nowMs();
-        const durationMs = bytes / linkBytesPerMs();
-        const sentAtMs = Math.max(nowMs, this.sentAtMs.get(from) ?? 0) + durationMs;
-        this.sentAtMs.set(from, sentAtMs);
-        const arrivedAtMs = Math.max(sentAtMs, (this.receivedAtMs.get(to) ?? 0) + durationMs);
-        this.receivedAtMs.set(to, arrivedAtMs);
+        const arrivedAtMs = links?.receive(to, bytes, links.send(from, bytes)).endsAtMs ?? nowMs;
         const delayMs = arrivedAtMs - nowMs + oneWayDelayMs * (0.5 + this.random.next()) + readingDelayMs(to);
         await new Promise<void>(resolve => this.clock.after(delayMs, resolve));
     }
--- a/packages/daemon/test/model/store-fleet.ts
+++ b/packages/daemon/test/model/store-fleet.ts
@@ -49,8 +49,8 @@
     ) {
         super(seed);
         this.network = new PeerNetwork(this.clock, this.random, this.isolated, {
-            readingDelayMs: id => this.readingDelayMs(id),
-            linkBytesPerMs: () => this.linkBytesPerMs,
+            readingDelayMs: id => this.readingDelayMs(id) + this.wayDelayMs(id),
+            links: this.links,
         });
     }
 
@@ -141,31 +141,42 @@
         [...this.instances.keys()].forEach(id => this.kill(id));
     }
 
-    /** Returns the instances with callers that lack a revision published longer ago than the given time. */
+    /** Returns the instances with callers that lack a change published longer ago than the given time. */
     staleInstances(ms: number): readonly number[] {
         const dueRevision = this.dueRevision(ms);
         return [...this.instances.values()]
-            .filter(({ directory, hasCallers }) => hasCallers && directory.revision < dueRevision)
+            .filter(instance => instance.hasCallers && this.lacks(instance, dueRevision))
             .map(({ id }) => id);
     }
 
     /**
      * Sends a request to an instance.
      *
-     * @returns Whether it was routed by state that lacks a revision published longer ago than the given time, or was rejected.
+     * @returns Whether it was routed by state that lacks a change published longer ago than the given time, or was rejected.
      */
     async request(id: number, ms: number): Promise<"current" | "stale" | "rejected"> {
-        const { directory, gate } = this.instances.get(id)!;
-        if (!await gate.wait()) {
+        const instance = this.instances.get(id)!;
+        if (!await instance.gate.wait()) {
             return "rejected";
         }
-        return directory.revision < this.dueRevision(ms) ? "stale" : "current";
+        return this.lacks(instance, this.dueRevision(ms)) ? "stale" : "current";
+    }
+
+    /** Returns the instances that lack a change which was published before the time as of which they take their state to be complete. */
+    get mistakenInstances(): readonly number[] {
+        return [...this.instances.values()]
+            .filter(instance => this.lacks(instance, this.dueRevision(instance.link.stalenessMs)))
+            .map(({ id }) => id);
+    }
+
+    /** Whether an instance lacks changes up to a revision. */
+    private lacks({ directory, activeConfiguration: { current } }: RunningInstance, revision: number): boolean {
+        return directory.revision < revision || (current?.configuration.generation ?? 0) < this.generationAt(revision);
     }
 
     /** The last revision published longer ago than the given time. */
     private dueRevision(ms: number): number {
-        const beforeMs = this.clock.nowMs() - ms;
-        return this.publishedAtMs.findLastIndex(atMs => atMs <= beforeMs);
+        return this.revisionAt(this.clock.nowMs() - ms);
     }
 
     private join(id: number, directory: UpstreamDirectory, activeConfiguration: ActiveConfiguration): Fleet {
