--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -96,7 +96,7 @@
 
     /** Duration of the call to the platform that is in progress, in milliseconds; `undefined` if there is none. */
     get callMs(): number | undefined {
-        return this.watcher.callMs;
+        return this.watcher.progress.callMs;
     }
 
     /** Milliseconds since the last time as of which no published change is missing; infinite before the first. */
@@ -136,7 +136,7 @@
 
     /** A busy instance cannot tell whether its call was answered. */
     private get isUnanswered(): boolean {
-        return this.watcher.unansweredMs > unansweredMs && !this.options.isBehind();
+        return this.watcher.progress.unansweredMs > unansweredMs && !this.options.isBehind();
     }
 
     /** Milliseconds for which removals remain unconfirmed because the platform was unavailable until recently. */
@@ -177,7 +177,7 @@
         if (fleet?.roles.hasSubscribers !== true) {
             return watchMs;
         }
-        const dueInMs = times.confirmMs - this.stalenessMs - this.watcher.roundTripMs;
+        const dueInMs = times.confirmMs - this.stalenessMs - this.watcher.progress.roundTripMs;
         return Math.min(Math.max(0, dueInMs), times.confirmMs, watchMs);
     }
 
--- a/packages/daemon/src/platform/platform-watcher.ts
+++ b/packages/daemon/src/platform/platform-watcher.ts
@@ -5,6 +5,7 @@
  */
 
 import { asError, type Clock, type RandomSource, sleep } from "@harrierhitch/core";
+import { CallProgress } from "./call-progress.js";
 import {
     HistoryLostError,
     OversizedPublicationError,
@@ -51,19 +52,12 @@
 /** Shortest interval between such checks, in milliseconds; avoids a busy loop when rounding leaves a tiny delay. */
 const minimumCheckIntervalMs = 1;
 
-/** Share of the longest round trip that is kept with each call. */
-const roundTripDecay = 0.8;
-
 /** Reads the platform once, then watches it whenever a call is due. Failed calls are reported and retried. */
 export class PlatformWatcher {
     private readonly stopping = new AbortController();
     private respondedAtMs: number | undefined;
-    private calledAtMs: number | undefined;
-    /** Longest time for which the platform may hold the call in progress, in milliseconds. */
-    private callLongPollMs = 0;
-    /** Whether the response to the call in progress has begun to arrive. */
-    private isAnswered = false;
-    private recentRoundTripMs = 0;
+    /** The call in progress, and how long calls take. */
+    readonly progress: CallProgress;
     private hasRead = false;
     private consecutiveFailures = 0;
     private stalledAtMs = -Infinity;
@@ -75,29 +69,15 @@
     private unusableRevision: number | undefined;
 
     /** @param options - The platform and callbacks. */
-    constructor(private readonly options: PlatformWatcherOptions) {}
+    constructor(private readonly options: PlatformWatcherOptions) {
+        this.progress = new CallProgress(options.clock);
+    }
 
     /** Milliseconds since the platform's last response; negative if there was none. */
     get lastResponseAgeMs(): number {
         return this.respondedAtMs === undefined ? -1 : this.options.clock.nowMs() - this.respondedAtMs;
     }
 
-    /** Duration of the call in progress, in milliseconds; `undefined` if there is none. */
-    get callMs(): number | undefined {
-        return this.calledAtMs === undefined ? undefined : this.options.clock.nowMs() - this.calledAtMs;
-    }
-
-    /** Time for which the call in progress has had no response although one is due, in milliseconds. */
-    get unansweredMs(): number {
-        const { callMs, isAnswered, callLongPollMs } = this;
-        return callMs === undefined || isAnswered ? 0 : Math.max(0, callMs - callLongPollMs);
-    }
-
-    /** Time that calls took lately apart from the wait for changes, in milliseconds. */
-    get roundTripMs(): number {
-        return this.recentRoundTripMs;
-    }
-
     start(): void {
         void this.run();
     }
@@ -120,9 +100,7 @@
                 await sleep(clock, Math.max(minimumCheckIntervalMs, Math.min(dueMs, maximumCheckIntervalMs)), signal);
                 continue;
             }
-            this.calledAtMs = clock.nowMs();
-            this.isAnswered = false;
-            const nextCallAtMs = this.calledAtMs + batchMs;
+            const nextCallAtMs = clock.nowMs() + batchMs;
             await this.callOnce(signal);
             await sleep(clock, nextCallAtMs - clock.nowMs(), signal);
         }
@@ -133,16 +111,14 @@
         const kind = this.nextKind();
         const requestedAtMs = clock.nowMs();
         try {
-            const publication = await this.call(kind, signal).finally(() => {
-                this.calledAtMs = undefined;
-            });
+            const publication = await this.call(kind, signal).finally(() => this.progress.end());
             this.hasRead = true;
             this.needsCurrentRead = false;
             this.unusableRevision = undefined;
             this.onResponse();
             checkForStall();
             const heldMs = this.heldMs(publication, requestedAtMs);
-            this.recordRoundTrip(clock.nowMs() - requestedAtMs, heldMs);
+            this.progress.recordDuration(clock.nowMs() - requestedAtMs, heldMs);
             onPublication(publication, kind, requestedAtMs + heldMs);
             this.options.onCallEnd();
         }
@@ -171,13 +147,6 @@
         return this.options.clock.nowMs() - requestedAtMs >= heldMs ? heldMs : 0;
     }
 
-    /** Records how long a call took without the wait for changes, if that wait is known. */
-    private recordRoundTrip(durationMs: number, heldMs: number): void {
-        if (heldMs > 0 || this.callLongPollMs === 0) {
-            this.recentRoundTripMs = Math.max(durationMs - heldMs, this.recentRoundTripMs * roundTripDecay);
-        }
-    }
-
     /**
      * Returns whether a watch would fail again in the same way: its response is too large, or could not be used for the second time
      * since the same revision.
@@ -216,18 +185,16 @@
     }
 
     private async call(kind: PublicationKind, signal: AbortSignal): Promise<Publication> {
-        const { platform, appliedRevision, longPollMs } = this.options;
-        const onResponse = (): void => {
-            this.isAnswered = true;
-        };
+        const { platform, appliedRevision } = this.options;
+        const onResponse = (): void => this.progress.answer();
+        // While the platform fails, calls return at once so that a recovery is detected early.
+        const longPollMs = kind === "changes" && this.consecutiveFailures === 0 ? this.options.longPollMs() : 0;
+        this.progress.begin(longPollMs);
         if (kind !== "changes") {
-            this.callLongPollMs = 0;
             return platform.read(signal, kind === "stale-snapshot", onResponse);
         }
         const revision = appliedRevision();
-        // While the platform fails, calls return at once so that a recovery is detected early.
-        this.callLongPollMs = this.consecutiveFailures === 0 ? longPollMs() : 0;
-        const publication = await platform.watch(revision, signal, this.callLongPollMs, onResponse);
+        const publication = await platform.watch(revision, signal, longPollMs, onResponse);
         const { listings, zones, configuration } = publication;
         const isEmpty = listings.length === 0 && zones.length === 0 && configuration === undefined;
         // An empty response keeps the old revision, because a platform about to lose its history may omit changes.
