--- a/packages/daemon/src/state-gate.ts
+++ b/packages/daemon/src/state-gate.ts
@@ -23,8 +23,8 @@
 /** Part of the bound that is left to requests for opening a connection and reaching their upstream, in milliseconds. */
 export const sendReserveMs = 150;
 
-/** Longest wait of a request, in milliseconds; a read of the platform usually takes less. */
-const maximumWaitMs = 500;
+/** Longest wait of a request, in milliseconds; a call to the platform that takes longer fails. */
+const maximumWaitMs = 1000;
 
 /** Maximum number of waiting requests; further ones are rejected at once. */
 const maximumWaiters = 500;
