A request waits for newer state no longer than its own time

With a wait of up to a second, a request whose route allows 0.8 s, or whose caller gave it 0.4 s, waited beyond its time and was answered only then. It is now rejected as not run when its time by the last known route is over. The dispatcher, which knows the routes, waits for the gate.

overdue-state.test.ts: no answer before 400 ms and 503 not-run right after; without the change there was none by then.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -157,7 +157,7 @@
         try {
             const arrivedAtMs = this.parts.clock.nowMs();
             await Promise.all([response.awaitTurn(), this.stallRecovery.done]);
-            await (this.configuration === undefined ? this.startupGate.wait() : this.stateGate.wait());
+            await (this.configuration === undefined ? this.startupGate.wait() : undefined);
             await this.requestDispatcher.serve({ request, response, arrivedAtMs, hasContactedPeers: this.hasContactedPeers });
         }
         catch (thrown) {
--- a/packages/daemon/src/request/request-dispatcher.ts
+++ b/packages/daemon/src/request/request-dispatcher.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { type Route, type RouteGroup, selectRoute } from "@harrierhitch/configuration";
+import { type Configuration, type Route, type RouteGroup, selectRoute } from "@harrierhitch/configuration";
 import type { ActiveConfiguration } from "@harrierhitch/published";
 import type { IncomingMessage } from "node:http";
 import { notReadyRetryAfterMs } from "../instance-times.js";
@@ -46,11 +46,23 @@
     /** @param options - Services and the active configuration. */
     constructor(private readonly options: RequestDispatcherOptions) {}
 
-    /** Serves a request until it is finished. */
+    /** Serves a request until it is finished; it is routed once the published state is recent enough. */
     async serve(arrived: ArrivedRequest): Promise<void> {
+        await this.options.services.stateGate.wait(() => this.timeoutMs(arrived.request));
         await this.route(arrived)?.run();
     }
 
+    /** Returns the time in which a request has to be answered by its route as known now, in milliseconds; infinite without one. */
+    private timeoutMs(request: IncomingMessage): number {
+        const { services: { headerProtocol }, activeConfiguration: { current } } = this.options;
+        if (current === undefined) {
+            return Infinity;
+        }
+        const { configuration } = current;
+        const kind = this.findGroup(configuration, request)?.destinations[0]?.route.kind;
+        return kind === undefined ? Infinity : headerProtocol.readRequestMetadata(request, configuration.fleet, kind).timeoutMs;
+    }
+
     /**
      * Finds the route of a request. Not part of the asynchronous function, whose variables would keep the configuration alive until
      * the request is finished.
@@ -80,7 +92,7 @@
         const { configuration } = current;
         const stalenessMs = this.options.staleness.recordRouted();
         const path = pathOf(request.url ?? "/");
-        const group = configuration.router.find(request.method ?? "", hostOf(request), path);
+        const group = this.findGroup(configuration, request);
         const route = group && this.selectRoute(group);
         const runtime = route && registry.get(route.service.name);
         if (route === undefined || runtime === undefined) {
@@ -94,6 +106,10 @@
         return new RequestTask(services, runtime, progress);
     }
 
+    private findGroup({ router }: Configuration, request: IncomingMessage): RouteGroup | undefined {
+        return router.find(request.method ?? "", hostOf(request), pathOf(request.url ?? "/"));
+    }
+
     private selectRoute(group: RouteGroup): Route | undefined {
         return selectRoute(group, group.destinations.length > 1 ? this.options.samples.next(group.name) : 0);
     }
--- a/packages/daemon/src/state-gate.ts
+++ b/packages/daemon/src/state-gate.ts
@@ -49,6 +49,8 @@
 
 interface Waiter {
     readonly sinceMs: number;
+    /** When to give up. */
+    readonly untilMs: number;
     readonly resolve: (isOpen: boolean) => void;
 }
 
@@ -74,9 +76,10 @@
     /**
      * Waits until the gate is open.
      *
-     * @returns Whether it is; false once the request has waited for long, or too many wait already.
+     * @param leftMs - Returns the time that is left to answer the request, in milliseconds; called only if it has to wait.
+     * @returns Whether it is; false once the request has waited for long or its time has passed, or too many wait already.
      */
-    async wait(): Promise<boolean> {
+    async wait(leftMs: () => number = () => Infinity): Promise<boolean> {
         const { clock, telemetry } = this.options;
         if (this.isOpen) {
             telemetry?.recordOpened();
@@ -87,7 +90,9 @@
             telemetry?.recordWait(0, false);
             return false;
         }
-        return await new Promise<boolean>(resolve => this.add({ sinceMs: clock.nowMs(), resolve }));
+        const sinceMs = clock.nowMs();
+        const untilMs = sinceMs + Math.min(maximumWaitMs, leftMs());
+        return await new Promise<boolean>(resolve => this.add({ sinceMs, untilMs, resolve }));
     }
 
     /** An instance that has just started has read the platform, though possibly a copy that was a few seconds old. */
@@ -111,7 +116,7 @@
         const { clock, telemetry } = this.options;
         const { isOpen } = this;
         const nowMs = clock.nowMs();
-        const ended = [...this.waiters].filter(({ sinceMs }) => isOpen || nowMs - sinceMs >= maximumWaitMs);
+        const ended = [...this.waiters].filter(({ untilMs }) => isOpen || nowMs >= untilMs);
         ended.forEach(waiter => {
             this.waiters.delete(waiter);
             telemetry?.recordWait(nowMs - waiter.sinceMs, isOpen);
--- a/packages/daemon/test/overdue-state.test.ts
+++ b/packages/daemon/test/overdue-state.test.ts
@@ -77,6 +77,16 @@
         assert.equal(requestsReceived(fleet), 0);
     });
 
+    test("rejects a request when its own time is over, if that is earlier", async () => {
+        const result: { answer?: ModelAnswer; } = {};
+        void fleet.sendRequest(400, { method: "POST" }).then(answer => Object.assign(result, { answer }));
+        await fleet.clock.advance(0);
+        await fleet.clock.advance(380);
+        assert.deepEqual(result, {});
+        await fleet.clock.advance(40);
+        assert.deepEqual([result.answer?.status, result.answer?.outcome], [503, "not-run"]);
+    });
+
     test("rejects at once what exceeds the maximum number of waiting requests", async () => {
         const results = await Promise.all(Array.from({ length: 600 }, () => send(fleet)));
         assert.equal(results.filter(({ answer }) => answer?.status === 503).length, 100);
