A directory is not taken over without the document that came with it

A watch from there does not return the document, and confirms the state without it, until another instance sends it in full.

second-request.test.ts has the case: revision 7 with generation 1 before, 5 now, and both after the next exchange.

--- a/packages/fleet/src/document-exchange.ts
+++ b/packages/fleet/src/document-exchange.ts
@@ -60,11 +60,16 @@
         return readsEdits ? [this.edited(current, version, remote)] : [create(DocumentSchema, { version, text: current.text })];
     }
 
-    /** Restores a received document and passes it on; reports one that cannot be restored, and accepts no edits any more. */
-    receive(peer: string, document: Document): void {
+    /**
+     * Restores a received document and passes it on; reports one that cannot be restored, and accepts no edits any more.
+     *
+     * @returns Whether it was restored.
+     */
+    receive(peer: string, document: Document): boolean {
         const { onConfiguration, onUnreadableDocument } = this.options;
         try {
             onConfiguration(peer, this.textOf(document));
+            return true;
         }
         catch (thrown) {
             if (!(thrown instanceof DocumentEditsError)) {
@@ -72,6 +77,7 @@
             }
             this.canReadEdits = false;
             onUnreadableDocument(peer, thrown);
+            return false;
         }
     }
 
--- a/packages/fleet/src/exchange.ts
+++ b/packages/fleet/src/exchange.ts
@@ -150,8 +150,7 @@
         if (message.$typeName === ExchangeResponseSchema.typeName && message.told !== undefined) {
             this.receivedCursors.set(peer, message.told);
         }
-        message.configurationDocuments.forEach(document => this.published.documents.receive(peer, document));
-        this.published.mergeDirectory(message.directory);
+        this.published.merge(peer, message);
         const drainMessages = drainGossip.merge(message.observations);
         drainMessages.forEach(onDrainMessage);
         this.quarantines.set(peer, message.withheld);
--- a/packages/fleet/src/published-exchange.ts
+++ b/packages/fleet/src/published-exchange.ts
@@ -76,8 +76,17 @@
         return directReads.pendingGeneration > 0;
     }
 
-    /** Merges the directory of another instance. */
-    mergeDirectory(message: Directory | undefined): void {
+    /**
+     * Merges the documents and the directory of another instance; not the directory without a document, which the platform would not send
+     * again to an instance that has the directory's revision.
+     */
+    merge(peer: string, { configurationDocuments, directory }: ExchangeRequest | ExchangeResponse): void {
+        if (configurationDocuments.every(document => this.documents.receive(peer, document))) {
+            this.mergeDirectory(directory);
+        }
+    }
+
+    private mergeDirectory(message: Directory | undefined): void {
         const { directory, onDirectory } = this.options;
         const update = message === undefined ? undefined : decodeDirectory(message);
         const isEmpty = update === undefined || update.entries.length === 0 && update.zones.length === 0;
--- a/packages/fleet/test/fake-fleet.ts
+++ b/packages/fleet/test/fake-fleet.ts
@@ -44,6 +44,8 @@
 export class FakeFleet {
     readonly clock = new FakeClock();
     readonly random: SeededRandom;
+    /** Whether documents that cannot be restored are expected. */
+    mayBeUnreadable = false;
     /** Number of delivered requests. */
     messages = 0;
     /** Bytes of delivered requests and of their responses. */
@@ -116,7 +118,9 @@
             onConfiguration: (_, text) => void apply(text),
             mayReadPlatform: () => false,
             onUnreadableDocument: (_, error) => {
-                throw error;
+                if (!this.mayBeUnreadable) {
+                    throw error;
+                }
             },
             onDirectory: () => undefined,
             onDrainMessage: message => drainMessages.push(message),
--- a/packages/fleet/test/second-request.test.ts
+++ b/packages/fleet/test/second-request.test.ts
@@ -71,3 +71,29 @@
     });
     assert.equal(requests, 1);
 });
+
+test("an instance that cannot restore a document does not take over what was published with it", async () => {
+    const fleet = new FakeFleet(1);
+    fleet.mayBeUnreadable = true;
+    const [behind, ahead] = [startWith(fleet, "n1", 5, [entry("a", 5)]), startWith(fleet, "n2", 5, [entry("a", 5)])];
+    [behind, ahead].forEach(node => node.apply(configurationText(1)));
+    ahead.apply(configurationText(2));
+    ahead.directory.merge({ revision: 7, isSnapshot: false, entries: [entry("b", 7)], zones: [] });
+    ahead.fleet.stalenessTracker.confirm(0);
+    const exchangeWithAhead = (hash: (original: string) => string): Promise<unknown> =>
+        behind.fleet.exchange.initiate(async request => {
+            const response = await ahead.fleet.exchange.respond(request);
+            response.configurationDocuments.forEach(({ base }) => {
+                if (base !== undefined) {
+                    base.hash = hash(base.hash);
+                }
+            });
+            return response;
+        });
+    await exchangeWithAhead(original => `${original}x`);
+    // A watch from revision 7 would not return the document.
+    assert.deepEqual([behind.generations.at(-1), behind.directory.revision], [1, 5]);
+    assert.equal(behind.fleet.stalenessTracker.stalenessMs, Infinity);
+    await exchangeWithAhead(original => original);
+    assert.deepEqual([behind.generations.at(-1), behind.directory.revision, upstreamsOf(behind)], [2, 7, ["a", "b"]]);
+});
