A reader that is served shows that the platform is not away

Until the state is as old as two bounds, the gate now stays closed while another instance has been a reader for longer than a call takes and has not stated that it failed. After that this instance hears from nobody, and serves on. An unanswered call of its own needs two other witnesses.

overdue-platform.test.ts: the gate opens at twice the bound with such a reader, and not before; two reports open it during an unanswered call, one does not (it did before).

--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -51,6 +51,9 @@
  */
 const expiryGraceMs = 1300;
 
+/** Time after the end of a long poll in which a call without an answer fails, and other instances know of it, in milliseconds. */
+const callGraceMs = 1500;
+
 /** Age up to which another instance's statement that the platform does not respond counts, in staleness bounds. */
 const reportBounds = 2;
 
@@ -115,15 +118,18 @@
      * instance may be one; or there is no other instance that could know more. `undefined` if they may not.
      */
     get overdueReason(): OverdueReason | undefined {
-        const { instance: { fleet } } = this.options;
+        const { instance: { fleet }, times } = this.options;
         if (fleet?.roles.hasSubscribers !== true) {
             return "alone";
         }
+        if (this.stalenessMs <= reportBounds * times.boundMs && fleet.roles.hasServedReader(times.longPollMs + callGraceMs)) {
+            return undefined;
+        }
         const { reports } = this;
         if (this.isUnavailable && (reports > 0 || this.watcher.failures >= minimumFailures)) {
             return "unavailable";
         }
-        if (this.isUnanswered && reports > 0) {
+        if (this.isUnanswered && reports > 1) {
             return "unanswered";
         }
         return fleet.calls.isDistributorCutOff && reports > 1 ? "cut-off" : undefined;
--- a/packages/daemon/test/gate-outages.test.ts
+++ b/packages/daemon/test/gate-outages.test.ts
@@ -11,7 +11,7 @@
 interface Fault {
     readonly name: string;
     readonly inject: (fleet: StoreFleet) => void;
-    /** Sizes of the fleets with large documents for which the test fails, see KNOWN-RED.txt. */
+    /** Seeds for which the test fails with 24 instances and large documents, see KNOWN-RED.txt. */
     readonly failsFor?: readonly number[];
 }
 
@@ -31,11 +31,12 @@
 const cases: readonly BusyFleetCase[] = [
     { size: 24, busyMs: 0, seed: 1 },
     { size: 24, busyMs: 300, seed: 1, linkBytesPerMs },
+    { size: 24, busyMs: 300, seed: 3, linkBytesPerMs },
     { size: 60, busyMs: 200, seed: 2, linkBytesPerMs },
 ];
 
-const nameOf = ({ size, busyMs, linkBytesPerMs: link }: BusyFleetCase): string =>
-    `${size} instances, messages wait ${busyMs} ms, ${link === undefined ? "no" : "large"} documents`;
+const nameOf = ({ size, busyMs, seed, linkBytesPerMs: link }: BusyFleetCase): string =>
+    `${size} instances, messages wait ${busyMs} ms, ${link === undefined ? "no" : "large"} documents, seed ${seed}`;
 
 describe("no request is routed by state beyond the bound while the platform serves some calls, but", () => {
     const faults: readonly Fault[] = [
@@ -44,14 +45,13 @@
             inject: fleet => {
                 fleet.callsPerSecond = fleet.instances.size / 4;
             },
-            failsFor: [24],
+            failsFor: [1, 3],
         },
         {
             name: "loses a fifth of the responses",
             inject: fleet => {
                 fleet.lostShare = 0.2;
             },
-            failsFor: [24],
         },
         { name: "rejects those of one instance", inject: fleet => fleet.rejected.add(7) },
         {
@@ -60,7 +60,7 @@
                 fleet.isSilent = true;
                 fleet.instances.forEach(({ id }) => id % 3 === 1 && fleet.rejected.add(id));
             },
-            failsFor: [24],
+            failsFor: [3],
         },
         {
             name: "is slow",
@@ -71,7 +71,8 @@
     ];
     faults.forEach(({ name, inject, failsFor = [] }) => {
         cases.forEach(busyCase => {
-            const isKnown = failsFor.includes(busyCase.size) && busyCase.linkBytesPerMs !== undefined;
+            const { size, seed, linkBytesPerMs: link } = busyCase;
+            const isKnown = size === 24 && failsFor.includes(seed) && link !== undefined;
             const todo = isKnown ? "KNOWN-RED.txt, issue 88" : undefined;
             test(`${name} (${nameOf(busyCase)})`, { todo }, async t => {
                 const result = await run(busyCase, inject, 6);
--- a/packages/daemon/test/model/test-link.ts
+++ b/packages/daemon/test/model/test-link.ts
@@ -159,11 +159,14 @@
     return { clock, platform, directory, fleet, link, stall, reporting };
 };
 
-/** Returns the name of a member that is the reader of a fleet of it and `self`, or is not. */
-export const memberName = (isReader: boolean): string => {
+/** Returns names of members each of which is the reader of a fleet of it and `self`, or is not. */
+export const memberNames = (isReader: boolean): readonly string[] => {
     const names = Array.from({ length: 50 }, (_, index) => `other-${index}`);
-    return names.find(name => {
+    return names.filter(name => {
         const members = [member("self", 1), member(name, 1)];
         return (selectReaders(members)[0]?.instance === name) === isReader;
-    }) ?? "";
+    });
 };
+
+/** Returns the first of these names. */
+export const memberName = (isReader: boolean): string => memberNames(isReader)[0] ?? "";
--- a/packages/daemon/test/overdue-platform.test.ts
+++ b/packages/daemon/test/overdue-platform.test.ts
@@ -6,7 +6,7 @@
 import { defaultFleetTimes } from "@harrierhitch/published";
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { memberName, startLink } from "./model/test-link.js";
+import { memberName, memberNames, startLink } from "./model/test-link.js";
 
 describe("requests may be routed by state beyond the bound", () => {
     const staleMs = defaultFleetTimes.boundMs;
@@ -76,42 +76,49 @@
         assert.equal(overdue, true);
     });
 
+    test("not while another instance has been a reader for longer than a call takes, until the state is twice as old", async () => {
+        const [reader = ""] = memberNames(true);
+        const { clock, platform, link } = await startLink([reader]);
+        await clock.advance(settledMs);
+        platform.isDown = true;
+        let longestMs = 0;
+        for (let passedMs = 0; passedMs < 4 * staleMs; passedMs += 10) {
+            await clock.advance(10);
+            longestMs = Math.max(longestMs, link.mayBeOverdue ? 0 : link.stalenessMs);
+        }
+        link.stop();
+        assert.equal(link.mayBeOverdue, true);
+        assert.ok(longestMs >= 2 * staleMs - 20 && longestMs <= 2 * staleMs, `${longestMs} ms`);
+    });
+
     const silences = [
+        { name: "while a call is not answered in time", isBehind: false, beginsResponse: false, reports: 2, expected: true },
         {
-            name: "while a call is not answered in time",
-            isBehind: false,
-            beginsResponse: false,
-            isReported: true,
-            expected: true,
-        },
-        {
-            name: "not while a call is not answered in time, if no other instance states that",
-            ...{ isBehind: false, beginsResponse: false, isReported: false, expected: false },
+            name: "not while a call is not answered in time, if one other instance only states that",
+            ...{ isBehind: false, beginsResponse: false, reports: 1, expected: false },
         },
         {
             name: "not while a busy process may not have read the answer",
-            ...{ isBehind: true, beginsResponse: false, isReported: true, expected: false },
+            ...{ isBehind: true, beginsResponse: false, reports: 2, expected: false },
         },
         {
             name: "not while the answer is arriving",
-            ...{ isBehind: false, beginsResponse: true, isReported: true, expected: false },
+            ...{ isBehind: false, beginsResponse: true, reports: 2, expected: false },
         },
     ];
-    silences.forEach(({ name, isBehind, beginsResponse, isReported, expected }) => {
+    silences.forEach(({ name, isBehind, beginsResponse, reports, expected }) => {
         test(name, async () => {
-            const other = memberName(false);
-            const { clock, platform, link, stall, reporting } = await startLink([other]);
+            const others = memberNames(false).slice(0, 2);
+            const { clock, platform, link, stall, reporting } = await startLink(others);
             await clock.advance(settledMs + 100);
             platform.isSilent = true;
             platform.beginsResponse = beginsResponse;
             stall.isBehind = isBehind;
-            if (isReported) {
-                reporting.add(other);
-            }
             // The watch in progress ends within a long poll; the next one is held for as long again.
             await clock.advance(longPollMs);
+            others.slice(0, reports).forEach(other => reporting.add(other));
             assert.equal(link.mayBeOverdue, false);
-            await clock.advance(longPollMs + 400);
+            await clock.advance(longPollMs + 600);
             link.stop();
             assert.equal(link.mayBeOverdue, expected);
         });
--- a/packages/fleet/src/distribution-roles.ts
+++ b/packages/fleet/src/distribution-roles.ts
@@ -55,6 +55,8 @@
     private readonly backedOff = new Map<string, PeerBackoff>();
     private readonly roleRequestedAtMs = new Map<Role, number>();
     private cached: RoleAssignment | undefined;
+    /** Since when each reader has been one, as known here. */
+    private readerSinceMs: ReadonlyMap<string, number> = new Map();
     /** When this instance joined the fleet, on its clock. */
     readonly joinedAtMs: number;
 
@@ -96,6 +98,20 @@
         return this.options.members.alive.length > 1;
     }
 
+    /**
+     * Whether the platform serves a reader other than this instance: one that has been a reader for longer than a call to the platform may
+     * take, and has not stated that it failed.
+     *
+     * @param callMs - Longest time until a call has failed and its failure is known here, in milliseconds.
+     */
+    hasServedReader(callMs: number): boolean {
+        const { clock, members: { self } } = this.options;
+        const sinceMs = clock.nowMs() - callMs;
+        return this.readers.some(({ instance, platformReachable }) =>
+            instance !== self.instance && platformReachable && (this.readerSinceMs.get(instance) ?? Infinity) <= sinceMs
+        );
+    }
+
     /** Records that another instance polled this one in a role. */
     recordRoleRequest(role: Role): void {
         this.roleRequestedAtMs.set(role, this.options.clock.nowMs());
@@ -139,6 +155,7 @@
         const roleInZone = includesSelf(relays) ? Role.RELAY : Role.UNSPECIFIED;
         const localRole = includesSelf(readers) ? Role.READER : roleInZone;
         this.cached = { readers, relays, localRole, version: members.version, atMs: nowMs };
+        this.readerSinceMs = new Map(readers.map(({ instance }) => [instance, this.readerSinceMs.get(instance) ?? nowMs]));
         return this.cached;
     }
 
