--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -37,8 +37,8 @@
 }
 
 /**
- * Time without the first bytes of a response after which the platform is taken to be silent, if another instance states that it does not
- * respond, in milliseconds. Without that, the call has to fail: a response may wait on its way for longer.
+ * Time without the first bytes of a response after which the platform is taken to be silent, if others state that it does not respond to
+ * them, in milliseconds. Without that, the call has to fail: a response may wait on its way for longer.
  */
 const unansweredMs = 300;
 
@@ -57,6 +57,9 @@
 /** Age up to which another instance's statement that the platform does not respond counts, in staleness bounds. */
 const reportBounds = 2;
 
+/** Staleness from which a reader that is served does not count any more, since nothing of it arrives here, in staleness bounds. */
+const servedReaderBounds = 2;
+
 /** Watches the platform on behalf of an instance. */
 export class PlatformLink {
     private readonly watcher: PlatformWatcher;
@@ -122,7 +125,9 @@
         if (fleet?.roles.hasSubscribers !== true) {
             return "alone";
         }
-        if (this.stalenessMs <= reportBounds * times.boundMs && fleet.roles.hasServedReader(times.longPollMs + callGraceMs)) {
+        if (
+            this.stalenessMs <= servedReaderBounds * times.boundMs && fleet.roles.hasServedReader(times.longPollMs + callGraceMs)
+        ) {
             return undefined;
         }
         const { reports } = this;
