A watch without an answer is repeated on a new connection

A watch that has no first bytes 0.3 s after its long poll, or after two usual round trips if that is more, is repeated without a wait on a connection that is not kept, unless this process is behind or another instance has stated an outage. The first success counts, as of its own request; the call fails when the first one fails and the second has had 0.3 s. Readers confirm their state in time then, and the others need not call.

--- a/packages/daemon/src/platform/http-get.ts
+++ b/packages/daemon/src/platform/http-get.ts
@@ -29,6 +29,8 @@
     /** Time until the first bytes of the response, in milliseconds; on timeout the connection is closed. */
     readonly timeoutMs: number;
     readonly signal: AbortSignal;
+    /** Whether to open a connection that is not kept. */
+    readonly isOnNewConnection?: boolean | undefined;
     /** Called when the first bytes of a response arrive. */
     readonly onResponse?: (() => void) | undefined;
 }
@@ -88,7 +90,7 @@
 
 const getOnce = ({ agent, options }: HttpClient, call: HttpGetRequest): Promise<HttpResponse> =>
     new Promise((resolve, reject) => {
-        const { url, headers = {}, timeoutMs, signal, onResponse } = call;
+        const { url, headers = {}, timeoutMs, signal, onResponse, isOnNewConnection = false } = call;
         let hasResponse = false;
         const fail = (error: Error, type: typeof PlatformError = PlatformError): void => {
             timer.cancel();
@@ -96,7 +98,7 @@
             request.destroy();
             reject(new type(`${url}: ${asError(error).message}`, { cause: error }));
         };
-        const request = get(url, { agent, headers, signal }, response => {
+        const request = get(url, { agent: isOnNewConnection ? false : agent, headers, signal }, response => {
             hasResponse = true;
             onResponse?.();
             const chunks: Buffer[] = [];
--- a/packages/daemon/src/platform/platform-link.ts
+++ b/packages/daemon/src/platform/platform-link.ts
@@ -11,7 +11,8 @@
 import { events } from "../telemetry/event.js";
 import { CallSchedule, nonReaderRetryMs } from "./call-schedule.js";
 import type { OverdueReason } from "./overdue-reason.js";
-import { PlatformWatcher, type PublicationKind } from "./platform-watcher.js";
+import type { PublicationKind } from "./platform-watcher-options.js";
+import { PlatformWatcher } from "./platform-watcher.js";
 import type { Platform, Publication } from "./platform.js";
 
 /** Options of {@link PlatformLink}. */
@@ -88,6 +89,7 @@
             appliedRevision: () => instance.directory.revision,
             onPublication: (publication, kind, asOfMs) => this.applyPublication(publication, kind, asOfMs),
             checkForStall: options.checkForStall,
+            mayRepeat: () => !options.isBehind() && this.reports === 0,
             onCallEnd: () => instance.fleet?.directReads.end(),
             onUnavailable: error => this.onUnavailable(error),
             onUnusableChanges: (error, revision) => this.onUnusableChanges(error, revision),
--- a/packages/daemon/src/platform/platform-watcher.ts
+++ b/packages/daemon/src/platform/platform-watcher.ts
@@ -4,47 +4,11 @@
  * @packageDocumentation
  */
 
-import { asError, type Clock, type RandomSource, sleep } from "@harrierhitch/core";
+import { asError, sleep } from "@harrierhitch/core";
 import { CallProgress } from "./call-progress.js";
-import {
-    HistoryLostError,
-    OversizedPublicationError,
-    type Platform,
-    type Publication,
-    UnusablePublicationError,
-} from "./platform.js";
-
-/** Kind of a publication: a snapshot that may be a few seconds old, a current snapshot, or the changes since a revision. */
-export type PublicationKind = "stale-snapshot" | "snapshot" | "changes";
-
-/** Options of {@link PlatformWatcher}. */
-export interface PlatformWatcherOptions {
-    readonly platform: Platform;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    /** Delay before a retry while the platform is unavailable, in milliseconds. */
-    readonly retryMs: () => number;
-    /** Milliseconds until the next call to the platform is due; 0 if it is due now. */
-    readonly dueInMs: () => number;
-    /** Longest duration of a long poll, in milliseconds. */
-    readonly longPollMs: () => number;
-    /** Minimum interval between calls, in milliseconds, so that changes in quick succession are fetched together. */
-    readonly batchMs: number;
-    /** Revision up to which all changes have been applied, whatever their source. */
-    readonly appliedRevision: () => number;
-    /** Receives the result of a call; it is complete as of `asOfMs`. */
-    readonly onPublication: (publication: Publication, kind: PublicationKind, asOfMs: number) => void;
-    /** Called before a response is applied, and when a call has failed, to detect a stall meanwhile. */
-    readonly checkForStall: () => void;
-    /** Called when a result was applied, or a call failed. */
-    readonly onCallEnd: () => void;
-    /** Called when the platform has failed after a success, or at the first call. */
-    readonly onUnavailable: (error: Error) => void;
-    /** Called when the changes since a revision cannot be used, so that the current state is read in their place. */
-    readonly onUnusableChanges: (error: Error, revision: number) => void;
-    /** Called when the platform responds again. */
-    readonly onRecovered: () => void;
-}
+import { callTwice } from "./call-twice.js";
+import type { PlatformWatcherOptions, PublicationKind } from "./platform-watcher-options.js";
+import { HistoryLostError, OversizedPublicationError, type Publication, UnusablePublicationError } from "./platform.js";
 
 /** Longest interval between checks whether a call is due, in milliseconds. */
 const maximumCheckIntervalMs = 250;
@@ -52,6 +16,22 @@
 /** Shortest interval between such checks, in milliseconds; avoids a busy loop when rounding leaves a tiny delay. */
 const minimumCheckIntervalMs = 1;
 
+/**
+ * Time without a response after which a watch is repeated on a new connection, in milliseconds and in usual round trips: a kept connection may
+ * have fallen silent although the platform responds.
+ */
+const secondCallDelayMs = 300;
+const secondCallRoundTrips = 2;
+
+/** Time without an answer after which that repetition counts as failed if the watch has, in milliseconds. */
+const secondCallTimeoutMs = 300;
+
+/** The result of a call, and when it was requested. */
+interface CallResult {
+    readonly publication: Publication;
+    readonly requestedAtMs: number;
+}
+
 /** Reads the platform once, then watches it whenever a call is due. Failed calls are reported and retried. */
 export class PlatformWatcher {
     private readonly stopping = new AbortController();
@@ -114,9 +94,9 @@
     private async callOnce(signal: AbortSignal): Promise<void> {
         const { clock, random, retryMs, onPublication, checkForStall } = this.options;
         const kind = this.nextKind();
-        const requestedAtMs = clock.nowMs();
+        const startedAtMs = clock.nowMs();
         try {
-            const publication = await this.call(kind, signal).finally(() => this.progress.end());
+            const { publication, requestedAtMs } = await this.call(kind, signal).finally(() => this.progress.end());
             this.hasRead = true;
             this.needsCurrentRead = false;
             this.unusableRevision = undefined;
@@ -135,7 +115,7 @@
                 this.needsCurrentRead = true;
                 return;
             }
-            if (this.hasFailedByStall(requestedAtMs)) {
+            if (this.hasFailedByStall(startedAtMs)) {
                 return;
             }
             this.onFailure(asError(thrown));
@@ -189,21 +169,33 @@
         return this.hasRead || this.options.appliedRevision() > 0 ? "changes" : "stale-snapshot";
     }
 
-    private async call(kind: PublicationKind, signal: AbortSignal): Promise<Publication> {
-        const { platform, appliedRevision } = this.options;
+    private async call(kind: PublicationKind, signal: AbortSignal): Promise<CallResult> {
+        const { platform, appliedRevision, clock, mayRepeat } = this.options;
         const onResponse = (): void => this.progress.answer();
         // While the platform fails, calls return at once so that a recovery is detected early.
         const longPollMs = kind === "changes" && this.consecutiveFailures === 0 ? this.options.longPollMs() : 0;
         this.progress.begin(longPollMs);
         if (kind !== "changes") {
-            return platform.read(signal, kind === "stale-snapshot", onResponse);
+            const requestedAtMs = clock.nowMs();
+            return { publication: await platform.read(signal, kind === "stale-snapshot", onResponse), requestedAtMs };
         }
         const revision = appliedRevision();
-        const publication = await platform.watch(revision, signal, longPollMs, onResponse);
-        const { listings, zones, configuration } = publication;
-        const isEmpty = listings.length === 0 && zones.length === 0 && configuration === undefined;
-        // An empty response keeps the old revision, because a platform about to lose its history may omit changes.
-        return isEmpty ? { ...publication, revision } : publication;
+        const watch = async (waitMs: number, watchSignal: AbortSignal, isOnNewConnection: boolean): Promise<CallResult> => {
+            const requestedAtMs = clock.nowMs();
+            const publication = await platform.watch(revision, watchSignal, waitMs, onResponse, isOnNewConnection);
+            const { listings, zones, configuration } = publication;
+            const isEmpty = listings.length === 0 && zones.length === 0 && configuration === undefined;
+            // An empty response keeps the old revision, because a platform about to lose its history may omit changes.
+            return { publication: isEmpty ? { ...publication, revision } : publication, requestedAtMs };
+        };
+        return callTwice({
+            ...{ clock, signal },
+            delayMs: longPollMs + Math.max(secondCallDelayMs, secondCallRoundTrips * this.progress.roundTripMs),
+            secondTimeoutMs: secondCallTimeoutMs,
+            isDue: () => this.consecutiveFailures === 0 && this.progress.unansweredMs > 0 && mayRepeat(),
+            first: firstSignal => watch(longPollMs, firstSignal, false),
+            second: secondSignal => watch(0, secondSignal, true),
+        });
     }
 
     private onResponse(): void {
--- a/packages/daemon/src/platform/platform.ts
+++ b/packages/daemon/src/platform/platform.ts
@@ -45,12 +45,19 @@
      * @param signal - Cancels the watch.
      * @param longPollMs - Longest time to wait for a change, in milliseconds; 0 returns the changes so far.
      * @param onResponse - Called when the first bytes of the response arrive.
+     * @param isOnNewConnection - Whether to open a connection for this call, because a kept one may have fallen silent.
      * @returns The changes; none if nothing changed within that time.
      * @throws {@link HistoryLostError} if the changes since that revision are no longer available.
      * @throws {@link UnusablePublicationError} if the response cannot be used.
      * @throws {@link PlatformError} if the call fails or the response is invalid.
      */
-    watch(revision: number, signal: AbortSignal, longPollMs: number, onResponse?: () => void): Promise<Publication>;
+    watch(
+        revision: number,
+        signal: AbortSignal,
+        longPollMs: number,
+        onResponse?: () => void,
+        isOnNewConnection?: boolean,
+    ): Promise<Publication>;
 }
 
 /** A call to the platform failed or its response was invalid. */
--- a/packages/daemon/test/slow-platform-response.test.ts
+++ b/packages/daemon/test/slow-platform-response.test.ts
@@ -53,6 +53,7 @@
         appliedRevision: () => isWatch ? 1 : 0,
         onPublication: (_, __, asOfMs) => confirmedAtMs ??= asOfMs,
         checkForStall: () => stallMs !== undefined && watcher.recordStall(),
+        mayRepeat: () => true,
         onCallEnd: () => undefined,
         onUnavailable: () => undefined,
         onUnusableChanges: () => undefined,
